--- /dev/null
+++ b/cmd/fordseam-fleet/main.go
@@ -0,0 +1,138 @@
+// fordseam-fleet runs a whole fleet on one machine, with stand-in workers
+// and callers, and reports what they saw.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/fleet"
+	"fordseam/internal/node"
+	"fordseam/internal/standin"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	shared := func() []cli.Flag {
+		return []cli.Flag{
+			&cli.StringFlag{Name: "shape", Value: "kiondo", Usage: "`SHAPE`: kiondo, ljubljana or small"},
+			&cli.StringFlag{Name: "folder", Value: "fleet-data", Usage: "`FOLDER` for data and logs; emptied first"},
+			&cli.IntFlag{Name: "pieces", Value: 8, Usage: "`PIECES` in a model's answer"},
+			&cli.DurationFlag{Name: "gap", Value: 10 * time.Millisecond, Usage: "`TIME` between pieces"},
+		}
+	}
+	command := &cli.Command{
+		Name:  "fordseam-fleet",
+		Usage: "run a whole fleet on this machine's loopback addresses",
+		Commands: []*cli.Command{
+			{Name: "up", Usage: "start a fleet and keep it until interrupted", Flags: shared(), Action: up},
+			{Name: "run", Usage: "start a fleet, let callers converse, kill a machine now and then, report", Action: run,
+				Flags: append(shared(),
+					&cli.IntFlag{Name: "callers", Value: 24, Usage: "`CALLERS` at once"},
+					&cli.IntFlag{Name: "conversations", Value: 4, Usage: "`CONVERSATIONS` each"},
+					&cli.StringSliceFlag{Name: "kill", Usage: "kill and later restart a machine, as `NAME@SECONDS`, such as edge-2@3"},
+					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
+		},
+	}
+	node.Main(command, os.Args)
+}
+
+func start(command *cli.Command) (*fleet.Fleet, *fleet.Parties, error) {
+	shape, ok := fleet.Shapes[command.String("shape")]
+	if !ok {
+		return nil, nil, cli.Exit("shape: must be kiondo, ljubljana or small", node.ExitUsage)
+	}
+	folder := command.String("folder")
+	if err := os.RemoveAll(folder); err != nil {
+		return nil, nil, err
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, nil, err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, nil, err
+	}
+	f, err := fleet.New(shape, folder, filepath.Dir(self), rand.IntN(50000))
+	if err != nil {
+		return nil, nil, err
+	}
+	parties, err := f.StartParties(command.Int("pieces"), command.Duration("gap"))
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := f.Form(parties, 30*time.Second); err != nil {
+		f.Stop()
+		return nil, nil, err
+	}
+	return f, parties, nil
+}
+
+func up(_ context.Context, command *cli.Command) error {
+	f, _, err := start(command)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	for _, p := range f.All() {
+		fmt.Printf("%-10s zone %-8s  partners %-22s  public %s\n", p.Name, p.Zone, p.Addr, p.Public)
+	}
+	fmt.Println("running; interrupt to stop")
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	return nil
+}
+
+func run(_ context.Context, command *cli.Command) error {
+	f, parties, err := start(command)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	defer parties.Stop()
+	tally := standin.NewTally()
+	for _, plan := range command.StringSlice("kill") {
+		if err := killLater(f, plan); err != nil {
+			return err
+		}
+	}
+	clock := base.NewRealClock()
+	before := f.Total()
+	f.Load(tally, command.Int("callers"), command.Int("conversations"), command.Int("pieces"), "c")
+	took := clock.Now()
+	tally.Check(parties.Models, parties.Tools, int64(command.Int("pieces")))
+	return f.Report(os.Stdout, tally, parties, before, took, command.Bool("json"))
+}
+
+func killLater(f *fleet.Fleet, plan string) error {
+	var name string
+	var seconds float64
+	for place := len(plan) - 1; place > 0; place-- {
+		if plan[place] == '@' {
+			name = plan[:place]
+			if _, err := fmt.Sscanf(plan[place+1:], "%f", &seconds); err != nil {
+				name = ""
+			}
+			break
+		}
+	}
+	for _, p := range f.All() {
+		if p.Name == name {
+			time.AfterFunc(time.Duration(seconds*float64(time.Second)), func() {
+				p.Kill()
+				time.AfterFunc(5*time.Second, func() { _ = f.Start(p) })
+			})
+			return nil
+		}
+	}
+	return cli.Exit(fmt.Sprintf("kill: %q must be NAME@SECONDS with a machine's name", plan), node.ExitUsage)
+}
--- /dev/null
+++ b/cmd/fordseam-gateway/main.go
@@ -0,0 +1,32 @@
+// fordseam-gateway is the data plane: it takes callers' requests, owns
+// sessions and is understudy for others.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"fordseam/internal/node"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "fordseam-gateway",
+		Usage: "serve callers, own sessions, stand in for other gateways",
+		Flags: node.PlaceFlags(),
+		Action: func(_ context.Context, command *cli.Command) error {
+			if command.Args().Len() > 0 {
+				return cli.Exit(fmt.Sprintf("unexpected argument %q", command.Args().First()), node.ExitUsage)
+			}
+			place, err := node.PlaceOf(command, node.Place{Role: "edge"}, "edge")
+			if err != nil {
+				return err
+			}
+			return node.RunDaemon(place)
+		},
+	}
+	node.Main(command, os.Args)
+}
--- /dev/null
+++ b/internal/base/bounds.go
@@ -0,0 +1,47 @@
+// Bounds are the few times that operators promise their users; every
+// interval inside the system is a ratio to one of them, so that changing a
+// bound changes all that hangs on it and the order between them stays.
+package base
+
+import "time"
+
+type Bounds struct {
+	Settings time.Duration
+	Leave    time.Duration
+	Recover  time.Duration
+	Retain   time.Duration
+}
+
+// DefaultBounds are used until settings arrive.
+func DefaultBounds() *Bounds {
+	return &Bounds{Settings: 2 * time.Second, Leave: 3 * time.Second, Recover: 12 * time.Second, Retain: 10 * time.Minute}
+}
+
+// Permit is how long a node may serve on one confirmation, counted from
+// before it asked. With Hold and a clock drift of a twentieth it ends inside
+// the settings bound.
+func (b *Bounds) Permit() time.Duration { return b.Settings * 6 / 10 }
+
+// Hold is how long a visit waits for a lapsed permit before it is declined.
+func (b *Bounds) Hold() time.Duration { return b.Settings * 3 / 10 }
+
+// FeedHold is how long the feed keeps a quiet follower waiting.
+func (b *Bounds) FeedHold() time.Duration { return b.Settings / 10 }
+
+// Beat is the period of shuffles between neighbours.
+func (b *Bounds) Beat() time.Duration { return b.Leave / 12 }
+
+// Suspect is how long a silent node is still taken for alive.
+func (b *Bounds) Suspect() time.Duration { return b.Recover / 5 }
+
+// DiskLimit bounds one answer of a disk.
+func (b *Bounds) DiskLimit() time.Duration { return b.Recover / 12 }
+
+// Call bounds one message to a core and back, its wait for disks included.
+func (b *Bounds) Call() time.Duration { return b.Recover / 6 }
+
+// Pull is how long a stream's owner holds a pull that finds no piece.
+func (b *Bounds) Pull() time.Duration { return b.Recover / 24 }
+
+// Sweep is how often expired records are looked for.
+func (b *Bounds) Sweep() time.Duration { return max(b.Recover/4, min(b.Retain/10, 30*time.Second)) }
--- /dev/null
+++ b/internal/base/ctx.go
@@ -0,0 +1,90 @@
+// Ctx is the one context of a visit: it carries the clock, the moment by
+// which the visit must end on this node's monotonic clock, and a stack of
+// clean-ups run in reverse. Between nodes only the time left travels, never
+// a moment, since clocks differ.
+package base
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+type ctxKey struct{}
+
+// CtxKey finds our context from a plain one made out of it.
+var CtxKey any = ctxKey{}
+
+type Ctx struct {
+	context.Context
+	Clock Clock
+	Until time.Duration
+}
+
+// NewCtx starts a context that ends after limit.
+func NewCtx(clock Clock, limit time.Duration) *Ctx {
+	return &Ctx{Context: context.Background(), Clock: clock, Until: clock.Now() + limit}
+}
+
+// Within narrows the context to at most limit from now.
+func (c *Ctx) Within(limit time.Duration) *Ctx {
+	narrowed := *c
+	narrowed.Until = min(c.Until, c.Clock.Now()+limit)
+	return &narrowed
+}
+
+func (c *Ctx) Left() time.Duration { return max(0, c.Until-c.Clock.Now()) }
+func (c *Ctx) Over() bool          { return c.Left() == 0 }
+
+func (c *Ctx) Value(key any) any {
+	if _, ok := key.(ctxKey); ok {
+		return c
+	}
+	return c.Context.Value(key)
+}
+
+const withinHeader = "Fordseam-Within-Ms"
+
+// CtxOf finds our context inside a plain one, or makes a short one.
+func CtxOf(plain context.Context, clock Clock) *Ctx {
+	if found, ok := plain.Value(ctxKey{}).(*Ctx); ok {
+		return found
+	}
+	return &Ctx{Context: plain, Clock: clock, Until: clock.Now() + 10*time.Second}
+}
+
+// StampRequest writes the time left on a message to a partner.
+func StampRequest(r *http.Request, left time.Duration) {
+	r.Header.Set(withinHeader, strconv.FormatInt(left.Milliseconds(), 10))
+}
+
+// Receive wraps a handler so that its context is ours again.
+func Receive(clock Clock, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		limit := 10 * time.Second
+		if ms, err := strconv.ParseInt(r.Header.Get(withinHeader), 10, 64); err == nil && ms > 0 {
+			limit = time.Duration(ms) * time.Millisecond
+		}
+		received := &Ctx{Context: r.Context(), Clock: clock, Until: clock.Now() + limit}
+		next.ServeHTTP(w, r.WithContext(received))
+	})
+}
+
+// Cleanup is a stack of deferred clean-ups that can be disarmed.
+type Cleanup struct{ steps []func() }
+
+func (c *Cleanup) Push(step func()) { c.steps = append(c.steps, step) }
+func (c *Cleanup) Disarm()          { c.steps = nil }
+func (c *Cleanup) Run() {
+	for last := len(c.steps) - 1; last >= 0; last-- {
+		c.steps[last]()
+	}
+	c.steps = nil
+}
+
+// Wire is the way to partners: one HTTP exchange. Its errors wrap NotSent
+// when no byte left this node.
+type Wire interface {
+	Do(*http.Request) (*http.Response, error)
+}
--- /dev/null
+++ b/internal/base/verdict.go
@@ -0,0 +1,124 @@
+// A Verdict is the project's one error type. It says in a word what
+// happened, which HTTP status callers see, and above all whether the request
+// may have run. It crosses nodes inside twirp errors, so that the node that
+// knows is the one whose word reaches the caller.
+package base
+
+import (
+	stderrors "errors"
+	"fmt"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
+)
+
+type Ran string
+
+const (
+	NotRun     Ran = "not_run"
+	MayHaveRun Ran = "may_have_run"
+	DidRun     Ran = "ran"
+)
+
+type Verdict struct {
+	Status     int    `json:"-"`
+	Code       string `json:"code"`
+	Message    string `json:"message"`
+	Ran        Ran    `json:"request"`
+	Field      string `json:"field,omitempty"`
+	RetryAfter int    `json:"retry_after_s,omitempty"`
+	Stamp      uint64 `json:"current_stamp,omitempty"`
+}
+
+func (v *Verdict) Error() string { return fmt.Sprintf("%s: %s (%s)", v.Code, v.Message, v.Ran) }
+
+// Decline is a verdict that nothing ran and nothing will.
+func Decline(status int, code, format string, args ...any) *Verdict {
+	return &Verdict{Status: status, Code: code, Message: fmt.Sprintf(format, args...), Ran: NotRun}
+}
+
+// DeclineField declines bad input and names the field at fault.
+func DeclineField(field, format string, args ...any) *Verdict {
+	v := Decline(400, "bad_request", format, args...)
+	v.Field = field
+	return v
+}
+
+// Busy declines for now and says when to come back.
+func Busy(status int, code string, after int, format string, args ...any) *Verdict {
+	v := Decline(status, code, format, args...)
+	v.RetryAfter = max(after, 1)
+	return v
+}
+
+// Unsure is a verdict that the request may have run.
+func Unsure(status int, code, format string, args ...any) *Verdict {
+	return &Verdict{Status: status, Code: code, Message: fmt.Sprintf(format, args...), Ran: MayHaveRun}
+}
+
+// NotSent marks a wire error raised before any byte left this node.
+type NotSent struct{ Cause error }
+
+func (e *NotSent) Error() string { return "not sent: " + e.Cause.Error() }
+func (e *NotSent) Unwrap() error { return e.Cause }
+
+// WasNotSent reports whether the error proves that the partner never got
+// the message.
+func WasNotSent(err error) bool {
+	var notSent *NotSent
+	return stderrors.As(err, &notSent)
+}
+
+const verdictMark = "fordseam"
+
+// ToWire turns an error into a twirp error that keeps the verdict's parts.
+func ToWire(err error) error {
+	if err == nil {
+		return nil
+	}
+	v, ok := errors.Cause(err).(*Verdict)
+	if !ok {
+		return twirp.InternalErrorWith(err)
+	}
+	te := twirp.NewError(twirp.FailedPrecondition, v.Message)
+	for key, value := range map[string]string{
+		verdictMark: v.Code, "ran": string(v.Ran), "status": strconv.Itoa(v.Status), "field": v.Field,
+		"retry": strconv.Itoa(v.RetryAfter), "stamp": strconv.FormatUint(v.Stamp, 10),
+	} {
+		te = te.WithMeta(key, value)
+	}
+	return te
+}
+
+// FromWire gives back the verdict a partner sent. Any other failure is told
+// apart only by whether a byte may have left.
+func FromWire(err error) *Verdict {
+	if err == nil {
+		return nil
+	}
+	var v *Verdict
+	if stderrors.As(err, &v) {
+		return v
+	}
+	var te twirp.Error
+	if stderrors.As(err, &te) && te.Meta(verdictMark) != "" {
+		status, _ := strconv.Atoi(te.Meta("status"))
+		retry, _ := strconv.Atoi(te.Meta("retry"))
+		stamp, _ := strconv.ParseUint(te.Meta("stamp"), 10, 64)
+		return &Verdict{Status: status, Code: te.Meta(verdictMark), Message: te.Msg(), Ran: Ran(te.Meta("ran")),
+			Field: te.Meta("field"), RetryAfter: retry, Stamp: stamp}
+	}
+	if WasNotSent(err) {
+		return Busy(503, "unreachable", 1, "the node could not be reached")
+	}
+	return Unsure(502, "reply_lost", "the reply was lost")
+}
+
+// IsCode reports whether the error is a verdict with that code.
+func IsCode(err error, code string) bool {
+	if err == nil {
+		return false
+	}
+	return FromWire(err).Code == code
+}
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,303 @@
+// Package budget counts what a program may put out, once for the whole
+// fleet. The record of a program lives in the slot of its root program, so
+// that helpers draw on the same count and deadline. Tokens are reserved on a
+// majority before a leg goes out, and the worker's own limit is what was
+// reserved; they are settled when the leg's end is known. What is never
+// settled stays counted as spent. All ops may be repeated, and one that
+// comes late changes nothing that was settled.
+package budget
+
+import (
+	"encoding/json"
+	"strings"
+
+	"fordseam/internal/base"
+	"fordseam/internal/register"
+)
+
+// Termination only escalates: none, Drain, Immediate.
+type Termination string
+
+const (
+	Drain     Termination = "Drain"
+	Immediate Termination = "Immediate"
+)
+
+var ranks = map[Termination]int{"": 0, Drain: 1, Immediate: 2}
+
+// Known reports whether a word names a termination.
+func (t Termination) Known() bool { return ranks[t] > 0 }
+
+// Escalate gives the stronger of two.
+func (t Termination) Escalate(asked Termination) Termination {
+	if ranks[asked] > ranks[t] {
+		return asked
+	}
+	return t
+}
+
+// Program is what is kept of one. Root programs hold the count.
+type Program struct {
+	ID          string           `json:"id"`
+	Root        string           `json:"root"`
+	Group       string           `json:"group"`
+	Site        string           `json:"site"`
+	Secret      string           `json:"secret"`
+	Budget      int64            `json:"budget"`
+	Spent       int64            `json:"spent"`
+	Reserved    map[string]int64 `json:"reserved"`
+	Deadline    int64            `json:"deadline"`
+	Urgency     string           `json:"urgency"`
+	Termination Termination      `json:"termination"`
+	Created     int64            `json:"created"`
+	Seen        int64            `json:"seen"`
+}
+
+// Outstanding is what legs under way may still put out.
+func (p *Program) Outstanding() int64 {
+	total := int64(0)
+	for _, tokens := range p.Reserved {
+		total += tokens
+	}
+	return total
+}
+
+// GroupOf is the register group of a program: its root's name, which every
+// helper's name begins with.
+func GroupOf(program string) string {
+	root, _, _ := strings.Cut(program, ".")
+	return root
+}
+
+func key(id string) string { return "program/" + id }
+
+// Load reads a program in a change.
+func Load(tx *register.Tx, id string) *Program {
+	raw := tx.Get(key(id))
+	if raw == nil {
+		return nil
+	}
+	var found Program
+	if json.Unmarshal(raw, &found) != nil {
+		return nil
+	}
+	return &found
+}
+
+func (p *Program) store(tx *register.Tx) {
+	p.Seen = tx.Wall.UnixMilli()
+	tx.Put(key(p.ID), base.Encode(p))
+}
+
+// Unknown is the verdict for a program that is not there.
+func Unknown() *base.Verdict { return base.Decline(404, "unknown_program", "there is no such program") }
+
+// Active declines when the program or its root takes no new work; work that
+// was accepted before may still go on while the program drains.
+func Active(tx *register.Tx, program *Program, accepted bool) error {
+	root := program
+	if program.Root != program.ID {
+		if root = Load(tx, program.Root); root == nil {
+			return Unknown()
+		}
+	}
+	if stopped := program.Termination.Escalate(root.Termination); stopped == Immediate || (stopped != "" && !accepted) {
+		return base.Decline(503, "program_terminating", "the program is ending (%s)", stopped)
+	}
+	if root.Deadline > 0 && tx.Wall.UnixMilli() >= root.Deadline {
+		return base.Decline(408, "past_deadline", "the program's deadline has passed")
+	}
+	return nil
+}
+
+// Reserve sets tokens aside for a leg and grants at most what is left.
+func Reserve(tx *register.Tx, program *Program, leg string, wanted int64) (int64, error) {
+	if err := Active(tx, program, true); err != nil {
+		return 0, err
+	}
+	root := Load(tx, program.Root)
+	if granted, ok := root.Reserved[leg]; ok {
+		return granted, nil
+	}
+	left := root.Budget - root.Spent - root.Outstanding()
+	granted := min(wanted, left)
+	if granted <= 0 {
+		return 0, base.Decline(402, "over_budget", "the program's budget of %d output tokens is used up", root.Budget)
+	}
+	if root.Reserved == nil {
+		root.Reserved = map[string]int64{}
+	}
+	root.Reserved[leg] = granted
+	root.store(tx)
+	return granted, nil
+}
+
+// Settle ends a reservation with what was put out; below zero means that
+// the end is unknown and the whole of it counts as spent.
+func Settle(tx *register.Tx, program *Program, leg string, used int64) {
+	root := Load(tx, program.Root)
+	if root == nil {
+		return
+	}
+	granted, ok := root.Reserved[leg]
+	if !ok {
+		return
+	}
+	if used < 0 || used > granted {
+		used = granted
+	}
+	delete(root.Reserved, leg)
+	root.Spent += used
+	root.store(tx)
+}
+
+// Forfeit counts every reservation under a prefix as spent in full.
+func Forfeit(tx *register.Tx, program *Program, prefix string) {
+	root := Load(tx, program.Root)
+	if root == nil {
+		return
+	}
+	changed := false
+	for _, leg := range base.SortedKeys(root.Reserved) {
+		if strings.HasPrefix(leg, prefix) {
+			root.Spent += root.Reserved[leg]
+			delete(root.Reserved, leg)
+			changed = true
+		}
+	}
+	if changed {
+		root.store(tx)
+	}
+}
+
+// EndedPrefix is where the feed tells of programs that were told to end.
+const EndedPrefix = "feed/ended/"
+
+// Ended is what the feed tells of one.
+type Ended struct {
+	Mode Termination `json:"mode"`
+	At   int64       `json:"at"`
+}
+
+// EndedMode reads what the feed tells of one program.
+func EndedMode(raw []byte) Termination {
+	var told Ended
+	_ = json.Unmarshal(raw, &told)
+	return told.Mode
+}
+
+type create struct {
+	Program Program `json:"program"`
+}
+
+type terminate struct {
+	Program string      `json:"program"`
+	Mode    Termination `json:"mode"`
+}
+
+type named struct {
+	Program string `json:"program"`
+}
+
+// Serve adds the programs' ops to a core.
+func Serve(owner *register.Owner) {
+	owner.Handle("budget.create", func(tx *register.Tx, args []byte) (any, error) {
+		var asked create
+		if err := json.Unmarshal(args, &asked); err != nil {
+			return nil, base.DeclineField("program", "%v", err)
+		}
+		program := asked.Program
+		if held := Load(tx, program.ID); held != nil {
+			if held.Secret != program.Secret {
+				return nil, base.Decline(409, "program_exists", "a program of that name exists")
+			}
+			return held, nil
+		}
+		if program.Root != program.ID {
+			root := Load(tx, program.Root)
+			if root == nil {
+				return nil, Unknown()
+			}
+			if err := Active(tx, root, false); err != nil {
+				return nil, err
+			}
+			program.Group, program.Site = root.Group, root.Site
+		}
+		program.Created = tx.Wall.UnixMilli()
+		program.store(tx)
+		return program, nil
+	})
+	owner.Handle("budget.get", func(tx *register.Tx, args []byte) (any, error) {
+		var asked named
+		_ = json.Unmarshal(args, &asked)
+		if found := Load(tx, asked.Program); found != nil {
+			return found, nil
+		}
+		return nil, Unknown()
+	})
+	owner.Handle("budget.terminate", func(tx *register.Tx, args []byte) (any, error) {
+		var asked terminate
+		_ = json.Unmarshal(args, &asked)
+		found := Load(tx, asked.Program)
+		if found == nil {
+			return nil, Unknown()
+		}
+		if after := found.Termination.Escalate(asked.Mode); after != found.Termination {
+			found.Termination = after
+			found.store(tx)
+		}
+		return found, nil
+	})
+	owner.Handle("budget.ended", func(tx *register.Tx, args []byte) (any, error) {
+		var asked terminate
+		_ = json.Unmarshal(args, &asked)
+		var told Ended
+		if raw := tx.Get(EndedPrefix + asked.Program); raw != nil {
+			_ = json.Unmarshal(raw, &told)
+		}
+		if after := told.Mode.Escalate(asked.Mode); after != told.Mode {
+			tx.Put(EndedPrefix+asked.Program, base.Encode(Ended{after, tx.Wall.UnixMilli()}))
+		}
+		return struct{}{}, nil
+	})
+	owner.Sweep(func(tx *register.Tx) {
+		tx.Walk(EndedPrefix, "", func(storedKey string, value []byte) bool {
+			var told Ended
+			if json.Unmarshal(value, &told) == nil && tx.Wall.UnixMilli()-told.At > tx.Bounds.Retain.Milliseconds() {
+				tx.Gone(storedKey)
+			}
+			return true
+		})
+	})
+	owner.Sweep(func(tx *register.Tx) {
+		now := tx.Wall.UnixMilli()
+		tx.Walk("program/", "", func(storedKey string, value []byte) bool {
+			var found Program
+			if json.Unmarshal(value, &found) == nil && now > max(found.Deadline, found.Seen)+4*tx.Bounds.Retain.Milliseconds() {
+				tx.Gone(storedKey)
+			}
+			return true
+		})
+	})
+}
+
+// Client asks for programs.
+type Client struct{ Register *register.Client }
+
+func (c *Client) Create(ctx *base.Ctx, program Program) (*Program, error) {
+	var made Program
+	return &made, c.Register.Change(ctx, GroupOf(program.ID), "budget.create", create{program}, &made)
+}
+
+func (c *Client) Get(ctx *base.Ctx, id string) (*Program, error) {
+	var found Program
+	return &found, c.Register.Change(ctx, GroupOf(id), "budget.get", named{id}, &found)
+}
+
+func (c *Client) Terminate(ctx *base.Ctx, id string, mode Termination) (*Program, error) {
+	var found Program
+	if err := c.Register.Change(ctx, GroupOf(id), "budget.terminate", terminate{id, mode}, &found); err != nil {
+		return nil, err
+	}
+	return &found, c.Register.Change(ctx, register.FeedGroup, "budget.ended", terminate{id, found.Termination}, nil)
+}
--- /dev/null
+++ b/internal/conn/wire.go
@@ -0,0 +1,155 @@
+// The real wire: a listener and a dialer made of gnet engines, and an HTTP
+// client for twirp whose errors say whether a byte may have left. Replies are
+// read whole inside Do, so that the time a visit has left covers them.
+package conn
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/juju/errors"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+)
+
+type listener struct {
+	engine   gnet.Engine
+	addr     net.Addr
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Listen opens a gnet listener on an address given by number.
+func Listen(addr string) (net.Listener, error) {
+	parsed, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen address %q", addr)
+	}
+	l := &listener{addr: parsed, accepted: make(chan net.Conn, 256), closed: make(chan struct{})}
+	handler := &events{booted: make(chan gnet.Engine, 1)}
+	handler.opened = func(f *flow) {
+		select {
+		case l.accepted <- f:
+		default:
+			_ = f.raw.Close()
+		}
+	}
+	failed := make(chan error, 1)
+	go func() {
+		failed <- gnet.Run(handler, "tcp://"+addr, gnet.WithNumEventLoop(2), gnet.WithLogLevel(logging.FatalLevel),
+			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReuseAddr(true))
+	}()
+	select {
+	case l.engine = <-handler.booted:
+		return l, nil
+	case err := <-failed:
+		return nil, errors.Annotatef(err, "cannot listen on %s", addr)
+	}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case accepted := <-l.accepted:
+		return accepted, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		bounded, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = l.engine.Stop(bounded)
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return l.addr }
+
+// Wire is the HTTP client that twirp's clients use between nodes.
+type Wire struct {
+	client *gnet.Client
+	http   *http.Client
+	sent   func()
+}
+
+// NewWire starts the dialing engine; sent is called for each message.
+func NewWire(sent func()) (*Wire, error) {
+	handler := &events{booted: make(chan gnet.Engine, 1)}
+	client, err := gnet.NewClient(handler, gnet.WithNumEventLoop(2), gnet.WithLogLevel(logging.FatalLevel), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := client.Start(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	w := &Wire{client: client, sent: sent}
+	transport := &http.Transport{
+		DialContext:         w.dial,
+		MaxIdleConnsPerHost: 32,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	w.http = &http.Client{Transport: transport}
+	return w, nil
+}
+
+func (w *Wire) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	var dialer net.Dialer
+	plain, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, &base.NotSent{Cause: err}
+	}
+	dialed := prepareFlow(plain.LocalAddr(), plain.RemoteAddr())
+	if _, err := w.client.EnrollContext(plain, dialed); err != nil {
+		_ = plain.Close()
+		return nil, &base.NotSent{Cause: err}
+	}
+	if dialed.raw == nil {
+		return nil, &base.NotSent{Cause: net.ErrClosed}
+	}
+	return dialed, nil
+}
+
+// Do sends one message and reads its reply whole.
+func (w *Wire) Do(request *http.Request) (*http.Response, error) {
+	ctx, ok := request.Context().Value(base.CtxKey).(*base.Ctx)
+	left := 10 * time.Second
+	if ok {
+		left = ctx.Left()
+	}
+	if left <= 0 {
+		return nil, &base.NotSent{Cause: context.DeadlineExceeded}
+	}
+	base.StampRequest(request, left)
+	w.sent()
+	bounded, cancel := context.WithTimeout(request.Context(), left)
+	defer cancel()
+	response, err := w.http.Do(request.WithContext(bounded))
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, unreadLimit))
+	if err != nil {
+		return nil, err
+	}
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	return response, nil
+}
+
+// Close ends the dialing engine.
+func (w *Wire) Close() {
+	w.http.CloseIdleConnections()
+	_ = w.client.Stop()
+}
--- /dev/null
+++ b/internal/disk/service.go
@@ -0,0 +1,196 @@
+// The service is what cores may ask of a disk. Every message names the disk
+// it is meant for, the disk set its sender goes by and the sender's epoch. A
+// disk that is blank, no longer in the set, asked under another disk's id or
+// under an older set or epoch says why and changes nothing.
+package disk
+
+import (
+	"context"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/register"
+)
+
+// Service answers the register's Disk calls from one store.
+type Service struct {
+	store *Store
+	limit time.Duration
+}
+
+// NewService bounds every answer by limit.
+func NewService(store *Store, limit time.Duration) *Service { return &Service{store, limit} }
+
+func (v *Service) Describe(context.Context, *register.DescribeRequest) (*register.DiskState, error) {
+	s := v.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.describe(), nil
+}
+
+func (s *Store) describe() *register.DiskState {
+	state := &register.DiskState{Id: s.id, Set: s.set, Seqs: map[uint32]uint64{}, UsedBytes: int64(s.frameBytes + s.logBytes)}
+	for slot, held := range s.replicas {
+		state.Seqs[slot] = held.seq
+	}
+	state.Retired = s.set != nil && !s.member()
+	return state
+}
+
+func (s *Store) member() bool {
+	for _, entry := range s.set.GetDisks() {
+		if entry.Id == s.id {
+			return true
+		}
+	}
+	return false
+}
+
+// Format gives a blank disk its random id; asked again it only tells.
+func (v *Service) Format(_ context.Context, request *register.FormatRequest) (*register.DiskState, error) {
+	s := v.store
+	s.mu.Lock()
+	if s.id != "" {
+		defer s.mu.Unlock()
+		if request.Set.GetCluster() != "" && s.set != nil && s.set.Cluster != "" && s.set.Cluster != request.Set.Cluster {
+			return nil, base.ToWire(base.Decline(409, "other_cluster", "this disk belongs to another cluster"))
+		}
+		return s.describe(), nil
+	}
+	put, why := s.enqueue(kindFormat, &register.DiskState{Id: base.NewID(s.clock, "d"), Set: request.Set}, true)
+	state := s.describe()
+	s.mu.Unlock()
+	if why == "" {
+		why = s.wait(put, v.limit)
+	}
+	if why != "" {
+		return nil, base.ToWire(base.Unsure(503, "disk_"+why, "the disk could not be formatted: %s", why))
+	}
+	return state, nil
+}
+
+// judge looks at a claim; the caller holds the lock.
+func (s *Store) judge(claim *register.Claim) *register.Ack {
+	held := s.replicaOf(claim.Slot)
+	ack := &register.Ack{Epoch: held.promised, Seq: held.seq}
+	switch {
+	case s.broken != nil:
+		ack.Why = "broken"
+	case s.id == "" || s.set == nil || claim.Disk != s.id:
+		ack.Why = "blank"
+	case claim.SetStamp != s.set.Stamp:
+		ack.Why, ack.Set = "set", s.set
+	case claim.Epoch < held.promised || (claim.Epoch == held.promised && held.owner != claim.Owner):
+		ack.Why = "epoch"
+	default:
+		ack.Ok = true
+	}
+	return ack
+}
+
+func (v *Service) finish(ack *register.Ack, put *pending, why string) *register.Ack {
+	if why == "" {
+		why = v.store.wait(put, v.limit)
+	}
+	if why != "" {
+		ack.Ok, ack.Why = false, why
+	}
+	return ack
+}
+
+func (v *Service) Promise(_ context.Context, request *register.PromiseRequest) (*register.PromiseReply, error) {
+	s := v.store
+	s.mu.Lock()
+	ack := s.judge(request.Claim)
+	if !ack.Ok {
+		s.mu.Unlock()
+		return &register.PromiseReply{Ack: ack}, nil
+	}
+	put, why := s.enqueue(kindPromise, request.Claim, true)
+	held := s.replicaOf(request.Claim.Slot)
+	reply := &register.PromiseReply{Ack: ack, Installed: held.installed, Seq: held.seq, Puts: held.puts()}
+	s.mu.Unlock()
+	v.finish(ack, put, why)
+	return reply, nil
+}
+
+func (v *Service) Install(_ context.Context, request *register.InstallRequest) (*register.Ack, error) {
+	s := v.store
+	s.mu.Lock()
+	ack := s.judge(request.Claim)
+	if !ack.Ok {
+		s.mu.Unlock()
+		return ack, nil
+	}
+	held := s.replicaOf(request.Claim.Slot)
+	if held.installed == request.Claim.Epoch && held.seq >= request.Seq {
+		put, why := s.enqueue(kindPromise, request.Claim, true)
+		s.mu.Unlock()
+		return v.finish(ack, put, why), nil
+	}
+	put, why := s.enqueue(kindInstall, request, false)
+	ack.Seq = request.Seq
+	s.mu.Unlock()
+	return v.finish(ack, put, why), nil
+}
+
+func (v *Service) Append(_ context.Context, request *register.AppendRequest) (*register.Ack, error) {
+	s := v.store
+	s.mu.Lock()
+	ack := s.judge(request.Claim)
+	held := s.replicaOf(request.Claim.Slot)
+	if ack.Ok && (held.installed != request.Claim.Epoch || request.Entries[0].Seq > held.seq+1) {
+		ack.Ok, ack.Why = false, "behind"
+	}
+	if !ack.Ok {
+		s.mu.Unlock()
+		return ack, nil
+	}
+	fresh := &register.AppendRequest{Claim: request.Claim}
+	freeing := true
+	for _, entry := range request.Entries {
+		if entry.Seq <= held.seq {
+			continue
+		}
+		fresh.Entries = append(fresh.Entries, entry)
+		for _, put := range entry.Puts {
+			freeing = freeing && put.Gone
+		}
+	}
+	put, why := s.enqueue(kindAppend, fresh, freeing)
+	ack.Seq = held.seq
+	s.mu.Unlock()
+	return v.finish(ack, put, why), nil
+}
+
+// Confirm tells an owner that no higher epoch has been promised here.
+func (v *Service) Confirm(_ context.Context, request *register.ConfirmRequest) (*register.Ack, error) {
+	s := v.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.judge(request.Claim), nil
+}
+
+// Adopt takes a newer disk set.
+func (v *Service) Adopt(_ context.Context, request *register.AdoptRequest) (*register.Ack, error) {
+	s := v.store
+	s.mu.Lock()
+	ack := &register.Ack{Set: s.set}
+	switch {
+	case s.id == "":
+		ack.Why = "blank"
+	case s.set != nil && s.set.Cluster != "" && s.set.Cluster != request.Set.Cluster:
+		ack.Why = "other_cluster"
+	case s.set != nil && s.set.Stamp > request.Set.Stamp:
+		ack.Why = "set"
+	default:
+		ack.Ok, ack.Set = true, request.Set
+	}
+	if !ack.Ok {
+		s.mu.Unlock()
+		return ack, nil
+	}
+	put, why := s.enqueue(kindAdopt, request.Set, true)
+	s.mu.Unlock()
+	return v.finish(ack, put, why), nil
+}
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,206 @@
+// Processes of a fleet: started with flags, their logs kept in files,
+// signalled by the id they were started with.
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Process is one machine of the fleet.
+type Process struct {
+	Name   string
+	Role   string
+	Zone   string
+	Addr   string
+	Public string
+	Data   string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	code    int
+}
+
+// Fleet is all of them.
+type Fleet struct {
+	Shape    Shape
+	Folder   string
+	Binaries string
+	Edges    []*Process
+	Cores    []*Process
+	Storage  []*Process
+	network  int
+	machines int
+}
+
+// New lays a fleet out; nothing runs yet. The network number picks the
+// loopback addresses, so that fleets do not meet.
+func New(shape Shape, folder, binaries string, network int) (*Fleet, error) {
+	f := &Fleet{Shape: shape, Folder: folder, Binaries: binaries, network: network}
+	for place := 0; place < shape.Storage; place++ {
+		if err := f.add(&f.Storage, "storage", place); err != nil {
+			return nil, err
+		}
+	}
+	for place := 0; place < shape.Cores; place++ {
+		if err := f.add(&f.Cores, "core", place); err != nil {
+			return nil, err
+		}
+	}
+	for place := 0; place < shape.Edges; place++ {
+		if err := f.add(&f.Edges, "edge", place); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) add(list *[]*Process, role string, place int) error {
+	f.machines++
+	host := fmt.Sprintf("127.%d.%d.%d", 10+f.network/250%200, 1+f.network%250, f.machines)
+	p := &Process{Name: fmt.Sprintf("%s-%d", role, place+1), Role: role, Zone: f.Shape.Zones[place%len(f.Shape.Zones)]}
+	var err error
+	if p.Addr, err = freeAddr(host); err == nil {
+		p.Public, err = freeAddr(host)
+	}
+	if role == "storage" {
+		p.Data = filepath.Join(f.Folder, p.Name)
+	}
+	*list = append(*list, p)
+	return errors.Trace(err)
+}
+
+// All lists every process, storage first.
+func (f *Fleet) All() []*Process {
+	return append(append(append([]*Process{}, f.Storage...), f.Cores...), f.Edges...)
+}
+
+func (f *Fleet) seeds() string {
+	return strings.Join([]string{f.Cores[0].Addr, f.Cores[1].Addr, f.Storage[0].Addr}, ",")
+}
+
+// Start runs one process.
+func (f *Fleet) Start(p *Process) error {
+	args := []string{"--address", p.Addr, "--public-address", p.Public, "--zone", p.Zone}
+	for _, seed := range strings.Split(f.seeds(), ",") {
+		args = append(args, "--seed", seed)
+	}
+	program := "fordseam-gateway"
+	if p.Role != "edge" {
+		program = "fordseam-controller"
+		args = append([]string{"run", "--role", p.Role}, args...)
+	}
+	if p.Data != "" {
+		args = append(args, "--data", p.Data)
+	}
+	logFile, err := os.OpenFile(filepath.Join(f.Folder, p.Name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	command := exec.Command(filepath.Join(f.Binaries, program), args...)
+	command.Stdout, command.Stderr = logFile, logFile
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		_ = logFile.Close()
+		return errors.Trace(err)
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.command, p.exited = command, exited
+	p.mu.Unlock()
+	go func() {
+		_ = command.Wait()
+		_ = logFile.Close()
+		p.mu.Lock()
+		p.code = command.ProcessState.ExitCode()
+		p.mu.Unlock()
+		close(exited)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process by its id.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.command.Process != nil {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// Wait gives the exit code once the process has ended; ok is false when it
+// has not within limit.
+func (p *Process) Wait(limit time.Duration) (code int, ok bool) {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited == nil {
+		return 0, true
+	}
+	select {
+	case <-exited:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.code, true
+	case <-time.After(limit):
+		return 0, false
+	}
+}
+
+// Kill ends a process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	p.Wait(10 * time.Second)
+}
+
+// Stop kills all that still run.
+func (f *Fleet) Stop() {
+	for _, p := range f.All() {
+		p.Signal(syscall.SIGCONT)
+		p.Kill()
+	}
+}
+
+// Ready asks a process whether it is ready.
+func (p *Process) Ready() bool {
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+p.Public+"/readyz", time.Second)
+	return err == nil && status == 200
+}
+
+// Counters reads a process's counters.
+func (p *Process) Counters() map[string]int64 {
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+p.Public+"/counters", time.Second)
+	if err != nil {
+		return nil
+	}
+	return readCounters(body)
+}
+
+// AwaitReady waits until all of a list are ready.
+func AwaitReady(list []*Process, limit time.Duration) error {
+	clock := base.NewRealClock()
+	for _, p := range list {
+		for !p.Ready() {
+			if code, ended := p.Wait(0); ended {
+				return errors.Errorf("%s ended with code %d", p.Name, code)
+			}
+			if clock.Now() > limit {
+				return errors.Errorf("%s is not ready after %v", p.Name, limit)
+			}
+			clock.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/report.go
@@ -0,0 +1,60 @@
+// What a run came to, for people and as JSON.
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/standin"
+
+	"github.com/juju/errors"
+)
+
+// Total adds up the counters of all processes that answer.
+func (f *Fleet) Total() map[string]int64 {
+	total := map[string]int64{}
+	for _, p := range f.All() {
+		for name, count := range p.Counters() {
+			total[name] += count
+		}
+	}
+	return total
+}
+
+// Report writes a run's outcome; a breach makes it an error.
+func (f *Fleet) Report(out io.Writer, tally *standin.Tally, parties *Parties, before map[string]int64, took time.Duration, asJSON bool) error {
+	after := f.Total()
+	turns := int64(max(1, tally.Counts["turns_whole"]))
+	count, hits := 0, 0
+	for _, model := range parties.Models {
+		_, _, runs, reused := model.Record()
+		count, hits = count+runs, hits+reused
+	}
+	perTurn := map[string]float64{}
+	for _, name := range []string{"disk_syncs", "disk_records", "messages_sent", "register_changes", "register_confirms", "legs_sent"} {
+		perTurn[name] = float64(after[name]-before[name]) / float64(turns)
+	}
+	shown := map[string]any{"seconds": took.Seconds(), "callers": tally.Counts, "per_turn": perTurn, "model_runs": count, "prefix_hits": hits,
+		"slowest_turn_s": tally.Slowest.Seconds(), "breaches": tally.Breaches, "counters": after}
+	if asJSON {
+		_, _ = fmt.Fprintln(out, string(base.Encode(shown)))
+	} else {
+		_, _ = fmt.Fprintf(out, "%.1f s, %d model runs, %d found their prefix cached, slowest turn %.2f s\n", took.Seconds(), count, hits, tally.Slowest.Seconds())
+		for _, name := range base.SortedKeys(tally.Counts) {
+			_, _ = fmt.Fprintf(out, "  %-40s %d\n", name, tally.Counts[name])
+		}
+		_, _ = fmt.Fprintln(out, "per whole turn:")
+		for _, name := range base.SortedKeys(perTurn) {
+			_, _ = fmt.Fprintf(out, "  %-40s %.2f\n", name, perTurn[name])
+		}
+		for _, breach := range tally.Breaches {
+			_, _ = fmt.Fprintln(out, "BREACH:", breach)
+		}
+	}
+	if len(tally.Breaches) > 0 {
+		return errors.Errorf("%d breaches", len(tally.Breaches))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,419 @@
+// The callers' interface: programs, sessions, turns and tool calls.
+package front
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/budget"
+	"fordseam/internal/feed"
+	"fordseam/internal/session"
+	"fordseam/internal/settings"
+	"fordseam/internal/toolcall"
+	"fordseam/internal/worker"
+)
+
+// Front is what a gateway shows.
+type Front struct {
+	Clock     base.Clock
+	Bounds    *base.Table[base.Bounds]
+	Counters  *base.Counters
+	Follower  *feed.Follower
+	Tree      *base.Table[settings.Tree]
+	Budget    *budget.Client
+	Keeper    *session.Keeper
+	Tools     *toolcall.Client
+	Workers   *worker.Client
+	Book      *worker.Book
+	Nominator *worker.Nominator
+	Backends  base.Backends
+
+	known sync.Map
+}
+
+// plan is a request understood and checked: what is left is to act.
+type plan struct {
+	act func(ctx *base.Ctx) (*Response, error)
+}
+
+// Handle answers one request.
+func (f *Front) Handle(ctx *base.Ctx, r *Request) *Response {
+	f.Counters.Add("requests", 1)
+	made, err := f.plan(r)
+	if err != nil {
+		f.Counters.Add("requests_declined_bad", 1)
+		return Failure(err)
+	}
+	if err := f.Follower.Permit(ctx); err != nil {
+		return Failure(err)
+	}
+	if f.Tree.Load() == nil {
+		return Failure(base.Busy(503, "no_settings", 2, "no settings have been applied"))
+	}
+	response, err := made.act(ctx)
+	if err != nil {
+		return Failure(err)
+	}
+	return response
+}
+
+func (f *Front) bodyLimit() int {
+	if tree := f.Tree.Load(); tree != nil {
+		return tree.BodyLimit()
+	}
+	return 1 << 20
+}
+
+func unknownPath() error {
+	return base.Decline(404, "unknown_path", "there is nothing at this path with this method")
+}
+
+func (f *Front) plan(r *Request) (*plan, error) {
+	if limit := f.bodyLimit(); len(r.Body) > limit {
+		return nil, base.Decline(413, "body_too_large", "the body is larger than %d bytes", limit)
+	}
+	parts := strings.Split(strings.Trim(r.Path, "/"), "/")
+	if len(parts) < 2 || parts[0] != "v1" {
+		return nil, unknownPath()
+	}
+	if parts[1] == "platform" {
+		return f.planPlatform(r, parts[2:])
+	}
+	if parts[1] != "programs" {
+		return nil, unknownPath()
+	}
+	parts = parts[2:]
+	if len(parts) == 0 {
+		if r.Method != "POST" {
+			return nil, unknownPath()
+		}
+		return f.planCreate(r)
+	}
+	if err := checkName("program", parts[0]); err != nil {
+		return nil, err
+	}
+	switch r.Method + " " + shape(parts[1:]) {
+	case "GET ":
+		return &plan{func(ctx *base.Ctx) (*Response, error) { return f.showProgram(ctx, r, parts[0]) }}, nil
+	case "POST terminate":
+		return f.planTerminate(r, parts[0])
+	case "POST sessions":
+		return f.planAcquire(r, parts[0])
+	case "POST tools/*":
+		return f.planTool(r, parts[0], parts[2])
+	}
+	if len(parts) >= 3 && parts[1] == "sessions" {
+		return f.planSession(r, parts[0], parts[2], parts[3:])
+	}
+	return nil, unknownPath()
+}
+
+// shape replaces the names in a path, which stand at odd places.
+func shape(parts []string) string {
+	shaped := slices.Clone(parts)
+	for place := 1; place < len(shaped); place += 2 {
+		shaped[place] = "*"
+	}
+	return strings.Join(shaped, "/")
+}
+
+// newSecret gives a credential and the digest that is kept of it.
+func (f *Front) newSecret() (secret, digest string) {
+	secret = base.NewID(f.Clock, "") + base.NewID(f.Clock, "")
+	return secret, base.Digest([]byte(secret))
+}
+
+func (f *Front) planCreate(r *Request) (*plan, error) {
+	var name, group, site, parent, urgency string
+	var tokens, deadline float64
+	err := base.ReadFields(r.Body, map[string]base.FieldReader{
+		"program": base.Text(&name, 64), "group": base.Text(&group, 128), "site": base.Text(&site, 128), "parent": base.Text(&parent, 128),
+		"urgency": base.Text(&urgency, 16), "budget_tokens": base.Number(&tokens, 1, 1<<40, true),
+		"deadline_s": base.Number(&deadline, 0.1, 30*86400, false),
+	})
+	if err != nil {
+		return nil, err
+	}
+	if name != "" {
+		if err := checkName("program", name); err != nil {
+			return nil, err
+		}
+		if strings.ContainsAny(name, ".:") {
+			return nil, base.DeclineField("program", "may not hold a dot or colon")
+		}
+	}
+	switch {
+	case !worker.KnownUrgency(urgency):
+		return nil, base.DeclineField("urgency", `must be "low", "normal" or "urgent"`)
+	case parent != "" && (tokens != 0 || deadline != 0 || group != "" || site != ""):
+		return nil, base.DeclineField("parent", "a helper has its parent's place, budget and deadline and names none")
+	case parent == "" && tokens == 0:
+		return nil, base.DeclineField("budget_tokens", "must be given")
+	case parent == "" && group == "":
+		return nil, base.DeclineField("group", "must be given")
+	case parent == "" && site == "":
+		return nil, base.DeclineField("site", "must be given")
+	}
+	program := budget.Program{ID: name, Group: group, Site: site, Budget: int64(tokens), Urgency: urgency}
+	return &plan{func(ctx *base.Ctx) (*Response, error) { return f.create(ctx, r, program, parent, deadline) }}, nil
+}
+
+func (f *Front) create(ctx *base.Ctx, r *Request, program budget.Program, parent string, deadline float64) (*Response, error) {
+	if program.ID == "" {
+		program.ID = base.NewID(f.Clock, "p")
+	}
+	program.Root = program.ID
+	if parent != "" {
+		if _, err := f.open(ctx, r, parent); err != nil {
+			return nil, err
+		}
+		program.ID, program.Root = parent+"."+program.ID, budget.GroupOf(parent)
+	} else if _, err := f.Tree.Load().Effective(program.Group, program.Site); err != nil {
+		return nil, err
+	}
+	if deadline > 0 {
+		program.Deadline = f.Clock.Wall().Add(time.Duration(deadline * float64(time.Second))).UnixMilli()
+	}
+	secret, digest := f.newSecret()
+	program.Secret = digest
+	made, err := f.Budget.Create(ctx.Within(f.Bounds.Load().Recover), program)
+	if err != nil {
+		return nil, err
+	}
+	f.Counters.Add("programs_created", 1)
+	shown := showProgram(made)
+	shown["secret"] = secret
+	return answer(201, shown), nil
+}
+
+func showProgram(p *budget.Program) map[string]any {
+	shown := map[string]any{"program": p.ID, "group": p.Group, "site": p.Site, "urgency": p.Urgency, "termination": p.Termination}
+	if p.Root != p.ID {
+		shown["parent"] = p.ID[:strings.LastIndex(p.ID, ".")]
+		return shown
+	}
+	shown["budget_tokens"], shown["spent_tokens"], shown["reserved_tokens"] = p.Budget, p.Spent, p.Outstanding()
+	shown["left_tokens"] = p.Budget - p.Spent - p.Outstanding()
+	if p.Deadline > 0 {
+		shown["deadline"] = time.UnixMilli(p.Deadline).UTC().Format(time.RFC3339Nano)
+	}
+	return shown
+}
+
+type opened struct {
+	program *budget.Program
+	at      time.Duration
+}
+
+// open checks a program's credentials. A right answer is kept for a while,
+// by digest, so that not every call asks the register; a wrong one is not.
+func (f *Front) open(ctx *base.Ctx, r *Request, id string) (*budget.Program, error) {
+	given := bearer(r)
+	if kept, ok := f.known.Load(id + " " + given); ok && f.Clock.Now()-kept.(*opened).at < f.Bounds.Load().Recover*5/2 {
+		return kept.(*opened).program, nil
+	}
+	found, err := f.Budget.Get(ctx.Within(f.Bounds.Load().Recover), id)
+	if err != nil {
+		return nil, err
+	}
+	if found.Secret != given {
+		return nil, base.Decline(403, "forbidden", "the credentials do not open this program")
+	}
+	f.known.Store(id+" "+given, &opened{found, f.Clock.Now()})
+	return found, nil
+}
+
+// Forget drops what open kept for too long.
+func (f *Front) Forget() {
+	f.known.Range(func(key, kept any) bool {
+		if f.Clock.Now()-kept.(*opened).at > f.Bounds.Load().Recover*5/2 {
+			f.known.Delete(key)
+		}
+		return true
+	})
+}
+
+func (f *Front) showProgram(ctx *base.Ctx, r *Request, id string) (*Response, error) {
+	program, err := f.Budget.Get(ctx.Within(f.Bounds.Load().Recover), id)
+	if err != nil {
+		return nil, err
+	}
+	if program.Secret != bearer(r) {
+		return nil, base.Decline(403, "forbidden", "the credentials do not open this program")
+	}
+	return answer(200, showProgram(program)), nil
+}
+
+func readMode(r *Request) (budget.Termination, error) {
+	var mode string
+	if err := base.ReadFields(r.Body, map[string]base.FieldReader{"mode": base.Text(&mode, 16)}); err != nil {
+		return "", err
+	}
+	if !budget.Termination(mode).Known() {
+		return "", base.DeclineField("mode", `must be "Drain" or "Immediate"`)
+	}
+	return budget.Termination(mode), nil
+}
+
+func (f *Front) planTerminate(r *Request, id string) (*plan, error) {
+	mode, err := readMode(r)
+	if err != nil {
+		return nil, err
+	}
+	return &plan{func(ctx *base.Ctx) (*Response, error) {
+		if _, err := f.open(ctx, r, id); err != nil {
+			return nil, err
+		}
+		program, err := f.Budget.Terminate(ctx.Within(f.Bounds.Load().Recover), id, mode)
+		if err != nil {
+			return nil, err
+		}
+		return answer(200, showProgram(program)), nil
+	}}, nil
+}
+
+func (f *Front) planAcquire(r *Request, id string) (*plan, error) {
+	var route string
+	var queue, timeout, lease float64
+	err := base.ReadFields(r.Body, map[string]base.FieldReader{
+		"route": base.Text(&route, 128), "queue_size": base.Number(&queue, 1, 1<<20, true),
+		"operation_timeout_s": base.Number(&timeout, 0.1, 86400, false), "lease_s": base.Number(&lease, 0.1, 86400, false),
+	})
+	if err != nil {
+		return nil, err
+	}
+	if route == "" {
+		return nil, base.DeclineField("route", "must be given")
+	}
+	return &plan{func(ctx *base.Ctx) (*Response, error) {
+		program, err := f.open(ctx, r, id)
+		if err != nil {
+			return nil, err
+		}
+		matched, err := f.Tree.Load().Match(program.Group, program.Site, route)
+		if err != nil {
+			return nil, err
+		}
+		if matched.Kind != "model" {
+			return nil, base.DeclineField("route", "route %q is not for sessions", route)
+		}
+		secret, digest := f.newSecret()
+		record := &session.Record{ID: id + ":" + base.NewID(f.Clock, "s"), Program: id, ProgramSecret: program.Secret, Secret: digest,
+			Group: program.Group, Site: program.Site, Route: route, Urgency: program.Urgency, LeaseMs: int64(lease * 1000)}
+		record.QueueSize, record.TimeoutMs = session.Limits(matched, int(queue), time.Duration(timeout*float64(time.Second)))
+		made, err := f.Keeper.Acquire(ctx.Within(f.Bounds.Load().Recover), record)
+		if err != nil {
+			return nil, err
+		}
+		return answer(201, struct {
+			session.Status
+			Secret string `json:"secret"`
+		}{session.StatusOf(made), secret}), nil
+	}}, nil
+}
+
+func (f *Front) planSession(r *Request, program, id string, rest []string) (*plan, error) {
+	v := &session.Visit{Program: program, Session: id, Bearer: bearer(r)}
+	if err := checkName("session", id); err != nil {
+		return nil, err
+	}
+	var err error
+	switch r.Method + " " + shape(rest) {
+	case "GET ":
+		v.Kind = session.KindStatus
+	case "GET turns":
+		err = readListing(r, v)
+	case "GET turns/*":
+		v.Kind, v.Turn = session.KindRead, rest[1]
+		err = checkName("turn", v.Turn)
+	case "POST turns/*/cancel":
+		v.Kind, v.Turn = session.KindCancel, rest[1]
+		err = checkName("turn", v.Turn)
+	case "POST renew":
+		v.Kind = session.KindRenew
+	case "POST close":
+		v.Kind = session.KindClose
+	case "POST terminate":
+		var mode budget.Termination
+		mode, err = readMode(r)
+		v.Kind = map[budget.Termination]string{budget.Drain: session.KindClose}[mode]
+		if v.Kind == "" {
+			v.Kind = session.KindTerminate
+		}
+	case "POST turns":
+		err = readTurn(r, v)
+	default:
+		err = unknownPath()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &plan{func(ctx *base.Ctx) (*Response, error) { return f.visit(ctx, v) }}, nil
+}
+
+func (f *Front) visit(ctx *base.Ctx, v *session.Visit) (*Response, error) {
+	v.ID = base.NewID(f.Clock, "v")
+	if v.Kind == session.KindTurn && v.Turn == "" {
+		v.Turn = base.NewID(f.Clock, "t")
+	}
+	reply, err := f.Keeper.Visit(ctx.Within(2*f.Bounds.Load().Recover), v)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Stream != nil {
+		header := map[string]string{"Content-Type": "text/event-stream", "Cache-Control": "no-store", "Turn-Id": v.Turn}
+		return &Response{Status: 200, Header: header, Stream: reply.Stream}, nil
+	}
+	if page, ok := showPage(v, reply.Body); ok {
+		return answer(200, page), nil
+	}
+	return answer(reply.Status, reply.Body), nil
+}
+
+func readListing(r *Request, v *session.Visit) (err error) {
+	v.Kind = session.KindTurns
+	for _, name := range base.SortedKeys(r.Query) {
+		if name != "limit" && name != "cursor" {
+			return base.DeclineField(name, "unknown query parameter")
+		}
+	}
+	if v.Limit, err = readLimit(r.Query["limit"]); err != nil {
+		return err
+	}
+	v.After, err = readCursor(v.Session, r.Query["cursor"])
+	return err
+}
+
+func readTurn(r *Request, v *session.Visit) error {
+	v.Kind, v.Turn, v.Previous = session.KindTurn, r.Header["turn-id"], r.Header["previous-turn"]
+	for name, given := range map[string]string{"Turn-Id": v.Turn, "Previous-Turn": v.Previous} {
+		if given != "" {
+			if err := checkName(name, given); err != nil {
+				return err
+			}
+		}
+	}
+	if last := r.Header["last-event-id"]; last != "" {
+		leg, place, ok := strings.Cut(last, "#")
+		at, err := strconv.ParseUint(place, 10, 64)
+		if !ok || err != nil {
+			return base.DeclineField("Last-Event-ID", "not an event id of this turn")
+		}
+		v.LastLeg, v.LastPlace = leg, at
+	}
+	var most float64
+	if err := base.ReadFields(r.Body, map[string]base.FieldReader{
+		"messages": messages(&v.Messages), "max_output_tokens": base.Number(&most, 1, 1<<20, true),
+	}); err != nil {
+		return err
+	}
+	if v.Messages == nil {
+		return base.DeclineField("messages", "must be given")
+	}
+	v.MaxTokens = int64(most)
+	return nil
+}
--- /dev/null
+++ b/internal/node/backends.go
@@ -0,0 +1,106 @@
+// Back ends over fasthttp. Each call has a connection of its own: when it
+// cannot be made, no byte left; once it is made, any loss may have run. The
+// visit's end and Close both shut the connection, which ends a waiting read.
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/valyala/fasthttp"
+)
+
+type backends struct{ connect time.Duration }
+
+// NewBackends bounds the making of a connection.
+func NewBackends(connect time.Duration) base.Backends { return &backends{connect} }
+
+type backReply struct {
+	response *fasthttp.Response
+	plain    net.Conn
+	reader   *bufio.Reader
+	timer    *time.Timer
+}
+
+func (b *backends) Call(ctx *base.Ctx, addr string, request *base.BackRequest) (base.BackReply, error) {
+	left := ctx.Left()
+	plain, err := net.DialTimeout("tcp", addr, min(left, b.connect))
+	if err != nil {
+		return nil, &base.NotSent{Cause: err}
+	}
+	used := false
+	client := &fasthttp.HostClient{Addr: addr, StreamResponseBody: true, MaxConns: 1, MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader: true, ReadBufferSize: 16 << 10,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial: func(string) (net.Conn, error) {
+			if used {
+				return nil, errors.New("a leg has one connection")
+			}
+			used = true
+			return plain, nil
+		}}
+	outgoing, response := fasthttp.AcquireRequest(), &fasthttp.Response{}
+	defer fasthttp.ReleaseRequest(outgoing)
+	outgoing.Header.SetMethod(request.Method)
+	outgoing.SetRequestURI("http://" + addr + request.Path)
+	for _, name := range base.SortedKeys(request.Header) {
+		outgoing.Header.Set(name, request.Header[name])
+	}
+	outgoing.SetBody(request.Body)
+	timer := time.AfterFunc(left, func() { _ = plain.Close() })
+	response.StreamBody = true
+	if err := client.Do(outgoing, response); err != nil {
+		timer.Stop()
+		_ = plain.Close()
+		return nil, err
+	}
+	reply := &backReply{response: response, plain: plain, timer: timer}
+	if stream := response.BodyStream(); stream != nil {
+		reply.reader = bufio.NewReaderSize(stream, 64<<10)
+	} else {
+		reply.reader = bufio.NewReader(bytes.NewReader(response.Body()))
+	}
+	return reply, nil
+}
+
+func (r *backReply) Status() int               { return r.response.StatusCode() }
+func (r *backReply) Header(name string) string { return string(r.response.Header.Peek(name)) }
+
+func (r *backReply) Line(limit time.Duration) ([]byte, error) {
+	_ = r.plain.SetReadDeadline(time.Now().Add(limit))
+	line, err := r.reader.ReadBytes('\n')
+	if err != nil {
+		return nil, err
+	}
+	return line, nil
+}
+
+func (r *backReply) Body(limit time.Duration, most int) ([]byte, error) {
+	_ = r.plain.SetReadDeadline(time.Now().Add(limit))
+	length := r.response.Header.ContentLength()
+	if length == -2 {
+		return nil, errors.New("an answer without a length cannot be told from a cut one")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.reader, int64(most)+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) > most:
+		return nil, errors.New("an answer of more than " + strconv.Itoa(most) + " bytes")
+	case length >= 0 && len(body) != length:
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, nil
+}
+
+func (r *backReply) Close() {
+	r.timer.Stop()
+	_ = r.plain.Close()
+}
--- /dev/null
+++ b/internal/node/http.go
@@ -0,0 +1,126 @@
+// The public side over fasthttp: requests become the front's own form, whole
+// answers go back as they are, and streams as server-sent events with one
+// event a piece and exactly one final event.
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/front"
+	"fordseam/internal/session"
+
+	"github.com/valyala/fasthttp"
+)
+
+const bodyLimit = 16 << 20
+
+// Handler answers public requests.
+type Handler func(ctx *base.Ctx, r *front.Request) *front.Response
+
+// Public is one public HTTP server.
+type Public struct {
+	server *fasthttp.Server
+	ready  func() error
+}
+
+// NewPublic serves handle, and health, readiness and counters beside it.
+func NewPublic(clock base.Clock, counters *base.Counters, ready func() error, handle Handler) *Public {
+	p := &Public{ready: ready}
+	p.server = &fasthttp.Server{
+		Name: "fordseam", MaxRequestBodySize: bodyLimit, CloseOnShutdown: true, ReadTimeout: 60 * time.Second, IdleTimeout: 60 * time.Second,
+		StreamRequestBody: false, NoDefaultServerHeader: true,
+		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
+			verdict := base.Decline(400, "bad_request", "the request could not be read")
+			if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+				verdict = base.Decline(413, "body_too_large", "the body is larger than %d bytes", bodyLimit)
+			}
+			write(ctx, front.Failure(verdict))
+		},
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			switch path := string(ctx.Path()); path {
+			case "/healthz":
+				ctx.SetBodyString("ok\n")
+			case "/readyz":
+				if err := ready(); err != nil {
+					write(ctx, front.Failure(err))
+					return
+				}
+				ctx.SetBodyString("ready\n")
+			case "/counters":
+				ctx.SetContentType("application/json")
+				ctx.SetBody(append(base.Encode(counters.Frame()), '\n'))
+			default:
+				write(ctx, handle(base.NewCtx(clock, 10*time.Minute), read(ctx, path)))
+			}
+		},
+	}
+	return p
+}
+
+func read(ctx *fasthttp.RequestCtx, path string) *front.Request {
+	r := &front.Request{Method: string(ctx.Method()), Path: path, Query: map[string]string{}, Header: map[string]string{},
+		Body: append([]byte(nil), ctx.PostBody()...)}
+	for name, value := range ctx.QueryArgs().All() {
+		r.Query[string(name)] = string(value)
+	}
+	for name, value := range ctx.Request.Header.All() {
+		r.Header[strings.ToLower(string(name))] = string(value)
+	}
+	return r
+}
+
+func write(ctx *fasthttp.RequestCtx, response *front.Response) {
+	ctx.SetStatusCode(response.Status)
+	for _, name := range base.SortedKeys(response.Header) {
+		ctx.Response.Header.Set(name, response.Header[name])
+	}
+	if response.Stream == nil {
+		ctx.SetBody(response.Body)
+		return
+	}
+	stream := response.Stream
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		for {
+			pieces, leg, done := stream.Next()
+			if len(pieces) == 0 {
+				_, _ = w.WriteString(": waiting\n\n")
+			}
+			for _, piece := range pieces {
+				_, _ = w.Write(Event(piece, leg))
+			}
+			if w.Flush() != nil || done {
+				return
+			}
+		}
+	})
+}
+
+// Event writes one piece as a server-sent event.
+func Event(piece *session.Piece, leg string) []byte {
+	if piece.Final {
+		return fmt.Appendf(nil, "id: %s#%d\nevent: final\ndata: %s\n\n", leg, piece.Place, piece.Data)
+	}
+	return fmt.Appendf(nil, "id: %s#%d\nevent: piece\ndata: %s\n\n", leg, piece.Place, base.Encode(map[string]string{"text": string(piece.Data)}))
+}
+
+// Serve listens until Shutdown.
+func (p *Public) Serve(listener net.Listener) error { return p.server.Serve(listener) }
+
+// Shutdown stops accepting and waits for what was read.
+func (p *Public) Shutdown(limit time.Duration) error {
+	bounded, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return p.server.ShutdownWithContext(bounded)
+}
+
+// NotHere answers where there is nothing to call.
+func NotHere(*base.Ctx, *front.Request) *front.Response {
+	return front.Failure(base.Decline(404, "unknown_path", "there is nothing at this path"))
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,248 @@
+// Package node puts the slices together into the three kinds of process:
+// gateways, cores and storage machines. What differs between the daemons and
+// the simulator is only what Env brings in.
+package node
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/budget"
+	"fordseam/internal/disk"
+	"fordseam/internal/feed"
+	"fordseam/internal/front"
+	"fordseam/internal/membership"
+	"fordseam/internal/operate"
+	"fordseam/internal/register"
+	"fordseam/internal/session"
+	"fordseam/internal/settings"
+	"fordseam/internal/toolcall"
+	"fordseam/internal/worker"
+)
+
+// Env is time, wire, disk and back ends.
+type Env struct {
+	Clock    base.Clock
+	Wire     base.Wire
+	Files    disk.Files
+	Backends base.Backends
+	Counters *base.Counters
+}
+
+// Place is where a process stands in the fleet.
+type Place struct {
+	Role   string
+	Addr   string
+	Public string
+	Zone   string
+	Data   string
+	Seeds  []string
+	Limit  int64
+}
+
+type common struct {
+	env    Env
+	bounds *base.Table[base.Bounds]
+	view   *membership.View
+	mux    *http.ServeMux
+}
+
+func newCommon(env Env, place Place, usages membership.UsageBook, bounds *base.Table[base.Bounds]) *common {
+	c := &common{env: env, bounds: bounds, mux: http.NewServeMux()}
+	self := &membership.Member{Id: place.Addr + "/" + base.NewID(env.Clock, ""), Addr: place.Addr, PublicAddr: place.Public, Role: place.Role, Zone: place.Zone}
+	c.view = membership.NewView(env.Clock, env.Wire, bounds, env.Counters, self, place.Seeds, usages)
+	c.mount(membership.NewMembershipServer(c.view))
+	return c
+}
+
+type twirpServer interface {
+	http.Handler
+	PathPrefix() string
+}
+
+func (c *common) mount(server twirpServer) { c.mux.Handle(server.PathPrefix(), server) }
+
+// Handler is what partners call.
+func (c *common) Handler() http.Handler { return base.Receive(c.env.Clock, c.mux) }
+
+// View is the node's partial view of the fleet.
+func (c *common) View() *membership.View { return c.view }
+
+func newBounds() *base.Table[base.Bounds] {
+	table := &base.Table[base.Bounds]{}
+	table.Swap(base.DefaultBounds())
+	return table
+}
+
+// follow makes a follower that keeps the settings and the bounds.
+func (c *common) follow(tree *base.Table[settings.Tree], also func(*feed.Frame)) (*register.Client, *feed.Follower) {
+	client := register.NewClient(c.env.Clock, c.env.Wire, c.view, c.bounds)
+	follower := feed.NewFollower(c.env.Clock, c.env.Wire, client, c.bounds, c.env.Counters, c.view.Self().Id, func(frame *feed.Frame) {
+		if _, next := settings.FromFrame(frame.Values); next != nil {
+			bounds := next.Bounds()
+			c.bounds.Swap(&bounds)
+			tree.Swap(next)
+		}
+		also(frame)
+	})
+	return client, follower
+}
+
+// Gateway is the data plane's process.
+type Gateway struct {
+	*common
+	Front    *front.Front
+	Keeper   *session.Keeper
+	Follower *feed.Follower
+}
+
+func NewGateway(env Env, place Place) *Gateway {
+	place.Role = membership.RoleEdge
+	bounds, tree := newBounds(), &base.Table[settings.Tree]{}
+	book := worker.NewBook(env.Clock, bounds)
+	nominator := worker.NewNominator(env.Clock, bounds, env.Counters, book)
+	c := newCommon(env, place, book, bounds)
+	g := &Gateway{common: c}
+	client, follower := c.follow(tree, func(frame *feed.Frame) {
+		nominator.Swap(worker.RosterOf(frame.Values))
+		g.Keeper.Ended(endedIn(frame.Values))
+	})
+	g.Follower = follower
+	g.Keeper = session.NewKeeper(session.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
+		Register: client, Follower: follower, Nominator: nominator, Backends: env.Backends, Tree: tree})
+	g.Front = &front.Front{Clock: env.Clock, Bounds: bounds, Counters: env.Counters, Follower: follower, Tree: tree,
+		Budget: &budget.Client{Register: client}, Keeper: g.Keeper, Tools: &toolcall.Client{Register: client},
+		Workers: &worker.Client{Register: client}, Book: book, Nominator: nominator, Backends: env.Backends}
+	c.mount(session.NewOwnerServer(g.Keeper))
+	return g
+}
+
+func endedIn(values map[string][]byte) map[string]budget.Termination {
+	ended := map[string]budget.Termination{}
+	for key, raw := range values {
+		if id, ok := strings.CutPrefix(key, budget.EndedPrefix); ok {
+			ended[id] = budget.EndedMode(raw)
+		}
+	}
+	return ended
+}
+
+// Start begins the node's own tasks.
+func (g *Gateway) Start() {
+	g.env.Clock.Go(g.view.Run)
+	g.env.Clock.Go(g.Follower.Run)
+	g.env.Clock.Go(g.Keeper.Run)
+	g.env.Clock.Go(func() {
+		for !g.Follower.Closed() {
+			g.env.Clock.Sleep(g.bounds.Load().Recover)
+			g.Front.Forget()
+		}
+	})
+}
+
+// Ready says whether the platform may send callers here.
+func (g *Gateway) Ready() error {
+	if g.Front.Tree.Load() == nil {
+		return base.Busy(503, "no_settings", 1, "no settings have been applied")
+	}
+	if !g.Follower.Permitted() {
+		return base.Busy(503, "no_confirmed_settings", 1, "settings are not confirmed")
+	}
+	if g.view.Self().Leaving {
+		return base.Busy(503, "draining", 1, "this node is leaving")
+	}
+	return nil
+}
+
+// Leave hands over what this node owns.
+func (g *Gateway) Leave(limit time.Duration) {
+	g.view.Leave(g.bounds.Load().Beat() * 4)
+	g.Keeper.Drain(limit)
+}
+
+// Stop ends the node's tasks.
+func (g *Gateway) Stop() {
+	g.Keeper.Close()
+	g.Follower.Close()
+	g.view.Close()
+}
+
+// Core is the control plane's process that owns keys.
+type Core struct {
+	*common
+	Owner    *register.Owner
+	Follower *feed.Follower
+	Operate  *operate.Operate
+}
+
+func NewCore(env Env, place Place) *Core {
+	place.Role = membership.RoleCore
+	bounds, tree := newBounds(), &base.Table[settings.Tree]{}
+	c := newCommon(env, place, nil, bounds)
+	owner := register.NewOwner(env.Clock, env.Wire, c.view, bounds, env.Counters)
+	settings.Serve(owner)
+	budget.Serve(owner)
+	session.Serve(owner)
+	toolcall.Serve(owner)
+	worker.Serve(owner)
+	client, follower := c.follow(tree, func(*feed.Frame) {})
+	c.mount(register.NewRegisterServer(owner))
+	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, owner)))
+	return &Core{common: c, Owner: owner, Follower: follower,
+		Operate: &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}}
+}
+
+func (c *Core) Start() {
+	c.env.Clock.Go(c.view.Run)
+	c.env.Clock.Go(c.Owner.Run)
+	c.env.Clock.Go(c.Follower.Run)
+}
+
+// Ready says whether this core can reach the control state.
+func (c *Core) Ready() error {
+	if !c.Follower.Permitted() {
+		return base.Busy(503, "no_confirmed_state", 1, "the control state is not confirmed")
+	}
+	return nil
+}
+
+// Leave tells the fleet, so that others take this core's slots.
+func (c *Core) Leave(time.Duration) {
+	c.view.Leave(c.bounds.Load().Beat() * 4)
+	c.Owner.Yield(c.bounds.Load().Call())
+}
+
+func (c *Core) Stop() {
+	c.Owner.Close()
+	c.Follower.Close()
+	c.view.Close()
+}
+
+// Storage is the control plane's process that keeps a disk.
+type Storage struct {
+	*common
+	Store *disk.Store
+}
+
+func NewStorage(env Env, place Place) (*Storage, error) {
+	place.Role = membership.RoleStorage
+	bounds := newBounds()
+	c := newCommon(env, place, nil, bounds)
+	store, err := disk.Open(env.Clock, env.Files, env.Counters)
+	if err != nil {
+		return nil, err
+	}
+	c.mount(register.NewDiskServer(disk.NewService(store, bounds.Load().DiskLimit())))
+	return &Storage{common: c, Store: store}, nil
+}
+
+func (s *Storage) Start()              { s.env.Clock.Go(s.view.Run) }
+func (s *Storage) Ready() error        { return s.Store.Ready() }
+func (s *Storage) Leave(time.Duration) { s.view.Leave(s.bounds.Load().Beat() * 4) }
+
+func (s *Storage) Stop() {
+	s.Store.Close()
+	s.view.Close()
+}
--- /dev/null
+++ b/internal/register/client.go
@@ -0,0 +1,92 @@
+// The client finds the owner of a group's slot and asks it for a change. Ops
+// are safe to ask twice, so a lost reply is asked again until the visit's
+// time is over; only then is the outcome unknown.
+package register
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/membership"
+)
+
+type Client struct {
+	clock  base.Clock
+	wire   base.Wire
+	view   *membership.View
+	bounds *base.Table[base.Bounds]
+}
+
+func NewClient(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds]) *Client {
+	return &Client{clock: clock, wire: wire, view: view, bounds: bounds}
+}
+
+// Nominate orders the live cores for a slot.
+func (c *Client) Nominate(slot uint32) []string {
+	ids := base.Map(c.view.Alive(membership.RoleCore), func(m *membership.Member) string { return m.Id })
+	return base.Rendezvous(fmt.Sprint("slot/", slot), ids)
+}
+
+// Change asks for an op in a group and reads its result into into.
+func (c *Client) Change(ctx *base.Ctx, group, op string, args, into any) error {
+	request := &ChangeRequest{Group: group, Op: op, Args: base.Encode(args)}
+	var result []byte
+	err := c.Reach(ctx, SlotOf(group), func(ctx *base.Ctx, addr string) (string, error) {
+		reply, err := NewRegisterProtobufClient("http://"+addr, c.wire).Change(ctx, request)
+		if err != nil {
+			return "", err
+		}
+		result = reply.Result
+		return reply.Owner, nil
+	})
+	if err != nil || into == nil {
+		return err
+	}
+	return json.Unmarshal(result, into)
+}
+
+// Reach calls the owner of a slot, following hints and trying again, until
+// it answers for itself.
+func (c *Client) Reach(ctx *base.Ctx, slot uint32, call func(ctx *base.Ctx, addr string) (hint string, err error)) error {
+	var last error
+	hint, lost := "", false
+	for hops := 0; !ctx.Over(); hops++ {
+		chosenCore := hint
+		if chosenCore == "" {
+			if order := c.Nominate(slot); len(order) > 0 {
+				chosenCore = order[0]
+			}
+		}
+		member, _ := c.view.Find(chosenCore)
+		hint = ""
+		if member != nil {
+			var err error
+			hint, err = call(ctx.Within(c.bounds.Load().Call()), member.Addr)
+			if err == nil && hint == "" {
+				return nil
+			}
+			if err != nil {
+				v := base.FromWire(err)
+				last = v
+				switch v.Code {
+				case "unreachable":
+					c.view.Suspect(chosenCore)
+				case "reply_lost", "slot_moved", "no_majority", "slot_not_ready", "no_disks":
+					lost = lost || v.Ran != base.NotRun
+				default:
+					return v
+				}
+			}
+		}
+		if hops > 0 || member == nil || hint == "" {
+			pause := c.bounds.Load().Beat() / 5
+			c.clock.Sleep(min(ctx.Left(), pause+time.Duration(c.clock.Int64N(int64(pause)))))
+		}
+	}
+	if lost {
+		return base.Unsure(503, "outcome_unknown", "the control state did not answer in time: %v", last)
+	}
+	return base.Busy(503, "control_unreachable", 1, "the control state could not be reached: %v", last)
+}
--- /dev/null
+++ b/internal/register/owner.go
@@ -0,0 +1,809 @@
+// Package register is the control state. Keys belong to groups, groups are
+// hashed into slots, and each slot has one core owner at a time under an
+// epoch. To take a slot a core raises the epoch on a majority of the disks,
+// reads that majority, writes the newest content back under the new epoch,
+// and only then serves. A change is decided in memory, numbered within its
+// slot, and answered once a majority of disks has it synced. Disks hold a
+// prefix of the slot's numbers under the epoch that installed it, so the
+// newest content of a majority is the one with the highest (epoch, number).
+// There is no log across slots and no leader for all of them.
+package register
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/membership"
+
+	"github.com/emirpasic/gods/maps/treemap"
+)
+
+const (
+	// Slots is how many parts the control state is cut into.
+	Slots = 32
+	// FeedGroup is the group whose changes every node follows.
+	FeedGroup = "feed"
+
+	bufferLimit = 4096
+)
+
+// SlotOf places a group. The feed has slot 0 to itself, so that the slot's
+// numbers are the feed's places.
+func SlotOf(group string) uint32 {
+	if group == FeedGroup {
+		return 0
+	}
+	return uint32(1 + base.Hash64("group", group)%(Slots-1))
+}
+
+// Op decides a change within one slot. It must be safe to ask twice: the
+// asker repeats it when a reply is lost.
+type Op func(tx *Tx, args []byte) (any, error)
+
+// Tx is what an op sees: the slot's keys, and the puts it has made so far.
+type Tx struct {
+	Wall   time.Time
+	Bounds *base.Bounds
+	Group  string
+	held   *treemap.Map
+	puts   []*Put
+}
+
+func (t *Tx) Get(key string) []byte {
+	for last := len(t.puts) - 1; last >= 0; last-- {
+		if t.puts[last].Key == key {
+			return t.puts[last].Value
+		}
+	}
+	if value, ok := t.held.Get(key); ok {
+		return value.([]byte)
+	}
+	return nil
+}
+
+func (t *Tx) Put(key string, value []byte) { t.puts = append(t.puts, &Put{Key: key, Value: value}) }
+func (t *Tx) Gone(key string)              { t.puts = append(t.puts, &Put{Key: key, Gone: true}) }
+
+// Walk visits the keys under a prefix in order, as they were before this
+// change, from after a key on; visit returns false to stop.
+func (t *Tx) Walk(prefix, after string, visit func(key string, value []byte) bool) {
+	from := prefix
+	if after != "" {
+		from = after + "\x00"
+	}
+	for {
+		key, value := t.held.Ceiling(from)
+		if key == nil || len(key.(string)) < len(prefix) || key.(string)[:len(prefix)] != prefix {
+			return
+		}
+		if !visit(key.(string), value.([]byte)) {
+			return
+		}
+		from = key.(string) + "\x00"
+	}
+}
+
+type phase int
+
+const (
+	idle phase = iota
+	taking
+	serving
+)
+
+type progress struct {
+	installed bool
+	acked     uint64
+}
+
+type slot struct {
+	num  uint32
+	bell *base.Bell
+
+	mu         sync.Mutex
+	phase      phase
+	epoch      uint64
+	highest    uint64
+	held       *treemap.Map
+	tail       uint64
+	commit     uint64
+	based      bool
+	buffer     []*Entry
+	progress   map[string]*progress
+	nextRound  *round
+	roundsBusy bool
+}
+
+type round struct {
+	done base.Signal
+	err  error
+}
+
+// Owner is a core's part in the register.
+type Owner struct {
+	clock    base.Clock
+	wire     base.Wire
+	view     *membership.View
+	bounds   *base.Table[base.Bounds]
+	counters *base.Counters
+	ops      map[string]Op
+	sweeps   []func(tx *Tx)
+	slots    [Slots]*slot
+
+	mu     sync.Mutex
+	set    *DiskSet
+	closed bool
+}
+
+func NewOwner(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds], counters *base.Counters) *Owner {
+	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}}
+	for num := range o.slots {
+		o.slots[num] = &slot{num: uint32(num), bell: base.NewBell(clock)}
+	}
+	return o
+}
+
+// Handle names an op; Sweep adds a clean-up run over every slot now and
+// then. Both are called before Run.
+func (o *Owner) Handle(name string, op Op) { o.ops[name] = op }
+func (o *Owner) Sweep(clean func(tx *Tx))  { o.sweeps = append(o.sweeps, clean) }
+func (o *Owner) disk(entry *DiskEntry) Disk {
+	return NewDiskProtobufClient("http://"+entry.Addr, o.wire)
+}
+func (o *Owner) claim(s *slot, e uint64) *Claim {
+	return &Claim{Slot: s.num, Epoch: e, Owner: o.view.Self().Id}
+}
+
+// Run takes the slots that rendezvous gives this core, and sweeps.
+func (o *Owner) Run() {
+	swept := o.clock.Now()
+	for !o.isClosed() {
+		for _, s := range o.slots {
+			if o.preferred(s) == o.view.Self().Id {
+				o.start(s)
+			}
+		}
+		if o.clock.Now()-swept > o.bounds.Load().Sweep() {
+			swept = o.clock.Now()
+			o.sweepAll()
+		}
+		o.clock.Sleep(o.bounds.Load().Beat())
+	}
+}
+
+func (o *Owner) isClosed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.closed
+}
+
+// Close stops serving at once; another core takes the slots by epoch.
+func (o *Owner) Close() {
+	o.mu.Lock()
+	o.closed = true
+	o.mu.Unlock()
+	for _, s := range o.slots {
+		s.mu.Lock()
+		s.phase, s.epoch = idle, 0
+		s.mu.Unlock()
+		s.bell.Ring()
+	}
+}
+
+// Yield waits until other cores have taken this one's slots, while it still
+// answers for those not yet taken.
+func (o *Owner) Yield(limit time.Duration) {
+	end := o.clock.Now() + limit
+	for _, s := range o.slots {
+		for {
+			next := s.bell.Next()
+			s.mu.Lock()
+			serves := s.phase == serving
+			s.mu.Unlock()
+			if !serves || !next.Wait(max(0, end-o.clock.Now())) {
+				break
+			}
+		}
+	}
+}
+
+func (o *Owner) preferred(s *slot) string {
+	ids := base.Map(o.view.Alive(membership.RoleCore), func(m *membership.Member) string { return m.Id })
+	if len(ids) == 0 {
+		return ""
+	}
+	return base.Rendezvous(fmt.Sprint("slot/", s.num), ids)[0]
+}
+
+func (o *Owner) start(s *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase != idle || o.isClosed() {
+		return
+	}
+	s.phase = taking
+	o.clock.Go(func() {
+		if err := o.take(s); err != nil {
+			o.counters.Add("slot_takes_failed", 1)
+			pause := o.bounds.Load().Beat() / 4
+			o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
+			s.mu.Lock()
+			s.phase = idle
+			s.mu.Unlock()
+			s.bell.Ring()
+		}
+	})
+}
+
+// Set is the disk set this core goes by, looked up on the disks if need be.
+func (o *Owner) Set() *DiskSet {
+	o.mu.Lock()
+	known := o.set
+	o.mu.Unlock()
+	if known != nil {
+		return known
+	}
+	limit := o.bounds.Load().DiskLimit()
+	ask(o.clock, o.view.Known(membership.RoleStorage), 2, limit, func(ctx *base.Ctx, member *membership.Member) bool {
+		state, err := NewDiskProtobufClient("http://"+member.Addr, o.wire).Describe(ctx, &DescribeRequest{})
+		if err != nil || state.Set == nil || len(state.Set.Disks) == 0 {
+			return false
+		}
+		o.learn(state.Set)
+		return true
+	})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.set
+}
+
+func (o *Owner) learn(set *DiskSet) {
+	o.mu.Lock()
+	newer := set != nil && len(set.Disks) > 0 && (o.set == nil || set.Stamp > o.set.Stamp)
+	if newer {
+		o.set = set
+	}
+	o.mu.Unlock()
+	if newer {
+		for _, s := range o.slots {
+			o.refit(s)
+		}
+	}
+}
+
+func majority(set *DiskSet) int { return len(set.Disks)/2 + 1 }
+
+// ask calls all and returns once enough said yes, all have answered, or the
+// limit passed.
+func ask[T any](clock base.Clock, all []T, enough int, limit time.Duration, call func(*base.Ctx, T) bool) bool {
+	var mu sync.Mutex
+	bell := base.NewBell(clock)
+	said, yes := 0, 0
+	for _, one := range all {
+		clock.Go(func() {
+			ok := call(base.NewCtx(clock, limit), one)
+			mu.Lock()
+			said++
+			if ok {
+				yes++
+			}
+			mu.Unlock()
+			bell.Ring()
+		})
+	}
+	end := clock.Now() + limit
+	for {
+		next := bell.Next()
+		mu.Lock()
+		over, enoughYes := said == len(all), yes >= enough
+		mu.Unlock()
+		if over || enoughYes {
+			return enoughYes
+		}
+		if !next.Wait(max(0, end-clock.Now())) {
+			return false
+		}
+	}
+}
+
+func (o *Owner) take(s *slot) error {
+	set := o.Set()
+	if set == nil {
+		return base.Busy(503, "no_disks", 1, "no disk set is known")
+	}
+	s.mu.Lock()
+	s.highest++
+	epoch := s.highest
+	s.mu.Unlock()
+	var mu sync.Mutex
+	var newest *PromiseReply
+	promised := ask(o.clock, set.Disks, majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+		claim := o.claim(s, epoch)
+		claim.SetStamp, claim.Disk = set.Stamp, entry.Id
+		reply, err := o.disk(entry).Promise(ctx, &PromiseRequest{Claim: claim})
+		if err != nil {
+			return false
+		}
+		if !reply.Ack.Ok {
+			o.learn(reply.Ack.Set)
+			s.mu.Lock()
+			s.highest = max(s.highest, reply.Ack.Epoch)
+			s.mu.Unlock()
+			return false
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if newest == nil || reply.Installed > newest.Installed || (reply.Installed == newest.Installed && reply.Seq > newest.Seq) {
+			newest = reply
+		}
+		return true
+	})
+	if !promised {
+		return base.Busy(503, "no_majority", 1, "no majority of disks")
+	}
+	mu.Lock()
+	content := newest
+	mu.Unlock()
+	held := treemap.NewWithStringComparator()
+	for _, put := range content.Puts {
+		held.Put(put.Key, put.Value)
+	}
+	s.mu.Lock()
+	s.epoch, s.held, s.tail, s.commit, s.based, s.buffer = epoch, held, content.Seq, 0, false, nil
+	s.progress = map[string]*progress{}
+	s.mu.Unlock()
+	o.refit(s)
+	end := o.clock.Now() + o.bounds.Load().Call()
+	for {
+		next := s.bell.Next()
+		s.mu.Lock()
+		if s.epoch != epoch {
+			s.mu.Unlock()
+			return base.Busy(503, "fenced", 1, "another core took the slot")
+		}
+		if s.based {
+			s.phase = serving
+			s.mu.Unlock()
+			s.bell.Ring()
+			o.counters.Add("slots_taken", 1)
+			return nil
+		}
+		s.mu.Unlock()
+		if !next.Wait(max(0, end-o.clock.Now())) {
+			o.stepDown(s, epoch, 0)
+			return base.Busy(503, "no_majority", 1, "no majority of disks")
+		}
+	}
+}
+
+// refit starts a sender to each disk of the set that has none.
+func (o *Owner) refit(s *slot) {
+	o.mu.Lock()
+	set := o.set
+	o.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch == 0 || s.progress == nil {
+		return
+	}
+	for _, entry := range set.Disks {
+		if s.progress[entry.Id] == nil {
+			s.progress[entry.Id] = &progress{}
+			epoch := s.epoch
+			o.clock.Go(func() { o.send(s, epoch, entry) })
+		}
+	}
+}
+
+func (o *Owner) stepDown(s *slot, epoch, higher uint64) {
+	s.mu.Lock()
+	s.highest = max(s.highest, higher)
+	if s.epoch == epoch {
+		if s.phase == serving {
+			s.phase = idle
+			o.counters.Add("slots_lost", 1)
+		}
+		s.epoch, s.held, s.buffer, s.progress = 0, nil, nil, nil
+	}
+	s.mu.Unlock()
+	s.bell.Ring()
+}
+
+// send keeps one disk up with one slot: a frame first, then what follows.
+func (o *Owner) send(s *slot, epoch uint64, entry *DiskEntry) {
+	for {
+		next := s.bell.Next()
+		s.mu.Lock()
+		if s.epoch != epoch {
+			s.mu.Unlock()
+			return
+		}
+		o.mu.Lock()
+		set := o.set
+		o.mu.Unlock()
+		if !inSet(set, entry.Id) {
+			delete(s.progress, entry.Id)
+			s.mu.Unlock()
+			return
+		}
+		claim := o.claim(s, epoch)
+		claim.SetStamp, claim.Disk = set.Stamp, entry.Id
+		install, appended := s.outstanding(claim, entry.Id)
+		s.mu.Unlock()
+		if install == nil && appended == nil {
+			next.Wait(-1)
+			continue
+		}
+		ack, err := o.deliver(entry, install, appended)
+		if err != nil || !ack.Ok {
+			if !o.mend(s, epoch, entry, ack) {
+				return
+			}
+			continue
+		}
+		s.mu.Lock()
+		if s.epoch == epoch && s.progress[entry.Id] != nil {
+			mark := s.progress[entry.Id]
+			mark.installed, mark.acked = true, max(mark.acked, ack.Seq)
+			s.recount(set)
+		}
+		s.mu.Unlock()
+		s.bell.Ring()
+	}
+}
+
+func inSet(set *DiskSet, id string) bool {
+	for _, entry := range set.Disks {
+		if entry.Id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// outstanding builds what a disk lacks; the caller holds the lock.
+func (s *slot) outstanding(claim *Claim, diskID string) (*InstallRequest, *AppendRequest) {
+	mark := s.progress[diskID]
+	first := s.tail + 1 - uint64(len(s.buffer))
+	if !mark.installed || mark.acked+1 < first {
+		mark.installed = false
+		install := &InstallRequest{Claim: claim, Seq: s.tail}
+		s.held.Each(func(key, value any) {
+			install.Puts = append(install.Puts, &Put{Key: key.(string), Value: value.([]byte)})
+		})
+		return install, nil
+	}
+	if mark.acked >= s.tail {
+		return nil, nil
+	}
+	entries := append([]*Entry(nil), s.buffer[mark.acked+1-first:]...)
+	return nil, &AppendRequest{Claim: claim, Entries: entries}
+}
+
+func (o *Owner) deliver(entry *DiskEntry, install *InstallRequest, appended *AppendRequest) (*Ack, error) {
+	ctx := base.NewCtx(o.clock, o.bounds.Load().DiskLimit())
+	if install != nil {
+		o.counters.Add("disk_installs_sent", 1)
+		return o.disk(entry).Install(ctx, install)
+	}
+	o.counters.Add("disk_appends_sent", 1)
+	return o.disk(entry).Append(ctx, appended)
+}
+
+// mend reacts to a disk that did not take what it was sent, and says whether
+// to go on sending.
+func (o *Owner) mend(s *slot, epoch uint64, entry *DiskEntry, ack *Ack) bool {
+	pause := o.bounds.Load().Beat() / 2
+	if ack != nil {
+		switch ack.Why {
+		case "epoch":
+			o.stepDown(s, epoch, ack.Epoch)
+			return false
+		case "set":
+			o.learn(ack.Set)
+		case "behind":
+			s.mu.Lock()
+			if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
+				mark.installed = false
+			}
+			s.mu.Unlock()
+			return true
+		}
+	}
+	s.mu.Lock()
+	if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
+		mark.installed = mark.installed && ack != nil
+	}
+	s.mu.Unlock()
+	o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
+	return true
+}
+
+// recount finds what a majority has; the caller holds the lock.
+func (s *slot) recount(set *DiskSet) {
+	reached := func(seq uint64) bool {
+		count := 0
+		for _, entry := range set.Disks {
+			if mark := s.progress[entry.Id]; mark != nil && mark.installed && mark.acked >= seq {
+				count++
+			}
+		}
+		return count >= majority(set)
+	}
+	for _, entry := range set.Disks {
+		if mark := s.progress[entry.Id]; mark != nil && mark.installed && mark.acked >= s.commit && reached(mark.acked) {
+			s.commit, s.based = mark.acked, true
+		}
+	}
+	lowest := s.commit
+	for _, mark := range s.progress {
+		if mark.installed {
+			lowest = min(lowest, mark.acked)
+		}
+	}
+	first := s.tail + 1 - uint64(len(s.buffer))
+	keep := max(lowest+1, first)
+	if lowest < s.commit && uint64(len(s.buffer)) > bufferLimit {
+		keep = s.commit + 1
+	}
+	// The feed reads committed changes from the buffer, so some stay.
+	if s.num == 0 && keep > first {
+		keep = max(first, min(keep, s.tail+1-min(s.tail, bufferLimit)))
+	}
+	s.buffer = s.buffer[keep-first:]
+}
+
+// Change answers the asker of an op, or names the core to ask instead.
+func (o *Owner) Change(plain context.Context, request *ChangeRequest) (*ChangeReply, error) {
+	ctx := base.CtxOf(plain, o.clock)
+	op, ok := o.ops[request.Op]
+	if !ok {
+		return nil, base.ToWire(base.Decline(400, "unknown_op", "unknown op %q", request.Op))
+	}
+	s := o.slots[SlotOf(request.Group)]
+	hint, err := o.await(ctx, s)
+	if hint != "" || err != nil {
+		return &ChangeReply{Owner: hint}, base.ToWire(err)
+	}
+	result, err := o.decide(ctx, s, request.Group, func(tx *Tx) (any, error) { return op(tx, request.Args) })
+	if err != nil {
+		return nil, base.ToWire(err)
+	}
+	return &ChangeReply{Result: base.Encode(result)}, nil
+}
+
+// await gets this core to serve the slot, or names who should.
+func (o *Owner) await(ctx *base.Ctx, s *slot) (hint string, err error) {
+	for {
+		next := s.bell.Next()
+		s.mu.Lock()
+		serves := s.phase == serving
+		s.mu.Unlock()
+		if serves {
+			return "", nil
+		}
+		if preferred := o.preferred(s); preferred != o.view.Self().Id {
+			return preferred, nil
+		}
+		o.start(s)
+		if !next.Wait(ctx.Left() / 2) {
+			return "", base.Busy(503, "slot_not_ready", 1, "no majority of disks has answered yet")
+		}
+	}
+}
+
+func (o *Owner) decide(ctx *base.Ctx, s *slot, group string, decide func(tx *Tx) (any, error)) (any, error) {
+	s.mu.Lock()
+	if s.phase != serving {
+		s.mu.Unlock()
+		return nil, base.Busy(503, "slot_not_ready", 1, "the slot is changing hands")
+	}
+	epoch := s.epoch
+	tx := &Tx{Wall: o.clock.Wall(), Bounds: o.bounds.Load(), Group: group, held: s.held}
+	result, declined := decide(tx)
+	changed := declined == nil && len(tx.puts) > 0
+	if changed {
+		s.tail++
+		s.buffer = append(s.buffer, &Entry{Seq: s.tail, Puts: tx.puts})
+		for _, put := range tx.puts {
+			if put.Gone {
+				s.held.Remove(put.Key)
+			} else {
+				s.held.Put(put.Key, put.Value)
+			}
+		}
+	}
+	target := s.tail
+	s.mu.Unlock()
+	if changed {
+		o.counters.Add("register_changes", 1)
+		s.bell.Ring()
+	}
+	if err := o.settled(ctx, s, epoch, target); err != nil {
+		return nil, err
+	}
+	if !changed {
+		if err := o.confirm(ctx, s, epoch); err != nil {
+			return nil, err
+		}
+	}
+	return result, declined
+}
+
+// settled waits until a majority has the slot up to target.
+func (o *Owner) settled(ctx *base.Ctx, s *slot, epoch, target uint64) error {
+	for {
+		next := s.bell.Next()
+		s.mu.Lock()
+		mine, done := s.epoch == epoch, s.commit >= target
+		s.mu.Unlock()
+		switch {
+		case !mine:
+			return base.Unsure(503, "slot_moved", "the slot changed hands before a majority had the change")
+		case done:
+			return nil
+		}
+		if !next.Wait(ctx.Left()) {
+			return base.Unsure(503, "no_majority", "a majority of disks has not confirmed the change")
+		}
+	}
+}
+
+// confirm proves that the epoch still stood after the asker asked. All who
+// ask before a round starts share it.
+func (o *Owner) confirm(ctx *base.Ctx, s *slot, epoch uint64) error {
+	s.mu.Lock()
+	if s.nextRound == nil {
+		s.nextRound = &round{done: o.clock.NewSignal()}
+	}
+	joined := s.nextRound
+	if !s.roundsBusy {
+		s.roundsBusy = true
+		o.clock.Go(func() { o.rounds(s) })
+	}
+	s.mu.Unlock()
+	if !joined.done.Wait(ctx.Left()) || joined.err != nil {
+		return base.Busy(503, "no_majority", 1, "no majority of disks confirms this owner")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch != epoch {
+		return base.Busy(503, "slot_not_ready", 1, "the slot changed hands")
+	}
+	return nil
+}
+
+func (o *Owner) rounds(s *slot) {
+	for {
+		s.mu.Lock()
+		current := s.nextRound
+		s.nextRound = nil
+		if current == nil {
+			s.roundsBusy = false
+			s.mu.Unlock()
+			return
+		}
+		epoch := s.epoch
+		s.mu.Unlock()
+		o.mu.Lock()
+		set := o.set
+		o.mu.Unlock()
+		o.counters.Add("register_confirms", 1)
+		confirmed := ask(o.clock, set.Disks, majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+			claim := o.claim(s, epoch)
+			claim.SetStamp, claim.Disk = set.Stamp, entry.Id
+			ack, err := o.disk(entry).Confirm(ctx, &ConfirmRequest{Claim: claim})
+			if err == nil && ack.Why == "epoch" {
+				o.stepDown(s, epoch, ack.Epoch)
+			}
+			if err == nil && ack.Why == "set" {
+				o.learn(ack.Set)
+			}
+			return err == nil && ack.Ok
+		})
+		if !confirmed {
+			current.err = base.Busy(503, "no_majority", 1, "no majority of disks")
+		}
+		current.done.Fire()
+	}
+}
+
+func (o *Owner) sweepAll() {
+	for _, s := range o.slots {
+		s.mu.Lock()
+		serves := s.phase == serving
+		s.mu.Unlock()
+		if !serves {
+			continue
+		}
+		_, _ = o.decide(base.NewCtx(o.clock, o.bounds.Load().Call()), s, "", func(tx *Tx) (any, error) {
+			for _, clean := range o.sweeps {
+				clean(tx)
+			}
+			return nil, nil
+		})
+	}
+}
+
+// News gives a follower of the feed what is committed after a place: the
+// changes if they are still at hand, else the whole frame. It waits up to
+// hold for news, and confirms its epoch last, so that the answer is as fresh
+// as the moment it was asked for.
+func (o *Owner) News(ctx *base.Ctx, place uint64, hold time.Duration) (now uint64, frame bool, puts []*Put, hint string, err error) {
+	s := o.slots[0]
+	if hint, err = o.await(ctx, s); hint != "" || err != nil {
+		return 0, false, nil, hint, err
+	}
+	end := o.clock.Now() + hold
+	for {
+		next := s.bell.Next()
+		s.mu.Lock()
+		quiet := s.phase == serving && s.commit == place && place > 0
+		s.mu.Unlock()
+		if !quiet || !next.Wait(max(0, end-o.clock.Now())) {
+			break
+		}
+	}
+	s.mu.Lock()
+	if s.phase != serving {
+		s.mu.Unlock()
+		return 0, false, nil, "", base.Busy(503, "slot_not_ready", 1, "the feed is changing hands")
+	}
+	epoch, target := s.epoch, s.tail
+	first := s.tail + 1 - uint64(len(s.buffer))
+	frame = place == 0 || place+1 < first || place > target
+	if frame {
+		s.held.Each(func(key, value any) { puts = append(puts, &Put{Key: key.(string), Value: value.([]byte)}) })
+	} else {
+		for _, entry := range s.buffer[place+1-first:] {
+			puts = append(puts, entry.Puts...)
+		}
+	}
+	s.mu.Unlock()
+	if err = o.settled(ctx, s, epoch, target); err != nil {
+		return 0, false, nil, "", err
+	}
+	return target, frame, puts, "", o.confirm(ctx, s, epoch)
+}
+
+// Frame counts what this core owns, for the status page.
+func (o *Owner) Frame() (owned []uint32, set *DiskSet) {
+	for _, s := range o.slots {
+		s.mu.Lock()
+		if s.phase == serving {
+			owned = append(owned, s.num)
+		}
+		s.mu.Unlock()
+	}
+	return owned, o.Set()
+}
+
+// Census tells which slots this core owns, and which of them have their
+// whole content on a majority of the given set.
+func (o *Owner) Census(_ context.Context, request *CensusRequest) (*CensusReply, error) {
+	o.learn(request.Set)
+	o.mu.Lock()
+	set := o.set
+	o.mu.Unlock()
+	reply := &CensusReply{SetStamp: set.GetStamp()}
+	for _, s := range o.slots {
+		s.mu.Lock()
+		if s.phase == serving {
+			reply.Owned = append(reply.Owned, s.num)
+			count := 0
+			for _, entry := range set.Disks {
+				if mark := s.progress[entry.Id]; mark != nil && mark.installed && mark.acked >= s.commit {
+					count++
+				}
+			}
+			if count >= majority(set) {
+				reply.Settled = append(reply.Settled, s.num)
+			}
+		}
+		s.mu.Unlock()
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/session/held.go
@@ -0,0 +1,533 @@
+// A held session is the owner's memory of one Run: the queue that it alone
+// has, the operation states, the chain, and the streams. One mutation runs
+// at a time, in the order accepted, each within its own deadline; reads,
+// lists and status look at the memory and never stand in the queue.
+package session
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/budget"
+)
+
+type operation struct {
+	id        string
+	digest    string
+	visit     *Visit
+	state     OperationState
+	stream    *Stream
+	until     time.Duration
+	cancelled base.Signal
+	abort     func()
+	verdict   *base.Verdict
+	ended     time.Duration
+}
+
+type held struct {
+	program string
+	bell    *base.Bell
+	handed  base.Signal
+	clock   base.Clock
+
+	mu       sync.Mutex
+	record   *Record
+	turns    []Turn
+	ops      map[string]*operation
+	queue    []*operation
+	running  *operation
+	busy     bool
+	gone     bool
+	unsure   bool
+	lapses   uint64
+	lastSeen time.Duration
+	offered  map[string]uint64
+	refused  map[string]*declinedVisit
+	tending  bool
+	worker   string
+}
+
+func newHeld(clock base.Clock, record *Record, turns []Turn, lapses uint64) *held {
+	return &held{program: record.Program, bell: base.NewBell(clock), handed: clock.NewSignal(), clock: clock, record: record,
+		turns: turns, ops: map[string]*operation{}, lapses: lapses, lastSeen: clock.Now(), offered: map[string]uint64{},
+		refused: map[string]*declinedVisit{}}
+}
+
+func (h *held) isRun(run string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.record.Run == run && !h.gone
+}
+
+func (h *held) snapshot() *Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	copied := *h.record
+	return &copied
+}
+
+func (h *held) quiet() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.busy && len(h.queue) == 0
+}
+
+func (h *held) forgettable(now time.Duration, bounds *base.Bounds) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	over := h.gone || h.record.Phase.Terminal()
+	return over && !h.busy && now-h.lastSeen > 2*bounds.Recover
+}
+
+// lose gives the Run up: what was accepted and gave no piece yet can be
+// found anew with the next owner, the rest is cut.
+func (h *held) lose() {
+	h.mu.Lock()
+	h.gone = true
+	h.queue = nil
+	lost := []*operation{}
+	for _, id := range base.SortedKeys(h.ops) {
+		if op := h.ops[id]; op.state == OpQueued || op.state == OpRunning {
+			lost = append(lost, op)
+		}
+	}
+	h.mu.Unlock()
+	for _, op := range lost {
+		op.stream.moveAway(op.id)
+	}
+	h.handed.Fire()
+	h.bell.Ring()
+}
+
+// serve answers a visit on the owner.
+func (k *Keeper) serve(ctx *base.Ctx, record *Record, v *Visit) (*Reply, error) {
+	k.mu.Lock()
+	h := k.held[record.ID]
+	draining := k.draining
+	k.mu.Unlock()
+	if h == nil || !h.isRun(record.Run) {
+		adopted, err := k.recall(ctx, record, v)
+		if err != nil {
+			return nil, err
+		}
+		h = adopted
+	}
+	if err := k.revalidate(ctx, h); err != nil {
+		return nil, err
+	}
+	if draining && v.Kind == KindTurn {
+		if !h.handed.Wait(ctx.Left()) {
+			return nil, base.Busy(503, "draining", 1, "this node is leaving")
+		}
+		return nil, staleRun()
+	}
+	h.mu.Lock()
+	allowed := v.Bearer == h.record.Secret || v.Bearer == h.record.ProgramSecret
+	if allowed {
+		h.lastSeen = k.clock.Now()
+	}
+	h.mu.Unlock()
+	if !allowed {
+		return nil, base.Decline(403, "forbidden", "the credentials do not open this session")
+	}
+	switch v.Kind {
+	case KindStatus, KindRenew:
+		return &Reply{Status: 200, Body: h.status()}, nil
+	case KindTurns:
+		return &Reply{Status: 200, Body: h.list(v)}, nil
+	case KindRead:
+		return h.read(v)
+	case KindCancel:
+		return k.cancel(h, v)
+	case KindClose:
+		return k.end(ctx, h, budget.Drain)
+	case KindTerminate:
+		return k.end(ctx, h, budget.Immediate)
+	case KindTurn:
+		return k.submit(ctx, h, v)
+	}
+	return nil, base.Decline(400, "bad_request", "unknown kind of visit")
+}
+
+// recall finds a Run that the register says is this node's but that is not
+// in memory: one it took without learning so, or one that ended and was
+// forgotten. Only this life of the node can be named as owner.
+func (k *Keeper) recall(ctx *base.Ctx, record *Record, v *Visit) (*held, error) {
+	answer, err := k.change(ctx, v.Program, "session.get", ask{Session: record.ID})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Record.Run != record.Run || answer.Record.Owner != k.me() || answer.Record.Program != v.Program {
+		k.remember(answer.Record)
+		return nil, staleRun()
+	}
+	return k.adopt(ctx, answer.Record)
+}
+
+// revalidate asks the register whether the Run still stands, after this
+// node went without a permit or a change of its own ended unknown.
+func (k *Keeper) revalidate(ctx *base.Ctx, h *held) error {
+	lapses := k.follower.Lapses()
+	h.mu.Lock()
+	sure := h.lapses == lapses && !h.unsure
+	id, run, known := h.record.ID, h.record.Run, uint64(len(h.turns))
+	h.mu.Unlock()
+	if sure {
+		return nil
+	}
+	answer, err := k.change(ctx, h.program, "session.get", ask{Session: id})
+	if err != nil {
+		return err
+	}
+	if answer.Record.Run != run {
+		k.remember(answer.Record)
+		h.lose()
+		return staleRun()
+	}
+	var turns []Turn
+	if answer.Record.Turns != known {
+		if turns, err = k.readChain(ctx, answer.Record); err != nil {
+			return err
+		}
+	}
+	h.mu.Lock()
+	h.lapses, h.unsure = lapses, false
+	if turns != nil && uint64(len(h.turns)) == known {
+		h.turns, h.record = turns, answer.Record
+	}
+	h.mu.Unlock()
+	return nil
+}
+
+// Status is what callers see of a session.
+type Status struct {
+	Session     string             `json:"session"`
+	Program     string             `json:"program"`
+	Route       string             `json:"route"`
+	Run         string             `json:"run"`
+	Epoch       uint64             `json:"epoch"`
+	Owner       string             `json:"owner"`
+	Understudy  string             `json:"understudy,omitempty"`
+	Phase       Phase              `json:"phase"`
+	Termination budget.Termination `json:"termination,omitempty"`
+	Reason      string             `json:"reason,omitempty"`
+	QueueSize   int                `json:"queue_size"`
+	TimeoutS    float64            `json:"operation_timeout_s"`
+	LeaseS      float64            `json:"lease_s,omitempty"`
+	Queued      int                `json:"queued"`
+	Running     string             `json:"running_turn,omitempty"`
+	Turns       uint64             `json:"turns"`
+	LastTurn    string             `json:"last_turn,omitempty"`
+}
+
+// StatusOf shows a record.
+func StatusOf(r *Record) Status {
+	return Status{Session: r.ID, Program: r.Program, Route: r.Route, Run: r.Run, Epoch: r.Epoch, Owner: r.Owner, Understudy: r.Understudy,
+		Phase: r.Phase, Termination: r.Termination, Reason: r.Why, QueueSize: r.QueueSize, TimeoutS: float64(r.TimeoutMs) / 1000,
+		LeaseS: float64(r.LeaseMs) / 1000, Turns: r.Turns, LastTurn: r.LastTurn}
+}
+
+func (h *held) status() Status {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	shown := StatusOf(h.record)
+	shown.Queued = len(h.queue)
+	if h.running != nil {
+		shown.Running = h.running.id
+	}
+	return shown
+}
+
+// TurnView is a turn in a listing.
+type TurnView struct {
+	Turn     string         `json:"turn"`
+	Num      uint64         `json:"num,omitempty"`
+	Previous string         `json:"previous_turn,omitempty"`
+	State    OperationState `json:"state"`
+	Messages any            `json:"messages,omitempty"`
+	Answer   string         `json:"answer,omitempty"`
+	Finish   string         `json:"finish_reason,omitempty"`
+	Tokens   int64          `json:"output_tokens,omitempty"`
+	Error    *base.Verdict  `json:"error,omitempty"`
+}
+
+// TurnPage is one page of a listing; Next is empty on the last.
+type TurnPage struct {
+	Turns []TurnView `json:"turns"`
+	Next  uint64     `json:"next"`
+}
+
+func viewTurn(turn *Turn, whole bool) TurnView {
+	shown := TurnView{Turn: turn.ID, Num: turn.Num, Previous: turn.Previous, State: OpSucceeded, Finish: turn.Finish, Tokens: turn.Tokens}
+	if whole {
+		shown.Messages = turn.Messages
+		for _, piece := range turn.Pieces {
+			shown.Answer += piece
+		}
+	}
+	return shown
+}
+
+func (h *held) list(v *Visit) TurnPage {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	page := TurnPage{Turns: []TurnView{}}
+	for place := range h.turns {
+		turn := &h.turns[place]
+		if turn.Num <= v.After {
+			continue
+		}
+		if len(page.Turns) == v.Limit {
+			page.Next = page.Turns[len(page.Turns)-1].Num
+			return page
+		}
+		page.Turns = append(page.Turns, viewTurn(turn, false))
+	}
+	return page
+}
+
+func (h *held) read(v *Visit) (*Reply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for place := range h.turns {
+		if h.turns[place].ID == v.Turn {
+			return &Reply{Status: 200, Body: viewTurn(&h.turns[place], true)}, nil
+		}
+	}
+	if op := h.ops[v.Turn]; op != nil {
+		return &Reply{Status: 200, Body: TurnView{Turn: op.id, State: op.state, Error: op.verdict}}, nil
+	}
+	return nil, base.Decline(404, "unknown_turn", "there is no such turn")
+}
+
+func (k *Keeper) cancel(h *held, v *Visit) (*Reply, error) {
+	h.mu.Lock()
+	op := h.ops[v.Turn]
+	h.mu.Unlock()
+	if op == nil {
+		return h.read(v)
+	}
+	h.cancelOp(op)
+	return h.read(v)
+}
+
+// cancelOp answers a queued turn as not run at once; a running one is told
+// to stop and answered by its leg.
+func (h *held) cancelOp(op *operation) {
+	op.cancelled.Fire()
+	h.mu.Lock()
+	abort := op.abort
+	place := slices.Index(h.queue, op)
+	if place >= 0 {
+		h.queue = slices.Delete(h.queue, place, place+1)
+	}
+	h.mu.Unlock()
+	if abort != nil {
+		abort()
+	}
+	if place >= 0 {
+		h.conclude(op, OpCancelled, base.Decline(409, "cancelled", "the turn was cancelled before it ran"))
+	}
+}
+
+// abortable sets how a running turn is stopped; one that was cancelled
+// meanwhile is stopped at once.
+func (h *held) abortable(op *operation, abort func()) {
+	h.mu.Lock()
+	op.abort = abort
+	h.mu.Unlock()
+	if abort != nil && op.cancelled.Fired() {
+		abort()
+	}
+}
+
+// conclude ends an operation without success.
+func (h *held) conclude(op *operation, state OperationState, verdict *base.Verdict) {
+	h.mu.Lock()
+	if op.state.May(state) {
+		op.state, op.verdict, op.ended = state, verdict, h.clock.Now()
+	}
+	h.mu.Unlock()
+	op.stream.finish(finalOf(op.id, verdict))
+	h.bell.Ring()
+}
+
+// end asks for Drain or Immediate; the request only ever escalates.
+func (k *Keeper) end(ctx *base.Ctx, h *held, mode budget.Termination) (*Reply, error) {
+	h.mu.Lock()
+	if h.record.Phase.Terminal() {
+		h.mu.Unlock()
+		return &Reply{Status: 200, Body: h.status()}, nil
+	}
+	mode = h.record.Termination.Escalate(mode)
+	h.mu.Unlock()
+	if err := k.moveRun(ctx, h, Finalizing, mode, string(mode)); err != nil {
+		return nil, err
+	}
+	if mode == budget.Immediate {
+		k.cancelAll(h, "the session was terminated")
+	}
+	if err := k.closeIfQuiet(ctx, h); err != nil {
+		return nil, err
+	}
+	return &Reply{Status: 200, Body: h.status()}, nil
+}
+
+func (k *Keeper) cancelAll(h *held, _ string) {
+	h.mu.Lock()
+	all := slices.Clone(h.queue)
+	if h.running != nil {
+		all = append(all, h.running)
+	}
+	h.mu.Unlock()
+	for _, op := range all {
+		h.cancelOp(op)
+	}
+}
+
+// moveRun puts a phase or termination in force.
+func (k *Keeper) moveRun(ctx *base.Ctx, h *held, phase Phase, mode budget.Termination, why string) error {
+	h.mu.Lock()
+	id, run := h.record.ID, h.record.Run
+	h.mu.Unlock()
+	answer, err := k.change(ctx, h.program, "session.move", ask{Session: id, Run: run, Phase: phase, Termination: mode, Why: why})
+	if err != nil {
+		if base.IsCode(err, "stale_assignment") {
+			h.lose()
+		}
+		return err
+	}
+	h.mu.Lock()
+	if h.record.Run == run {
+		h.record = answer.Record
+	}
+	h.mu.Unlock()
+	k.remember(answer.Record)
+	h.bell.Ring()
+	return nil
+}
+
+// closeIfQuiet makes a finalizing Run terminal once nothing is left to do.
+func (k *Keeper) closeIfQuiet(ctx *base.Ctx, h *held) error {
+	h.mu.Lock()
+	due := h.record.Phase == Finalizing && !h.busy && len(h.queue) == 0
+	mode := h.record.Termination
+	h.mu.Unlock()
+	if !due {
+		return nil
+	}
+	if mode == budget.Immediate {
+		return k.moveRun(ctx, h, Cancelled, mode, "terminated")
+	}
+	return k.moveRun(ctx, h, Succeeded, mode, "drained")
+}
+
+// endBy ends a session because its program was told to.
+func (k *Keeper) endBy(h *held, mode budget.Termination) {
+	record := h.snapshot()
+	if record.Phase.Terminal() || record.Termination.Escalate(mode) == record.Termination {
+		return
+	}
+	if _, err := k.end(base.NewCtx(k.clock, k.bounds.Load().Recover), h, mode); err != nil {
+		k.counters.Add("session_end_failed", 1)
+	}
+}
+
+// tend looks after one session: its lease, its understudy, old operations.
+func (k *Keeper) tend(h *held) {
+	now, bounds := k.clock.Now(), k.bounds.Load()
+	h.mu.Lock()
+	if h.gone || h.tending || h.record.Phase.Terminal() {
+		h.mu.Unlock()
+		return
+	}
+	if h.busy {
+		h.lastSeen = now
+	}
+	lease := time.Duration(h.record.LeaseMs) * time.Millisecond
+	expired := lease > 0 && now-h.lastSeen > lease
+	for id, op := range h.ops {
+		if op.ended > 0 && now-op.ended > bounds.Retain {
+			delete(h.ops, id)
+		}
+	}
+	for id, mark := range h.refused {
+		if now-mark.at > 10*bounds.Recover {
+			delete(h.refused, id)
+		}
+	}
+	member, alive := k.view.Find(h.record.Understudy)
+	lacking := !alive || member.Leaving || h.offered[h.record.Understudy] < uint64(len(h.turns))
+	finalizing := h.record.Phase == Finalizing && !h.busy && len(h.queue) == 0
+	h.tending = expired || lacking || finalizing
+	due := h.tending
+	h.mu.Unlock()
+	if !due {
+		return
+	}
+	k.clock.Go(func() {
+		ctx := base.NewCtx(k.clock, bounds.Call())
+		switch {
+		case expired:
+			k.counters.Add("leases_expired", 1)
+			if k.moveRun(ctx, h, Failed, "", "lease_expired") == nil {
+				k.cancelAll(h, "the lease expired")
+			}
+		case finalizing:
+			_ = k.closeIfQuiet(ctx, h)
+		default:
+			k.catchUp(ctx, h)
+		}
+		h.mu.Lock()
+		h.tending = false
+		h.mu.Unlock()
+	})
+}
+
+// catchUp brings the understudy up to the chain, nominating another when it
+// is gone; a new one counts only once it has the whole chain.
+func (k *Keeper) catchUp(ctx *base.Ctx, h *held) {
+	record := h.snapshot()
+	chosen := record.Understudy
+	if member, alive := k.view.Find(chosen); !alive || member.Leaving {
+		chosen = k.nominateUnderstudy(record.ID, chosen)
+	}
+	member, alive := k.view.Find(chosen)
+	if !alive {
+		return
+	}
+	for !ctx.Over() {
+		h.mu.Lock()
+		have, total := h.offered[chosen], uint64(len(h.turns))
+		var turn []byte
+		if have < total {
+			turn = base.Encode(h.turns[have])
+		}
+		h.mu.Unlock()
+		if have >= total {
+			break
+		}
+		reply, err := NewOwnerProtobufClient("http://"+member.Addr, k.wire).Offer(ctx, &OfferRequest{Session: record.ID,
+			Assignment: record.assignment(), Turns: have + 1, Turn: turn})
+		if err != nil {
+			return
+		}
+		h.mu.Lock()
+		h.offered[chosen] = min(reply.Turns, have+1)
+		h.mu.Unlock()
+	}
+	if chosen != record.Understudy && !ctx.Over() {
+		answer, err := k.change(ctx, record.Program, "session.move", ask{Session: record.ID, Run: record.Run, Understudy: chosen})
+		if err == nil {
+			h.mu.Lock()
+			if h.record.Run == answer.Record.Run {
+				h.record = answer.Record
+			}
+			h.mu.Unlock()
+			k.remember(answer.Record)
+			k.counters.Add("understudies_replaced", 1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/caller.go
@@ -0,0 +1,398 @@
+// A caller holds one program's conversation as a till or a clerk's desk
+// would: it names its turns, follows up on the answer before, asks again by
+// the same id when it was told that the outcome is not known, and checks
+// every answer against what a right model must have said to its own chain.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+)
+
+// Event is one server-sent event as a caller reads it.
+type Event struct {
+	ID   string
+	Kind string
+	Data []byte
+}
+
+// Answer is a response as a caller reads it: whole, or events one by one.
+// NextEvent gives ok=false at the end of the stream.
+type Answer struct {
+	Status    int
+	Header    map[string]string
+	Body      []byte
+	NextEvent func() (Event, bool)
+}
+
+// Asker sends a request to a gateway, by number; an error says that the
+// gateway could not be reached or its answer was lost.
+type Asker func(gateway int, method, path string, header map[string]string, body []byte) (*Answer, error)
+
+// Tally is what callers saw, and every breach they found.
+type Tally struct {
+	mu       sync.Mutex
+	Counts   map[string]int
+	Breaches []string
+	Refused  map[string]bool
+	Budgets  map[string]int64
+	Slowest  time.Duration
+	Keys     map[string]bool
+}
+
+func NewTally() *Tally {
+	return &Tally{Counts: map[string]int{}, Refused: map[string]bool{}, Budgets: map[string]int64{}, Keys: map[string]bool{}}
+}
+
+func (t *Tally) count(name string) {
+	t.mu.Lock()
+	t.Counts[name]++
+	t.mu.Unlock()
+}
+
+// Breach records that something happened which must never happen.
+func (t *Tally) Breach(format string, args ...any) {
+	t.mu.Lock()
+	t.Breaches = append(t.Breaches, fmt.Sprintf(format, args...))
+	t.mu.Unlock()
+}
+
+// Caller is one program's party.
+type Caller struct {
+	Name     string
+	Clock    base.Clock
+	Ask      Asker
+	Gateways int
+	Home     int
+	Group    string
+	Site     string
+	Pieces   int
+	Patience time.Duration
+	Tally    *Tally
+	// Between runs after each whole turn, for tests that cause failures.
+	Between func(turn int)
+
+	program string
+	secret  string
+	session string
+	key     string
+	chain   []Message
+	last    string
+}
+
+type failure struct {
+	Error struct {
+		Code       string   `json:"code"`
+		Message    string   `json:"message"`
+		Ran        base.Ran `json:"request"`
+		RetryAfter int      `json:"retry_after_s"`
+	} `json:"error"`
+}
+
+func (c *Caller) header(secret string, more map[string]string) map[string]string {
+	header := map[string]string{"authorization": "Bearer " + secret}
+	for name, value := range more {
+		header[name] = value
+	}
+	return header
+}
+
+// settled asks until there is an answer that is not "come again later".
+func (c *Caller) settled(method, path string, header map[string]string, body any) (*Answer, *failure) {
+	end := c.Clock.Now() + c.Patience
+	for {
+		answer, err := c.Ask(c.Home, method, path, header, base.Encode(body))
+		var failed failure
+		if err == nil && answer.Status < 400 {
+			return answer, nil
+		}
+		if err != nil {
+			c.Tally.count("lost")
+			c.Home = (c.Home + 1) % c.Gateways
+			failed.Error.Ran = base.MayHaveRun
+			failed.Error.Code = "connection"
+		} else if json.Unmarshal(answer.Body, &failed) != nil || failed.Error.Code == "" {
+			c.Tally.Breach("%s: answer %d without a verdict: %s", c.Name, answer.Status, answer.Body)
+			return nil, &failed
+		}
+		c.Tally.count("told_" + failed.Error.Code)
+		again := err != nil || failed.Error.RetryAfter > 0 || failed.Error.Ran == base.MayHaveRun
+		if !again || c.Clock.Now() > end {
+			return nil, &failed
+		}
+		if err == nil && answer.Status == 503 {
+			c.Home = (c.Home + 1) % c.Gateways
+		}
+		c.Clock.Sleep(time.Duration(200+c.Clock.Int64N(300)) * time.Millisecond)
+	}
+}
+
+// Start makes the program and its session.
+func (c *Caller) Start(budgetTokens int64) bool {
+	answer, failed := c.settled("POST", "/v1/programs", nil, map[string]any{"program": c.Name, "group": c.Group, "site": c.Site, "budget_tokens": budgetTokens})
+	if failed != nil {
+		// The name may have been taken by a copy of this very request.
+		answer, failed = c.settled("POST", "/v1/programs", nil, map[string]any{"group": c.Group, "site": c.Site, "budget_tokens": budgetTokens})
+	}
+	if failed != nil {
+		c.Tally.count("start_failed")
+		return false
+	}
+	var made struct {
+		Program string `json:"program"`
+		Secret  string `json:"secret"`
+	}
+	_ = json.Unmarshal(answer.Body, &made)
+	c.program, c.secret = made.Program, made.Secret
+	c.Tally.mu.Lock()
+	c.Tally.Budgets[c.program] = budgetTokens
+	c.Tally.mu.Unlock()
+	answer, failed = c.settled("POST", "/v1/programs/"+c.program+"/sessions", c.header(c.secret, nil), map[string]any{"route": "chat"})
+	if failed != nil {
+		c.Tally.count("start_failed")
+		return false
+	}
+	var acquired struct {
+		Session string `json:"session"`
+		Secret  string `json:"secret"`
+	}
+	_ = json.Unmarshal(answer.Body, &acquired)
+	c.session, c.key = acquired.Session, acquired.Secret
+	return true
+}
+
+// Converse holds a conversation of turns, with a tool call after some.
+func (c *Caller) Converse(turns int, tools bool) {
+	for turn := 1; turn <= turns; turn++ {
+		if !c.Turn(turn) {
+			c.Tally.count("conversations_broken")
+			return
+		}
+		if c.Between != nil {
+			c.Between(turn)
+		}
+		if tools && turn%2 == 1 {
+			c.Tool(turn)
+		}
+	}
+	c.Tally.count("conversations_whole")
+}
+
+// Session gives the path of the caller's session and its credential.
+func (c *Caller) Session() (path, secret string) {
+	return "/v1/programs/" + c.program + "/sessions/" + c.session, c.key
+}
+
+// Turn asks one turn to its end.
+func (c *Caller) Turn(num int) bool {
+	began := c.Clock.Now()
+	end := began + c.Patience
+	for again := 0; c.Clock.Now() < end; again++ {
+		// A refused turn is not asked again under its id: it must never run.
+		id := fmt.Sprintf("t%d.%d", num, again)
+		asked := []Message{{"user", fmt.Sprintf("question %d %s", num, Tag(c.program, id))}}
+		if len(c.chain) == 0 {
+			asked = append([]Message{{"system", "You help shoppers at till site " + c.Site}}, asked...)
+		}
+		whole, refused := c.askTurn(id, asked, end)
+		if whole {
+			c.Tally.mu.Lock()
+			c.Tally.Slowest = max(c.Tally.Slowest, c.Clock.Now()-began)
+			c.Tally.mu.Unlock()
+			return true
+		}
+		if !refused {
+			return false
+		}
+		c.Clock.Sleep(time.Duration(200+c.Clock.Int64N(300)) * time.Millisecond)
+	}
+	return false
+}
+
+// askTurn asks under one id until it is answered whole or refused.
+func (c *Caller) askTurn(id string, asked []Message, end time.Duration) (whole, refused bool) {
+	path, secret := c.Session()
+	more := map[string]string{"turn-id": id}
+	if c.last != "" {
+		more["previous-turn"] = c.last
+	}
+	expected := Expected(append(append([]Message(nil), c.chain...), asked...), c.Pieces)
+	for c.Clock.Now() < end {
+		answer, err := c.Ask(c.Home, "POST", path+"/turns", c.header(secret, more), base.Encode(map[string]any{"messages": asked}))
+		if err != nil {
+			c.Tally.count("lost")
+			c.Home = (c.Home + 1) % c.Gateways
+			c.Clock.Sleep(200 * time.Millisecond)
+			continue
+		}
+		if answer.Status != 200 {
+			var failed failure
+			_ = json.Unmarshal(answer.Body, &failed)
+			c.Tally.count("told_" + failed.Error.Code)
+			switch {
+			case failed.Error.Code == "previous_turn_unknown" || failed.Error.Code == "history_gone" || failed.Error.Code == "session_over" || failed.Error.Code == "unknown_session":
+				c.Tally.Breach("%s: history of %s gone: %s", c.Name, c.last, failed.Error.Code)
+				return false, false
+			case failed.Error.Ran == base.NotRun:
+				c.refuse(id)
+				if answer.Status == 503 {
+					c.Home = (c.Home + 1) % c.Gateways
+				}
+				return false, failed.Error.RetryAfter > 0 || answer.Status == 503 || answer.Status == 409
+			case failed.Error.Ran == "":
+				c.Tally.Breach("%s: status %d without a verdict: %s", c.Name, answer.Status, answer.Body)
+				return false, false
+			}
+			c.Clock.Sleep(200 * time.Millisecond)
+			continue
+		}
+		verdict := c.readTurn(id, answer, expected)
+		switch verdict {
+		case "success":
+			c.chain = append(append(c.chain, asked...), Message{"assistant", strings.Join(expected, "")})
+			c.last = id
+			c.Tally.count("turns_whole")
+			return true, false
+		case "refused":
+			c.refuse(id)
+			return false, true
+		case "over_budget":
+			c.refuse(id)
+			c.Tally.count("over_budget")
+			return false, false
+		}
+		c.Tally.count("turns_" + verdict)
+		if verdict == "dropped" {
+			c.Home = (c.Home + 1) % c.Gateways
+		}
+		c.Clock.Sleep(200 * time.Millisecond)
+	}
+	c.Tally.count("patience_over")
+	return false, false
+}
+
+func (c *Caller) refuse(id string) {
+	c.Tally.mu.Lock()
+	c.Tally.Refused[c.program+"|"+id] = true
+	c.Tally.mu.Unlock()
+	c.Tally.count("turns_refused")
+}
+
+// readTurn reads a stream to its end and checks every piece.
+func (c *Caller) readTurn(id string, answer *Answer, expected []string) string {
+	pieces, leg := []string{}, ""
+	for {
+		event, ok := answer.NextEvent()
+		if !ok {
+			return "dropped"
+		}
+		eventLeg, place, _ := strings.Cut(event.ID, "#")
+		at, _ := strconv.Atoi(place)
+		if event.Kind == "piece" {
+			var data struct {
+				Text string `json:"text"`
+			}
+			_ = json.Unmarshal(event.Data, &data)
+			if leg == "" {
+				leg = eventLeg
+			}
+			if eventLeg != leg || at != len(pieces)+1 {
+				c.Tally.Breach("%s: turn %s skipped, repeated or spliced: piece %s after %d of %s", c.Name, id, event.ID, len(pieces), leg)
+			}
+			pieces = append(pieces, data.Text)
+			continue
+		}
+		var final struct {
+			Verdict string   `json:"verdict"`
+			Ran     base.Ran `json:"request"`
+			Error   struct {
+				Code string `json:"code"`
+			} `json:"error"`
+		}
+		if json.Unmarshal(event.Data, &final) != nil {
+			c.Tally.Breach("%s: turn %s has a final event that cannot be read", c.Name, id)
+			return "malformed"
+		}
+		if final.Verdict == "success" && strings.Join(pieces, "") != strings.Join(expected, "") {
+			c.Tally.Breach("%s: turn %s was given as whole but reads %q and not %q", c.Name, id, pieces, expected)
+		}
+		if final.Ran == base.NotRun && len(pieces) > 0 {
+			c.Tally.Breach("%s: turn %s gave pieces and was then called not run", c.Name, id)
+		}
+		if _, more := answer.NextEvent(); more {
+			c.Tally.Breach("%s: turn %s went on after its final event", c.Name, id)
+		}
+		c.Tally.count("final_" + final.Verdict + "_" + final.Error.Code)
+		if final.Error.Code == "previous_turn_unknown" {
+			c.Tally.Breach("%s: history of %s gone", c.Name, c.last)
+		}
+		if final.Error.Code == "over_budget" {
+			return "over_budget"
+		}
+		if final.Verdict != "success" && final.Ran == base.NotRun {
+			return "refused"
+		}
+		return final.Verdict
+	}
+}
+
+// Tool makes one call that must not run twice, and asks again by its key
+// until the outcome is known.
+func (c *Caller) Tool(num int) {
+	key := fmt.Sprintf("k%d", num)
+	c.Tally.mu.Lock()
+	c.Tally.Keys[c.program+"/"+key] = true
+	c.Tally.mu.Unlock()
+	_, failed := c.settled("POST", "/v1/programs/"+c.program+"/tools/loyalty", c.header(c.secret, map[string]string{"idempotency-key": key}), map[string]int{"points": num})
+	switch {
+	case failed == nil:
+		c.Tally.count("tools_done")
+	case failed.Error.Ran == base.MayHaveRun:
+		c.Tally.count("tools_unsure")
+	default:
+		c.Tally.count("tools_refused")
+	}
+}
+
+// Check looks over the workers' own records.
+func (t *Tally) Check(models []*Model, tools []*Tool, onePiece int64) {
+	perKey, perProgram, turnRuns := map[string]int{}, map[string]int64{}, map[string]int{}
+	for _, tool := range tools {
+		for key, runs := range tool.Runs() {
+			perKey[key] += runs
+		}
+	}
+	for _, key := range base.SortedKeys(perKey) {
+		if perKey[key] > 1 {
+			t.Breach("call %s ran %d times", key, perKey[key])
+		}
+	}
+	for _, model := range models {
+		runs, tokens, _, _ := model.Record()
+		for turn, n := range runs {
+			turnRuns[turn] += n
+		}
+		for program, n := range tokens {
+			perProgram[program] += n
+		}
+	}
+	t.mu.Lock()
+	refused, budgets := t.Refused, t.Budgets
+	t.mu.Unlock()
+	for _, turn := range base.SortedKeys(refused) {
+		if turnRuns[turn] > 0 {
+			t.Breach("turn %s was refused and ran %d times", turn, turnRuns[turn])
+		}
+	}
+	for _, program := range base.SortedKeys(budgets) {
+		if perProgram[program] > budgets[program]+onePiece {
+			t.Breach("program %s put out %d of %d", program, perProgram[program], budgets[program])
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,225 @@
+// Package standin holds the fleet's other parties for tests, the simulator
+// and the fleet tool: model and application workers that keep their own
+// records, and callers that hold conversations and check what they are told.
+// They know no transport; the simulator calls them in virtual time and the
+// fleet tool puts HTTP round them.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+)
+
+// Message is one message of a prompt.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Trouble is what a worker does wrong in one answer.
+type Trouble string
+
+const (
+	Fine      Trouble = ""
+	Cut       Trouble = "cut"
+	Malformed Trouble = "malformed"
+	Hang      Trouble = "hang"
+	NoFinish  Trouble = "no_finish"
+	Refuse    Trouble = "refuse"
+	Busy      Trouble = "busy"
+	Fail      Trouble = "fail"
+	Overrun   Trouble = "overrun"
+	Silent    Trouble = "silent"
+)
+
+// Model stands in for a model server. Its answer is a function of the prompt
+// alone, so that a caller can tell whether an answer is its own and whole.
+type Model struct {
+	ID     string
+	Clock  base.Clock
+	Pieces int
+	Gap    time.Duration
+	Next   func() Trouble
+
+	mu     sync.Mutex
+	runs   map[string]int
+	tokens map[string]int64
+	prefix map[string]bool
+	hits   int
+	count  int
+}
+
+// Expected is the answer a right model gives to a chain.
+func Expected(chain []Message, pieces int) []string {
+	answer := []string{fmt.Sprintf("%d messages %s", len(chain), base.Digest(base.Encode(chain)))}
+	for piece := 2; piece <= pieces; piece++ {
+		answer = append(answer, fmt.Sprintf(" piece %d", piece))
+	}
+	return answer
+}
+
+// Tag marks a turn's last message so that workers' records name the turn.
+func Tag(program, turn string) string { return "[" + program + "|" + turn + "]" }
+
+func tagIn(content string) (program, turn string) {
+	_, rest, _ := strings.Cut(content, "[")
+	rest, _, _ = strings.Cut(rest, "]")
+	program, turn, _ = strings.Cut(rest, "|")
+	return program, turn
+}
+
+// Serve answers one streaming completion; emit sends a line and fails when
+// the asker is gone.
+func (m *Model) Serve(body []byte, begin func(status int), emit func(line string) error) {
+	var request struct {
+		Messages  []Message `json:"messages"`
+		MaxTokens int64     `json:"max_tokens"`
+	}
+	trouble := Fine
+	if m.Next != nil {
+		trouble = m.Next()
+	}
+	if json.Unmarshal(body, &request) != nil || len(request.Messages) == 0 {
+		begin(400)
+		return
+	}
+	switch trouble {
+	case Refuse:
+		begin(503)
+		return
+	case Busy:
+		begin(429)
+		return
+	}
+	last := request.Messages[len(request.Messages)-1]
+	program, turn := tagIn(last.Content)
+	m.note(program, turn, request.Messages)
+	if trouble == Fail {
+		begin(500)
+		return
+	}
+	if trouble == Silent {
+		m.Clock.Sleep(time.Hour)
+		return
+	}
+	begin(200)
+	answer := Expected(request.Messages, m.Pieces)
+	finish := "stop"
+	if int64(len(answer)) > request.MaxTokens && trouble != Overrun {
+		answer, finish = answer[:request.MaxTokens], "length"
+	}
+	for place, piece := range answer {
+		m.Clock.Sleep(m.Gap)
+		if place == len(answer)/2 {
+			switch trouble {
+			case Cut:
+				return
+			case Malformed:
+				_ = emit("data: {\"choices\":[{]}\n\n")
+				return
+			case Hang:
+				m.Clock.Sleep(time.Hour)
+				return
+			}
+		}
+		m.put(program, 1)
+		chunk := map[string]any{"choices": []any{map[string]any{"delta": map[string]string{"content": piece}}}}
+		if emit("data: "+string(base.Encode(chunk))+"\n\n") != nil {
+			return
+		}
+	}
+	if trouble != NoFinish {
+		end := map[string]any{"choices": []any{map[string]any{"delta": map[string]string{}, "finish_reason": finish}},
+			"usage": map[string]int{"completion_tokens": len(answer)}}
+		if emit("data: "+string(base.Encode(end))+"\n\n") != nil {
+			return
+		}
+	}
+	_ = emit("data: [DONE]\n\n")
+}
+
+func (m *Model) note(program, turn string, chain []Message) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.runs == nil {
+		m.runs, m.tokens, m.prefix = map[string]int{}, map[string]int64{}, map[string]bool{}
+	}
+	m.count++
+	m.runs[program+"|"+turn]++
+	if len(chain) > 2 && m.prefix[base.Digest(base.Encode(chain[:len(chain)-2]))] {
+		m.hits++
+	}
+	m.prefix[base.Digest(base.Encode(chain))] = true
+}
+
+func (m *Model) put(program string, tokens int64) {
+	m.mu.Lock()
+	m.tokens[program] += tokens
+	m.mu.Unlock()
+}
+
+// Record is what a model worker has seen.
+func (m *Model) Record() (runs map[string]int, tokens map[string]int64, count, prefixHits int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	runs, tokens = map[string]int{}, map[string]int64{}
+	for key, n := range m.runs {
+		runs[key] = n
+	}
+	for key, n := range m.tokens {
+		tokens[key] = n
+	}
+	return runs, tokens, m.count, m.hits
+}
+
+// Tool stands in for an application worker and counts runs per key.
+type Tool struct {
+	ID    string
+	Clock base.Clock
+	Pause time.Duration
+	Next  func() Trouble
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Serve carries one call out; answered is false when no answer is sent.
+func (t *Tool) Serve(key string, _ []byte) (status int, body []byte, answered bool) {
+	trouble := Fine
+	if t.Next != nil {
+		trouble = t.Next()
+	}
+	if trouble == Refuse {
+		return 503, []byte(`{"error":"leaving"}`), true
+	}
+	t.mu.Lock()
+	if t.runs == nil {
+		t.runs = map[string]int{}
+	}
+	t.runs[key]++
+	t.mu.Unlock()
+	t.Clock.Sleep(t.Pause)
+	switch trouble {
+	case Silent, Cut:
+		return 0, nil, false
+	case Fail:
+		return 500, []byte(`{"error":"failed"}`), true
+	}
+	return 200, base.Encode(map[string]string{"done": key}), true
+}
+
+// Runs counts what was carried out, by key.
+func (t *Tool) Runs() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	runs := map[string]int{}
+	for key, n := range t.runs {
+		runs[key] = n
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/worker/list.go
@@ -0,0 +1,270 @@
+// Package worker knows the back ends: the list the platform keeps, the
+// notices of those that are leaving, and their usage reports. The list and
+// the notices are control state and reach every node by the feed; usage is
+// soft, rides on shuffles, is believed only while fresh and is told anew by
+// the workers after a loss.
+package worker
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/membership"
+	"fordseam/internal/register"
+)
+
+const (
+	ListKey       = "feed/workers"
+	LeavingPrefix = "feed/leaving/"
+)
+
+// Worker is one back end as the platform lists it.
+type Worker struct {
+	ID          string `json:"id"`
+	Addr        string `json:"addr"`
+	Pool        string `json:"pool"`
+	Zone        string `json:"zone"`
+	Capacity    int    `json:"capacity"`
+	Incarnation string `json:"incarnation,omitempty"`
+}
+
+// List is the platform's stamped list.
+type List struct {
+	Stamp   uint64   `json:"stamp"`
+	Workers []Worker `json:"workers"`
+}
+
+// Patch changes a list: workers put in or changed, and ids taken out.
+type Patch struct {
+	Stamp  uint64   `json:"stamp"`
+	Put    []Worker `json:"put"`
+	Remove []string `json:"remove"`
+}
+
+// Notice says that one life of a worker is leaving.
+type Notice struct {
+	Worker      string `json:"worker"`
+	Incarnation string `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+	Source      string `json:"source"`
+	Number      uint64 `json:"number"`
+}
+
+func loadList(tx *register.Tx) List {
+	var list List
+	if raw := tx.Get(ListKey); raw != nil {
+		_ = json.Unmarshal(raw, &list)
+	}
+	return list
+}
+
+func (l *List) find(id string) int {
+	for place := range l.Workers {
+		if l.Workers[place].ID == id {
+			return place
+		}
+	}
+	return -1
+}
+
+func storeList(tx *register.Tx, former, next List) (any, error) {
+	for _, was := range former.Workers {
+		place := next.find(was.ID)
+		if place < 0 || next.Workers[place].Incarnation != was.Incarnation || next.Workers[place].Addr != was.Addr {
+			if tx.Get(LeavingPrefix+was.ID) != nil {
+				tx.Gone(LeavingPrefix + was.ID)
+			}
+		}
+	}
+	tx.Put(ListKey, base.Encode(next))
+	return next, nil
+}
+
+func checkStamp(now List, stamp uint64) error {
+	if stamp <= now.Stamp {
+		v := base.Decline(409, "stale_stamp", "the list stands at stamp %d, this one carries %d", now.Stamp, stamp)
+		v.Stamp = now.Stamp
+		return v
+	}
+	return nil
+}
+
+// Serve adds the workers' ops to a core.
+func Serve(owner *register.Owner) {
+	owner.Handle("worker.list", func(tx *register.Tx, _ []byte) (any, error) { return loadList(tx), nil })
+	owner.Handle("worker.replace", func(tx *register.Tx, args []byte) (any, error) {
+		var next List
+		_ = json.Unmarshal(args, &next)
+		now := loadList(tx)
+		if string(base.Encode(now)) == string(base.Encode(next)) {
+			return now, nil
+		}
+		if err := checkStamp(now, next.Stamp); err != nil {
+			return nil, err
+		}
+		return storeList(tx, now, next)
+	})
+	owner.Handle("worker.patch", func(tx *register.Tx, args []byte) (any, error) {
+		var patch Patch
+		_ = json.Unmarshal(args, &patch)
+		now := loadList(tx)
+		if err := checkStamp(now, patch.Stamp); err != nil {
+			return nil, err
+		}
+		next := List{Stamp: patch.Stamp}
+		for _, one := range now.Workers {
+			removed := false
+			for _, id := range patch.Remove {
+				removed = removed || id == one.ID
+			}
+			if !removed {
+				next.Workers = append(next.Workers, one)
+			}
+		}
+		for _, one := range patch.Put {
+			if place := next.find(one.ID); place >= 0 {
+				next.Workers[place] = one
+			} else {
+				next.Workers = append(next.Workers, one)
+			}
+		}
+		return storeList(tx, now, next)
+	})
+	owner.Handle("worker.notice", func(tx *register.Tx, args []byte) (any, error) {
+		var notice, held Notice
+		_ = json.Unmarshal(args, &notice)
+		raw := tx.Get(LeavingPrefix + notice.Worker)
+		if raw != nil {
+			_ = json.Unmarshal(raw, &held)
+		}
+		now := loadList(tx)
+		switch {
+		case now.find(notice.Worker) < 0:
+		case notice.Leaving && (raw == nil || held.Incarnation != notice.Incarnation):
+			tx.Put(LeavingPrefix+notice.Worker, base.Encode(notice))
+		case !notice.Leaving && raw != nil && (held.Incarnation != notice.Incarnation || held.Source != "report"):
+			tx.Gone(LeavingPrefix + notice.Worker)
+		}
+		return notice, nil
+	})
+}
+
+// Client asks for changes of the list.
+type Client struct{ Register *register.Client }
+
+func (c *Client) Replace(ctx *base.Ctx, list List) (*List, error) {
+	var now List
+	return &now, c.Register.Change(ctx, register.FeedGroup, "worker.replace", list, &now)
+}
+
+func (c *Client) Patch(ctx *base.Ctx, patch Patch) (*List, error) {
+	var now List
+	return &now, c.Register.Change(ctx, register.FeedGroup, "worker.patch", patch, &now)
+}
+
+func (c *Client) List(ctx *base.Ctx) (*List, error) {
+	var now List
+	return &now, c.Register.Change(ctx, register.FeedGroup, "worker.list", struct{}{}, &now)
+}
+
+func (c *Client) Notice(ctx *base.Ctx, notice Notice) error {
+	return c.Register.Change(ctx, register.FeedGroup, "worker.notice", notice, nil)
+}
+
+// CheckList declines a list with faults and names the first field.
+func CheckList(field string, workers []Worker) error {
+	ids := map[string]bool{}
+	for place, one := range workers {
+		switch {
+		case one.ID == "" || strings.ContainsAny(one.ID, "/ "):
+			return base.DeclineField(path(field, place, "id"), "must be a name without slash or space")
+		case ids[one.ID]:
+			return base.DeclineField(path(field, place, "id"), "%q is listed twice", one.ID)
+		case one.Addr == "":
+			return base.DeclineField(path(field, place, "addr"), "must be an address by number, with a port")
+		case one.Pool == "":
+			return base.DeclineField(path(field, place, "pool"), "must name a pool")
+		case one.Capacity < 1 || one.Capacity > 4096:
+			return base.DeclineField(path(field, place, "capacity"), "must be between 1 and 4096")
+		}
+		ids[one.ID] = true
+	}
+	return nil
+}
+
+func path(field string, place int, name string) string {
+	return field + "[" + string(base.Encode(place)) + "]." + name
+}
+
+// Book holds the newest usage report of each worker this node has heard of.
+type Book struct {
+	clock  base.Clock
+	bounds *base.Table[base.Bounds]
+	mu     sync.Mutex
+	newest map[string]*heardUsage
+}
+
+type heardUsage struct {
+	usage *membership.Usage
+	at    time.Duration
+}
+
+func NewBook(clock base.Clock, bounds *base.Table[base.Bounds]) *Book {
+	return &Book{clock: clock, bounds: bounds, newest: map[string]*heardUsage{}}
+}
+
+// Merge takes reports in; older ones than the one held are dropped.
+func (b *Book) Merge(usages []*membership.Usage) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, usage := range usages {
+		if held, ok := b.newest[usage.Worker]; !ok || usage.Number > held.usage.Number {
+			b.newest[usage.Worker] = &heardUsage{usage, b.clock.Now()}
+		}
+	}
+}
+
+// Tell takes one report from a worker itself, and says whether it was news.
+func (b *Book) Tell(usage *membership.Usage) bool {
+	b.mu.Lock()
+	held, ok := b.newest[usage.Worker]
+	fresh := !ok || usage.Number > held.usage.Number
+	b.mu.Unlock()
+	b.Merge([]*membership.Usage{usage})
+	return fresh
+}
+
+func (b *Book) fresh(held *heardUsage) bool {
+	return b.clock.Now()-held.at <= 2*b.bounds.Load().Leave
+}
+
+// Sample is what a shuffle carries on: fresh reports only.
+func (b *Book) Sample(limit int) []*membership.Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	found := []*membership.Usage{}
+	for _, id := range base.SortedKeys(b.newest) {
+		held := b.newest[id]
+		if b.fresh(held) && len(found) < limit {
+			found = append(found, &membership.Usage{Worker: id, Incarnation: held.usage.Incarnation,
+				Number: held.usage.Number, Load: held.usage.Load, Leaving: held.usage.Leaving})
+		} else if b.clock.Now()-held.at > 20*b.bounds.Load().Leave {
+			delete(b.newest, id)
+		}
+	}
+	return found
+}
+
+// Load gives a worker's reported load while it is fresh.
+func (b *Book) Load(id string) (load int64, incarnation string, leaving bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	held, ok := b.newest[id]
+	if !ok || !b.fresh(held) {
+		return 0, "", false
+	}
+	return held.usage.Load, held.usage.Incarnation, held.usage.Leaving
+}
--- /dev/null
+++ b/internal/worker/nominate.go
@@ -0,0 +1,285 @@
+// Nominating a worker keeps a chain where its prefix is cached, under a
+// bounded load: the first worker in the chain's own order whose load is
+// below a ratio of the mean takes the leg, so that a burst spills over and
+// comes back. A leg that finds every worker full waits in a bounded line:
+// urgent programs first, waiting counts as urgency so that none starves, and
+// among equals the program with fewest legs under way. A line that is full
+// declines at once and says when to come again.
+package worker
+
+import (
+	"encoding/json"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+)
+
+const spillRatio = 1.25
+
+// Roster is what a node holds of the platform's list, swapped whole.
+type Roster struct {
+	Stamp   uint64
+	Pools   map[string][]Worker
+	Leaving map[string]Notice
+}
+
+// RosterOf reads the feed's frame.
+func RosterOf(values map[string][]byte) *Roster {
+	roster := &Roster{Pools: map[string][]Worker{}, Leaving: map[string]Notice{}}
+	var list List
+	if raw, ok := values[ListKey]; ok {
+		_ = json.Unmarshal(raw, &list)
+	}
+	roster.Stamp = list.Stamp
+	for _, one := range list.Workers {
+		roster.Pools[one.Pool] = append(roster.Pools[one.Pool], one)
+	}
+	for _, key := range base.SortedKeys(values) {
+		if id, ok := strings.CutPrefix(key, LeavingPrefix); ok {
+			var notice Notice
+			_ = json.Unmarshal(values[key], &notice)
+			roster.Leaving[id] = notice
+		}
+	}
+	return roster
+}
+
+// Need is what a leg asks for.
+type Need struct {
+	Pool     string
+	Affinity string
+	Former   string
+	Program  string
+	Urgency  string
+	Waiting  int
+	Tried    map[string]bool
+}
+
+var urgencies = map[string]int{"low": 0, "normal": 1, "": 1, "urgent": 2}
+
+// KnownUrgency reports whether a word names an urgency.
+func KnownUrgency(word string) bool { _, ok := urgencies[word]; return ok }
+
+type waiter struct {
+	need    *Need
+	since   time.Duration
+	granted *Worker
+	signal  base.Signal
+	gone    bool
+}
+
+// Nominator hands out workers on one node.
+type Nominator struct {
+	clock    base.Clock
+	bounds   *base.Table[base.Bounds]
+	counters *base.Counters
+	book     *Book
+	roster   base.Table[Roster]
+
+	mu       sync.Mutex
+	busy     map[string]int
+	programs map[string]int
+	shunned  map[string]time.Duration
+	left     map[string]string
+	waiting  []*waiter
+}
+
+func NewNominator(clock base.Clock, bounds *base.Table[base.Bounds], counters *base.Counters, book *Book) *Nominator {
+	n := &Nominator{clock: clock, bounds: bounds, counters: counters, book: book,
+		busy: map[string]int{}, programs: map[string]int{}, shunned: map[string]time.Duration{}, left: map[string]string{}}
+	n.roster.Swap(&Roster{Pools: map[string][]Worker{}})
+	return n
+}
+
+// Swap takes a new roster and looks at who waits.
+func (n *Nominator) Swap(roster *Roster) {
+	n.roster.Swap(roster)
+	n.mu.Lock()
+	n.pump()
+	n.mu.Unlock()
+}
+
+func (n *Nominator) Roster() *Roster { return n.roster.Load() }
+
+// Hold takes a worker for a leg; Release gives it back.
+func (n *Nominator) Hold(ctx *base.Ctx, need *Need) (*Worker, error) {
+	n.mu.Lock()
+	chosen, possible := n.choose(need)
+	if chosen != nil {
+		n.take(chosen, need)
+		n.mu.Unlock()
+		return chosen, nil
+	}
+	if !possible {
+		n.mu.Unlock()
+		return nil, base.Busy(503, "no_worker", 1, "no worker of pool %q can take this now", need.Pool)
+	}
+	line := 0
+	for _, other := range n.waiting {
+		if other.need.Pool == need.Pool {
+			line++
+		}
+	}
+	if line >= need.Waiting {
+		n.mu.Unlock()
+		n.counters.Add("legs_declined_busy", 1)
+		return nil, base.Busy(429, "overloaded", 1+line/max(1, n.size(need.Pool)), "all workers are busy and the line is full")
+	}
+	w := &waiter{need: need, since: n.clock.Now(), signal: n.clock.NewSignal()}
+	n.waiting = append(n.waiting, w)
+	n.mu.Unlock()
+	n.counters.Add("legs_waited", 1)
+	w.signal.Wait(ctx.Left())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w.gone = true
+	n.waiting = slices.DeleteFunc(n.waiting, func(other *waiter) bool { return other == w })
+	if w.granted == nil {
+		return nil, base.Busy(429, "overloaded", 1, "no worker came free in time")
+	}
+	return w.granted, nil
+}
+
+func (n *Nominator) size(pool string) int {
+	total := 0
+	for _, one := range n.roster.Load().Pools[pool] {
+		total += one.Capacity
+	}
+	return total
+}
+
+func (n *Nominator) take(chosen *Worker, need *Need) {
+	n.busy[chosen.ID]++
+	n.programs[need.Program]++
+}
+
+// Release ends a leg's hold.
+func (n *Nominator) Release(held *Worker, need *Need) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.busy[held.ID]--; n.busy[held.ID] <= 0 {
+		delete(n.busy, held.ID)
+	}
+	if n.programs[need.Program]--; n.programs[need.Program] <= 0 {
+		delete(n.programs, need.Program)
+	}
+	n.pump()
+}
+
+// Shun keeps off a worker for a little after it could not be reached.
+func (n *Nominator) Shun(id string) {
+	n.mu.Lock()
+	n.shunned[id] = n.clock.Now() + n.bounds.Load().Leave/3
+	n.mu.Unlock()
+}
+
+// Incarnation is the life of a worker that this node knows of.
+func (n *Nominator) Incarnation(one *Worker) string {
+	if _, incarnation, _ := n.book.Load(one.ID); incarnation != "" {
+		return incarnation
+	}
+	return one.Incarnation
+}
+
+// LeftNow stops new work for this life of a worker at once on this node.
+func (n *Nominator) LeftNow(one *Worker) {
+	n.mu.Lock()
+	n.left[one.ID] = n.Incarnation(one)
+	n.mu.Unlock()
+}
+
+// Back takes a local leaving mark away again.
+func (n *Nominator) Back(id string) {
+	n.mu.Lock()
+	delete(n.left, id)
+	n.pump()
+	n.mu.Unlock()
+}
+
+func (n *Nominator) open(one *Worker, need *Need) bool {
+	if need.Tried[one.ID] || n.clock.Now() < n.shunned[one.ID] {
+		return false
+	}
+	if _, _, leaving := n.book.Load(one.ID); leaving {
+		return false
+	}
+	incarnation := n.Incarnation(one)
+	if mark, ok := n.left[one.ID]; ok && mark == incarnation {
+		return false
+	}
+	notice, ok := n.roster.Load().Leaving[one.ID]
+	return !ok || notice.Incarnation != incarnation
+}
+
+func (n *Nominator) usage(one *Worker) int {
+	reported, _, _ := n.book.Load(one.ID)
+	return max(n.busy[one.ID], int(reported))
+}
+
+// choose looks for a worker with room; possible says whether any worker
+// would do once it has room. The caller holds the lock.
+func (n *Nominator) choose(need *Need) (chosen *Worker, possible bool) {
+	candidates := map[string]*Worker{}
+	ids, total := []string{}, 0
+	for _, one := range n.roster.Load().Pools[need.Pool] {
+		if n.open(&one, need) {
+			candidates[one.ID] = &one
+			ids = append(ids, one.ID)
+			total += n.usage(&one)
+		}
+	}
+	if len(ids) == 0 {
+		return nil, false
+	}
+	order := base.Rendezvous(need.Affinity, ids)
+	if candidates[need.Former] != nil {
+		order = append([]string{need.Former}, order...)
+	}
+	bound := int(math.Ceil(spillRatio * float64(total+1) / float64(len(ids))))
+	for _, allowed := range []int{bound, math.MaxInt} {
+		for place, id := range order {
+			one := candidates[id]
+			if used := n.usage(one); used < min(allowed, one.Capacity) {
+				if place == 0 {
+					n.counters.Add("nominated_at_prefix", 1)
+				} else {
+					n.counters.Add("nominated_spilled", 1)
+				}
+				return one, true
+			}
+		}
+	}
+	return nil, true
+}
+
+func (n *Nominator) rank(w *waiter) float64 {
+	aged := float64(n.clock.Now()-w.since) / float64(n.bounds.Load().Recover/6)
+	return float64(urgencies[w.need.Urgency]) + aged
+}
+
+// pump gives free workers to those who wait; the caller holds the lock.
+func (n *Nominator) pump() {
+	slices.SortStableFunc(n.waiting, func(a, b *waiter) int {
+		if first, second := math.Floor(n.rank(a)), math.Floor(n.rank(b)); first != second {
+			return int(second - first)
+		}
+		if first, second := n.programs[a.need.Program], n.programs[b.need.Program]; first != second {
+			return first - second
+		}
+		return int(a.since - b.since)
+	})
+	for _, w := range n.waiting {
+		if w.granted != nil || w.gone {
+			continue
+		}
+		if chosen, _ := n.choose(w.need); chosen != nil {
+			w.granted = chosen
+			n.take(chosen, w.need)
+			w.signal.Fire()
+		}
+	}
+}
