Simulator world: the slices' code in virtual time under seeded faults

Cause: failures must be brought about and replayed by seed. Change: a scheduler that runs one task at a time, a wire, disks, back ends and callers in memory, and the first run of the ordinary path over it.

--- /dev/null
+++ b/internal/simulate/fleet.go
@@ -0,0 +1,249 @@
+// A fleet in virtual time: gateways, cores and storage machines built from
+// the same parts as the daemons, with stand-in workers behind them.
+package simulate
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/front"
+	"fordseam/internal/node"
+	"fordseam/internal/standin"
+	"fordseam/internal/worker"
+)
+
+// Shape is the size of a simulated fleet.
+type Shape struct {
+	Group    string
+	Zones    int
+	Edges    int
+	Cores    int
+	Storage  int
+	Models   int
+	Tools    int
+	Capacity int
+	Pieces   int
+	Gap      time.Duration
+	Settings string
+}
+
+// SmallShape is enough for every duty to have a second machine.
+func SmallShape() Shape {
+	return Shape{Group: "g", Zones: 2, Edges: 3, Cores: 2, Storage: 3, Models: 2, Tools: 2, Capacity: 16, Pieces: 6, Gap: 20 * time.Millisecond, Settings: DefaultSettings}
+}
+
+// KiondoShape is the first deployment's.
+func KiondoShape() Shape {
+	return Shape{Group: "g", Zones: 4, Edges: 6, Cores: 4, Storage: 4, Models: 9, Tools: 4, Capacity: 16, Pieces: 6, Gap: 20 * time.Millisecond, Settings: DefaultSettings}
+}
+
+// DefaultSettings is the document simulated fleets start with.
+const DefaultSettings = `{"pools":{"models":{"kind":"model"},"apps":{"kind":"tool"}},"max_output_tokens":64,
+"groups":{"g":{"operation_timeout_s":30,"sites":{"main":{"routes":{
+"chat":{"kind":"model","pool":"models","model":"stand-in"},
+"loyalty":{"kind":"tool","pool":"apps","tool_timeout_s":5},
+"lookup":{"kind":"tool","pool":"apps","repeatable":true}}}}}}}`
+
+// Machine is one simulated process with its machine.
+type Machine struct {
+	Host    *Host
+	Role    string
+	Files   *Files
+	gateway *node.Gateway
+	core    *node.Core
+	storage *node.Storage
+	Count   *base.Counters
+	Broken  error
+}
+
+// Fleet is all machines.
+type Fleet struct {
+	World   *World
+	Net     *Net
+	Shape   Shape
+	Edges   []*Machine
+	Cores   []*Machine
+	Storage []*Machine
+	Models  []*standin.Model
+	Tools   []*standin.Tool
+	Callers *Host
+	models  map[string]*standin.Model
+	tools   map[string]*standin.Tool
+	List    worker.List
+	Tally   *standin.Tally
+}
+
+// NewFleet builds and starts a fleet.
+func NewFleet(seed uint64, shape Shape) *Fleet {
+	w := NewWorld(seed)
+	f := &Fleet{World: w, Net: NewNet(w), Shape: shape, models: map[string]*standin.Model{}, tools: map[string]*standin.Tool{}, Tally: standin.NewTally()}
+	f.Callers = w.NewHost("callers", "outside")
+	zone := func(place int) string { return fmt.Sprintf("zone-%d", place%shape.Zones) }
+	for place := 0; place < shape.Models; place++ {
+		name := fmt.Sprintf("model-%d", place)
+		model := &standin.Model{ID: name, Clock: w.NewHost(name, zone(place)).Clock(), Pieces: shape.Pieces, Gap: shape.Gap}
+		f.Models, f.models[name] = append(f.Models, model), model
+		f.List.Workers = append(f.List.Workers, worker.Worker{ID: name, Addr: name + ":1", Pool: "models", Zone: zone(place), Capacity: shape.Capacity})
+	}
+	for place := 0; place < shape.Tools; place++ {
+		name := fmt.Sprintf("app-%d", place)
+		tool := &standin.Tool{ID: name, Clock: w.NewHost(name, zone(place)).Clock(), Pause: shape.Gap}
+		f.Tools, f.tools[name] = append(f.Tools, tool), tool
+		f.List.Workers = append(f.List.Workers, worker.Worker{ID: name, Addr: name + ":1", Pool: "apps", Zone: zone(place), Capacity: shape.Capacity})
+	}
+	f.List.Stamp = 1
+	add := func(list *[]*Machine, role string, count int) {
+		for place := 0; place < count; place++ {
+			m := &Machine{Host: w.NewHost(fmt.Sprintf("%s-%d", role, place), zone(place)), Role: role}
+			m.Files = NewFiles(m.Host)
+			*list = append(*list, m)
+		}
+	}
+	add(&f.Storage, "storage", shape.Storage)
+	add(&f.Cores, "core", shape.Cores)
+	add(&f.Edges, "edge", shape.Edges)
+	for _, m := range f.All() {
+		f.Start(m)
+	}
+	return f
+}
+
+// All lists every machine, storage first.
+func (f *Fleet) All() []*Machine {
+	return append(append(append([]*Machine{}, f.Storage...), f.Cores...), f.Edges...)
+}
+
+// Start gives a machine a new life.
+func (f *Fleet) Start(m *Machine) {
+	h := m.Host
+	h.alive = true
+	m.Count = base.NewCounters()
+	env := node.Env{Clock: h.Clock(), Wire: f.Net.Wire(h), Files: m.Files, Counters: m.Count,
+		Backends: &Backends{net: f.Net, host: h, models: f.models, tools: f.tools}}
+	place := node.Place{Addr: h.Name + ":1", Public: h.Name + ":2", Zone: h.Zone, Seeds: []string{f.Cores[0].Host.Name + ":1", f.Cores[len(f.Cores)-1].Host.Name + ":1", f.Storage[0].Host.Name + ":1"}}
+	h.Go(func() {
+		switch m.Role {
+		case "edge":
+			m.gateway = node.NewGateway(env, place)
+			h.serve = m.gateway.Handler()
+			m.gateway.Start()
+		case "core":
+			m.core = node.NewCore(env, place)
+			h.serve = m.core.Handler()
+			m.core.Start()
+		case "storage":
+			m.storage, m.Broken = node.NewStorage(env, place)
+			if m.Broken != nil {
+				h.alive = false
+				return
+			}
+			h.serve = m.storage.Handler()
+			m.storage.Start()
+		}
+	})
+}
+
+// Gateway is a machine's gateway in its present life.
+func (m *Machine) Gateway() *node.Gateway { return m.gateway }
+
+// Kill ends a machine's process; PowerLoss ends it and drops what its disk
+// had not synced.
+func (f *Fleet) Kill(m *Machine) { m.Host.Kill() }
+
+func (f *Fleet) PowerLoss(m *Machine) {
+	m.Host.Kill()
+	m.Files.LosePower()
+}
+
+// Operate sends an operator's request to a core and gives status and body.
+func (f *Fleet) Operate(m *Machine, method, path string, body any) (status int, answer []byte) {
+	bell := base.NewBell(f.Callers.Clock())
+	if !m.Host.alive || m.core == nil {
+		return 0, nil
+	}
+	done := false
+	m.Host.Go(func() {
+		response := m.core.Operate.Handle(base.NewCtx(m.Host.Clock(), 30*time.Second), &front.Request{Method: method, Path: path, Query: map[string]string{}, Body: base.Encode(body)})
+		status, answer, done = response.Status, response.Body, true
+		bell.Ring()
+	})
+	end := f.World.now + 40*time.Second
+	for !done && f.World.now < end {
+		next := bell.Next()
+		if done {
+			break
+		}
+		next.Wait(pollEvery)
+	}
+	return status, answer
+}
+
+// Form makes the cluster, applies the settings and gives the worker list;
+// it runs as a task of the callers' host.
+func (f *Fleet) Form() {
+	addrs := base.Map(f.Storage, func(m *Machine) string { return m.Host.Name + ":1" })
+	f.insist("form", func() int {
+		status, _ := f.Operate(f.Cores[0], "POST", "/v1/operator/init", map[string]any{"disks": addrs})
+		return status
+	})
+	f.insist("apply", func() int {
+		status, _ := f.Operate(f.Cores[0], "POST", "/v1/operator/settings/apply",
+			map[string]any{"change": "first", "based_on": 0, "document": json.RawMessage(f.Shape.Settings)})
+		return status
+	})
+	ask := f.Asker(f.Callers)
+	f.insist("workers", func() int {
+		answer, err := ask(0, "PUT", "/v1/platform/workers", nil, base.Encode(f.List))
+		if err != nil {
+			return 0
+		}
+		return answer.Status
+	})
+}
+
+func (f *Fleet) insist(what string, step func() int) {
+	for tries := 0; tries < 200; tries++ {
+		if step() == 200 {
+			return
+		}
+		f.Callers.Clock().Sleep(100 * time.Millisecond)
+	}
+	panic("fleet did not come up: " + what)
+}
+
+// Converse starts callers and returns a function telling how many are left.
+func (f *Fleet) Converse(callers, turns int, tools bool, prepare func(*standin.Caller)) func() int {
+	left := callers
+	ask := f.Asker(f.Callers)
+	for caller := 0; caller < callers; caller++ {
+		c := &standin.Caller{Name: fmt.Sprintf("c%d", caller), Clock: f.Callers.Clock(), Ask: ask, Gateways: len(f.Edges), Home: caller,
+			Group: f.Shape.Group, Site: "main", Pieces: f.Shape.Pieces, Patience: 90 * time.Second, Tally: f.Tally}
+		if prepare != nil {
+			prepare(c)
+		}
+		f.Callers.Go(func() {
+			if c.Start(int64(turns * f.Shape.Pieces * 8)) {
+				c.Converse(turns, tools)
+			}
+			left--
+		})
+	}
+	return func() int { return left }
+}
+
+// Total adds up a counter over the living machines.
+func (f *Fleet) Total(name string) int64 {
+	total := int64(0)
+	for _, m := range f.All() {
+		total += m.Count.Frame()[name]
+	}
+	return total
+}
+
+// Check looks over callers' and workers' records.
+func (f *Fleet) Check() []string {
+	f.Tally.Check(f.Models, f.Tools, int64(f.Shape.Pieces))
+	return f.Tally.Breaches
+}
--- /dev/null
+++ b/internal/simulate/net.go
@@ -0,0 +1,147 @@
+// The wire in memory: messages take a while, and by the seed are lost on the
+// way or on the way back, come late, or come twice. Machines can be cut from
+// each other in one direction or both.
+package simulate
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"fordseam/internal/base"
+)
+
+type handlerBox http.Handler
+
+// Faults are the wire's chances of trouble per message.
+type Faults struct {
+	Lost      float64
+	Late      float64
+	Twice     float64
+	LateLimit time.Duration
+}
+
+// Net joins the hosts.
+type Net struct {
+	World    *World
+	Faults   Faults
+	Quick    time.Duration
+	Slow     time.Duration
+	cuts     map[[2]string]bool
+	Messages int
+	Lost     int
+}
+
+func NewNet(world *World) *Net {
+	return &Net{World: world, Quick: 200 * time.Microsecond, Slow: 1500 * time.Microsecond, cuts: map[[2]string]bool{}}
+}
+
+// Cut stops messages from one host to another; Heal lets all through again.
+func (n *Net) Cut(from, to string) { n.cuts[[2]string{from, to}] = true }
+func (n *Net) Heal()               { n.cuts = map[[2]string]bool{} }
+
+// CutOff stops all messages to and from some hosts except among themselves.
+func (n *Net) CutOff(apart map[string]bool) {
+	for _, from := range base.SortedKeys(n.World.Hosts) {
+		for _, to := range base.SortedKeys(n.World.Hosts) {
+			if apart[from] != apart[to] {
+				n.Cut(from, to)
+			}
+		}
+	}
+}
+
+func (n *Net) cut(from, to string) bool { return n.cuts[[2]string{from, to}] }
+
+func (n *Net) delay() time.Duration { return n.World.Between(n.Quick, n.Slow) }
+
+// Wire is a host's way to partners; addresses are host names with a port.
+func (n *Net) Wire(h *Host) base.Wire { return &wire{n, h} }
+
+type wire struct {
+	net  *Net
+	host *Host
+}
+
+var errLost = errors.New("no reply in time")
+
+func hostOf(addr string) string {
+	for place := range addr {
+		if addr[place] == ':' {
+			return addr[:place]
+		}
+	}
+	return addr
+}
+
+func (x *wire) Do(request *http.Request) (*http.Response, error) {
+	n, w := x.net, x.net.World
+	left := 10 * time.Second
+	if ctx, ok := request.Context().Value(base.CtxKey).(*base.Ctx); ok {
+		left = ctx.Left()
+	}
+	if left <= 0 {
+		return nil, &base.NotSent{Cause: context.DeadlineExceeded}
+	}
+	base.StampRequest(request, left)
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	n.Messages++
+	target := w.Hosts[hostOf(request.URL.Host)]
+	if target == nil || !target.alive {
+		x.host.Clock().Sleep(n.delay())
+		return nil, &base.NotSent{Cause: errors.New("connection refused")}
+	}
+	done := (&clock{x.host}).NewSignal()
+	if n.cut(x.host.Name, target.Name) || n.cut(target.Name, x.host.Name) && w.Chance(0.5) {
+		n.Lost++
+		done.Wait(left)
+		if w.Chance(0.5) {
+			return nil, &base.NotSent{Cause: errors.New("no route")}
+		}
+		return nil, errLost
+	}
+	var response *http.Response
+	deliver := func(after time.Duration, answered bool) {
+		life := target.life
+		w.spawn(target, life, w.now+after, func() {
+			if target.serve == nil {
+				return
+			}
+			recorder := httptest.NewRecorder()
+			arrived := request.Clone(context.Background())
+			arrived.Body = io.NopCloser(bytes.NewReader(body))
+			arrived.RequestURI = request.URL.RequestURI()
+			target.serve.ServeHTTP(recorder, arrived)
+			if !answered || n.cut(target.Name, x.host.Name) || w.Chance(n.Faults.Lost) {
+				n.Lost++
+				return
+			}
+			target.Clock().Sleep(n.delay())
+			response = recorder.Result()
+			done.Fire()
+		})
+	}
+	after := n.delay()
+	if w.Chance(n.Faults.Late) {
+		after += w.Between(0, n.Faults.LateLimit)
+	}
+	if w.Chance(n.Faults.Lost) {
+		n.Lost++
+	} else {
+		deliver(after, true)
+		if w.Chance(n.Faults.Twice) {
+			deliver(after+w.Between(0, n.Faults.LateLimit), false)
+		}
+	}
+	if !done.Wait(left) {
+		return nil, errLost
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/simulate/parties.go
@@ -0,0 +1,185 @@
+// Back ends and callers in memory.
+package simulate
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/front"
+	"fordseam/internal/session"
+	"fordseam/internal/standin"
+)
+
+// Reply is a worker's reply under way.
+type Reply struct {
+	bell   *base.Bell
+	status int
+	begun  bool
+	lines  []string
+	ended  bool
+	died   bool
+	closed bool
+	clock  base.Clock
+	host   *Host
+	body   []byte
+}
+
+const pollEvery = 50 * time.Millisecond
+
+func (r *Reply) await(limit time.Duration, ready func() bool) error {
+	end := r.clock.Now() + limit
+	for {
+		next := r.bell.Next()
+		switch {
+		case r.closed:
+			return errors.New("closed")
+		case ready():
+			return nil
+		case r.died:
+			return errors.New("connection lost")
+		case r.ended:
+			return io.EOF
+		case r.clock.Now() >= end:
+			return errors.New("no answer in time")
+		}
+		next.Wait(min(pollEvery, end-r.clock.Now()))
+	}
+}
+
+func (r *Reply) Status() int          { return r.status }
+func (r *Reply) Header(string) string { return "application/json" }
+
+func (r *Reply) Line(limit time.Duration) ([]byte, error) {
+	if err := r.await(limit, func() bool { return len(r.lines) > 0 }); err != nil {
+		return nil, err
+	}
+	line := r.lines[0]
+	r.lines = r.lines[1:]
+	return []byte(line), nil
+}
+
+func (r *Reply) Body(limit time.Duration, _ int) ([]byte, error) {
+	err := r.await(limit, func() bool { return r.ended && !r.died })
+	return r.body, err
+}
+
+func (r *Reply) Close() {
+	r.closed = true
+	delete(r.host.ends, r)
+	r.bell.Ring()
+}
+
+// Backends is a host's way to the stand-in workers.
+type Backends struct {
+	net    *Net
+	host   *Host
+	models map[string]*standin.Model
+	tools  map[string]*standin.Tool
+}
+
+func (b *Backends) Call(ctx *base.Ctx, addr string, request *base.BackRequest) (base.BackReply, error) {
+	w := b.net.World
+	target := w.Hosts[hostOf(addr)]
+	b.host.Clock().Sleep(b.net.delay())
+	if target == nil || !target.alive || b.net.cut(b.host.Name, target.Name) {
+		return nil, &base.NotSent{Cause: errors.New("connection refused")}
+	}
+	reply := &Reply{bell: base.NewBell(ctx.Clock), clock: ctx.Clock, host: target}
+	target.ends[reply] = struct{}{}
+	body := append([]byte(nil), request.Body...)
+	target.Go(func() {
+		if model := b.models[target.Name]; model != nil {
+			model.Serve(body, func(status int) { reply.status, reply.begun = status, true; reply.bell.Ring() }, func(line string) error {
+				if reply.closed {
+					return io.ErrClosedPipe
+				}
+				reply.lines = append(reply.lines, line)
+				reply.bell.Ring()
+				return nil
+			})
+		} else {
+			status, answer, answered := b.tools[target.Name].Serve(request.Header["Idempotency-Key"], body)
+			reply.status, reply.body, reply.begun, reply.died = status, answer, answered, !answered
+		}
+		reply.ended = true
+		delete(target.ends, reply)
+		reply.bell.Ring()
+	})
+	if err := reply.await(ctx.Left(), func() bool { return reply.begun }); err != nil {
+		reply.Close()
+		return nil, err
+	}
+	return reply, nil
+}
+
+// Asker sends callers' requests to the simulated gateways.
+func (f *Fleet) Asker(host *Host) standin.Asker {
+	clock := host.Clock()
+	return func(gateway int, method, path string, header map[string]string, body []byte) (*standin.Answer, error) {
+		edge := f.Edges[gateway%len(f.Edges)]
+		clock.Sleep(f.Net.delay())
+		if !edge.Host.alive || edge.gateway == nil {
+			return nil, errors.New("connection refused")
+		}
+		bell := base.NewBell(clock)
+		var response *front.Response
+		events := []standin.Event{}
+		over := false
+		life, target := edge.Host.life, edge.gateway
+		edge.Host.Go(func() {
+			own := edge.Host.Clock()
+			response = target.Front.Handle(base.NewCtx(own, 10*time.Minute), &front.Request{Method: method, Path: path, Header: header, Query: map[string]string{}, Body: body})
+			bell.Ring()
+			if response.Stream == nil {
+				return
+			}
+			for !over {
+				pieces, leg, done := response.Stream.Next()
+				for _, piece := range pieces {
+					events = append(events, eventOf(piece, leg))
+				}
+				over = done
+				bell.Ring()
+			}
+		})
+		gone := func() bool { return edge.Host.life != life }
+		end := clock.Now() + 40*time.Second
+		for response == nil {
+			next := bell.Next()
+			if gone() || clock.Now() > end {
+				return nil, errors.New("connection lost")
+			}
+			next.Wait(pollEvery)
+		}
+		answer := &standin.Answer{Status: response.Status, Header: response.Header, Body: response.Body}
+		if response.Stream == nil {
+			return answer, nil
+		}
+		answer.NextEvent = func() (standin.Event, bool) {
+			silent := clock.Now() + 40*time.Second
+			for {
+				next := bell.Next()
+				switch {
+				case len(events) > 0:
+					event := events[0]
+					events = events[1:]
+					return event, true
+				case over || gone() || clock.Now() > silent:
+					return standin.Event{}, false
+				}
+				next.Wait(pollEvery)
+			}
+		}
+		return answer, nil
+	}
+}
+
+func eventOf(piece *session.Piece, leg string) standin.Event {
+	kind, data, id := "piece", base.Encode(map[string]string{"text": string(piece.Data)}), leg+"#"+string(base.Encode(piece.Place))
+	if piece.Final {
+		kind, data = "final", piece.Data
+	}
+	return standin.Event{ID: id, Kind: kind, Data: data}
+}
--- /dev/null
+++ b/internal/simulate/simulate_test.go
@@ -0,0 +1,50 @@
+// Failures brought about by seed, over the same slice code as the daemons.
+// Every run ends in the same checks over the callers' and the workers' own
+// records; a failing seed is printed and replays exactly.
+package simulate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// bring runs a fleet through a scenario for a few seeds.
+func bring(t *testing.T, seeds int, shape Shape, scenario func(t *testing.T, f *Fleet)) {
+	t.Helper()
+	for seed := uint64(1); seed <= uint64(seeds); seed++ {
+		f := NewFleet(seed, shape)
+		t.Logf("seed %d", seed)
+		scenario(t, f)
+		for _, breach := range f.Check() {
+			t.Errorf("seed %d: %s", seed, breach)
+		}
+		f.World.Close()
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// formed runs the world until the fleet serves.
+func formed(t *testing.T, f *Fleet) {
+	t.Helper()
+	up := false
+	f.Callers.Go(func() { f.Form(); up = true })
+	if !f.World.Run(60*time.Second, func() bool { return up }) {
+		t.Fatalf("seed %d: the fleet did not form", f.World.Seed)
+	}
+}
+
+func TestOrdinaryPath(t *testing.T) {
+	bring(t, 2, SmallShape(), func(t *testing.T, f *Fleet) {
+		is := is.New(t)
+		formed(t, f)
+		left := f.Converse(4, 3, true, nil)
+		is.True(f.World.Run(f.World.Now()+60*time.Second, func() bool { return left() == 0 }))
+		is.Equal(f.Tally.Counts["conversations_whole"], 4)
+		is.Equal(f.Tally.Counts["turns_whole"], 12)
+		is.Equal(f.Tally.Counts["tools_done"], 8)
+	})
+}
--- /dev/null
+++ b/internal/simulate/world.go
@@ -0,0 +1,286 @@
+// Package simulate runs the slices' own code in virtual time, with a wire,
+// disks and back ends in memory and faults drawn from a seed. One task runs
+// at a time; a task gives way only where slice code may block, so the order
+// of everything follows from the seed and a run replays exactly.
+package simulate
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"fordseam/internal/base"
+)
+
+// World is virtual time and all that happens in it.
+type World struct {
+	Seed    uint64
+	now     time.Duration
+	count   uint64
+	events  eventHeap
+	chance  *rand.Rand
+	current *task
+	back    chan struct{}
+	tasks   map[*task]struct{}
+	Hosts   map[string]*Host
+	closing bool
+	failed  any
+}
+
+// Host is one machine: it lives, freezes, wakes and dies.
+type Host struct {
+	World  *World
+	Name   string
+	Zone   string
+	life   int
+	alive  bool
+	frozen bool
+	kept   []*event
+	serve  handlerBox
+	ends   map[*Reply]struct{}
+}
+
+type task struct {
+	host  *Host
+	life  int
+	token uint64
+	wake  chan struct{}
+	ended bool
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	task  *task
+	token uint64
+}
+
+type eventHeap []*event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(a, b int) bool {
+	if h[a].at != h[b].at {
+		return h[a].at < h[b].at
+	}
+	return h[a].order < h[b].order
+}
+func (h eventHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*event)) }
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	popped := (*h)[last]
+	*h = (*h)[:last]
+	return popped
+}
+
+// NewWorld starts at time nought with a seed.
+func NewWorld(seed uint64) *World {
+	return &World{Seed: seed, chance: rand.New(rand.NewPCG(seed, 0x5eed)), back: make(chan struct{}),
+		tasks: map[*task]struct{}{}, Hosts: map[string]*Host{}}
+}
+
+// NewHost adds a machine that is up.
+func (w *World) NewHost(name, zone string) *Host {
+	h := &Host{World: w, Name: name, Zone: zone, alive: true, ends: map[*Reply]struct{}{}}
+	w.Hosts[name] = h
+	return h
+}
+
+func (w *World) push(at time.Duration, t *task) {
+	w.count++
+	heap.Push(&w.events, &event{at: max(at, w.now), order: w.count, task: t, token: t.token})
+}
+
+// Now is virtual time.
+func (w *World) Now() time.Duration { return w.now }
+
+// Int64N draws from the seed.
+func (w *World) Int64N(n int64) int64 { return w.chance.Int64N(n) }
+
+// Chance is true with a probability.
+func (w *World) Chance(p float64) bool { return p > 0 && w.chance.Float64() < p }
+
+// Between draws a duration.
+func (w *World) Between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.chance.Int64N(int64(high-low)+1))
+}
+
+func (w *World) spawn(h *Host, life int, at time.Duration, fn func()) {
+	t := &task{host: h, life: life, wake: make(chan struct{})}
+	w.tasks[t] = struct{}{}
+	go func() {
+		defer func() {
+			if r := recover(); r != nil && w.failed == nil {
+				buffer := make([]byte, 16<<10)
+				w.failed = fmt.Sprintf("%s: %v\n%s", h.Name, r, buffer[:runtime.Stack(buffer, false)])
+			}
+			t.ended = true
+			w.back <- struct{}{}
+		}()
+		<-t.wake
+		if w.closing {
+			return
+		}
+		fn()
+	}()
+	w.push(at, t)
+}
+
+// park gives way until the task is woken.
+func (w *World) park() {
+	t := w.current
+	if w.closing {
+		runtime.Goexit()
+	}
+	w.back <- struct{}{}
+	<-t.wake
+	if w.closing {
+		runtime.Goexit()
+	}
+}
+
+func (w *World) resume(t *task) {
+	t.token++
+	former := w.current
+	w.current = t
+	t.wake <- struct{}{}
+	<-w.back
+	w.current = former
+	if t.ended {
+		delete(w.tasks, t)
+	}
+	if w.failed != nil && !w.closing {
+		panic(w.failed)
+	}
+}
+
+// Run goes on until done says so or the limit is reached, and tells which.
+func (w *World) Run(limit time.Duration, done func() bool) bool {
+	for len(w.events) > 0 {
+		if done != nil && done() {
+			return true
+		}
+		next := heap.Pop(&w.events).(*event)
+		if next.at > limit {
+			heap.Push(&w.events, next)
+			w.now = limit
+			return done == nil || done()
+		}
+		if next.token != next.task.token {
+			continue
+		}
+		h := next.task.host
+		if next.task.life != h.life {
+			continue
+		}
+		w.now = max(w.now, next.at)
+		if h.frozen {
+			h.kept = append(h.kept, next)
+			continue
+		}
+		w.resume(next.task)
+	}
+	return done == nil || done()
+}
+
+// Close ends all tasks.
+func (w *World) Close() {
+	w.closing = true
+	for t := range w.tasks {
+		w.resume(t)
+	}
+}
+
+// Go runs a task on a host.
+func (h *Host) Go(fn func()) { h.World.spawn(h, h.life, h.World.now, fn) }
+
+// Kill ends everything on the host at once.
+func (h *Host) Kill() {
+	h.life++
+	h.alive, h.frozen, h.kept, h.serve = false, false, nil, nil
+	for reply := range h.ends {
+		reply.died = true
+	}
+	h.ends = map[*Reply]struct{}{}
+}
+
+// Freeze stops the host's tasks; Thaw lets them go on where they were.
+func (h *Host) Freeze() { h.frozen = true }
+
+func (h *Host) Thaw() {
+	h.frozen = false
+	for _, kept := range h.kept {
+		if kept.token == kept.task.token {
+			h.World.count++
+			heap.Push(&h.World.events, &event{at: h.World.now, order: h.World.count, task: kept.task, token: kept.token})
+		}
+	}
+	h.kept = nil
+}
+
+// Clock is a host's clock.
+func (h *Host) Clock() base.Clock { return &clock{h} }
+
+type clock struct{ host *Host }
+
+var wallStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func (c *clock) Now() time.Duration   { return c.host.World.now }
+func (c *clock) Wall() time.Time      { return wallStart.Add(c.host.World.now) }
+func (c *clock) Go(fn func())         { c.host.Go(fn) }
+func (c *clock) Int64N(n int64) int64 { return c.host.World.Int64N(n) }
+
+func (c *clock) Sleep(d time.Duration) {
+	w := c.host.World
+	if w.closing {
+		runtime.Goexit()
+	}
+	w.push(w.now+max(d, 0), w.current)
+	w.park()
+}
+
+func (c *clock) NewSignal() base.Signal { return &signal{world: c.host.World} }
+
+type waiting struct {
+	task  *task
+	token uint64
+}
+
+type signal struct {
+	world   *World
+	fired   bool
+	waiters []waiting
+}
+
+func (s *signal) Fired() bool { return s.fired }
+
+func (s *signal) Fire() {
+	if s.fired {
+		return
+	}
+	s.fired = true
+	for _, one := range s.waiters {
+		if one.task.token == one.token && !one.task.ended {
+			s.world.push(s.world.now, one.task)
+		}
+	}
+	s.waiters = nil
+}
+
+func (s *signal) Wait(limit time.Duration) bool {
+	if s.fired || limit == 0 {
+		return s.fired
+	}
+	w := s.world
+	if w.closing {
+		runtime.Goexit()
+	}
+	s.waiters = append(s.waiters, waiting{w.current, w.current.token})
+	if limit > 0 {
+		w.push(w.now+limit, w.current)
+	}
+	w.park()
+	return s.fired
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -224,7 +224,7 @@
 	}
 	expected := Expected(append(append([]Message(nil), c.chain...), asked...), c.Pieces)
 	for c.Clock.Now() < end {
-		answer, err := c.Ask(c.Home, "POST", path+"/turns", c.header(secret, more), base.Encode(map[string]any{"messages": asked}))
+		answer, err := c.Ask(c.Home, "POST", path+"/turns", c.header(secret, more), base.Encode(map[string]any{"messages": asked, "max_output_tokens": c.Pieces + 2}))
 		if err != nil {
 			c.Tally.count("lost")
 			c.Home = (c.Home + 1) % c.Gateways
