Version session records and remember turns whose leg was lost with its owner

Change: records carry a version and only a newer one is taken; a Run that is succeeded leaves the list of its unfinished turns, of which not run is never said again.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -151,23 +151,24 @@
 	root.store(tx)
 }
 
-// Forfeit counts every reservation under a prefix as spent in full.
-func Forfeit(tx *register.Tx, program *Program, prefix string) {
+// Forfeit counts every reservation under a prefix as spent in full, and
+// lists them.
+func Forfeit(tx *register.Tx, program *Program, prefix string) (legs []string) {
 	root := Load(tx, program.Root)
 	if root == nil {
-		return
+		return nil
 	}
-	changed := false
 	for _, leg := range base.SortedKeys(root.Reserved) {
 		if strings.HasPrefix(leg, prefix) {
 			root.Spent += root.Reserved[leg]
 			delete(root.Reserved, leg)
-			changed = true
+			legs = append(legs, leg)
 		}
 	}
-	if changed {
+	if len(legs) > 0 {
 		root.store(tx)
 	}
+	return legs
 }
 
 // EndedPrefix is where the feed tells of programs that were told to end.
--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -63,7 +63,11 @@
 	claim   toolcall.Claim
 }
 
+// show passes a worker's whole answer on; its failure is a verdict of ours.
 func show(given *toolcall.Answer, replayed bool) *Response {
+	if given.Status >= 500 {
+		return Failure(base.Unsure(502, "worker_failed", "the worker failed with status %d", given.Status))
+	}
 	response := &Response{Status: given.Status, Header: map[string]string{"Content-Type": given.ContentType}, Body: given.Body}
 	if replayed {
 		response.Header["Idempotent-Replayed"] = "true"
--- a/internal/session/held.go
+++ b/internal/session/held.go
@@ -68,6 +68,24 @@
 	return &copied
 }
 
+// take brings in the register's word on this Run; answers may cross, and the
+// older of two changes nothing.
+func (h *held) take(record *Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.record.Run == record.Run && record.Version > h.record.Version {
+		h.record = record
+	}
+}
+
+// mayHaveRun tells of a turn that had a leg under way when an earlier Run of
+// the session was lost.
+func (h *held) mayHaveRun(turn string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Contains(h.record.Unsure, turn)
+}
+
 func (h *held) quiet() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -343,8 +361,12 @@
 	}
 }
 
-// conclude ends an operation without success.
+// conclude ends an operation without success. Not run is said only of a turn
+// that no earlier Run may have run.
 func (h *held) conclude(op *operation, state OperationState, verdict *base.Verdict) {
+	if verdict.Ran == base.NotRun && h.mayHaveRun(op.id) {
+		verdict.Ran = base.MayHaveRun
+	}
 	h.mu.Lock()
 	if op.state.May(state) {
 		op.state, op.verdict, op.ended = state, verdict, h.clock.Now()
@@ -399,11 +421,7 @@
 		}
 		return err
 	}
-	h.mu.Lock()
-	if h.record.Run == run {
-		h.record = answer.Record
-	}
-	h.mu.Unlock()
+	h.take(answer.Record)
 	k.remember(answer.Record)
 	h.bell.Ring()
 	return nil
@@ -521,11 +539,7 @@
 	if chosen != record.Understudy && !ctx.Over() {
 		answer, err := k.change(ctx, record.Program, "session.move", ask{Session: record.ID, Run: record.Run, Understudy: chosen})
 		if err == nil {
-			h.mu.Lock()
-			if h.record.Run == answer.Record.Run {
-				h.record = answer.Record
-			}
-			h.mu.Unlock()
+			h.take(answer.Record)
 			k.remember(answer.Record)
 			k.counters.Add("understudies_replaced", 1)
 		}
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -196,6 +196,9 @@
 	if len(k.cache) > cacheLimit {
 		clear(k.cache)
 	}
+	if known := k.cache[record.ID]; known != nil && known.Version > record.Version {
+		return
+	}
 	cached := *record
 	k.cache[record.ID] = &cached
 }
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -103,6 +104,9 @@
 		verdict = base.Busy(429, "queue_full", 1, "the session's queue of %d is full", h.record.QueueSize)
 	}
 	if verdict != nil {
+		if slices.Contains(h.record.Unsure, v.Turn) {
+			verdict.Ran = base.MayHaveRun
+		}
 		h.refused[v.Turn] = &declinedVisit{verdict, k.clock.Now()}
 		h.mu.Unlock()
 		k.counters.Add("turns_declined", 1)
@@ -508,10 +512,8 @@
 		return legOutcome{base.Unsure(502, "cut", "the answer could not be kept: %s", v.Message), legFinal}
 	}
 	offered.Wait(k.bounds.Load().Beat() * 2)
+	h.take(answer.Record)
 	h.mu.Lock()
-	if h.record.Run == record.Run {
-		h.record.Turns, h.record.LastTurn, h.record.LastLeg, h.record.LastAt = answer.Record.Turns, answer.Record.LastTurn, answer.Record.LastLeg, answer.Record.LastAt
-	}
 	turn.At = answer.Record.LastAt
 	h.turns = append(h.turns, *turn)
 	op.state, op.ended = OpSucceeded, k.clock.Now()
--- a/internal/session/record.go
+++ b/internal/session/record.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"fordseam/internal/base"
@@ -93,6 +94,10 @@
 	LastAt        int64              `json:"last_at"`
 	Created       int64              `json:"created"`
 	EndedAt       int64              `json:"ended_at"`
+	// Unsure are turns that had a leg under way when a Run was lost.
+	Unsure []string `json:"unsure,omitempty"`
+	// Version rises with each change, so that answers that cross are told apart.
+	Version uint64 `json:"version"`
 }
 
 func (r *Record) assignment() *Assignment {
@@ -129,7 +134,22 @@
 	return &found
 }
 
-func (r *Record) store(tx *register.Tx) { tx.Put(recordKey(r.ID), base.Encode(r)) }
+func (r *Record) store(tx *register.Tx) {
+	r.Version++
+	tx.Put(recordKey(r.ID), base.Encode(r))
+}
+
+const unsureLimit = 64
+
+// forfeit counts a Run's unfinished legs as spent, and keeps which turns
+// they were of: those may have run, whatever a later Run makes of them.
+func (r *Record) forfeit(tx *register.Tx, program *budget.Program) {
+	for _, leg := range budget.Forfeit(tx, program, r.Run+"/") {
+		parts := strings.Split(leg, "/")
+		r.Unsure = append(r.Unsure, parts[1])
+	}
+	r.Unsure = r.Unsure[max(0, len(r.Unsure)-unsureLimit):]
+}
 
 func unknownSession() *base.Verdict {
 	return base.Decline(404, "unknown_session", "there is no such session")
@@ -262,19 +282,21 @@
 	if record.Run != asked.Run {
 		return nil, staleRun()
 	}
-	before := *record
+	changed := false
 	if asked.Phase != "" && record.Phase.May(asked.Phase) {
-		record.Phase, record.Why = asked.Phase, asked.Why
+		record.Phase, record.Why, changed = asked.Phase, asked.Why, true
 		if record.Phase.Terminal() {
 			record.EndedAt = tx.Wall.UnixMilli()
-			budget.Forfeit(tx, program, record.Run+"/")
+			record.forfeit(tx, program)
 		}
 	}
-	record.Termination = record.Termination.Escalate(asked.Termination)
-	if asked.Understudy != "" {
-		record.Understudy = asked.Understudy
+	if after := record.Termination.Escalate(asked.Termination); after != record.Termination {
+		record.Termination, changed = after, true
+	}
+	if asked.Understudy != "" && asked.Understudy != record.Understudy {
+		record.Understudy, changed = asked.Understudy, true
 	}
-	if *record != before {
+	if changed {
 		record.store(tx)
 	}
 	return told{Record: record}, nil
@@ -292,7 +314,7 @@
 	if record.Phase.Terminal() && tx.Wall.UnixMilli()-max(record.LastAt, record.EndedAt) > tx.Bounds.Retain.Milliseconds()*5/4 {
 		return nil, base.Decline(410, "session_over", "the session ended and its history is no longer kept")
 	}
-	budget.Forfeit(tx, program, record.Run+"/")
+	record.forfeit(tx, program)
 	record.Run, record.Owner, record.Understudy = asked.NewRun, asked.Owner, asked.Understudy
 	record.Epoch++
 	record.Phase, record.Termination, record.Why, record.EndedAt = Ready, "", asked.Why, 0
