Fence late copies of a leg's reserve and finish, and doubt lost legs durably

Ruled out: the understudy's copy, which matched the register. Change: legs of a session are numbered; a reserve below the highest number and a finish whose reservation is gone are declined as late. An owner gives up a leg of unknown end before anything else. Such a leg's turn is kept as one that may have run. Conclusion: what an owner does not know it must first make impossible.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -132,16 +132,27 @@
 	return granted, nil
 }
 
+// Reserved reports whether a leg's reservation stands.
+func Reserved(tx *register.Tx, program *Program, leg string) bool {
+	root := Load(tx, program.Root)
+	if root == nil {
+		return false
+	}
+	_, ok := root.Reserved[leg]
+	return ok
+}
+
 // Settle ends a reservation with what was put out; below zero means that
-// the end is unknown and the whole of it counts as spent.
-func Settle(tx *register.Tx, program *Program, leg string, used int64) {
+// the end is unknown and the whole of it counts as spent. It tells whether
+// the reservation still stood.
+func Settle(tx *register.Tx, program *Program, leg string, used int64) bool {
 	root := Load(tx, program.Root)
 	if root == nil {
-		return
+		return false
 	}
 	granted, ok := root.Reserved[leg]
 	if !ok {
-		return
+		return false
 	}
 	if used < 0 || used > granted {
 		used = granted
@@ -149,6 +160,7 @@
 	delete(root.Reserved, leg)
 	root.Spent += used
 	root.store(tx)
+	return true
 }
 
 // Forfeit counts every reservation under a prefix as spent in full, and
--- a/internal/session/held.go
+++ b/internal/session/held.go
@@ -40,7 +40,8 @@
 	running  *operation
 	busy     bool
 	gone     bool
-	unsure   bool
+	unsure   string
+	legs     uint64
 	lapses   uint64
 	lastSeen time.Duration
 	offered  map[string]uint64
@@ -51,7 +52,7 @@
 
 func newHeld(clock base.Clock, record *Record, turns []Turn, lapses uint64) *held {
 	return &held{program: record.Program, bell: base.NewBell(clock), handed: clock.NewSignal(), clock: clock, record: record,
-		turns: turns, ops: map[string]*operation{}, lapses: lapses, lastSeen: clock.Now(), offered: map[string]uint64{},
+		turns: turns, ops: map[string]*operation{}, lapses: lapses, legs: record.Legs, lastSeen: clock.Now(), offered: map[string]uint64{},
 		refused: map[string]*declinedVisit{}}
 }
 
@@ -189,13 +190,20 @@
 func (k *Keeper) revalidate(ctx *base.Ctx, h *held) error {
 	lapses := k.follower.Lapses()
 	h.mu.Lock()
-	sure := h.lapses == lapses && !h.unsure
+	unsureLeg := h.unsure
+	sure := h.lapses == lapses && unsureLeg == ""
 	id, run, known := h.record.ID, h.record.Run, uint64(len(h.turns))
 	h.mu.Unlock()
 	if sure {
 		return nil
 	}
-	answer, err := k.change(ctx, h.program, "session.get", ask{Session: id})
+	// A leg whose end was not learnt is given up first: from then on either
+	// its turn is in the chain or a late copy can no longer put it there.
+	asked, op := ask{Session: id}, "session.get"
+	if unsureLeg != "" {
+		asked.Leg, asked.Tokens, op = unsureLeg, -1, "session.settle"
+	}
+	answer, err := k.change(ctx, h.program, op, asked)
 	if err != nil {
 		return err
 	}
@@ -211,9 +219,12 @@
 		}
 	}
 	h.mu.Lock()
-	h.lapses, h.unsure = lapses, false
+	h.lapses, h.unsure = lapses, ""
+	if answer.Record.Version > h.record.Version {
+		h.record = answer.Record
+	}
 	if turns != nil && uint64(len(h.turns)) == known {
-		h.turns, h.record = turns, answer.Record
+		h.turns = turns
 	}
 	h.mu.Unlock()
 	return nil
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -230,6 +230,9 @@
 }
 
 func (k *Keeper) runTurn(h *held, op *operation) (OperationState, *base.Verdict) {
+	if err := k.revalidate(base.NewCtx(k.clock, k.bounds.Load().Recover), h); err != nil {
+		return OpFailed, base.FromWire(err)
+	}
 	made, verdict := k.planTurn(h, op)
 	if verdict != nil {
 		return OpFailed, verdict
@@ -243,7 +246,7 @@
 		case ctx.Over():
 			return OpTimedOut, &base.Verdict{Status: 504, Code: "timed_out", Message: "the turn's time is over", Ran: ran}
 		}
-		outcome := k.runLeg(ctx, h, op, made, leg)
+		outcome := k.runLeg(ctx, h, op, made)
 		if outcome.verdict == nil {
 			return OpSucceeded, nil
 		}
@@ -295,7 +298,7 @@
 }
 
 // runLeg takes one leg from nomination to its end.
-func (k *Keeper) runLeg(ctx *base.Ctx, h *held, op *operation, made *plan, num int) legOutcome {
+func (k *Keeper) runLeg(ctx *base.Ctx, h *held, op *operation, made *plan) legOutcome {
 	var cleanup base.Cleanup
 	defer cleanup.Run()
 	chosenWorker, err := k.nominator.Hold(ctx, made.need)
@@ -308,9 +311,13 @@
 	}
 	cleanup.Push(func() { k.nominator.Release(chosenWorker, made.need) })
 	record := h.snapshot()
-	legID := record.Run + "/" + op.id + "/" + base.NewID(k.clock, strconv.Itoa(num)+"-")
+	h.mu.Lock()
+	h.legs++
+	legNum := h.legs
+	h.mu.Unlock()
+	legID := record.Run + "/" + op.id + "/" + strconv.FormatUint(legNum, 10)
 	reserveCtx := base.NewCtx(k.clock, max(ctx.Left(), k.bounds.Load().Call()))
-	answer, err := k.change(reserveCtx, record.Program, "session.reserve", ask{Session: record.ID, Run: record.Run, Leg: legID, Tokens: made.wanted})
+	answer, err := k.change(reserveCtx, record.Program, "session.reserve", ask{Session: record.ID, Run: record.Run, Leg: legID, LegNum: legNum, Tokens: made.wanted})
 	if err != nil {
 		v := base.FromWire(err)
 		if v.Ran != base.NotRun {
@@ -320,11 +327,13 @@
 		return legOutcome{v, legFinal}
 	}
 	settle := func(used int64) {
-		_, err := k.change(base.NewCtx(k.clock, k.bounds.Load().Recover), record.Program, "session.settle",
+		answer, err := k.change(base.NewCtx(k.clock, k.bounds.Load().Recover), record.Program, "session.settle",
 			ask{Session: record.ID, Run: record.Run, Leg: legID, Tokens: used})
 		if err != nil {
 			k.counters.Add("settles_lost", 1)
+			return
 		}
+		h.take(answer.Record)
 	}
 	if err := k.follower.Permit(ctx); err != nil || !h.isRun(record.Run) {
 		settle(0)
@@ -504,7 +513,7 @@
 	if err != nil {
 		v := base.FromWire(err)
 		h.mu.Lock()
-		h.unsure = true
+		h.unsure = turn.Leg
 		h.mu.Unlock()
 		if v.Code == "stale_assignment" {
 			return legOutcome{v, legFinal}
--- a/internal/session/record.go
+++ b/internal/session/record.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -94,7 +95,9 @@
 	LastAt        int64              `json:"last_at"`
 	Created       int64              `json:"created"`
 	EndedAt       int64              `json:"ended_at"`
-	// Unsure are turns that had a leg under way when a Run was lost.
+	// Legs is the highest number a leg of this session was reserved under.
+	Legs uint64 `json:"legs"`
+	// Unsure are turns that had a leg whose end is not known.
 	Unsure []string `json:"unsure,omitempty"`
 	// Version rises with each change, so that answers that cross are told apart.
 	Version uint64 `json:"version"`
@@ -145,10 +148,17 @@
 // they were of: those may have run, whatever a later Run makes of them.
 func (r *Record) forfeit(tx *register.Tx, program *budget.Program) {
 	for _, leg := range budget.Forfeit(tx, program, r.Run+"/") {
-		parts := strings.Split(leg, "/")
-		r.Unsure = append(r.Unsure, parts[1])
+		r.doubt(leg)
+	}
+}
+
+func (r *Record) doubt(leg string) {
+	_, rest, _ := strings.Cut(leg, "/")
+	turn, _, _ := strings.Cut(rest, "/")
+	if turn != "" && !slices.Contains(r.Unsure, turn) {
+		r.Unsure = append(r.Unsure, turn)
+		r.Unsure = r.Unsure[max(0, len(r.Unsure)-unsureLimit):]
 	}
-	r.Unsure = r.Unsure[max(0, len(r.Unsure)-unsureLimit):]
 }
 
 func unknownSession() *base.Verdict {
@@ -165,6 +175,7 @@
 	Run         string             `json:"run"`
 	Record      *Record            `json:"record,omitempty"`
 	Leg         string             `json:"leg,omitempty"`
+	LegNum      uint64             `json:"leg_num,omitempty"`
 	Tokens      int64              `json:"tokens,omitempty"`
 	Turn        *Turn              `json:"turn,omitempty"`
 	Phase       Phase              `json:"phase,omitempty"`
@@ -211,10 +222,7 @@
 	})
 	handle("session.acquire", acquire)
 	handle("session.reserve", reserve)
-	handle("session.settle", func(tx *register.Tx, asked *ask, _ *Record, program *budget.Program) (any, error) {
-		budget.Settle(tx, program, asked.Leg, asked.Tokens)
-		return told{}, nil
-	})
+	handle("session.settle", settle)
 	handle("session.finish", finish)
 	handle("session.move", move)
 	handle("session.succeed", succeed)
@@ -255,11 +263,30 @@
 	if record.Termination == budget.Immediate {
 		return nil, base.Decline(503, "session_terminating", "the session is ending")
 	}
+	open := budget.Reserved(tx, program, asked.Leg)
+	if asked.LegNum < record.Legs || (asked.LegNum == record.Legs && !open) {
+		return nil, base.Decline(409, "leg_over", "the leg is over; this is a late copy")
+	}
 	granted, err := budget.Reserve(tx, program, asked.Leg, asked.Tokens)
 	if err != nil {
 		return nil, err
 	}
-	return told{Granted: granted}, nil
+	if !open {
+		record.Legs = asked.LegNum
+		record.store(tx)
+	}
+	return told{Record: record, Granted: granted}, nil
+}
+
+// settle ends a leg that brought no whole answer. Below zero the end is not
+// known: the tokens count as spent and the turn as one that may have run.
+// What comes after, a finish of the same leg included, is too late.
+func settle(tx *register.Tx, asked *ask, record *Record, program *budget.Program) (any, error) {
+	if budget.Settle(tx, program, asked.Leg, asked.Tokens) && asked.Tokens < 0 {
+		record.doubt(asked.Leg)
+		record.store(tx)
+	}
+	return told{Record: record}, nil
 }
 
 func finish(tx *register.Tx, asked *ask, record *Record, program *budget.Program) (any, error) {
@@ -269,7 +296,9 @@
 	if record.Run != asked.Run || record.Phase.Terminal() {
 		return nil, staleRun()
 	}
-	budget.Settle(tx, program, asked.Leg, asked.Tokens)
+	if !budget.Settle(tx, program, asked.Leg, asked.Tokens) {
+		return nil, base.Decline(409, "leg_over", "the leg was given up; this is a late copy")
+	}
 	turn := *asked.Turn
 	turn.Num, turn.At = record.Turns+1, tx.Wall.UnixMilli()
 	record.Turns, record.LastTurn, record.LastLeg, record.LastAt = turn.Num, turn.ID, asked.Leg, turn.At
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -105,7 +105,7 @@
 
 // settled asks until there is an answer that is not "come again later".
 func (c *Caller) settled(method, path string, header map[string]string, body any) (*Answer, *failure) {
-	end := c.Clock.Now() + c.Patience
+	end := c.Clock.Now() + c.Patience/3
 	for {
 		answer, err := c.Ask(c.Home, method, path, header, base.Encode(body))
 		var failed failure
@@ -222,6 +222,7 @@
 	if c.last != "" {
 		more["previous-turn"] = c.last
 	}
+	unsure := false
 	expected := Expected(append(append([]Message(nil), c.chain...), asked...), c.Pieces)
 	for c.Clock.Now() < end {
 		answer, err := c.Ask(c.Home, "POST", path+"/turns", c.header(secret, more), base.Encode(map[string]any{"messages": asked, "max_output_tokens": c.Pieces + 2}))
@@ -229,6 +230,7 @@
 			c.Tally.count("lost")
 			c.Home = (c.Home + 1) % c.Gateways
 			c.Clock.Sleep(200 * time.Millisecond)
+			unsure = true
 			continue
 		}
 		if answer.Status != 200 {
@@ -240,7 +242,11 @@
 				c.Tally.Breach("%s: history of %s gone: %s", c.Name, c.last, failed.Error.Code)
 				return false, false
 			case failed.Error.Ran == base.NotRun:
-				c.refuse(id)
+				// A gateway that knows nothing of the turn speaks of this request
+				// alone; after an unknown outcome only the owner's word counts.
+				if !unsure || !gatewayWords[failed.Error.Code] {
+					c.refuse(id)
+				}
 				if answer.Status == 503 {
 					c.Home = (c.Home + 1) % c.Gateways
 				}
@@ -249,6 +255,7 @@
 				c.Tally.Breach("%s: status %d without a verdict: %s", c.Name, answer.Status, answer.Body)
 				return false, false
 			}
+			unsure = true
 			c.Clock.Sleep(200 * time.Millisecond)
 			continue
 		}
@@ -267,6 +274,7 @@
 			c.Tally.count("over_budget")
 			return false, false
 		}
+		unsure = true
 		c.Tally.count("turns_" + verdict)
 		if verdict == "dropped" {
 			c.Home = (c.Home + 1) % c.Gateways
@@ -277,6 +285,9 @@
 	return false, false
 }
 
+var gatewayWords = map[string]bool{"no_confirmed_settings": true, "no_settings": true, "owner_unreachable": true, "control_unreachable": true,
+	"outcome_unknown": true, "slot_not_ready": true, "draining": true}
+
 func (c *Caller) refuse(id string) {
 	c.Tally.mu.Lock()
 	c.Tally.Refused[c.program+"|"+id] = true
