--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,12 @@
 	})
 }
 
+// Stamp is the settings' stamp this gateway goes by.
+func (g *Gateway) Stamp() uint64 {
+	stamp, _ := settings.FromFrame(g.Follower.Frame().Values)
+	return stamp
+}
+
 // Ready says whether the platform may send callers here.
 func (g *Gateway) Ready() error {
 	if g.Front.Tree.Load() == nil {
--- a/internal/simulate/chaos_test.go
+++ b/internal/simulate/chaos_test.go
@@ -19,7 +19,6 @@
 	every time.Duration
 	net   Faults
 	do    func(f *Fleet, round int)
-	after func(f *Fleet)
 }
 
 func (f *Fleet) pick(list []*Machine) *Machine { return list[f.World.Int64N(int64(len(list)))] }
@@ -118,24 +117,32 @@
 	}},
 }
 
+// harm does one kind of failure again and again while it is wanted.
+func (f *Fleet) harm(name string, going func() bool) {
+	for _, one := range harms {
+		if one.name != name {
+			continue
+		}
+		f.Net.Faults = one.net
+		f.Callers.Go(func() {
+			for round := 0; one.do != nil && going(); round++ {
+				one.do(f, round)
+				f.Callers.Clock().Sleep(one.every)
+			}
+		})
+	}
+}
+
 func TestNothingThatMustNeverHappens(t *testing.T) {
 	for _, one := range harms {
 		t.Run(one.name, func(t *testing.T) {
 			bring(t, *seeds, SmallShape(), func(t *testing.T, f *Fleet) {
 				is := is.New(t)
 				formed(t, f)
-				f.Net.Faults = one.net
 				left := f.Converse(6, 6, true, func(c *standin.Caller) {
 					c.Between = func(int) { c.Clock.Sleep(f.World.Between(0, 2*time.Second)) }
 				})
-				if one.do != nil {
-					f.Callers.Go(func() {
-						for round := 0; left() > 0; round++ {
-							one.do(f, round)
-							f.Callers.Clock().Sleep(one.every)
-						}
-					})
-				}
+				f.harm(one.name, func() bool { return left() > 0 })
 				done := f.World.Run(f.World.Now()+5*time.Minute, func() bool { return left() == 0 })
 				t.Logf("%v after %v: %v", one.name, f.World.Now(), f.Tally.Counts)
 				is.True(done)
@@ -144,4 +151,3 @@
 		})
 	}
 }
-
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -56,6 +56,8 @@
 	storage *node.Storage
 	Count   *base.Counters
 	Broken  error
+	open    int
+	closing bool
 }
 
 // Fleet is all machines.
@@ -118,7 +120,7 @@
 // Start gives a machine a new life.
 func (f *Fleet) Start(m *Machine) {
 	h := m.Host
-	h.alive = true
+	h.alive, m.open, m.closing = true, 0, false
 	m.Count = base.NewCounters()
 	env := node.Env{Clock: h.Clock(), Wire: f.Net.Wire(h), Files: m.Files, Counters: m.Count,
 		Backends: &Backends{net: f.Net, host: h, models: f.models, tools: f.tools}}
@@ -157,6 +159,33 @@
 	m.Files.LosePower()
 }
 
+// Stop ends a machine as a signal would: it finishes what it read, hands
+// over, and ends.
+func (f *Fleet) Stop(m *Machine) {
+	bell := base.NewBell(f.Callers.Clock())
+	left, life := false, m.Host.life
+	m.Host.Go(func() {
+		switch {
+		case m.gateway != nil && m.Role == "edge":
+			m.gateway.Leave(24 * time.Second)
+			m.gateway.Stop()
+		case m.core != nil && m.Role == "core":
+			m.core.Leave(24 * time.Second)
+			m.core.Stop()
+		}
+		left = true
+		bell.Ring()
+	})
+	m.closing = true
+	for (!left || m.open > 0) && m.Host.life == life {
+		bell.Next().Wait(pollEvery)
+	}
+	m.closing = false
+	if m.Host.life == life {
+		f.Kill(m)
+	}
+}
+
 // Operate sends an operator's request to a core and gives status and body.
 func (f *Fleet) Operate(m *Machine, method, path string, body any) (status int, answer []byte) {
 	bell := base.NewBell(f.Callers.Clock())
--- /dev/null
+++ b/internal/simulate/outage_test.go
@@ -0,0 +1,211 @@
+// Losses of many machines at once, planned stops, and what must outlive them.
+package simulate
+
+import (
+	"testing"
+	"time"
+
+	"fordseam/internal/standin"
+
+	"github.com/matryer/is"
+)
+
+// serving is how long it takes from now until every living gateway serves.
+func (t *talker) serving(limit time.Duration) time.Duration {
+	began := t.f.World.Now()
+	for t.f.World.Now() < began+limit {
+		all := true
+		for _, m := range t.f.Edges {
+			all = all && (!m.Host.alive || m.gateway != nil && m.gateway.Ready() == nil)
+		}
+		if all {
+			break
+		}
+		t.sleep(50 * time.Millisecond)
+	}
+	return t.f.World.Now() - began
+}
+
+func TestTotalOutageKeepsWhatWasAcknowledged(t *testing.T) {
+	for seed := 0; seed < *seeds; seed++ {
+		script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+			for range seed {
+				f.World.Int64N(2) // another draw, another run
+			}
+			program, secret := call.program(1000, nil)
+			path, key := call.session(0, program, secret, nil)
+			verdict, _, _ := call.turn(1, path, key, program, "a", "").final()
+			is.Equal(verdict, "success")
+			tool := "/v1/programs/" + program + "/tools/loyalty"
+			is.Equal(call.send(1, "POST", tool, secret, `{"points":1}`, "idempotency-key", "k").Status, 200)
+			before := call.send(1, "GET", "/v1/programs/"+program, secret, nil)
+			status, _ := f.Operate(f.Cores[0], "POST", "/v1/operator/settings/apply", map[string]any{"change": "last", "based_on": 1, "document": document("last")})
+			is.Equal(status, 200)
+			for _, m := range f.All() {
+				f.PowerLoss(m)
+			}
+			call.sleep(time.Second)
+			back := f.All()
+			lost := f.pick(f.Storage) // one disk does not come back
+			for len(back) > 0 {
+				place := f.World.Int64N(int64(len(back)))
+				if back[place] != lost {
+					f.Start(back[place])
+				}
+				back = append(back[:place], back[place+1:]...)
+				call.sleep(f.World.Between(0, 300*time.Millisecond))
+			}
+			took := call.serving(time.Minute)
+			is.True(took < 12*time.Second) // inside recover_bound_s
+			for _, m := range f.Edges {
+				is.Equal(m.gateway.Stamp(), uint64(2))
+			}
+			after := call.send(1, "GET", "/v1/programs/"+program, secret, nil)
+			is.Equal(after.text("spent_tokens"), before.text("spent_tokens"))
+			again := call.send(2, "POST", tool, secret, `{"points":1}`, "idempotency-key", "k")
+			is.Equal(again.Header["Idempotent-Replayed"], "true")
+			verdict, _, _ = call.turn(2, path, key, program, "b", "a").final()
+			is.Equal(verdict, "success")
+			is.Equal(f.toolRuns(program+"/k"), 1)
+		})
+	}
+}
+
+// The machine with the disk that acknowledged something first is lost with
+// its disk, for ever, just after.
+func TestADiskLostJustAfterAcknowledging(t *testing.T) {
+	for _, lost := range []int{0, 1, 2} {
+		script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+			program, secret := call.program(1000, nil)
+			path, key := call.session(0, program, secret, nil)
+			verdict, _, _ := call.turn(1, path, key, program, "a", "").final()
+			is.Equal(verdict, "success")
+			f.PowerLoss(f.Storage[lost])
+			f.Storage[lost].Files.Wipe()
+			for _, m := range append(append([]*Machine{}, f.Cores...), f.Edges...) {
+				f.Kill(m)
+			}
+			for _, m := range append(append([]*Machine{}, f.Cores...), f.Edges...) {
+				f.Start(m)
+			}
+			f.Start(f.Storage[lost]) // comes back blank: it has no vote
+			call.serving(time.Minute)
+			verdict, _, _ = call.turn(1, path, key, program, "b", "a").final()
+			is.Equal(verdict, "success")
+			is.True(f.Storage[lost].storage.Ready() != nil)
+		})
+	}
+}
+
+// Split in two, the side without a majority of disks declines, the other
+// goes on, and healing brings nobody back to older settings.
+func TestPartitionOfCoreAndStorage(t *testing.T) {
+	script(t, KiondoShape(), func(is *is.I, f *Fleet, call *talker) {
+		minority := map[string]bool{f.Storage[0].Host.Name: true, f.Cores[0].Host.Name: true, f.Cores[1].Host.Name: true,
+			f.Edges[0].Host.Name: true, f.Edges[1].Host.Name: true}
+		l := newLedger(f)
+		going := true
+		f.Callers.Go(func() { l.watch(func() bool { return going }) })
+		f.Net.CutOff(minority)
+		call.sleep(8 * time.Second)
+		program, secret := "", ""
+		for tries := 0; program == "" || program == "<nil>"; tries++ {
+			made := call.send(3, "POST", "/v1/programs", "", map[string]any{"group": "g", "site": "main", "budget_tokens": 1000})
+			program, secret = made.text("program"), made.text("secret")
+			is.True(tries < 20)
+		}
+		path, key := call.session(4, program, secret, nil)
+		verdict, _, _ := call.turn(3, path, key, program, "a", "").final()
+		is.Equal(verdict, "success")
+		is.Equal(call.send(0, "GET", "/v1/programs/"+program, secret, nil).Status, 503)
+		status, answer := f.Operate(f.Cores[2], "POST", "/v1/operator/settings/apply", map[string]any{"change": "new", "based_on": 1, "document": document("new")})
+		l.resolve("new", status, answer)
+		is.Equal(l.counts["taken"], 1)
+		status, _ = f.Operate(f.Cores[0], "POST", "/v1/operator/settings/apply", map[string]any{"change": "old", "based_on": 1, "document": document("old")})
+		is.True(status == 503 || status == 504)
+		f.Net.Heal()
+		call.sleep(6 * time.Second)
+		status, answer = f.Operate(f.Cores[1], "POST", "/v1/operator/settings/outcome", map[string]string{"change": "old"})
+		is.Equal(status, 200)
+		l.resolve("old", status, answer)
+		is.True(l.refused["old"])
+		for _, m := range f.Edges {
+			is.Equal(m.gateway.Stamp(), uint64(2))
+		}
+		verdict, _, _ = call.turn(0, path, key, program, "b", "a").final()
+		is.Equal(verdict, "success")
+		going = false
+	})
+}
+
+// A planned stop finishes what was read and hands sessions over: callers see
+// no failure but connections refused where nothing listens.
+func TestPlannedStopsDropNothing(t *testing.T) {
+	bring(t, *seeds, KiondoShape(), func(t *testing.T, f *Fleet) {
+		is := is.New(t)
+		formed(t, f)
+		left := f.Converse(12, 8, true, func(c *standin.Caller) {
+			c.Between = func(int) { c.Clock.Sleep(f.World.Between(0, time.Second)) }
+		})
+		f.Callers.Go(func() {
+			for round := 0; left() > 0; round++ {
+				m := f.Edges[round%len(f.Edges)]
+				if round%3 == 2 {
+					m = f.Cores[round%len(f.Cores)]
+				}
+				f.Stop(m)
+				f.Callers.Clock().Sleep(500 * time.Millisecond)
+				f.Start(m)
+				f.Callers.Clock().Sleep(2 * time.Second)
+			}
+		})
+		is.True(f.World.Run(f.World.Now()+5*time.Minute, func() bool { return left() == 0 }))
+		t.Logf("%v", f.Tally.Counts)
+		is.Equal(f.Tally.Counts["conversations_whole"], 12)
+		is.Equal(f.Tally.Counts["turns_dropped"], 0)
+		is.Equal(f.Tally.Counts["final_cut_cut"], 0)
+		is.Equal(f.Tally.Counts["cut_connections"], 0)
+	})
+}
+
+// A frozen owner wakes after its Run was succeeded: nothing it had in hand
+// goes out any more.
+func TestWokenOwnerSendsNothing(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		verdict, _, _ := call.turn(1, path, key, program, "a", "").final()
+		is.Equal(verdict, "success")
+		answers := map[string]told{}
+		for _, id := range []string{"b", "c", "d"} {
+			f.Callers.Go(func() { answers[id] = call.turn(0, path, key, program, id, "") })
+		}
+		call.sleep(3 * time.Millisecond)
+		f.Edges[0].Host.Freeze()
+		verdict, _, _ = call.turn(1, path, key, program, "e", "a").final()
+		is.Equal(verdict, "success")
+		sent := map[string]int{}
+		for _, id := range []string{"b", "c", "d"} {
+			sent[id] = f.modelRuns(program, id)
+		}
+		woken := f.World.Now()
+		f.Edges[0].Host.Thaw()
+		call.sleep(20 * time.Second)
+		is.True(f.World.Now() > woken)
+		for _, id := range []string{"b", "c", "d"} {
+			verdict, ran, _ := answers[id].final()
+			if answers[id].Status != 200 {
+				ran = answers[id].text("error", "request")
+			}
+			if ran == "not_run" {
+				is.Equal(f.modelRuns(program, id), 0)
+			}
+			// What went on did so through the session's new owner.
+			if verdict == "success" {
+				is.True(f.modelRuns(program, id) >= 1)
+			}
+		}
+		status := call.send(1, "GET", path, key, nil)
+		is.Equal(status.text("epoch"), "2")
+	})
+}
--- a/internal/simulate/parties.go
+++ b/internal/simulate/parties.go
@@ -120,7 +120,7 @@
 	return func(gateway int, method, path string, header map[string]string, body []byte) (*standin.Answer, error) {
 		edge := f.Edges[gateway%len(f.Edges)]
 		clock.Sleep(f.Net.delay())
-		if !edge.Host.alive || edge.gateway == nil {
+		if !edge.Host.alive || edge.gateway == nil || edge.closing {
 			return nil, errors.New("connection refused")
 		}
 		bell := base.NewBell(clock)
@@ -128,7 +128,9 @@
 		events := []standin.Event{}
 		over := false
 		life, target := edge.Host.life, edge.gateway
+		edge.open++
 		edge.Host.Go(func() {
+			defer func() { edge.open-- }()
 			own := edge.Host.Clock()
 			response = target.Front.Handle(base.NewCtx(own, 10*time.Minute), &front.Request{Method: method, Path: path, Header: header, Query: map[string]string{}, Body: body})
 			bell.Ring()
@@ -149,6 +151,7 @@
 		for response == nil {
 			next := bell.Next()
 			if gone() || clock.Now() > end {
+				f.Tally.Count("cut_connections")
 				return nil, errors.New("connection lost")
 			}
 			next.Wait(pollEvery)
--- /dev/null
+++ b/internal/simulate/path_test.go
@@ -0,0 +1,646 @@
+// The callers' interface and the design's rules, one scenario a rule, on a
+// whole fleet in virtual time.
+package simulate
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/standin"
+
+	"github.com/matryer/is"
+)
+
+// talker makes single requests as a caller.
+type talker struct {
+	f   *Fleet
+	ask standin.Asker
+}
+
+type told struct {
+	Status int
+	Raw    string
+	JSON   map[string]any
+	Header map[string]string
+	Events []standin.Event
+}
+
+func (a told) text(names ...string) string {
+	var at any = a.JSON
+	for _, name := range names {
+		inner, ok := at.(map[string]any)
+		if !ok {
+			return ""
+		}
+		at = inner[name]
+	}
+	return fmt.Sprint(at)
+}
+
+// final is the verdict, the word on whether it ran, and the error's code of
+// a stream's last event.
+func (a told) final() (verdict, ran, code string) {
+	if len(a.Events) == 0 || a.Events[len(a.Events)-1].Kind != "final" {
+		return "none", "", ""
+	}
+	var final struct {
+		Verdict string            `json:"verdict"`
+		Ran     string            `json:"request"`
+		Error   map[string]string `json:"error"`
+	}
+	_ = json.Unmarshal(a.Events[len(a.Events)-1].Data, &final)
+	return final.Verdict, final.Ran, final.Error["code"]
+}
+
+func (t *talker) send(gateway int, method, path, secret string, body any, headers ...string) told {
+	header := map[string]string{"authorization": "Bearer " + secret}
+	for place := 0; place+1 < len(headers); place += 2 {
+		header[headers[place]] = headers[place+1]
+	}
+	var raw []byte
+	switch held := body.(type) {
+	case nil:
+	case string:
+		raw = []byte(held)
+	default:
+		raw = base.Encode(held)
+	}
+	answer, err := t.ask(gateway, method, path, header, raw)
+	if err != nil {
+		return told{Raw: err.Error()}
+	}
+	got := told{Status: answer.Status, Raw: string(answer.Body), Header: answer.Header}
+	_ = json.Unmarshal(answer.Body, &got.JSON)
+	for answer.NextEvent != nil {
+		event, ok := answer.NextEvent()
+		if !ok {
+			break
+		}
+		got.Events = append(got.Events, event)
+	}
+	return got
+}
+
+func (t *talker) program(tokens int, more map[string]any) (id, secret string) {
+	body := map[string]any{"group": "g", "site": "main", "budget_tokens": tokens}
+	for name, value := range more {
+		body[name] = value
+	}
+	made := t.send(0, "POST", "/v1/programs", "", body)
+	return made.text("program"), made.text("secret")
+}
+
+func (t *talker) session(gateway int, program, secret string, more map[string]any) (path, key string) {
+	body := map[string]any{"route": "chat"}
+	for name, value := range more {
+		body[name] = value
+	}
+	made := t.send(gateway, "POST", "/v1/programs/"+program+"/sessions", secret, body)
+	return "/v1/programs/" + program + "/sessions/" + made.text("session"), made.text("secret")
+}
+
+func turnBody(program, turn string) map[string]any {
+	return map[string]any{"messages": []standin.Message{{Role: "user", Content: "question " + standin.Tag(program, turn)}}, "max_output_tokens": 8}
+}
+
+func (t *talker) turn(gateway int, path, key, program, id, previous string) told {
+	headers := []string{"turn-id", id}
+	if previous != "" {
+		headers = append(headers, "previous-turn", previous)
+	}
+	return t.send(gateway, "POST", path+"/turns", key, turnBody(program, id), headers...)
+}
+
+func (t *talker) sleep(d time.Duration) { t.f.Callers.Clock().Sleep(d) }
+
+// script runs one caller's steps to their end.
+func script(t *testing.T, shape Shape, steps func(is *is.I, f *Fleet, call *talker)) {
+	t.Helper()
+	bring(t, 1, shape, func(t *testing.T, f *Fleet) {
+		is := is.New(t)
+		formed(t, f)
+		done := false
+		f.Callers.Go(func() {
+			defer func() { done = true }()
+			steps(is, f, &talker{f, f.Asker(f.Callers)})
+		})
+		is.True(f.World.Run(f.World.Now()+time.Hour, func() bool { return done })) // the script came to its end
+	})
+}
+
+// modelRuns counts how often a turn was given to any model worker.
+func (f *Fleet) modelRuns(program, turn string) int {
+	total := 0
+	for _, model := range f.Models {
+		runs, _, _, _ := model.Record()
+		total += runs[program+"|"+turn]
+	}
+	return total
+}
+
+func (f *Fleet) toolRuns(key string) int {
+	total := 0
+	for _, tool := range f.Tools {
+		total += tool.Runs()[key]
+	}
+	return total
+}
+
+func TestTurnIdJoinsReplaysAndIsOneRun(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		joined := make([]told, 2)
+		left := 2
+		for place := range joined {
+			f.Callers.Go(func() { joined[place] = call.turn(place, path, key, program, "t1", ""); left-- })
+		}
+		for left > 0 {
+			call.sleep(50 * time.Millisecond)
+		}
+		first, second := joined[0], joined[1]
+		is.Equal(len(first.Events), 7)
+		is.Equal(fmt.Sprint(first.Events), fmt.Sprint(second.Events))
+		replay := call.send(1, "POST", path+"/turns", key, turnBody(program, "t1"), "turn-id", "t1", "last-event-id", first.Events[3].ID)
+		is.Equal(fmt.Sprint(replay.Events), fmt.Sprint(first.Events[4:]))
+		is.Equal(f.modelRuns(program, "t1"), 1)
+		other := call.send(2, "POST", path+"/turns", key, turnBody(program, "else"), "turn-id", "t1")
+		is.Equal(other.Status, 409)
+		is.Equal(other.text("error", "code"), "turn_id_reused")
+	})
+}
+
+func TestBadInputIsDeclinedByName(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, _ *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		base := "/v1/programs/" + program
+		rows := []struct {
+			method, path, secret string
+			body                 any
+			headers              []string
+			status               int
+			field                string
+		}{
+			{"POST", "/v1/programs", "", `{"group":`, nil, 400, "body"},
+			{"POST", "/v1/programs", "", `{"group":"g","site":"main"}`, nil, 400, "budget_tokens"},
+			{"POST", "/v1/programs", "", `{"group":"g","site":"main","budget_tokens":0}`, nil, 400, "budget_tokens"},
+			{"POST", "/v1/programs", "", `{"group":"g","site":"main","budget_tokens":1.5}`, nil, 400, "budget_tokens"},
+			{"POST", "/v1/programs", "", `{"group":"g","group":"g"}`, nil, 400, "group"},
+			{"POST", "/v1/programs", "", `{"colour":1}`, nil, 400, "colour"},
+			{"POST", "/v1/programs", "", `{"group":"g","site":"main","budget_tokens":1,"urgency":"panic"}`, nil, 400, "urgency"},
+			{"POST", "/v1/programs", "", `{"group":"g","site":"none","budget_tokens":1}`, nil, 404, ""},
+			{"POST", base + "/sessions", secret, `{"route":"none"}`, nil, 404, ""},
+			{"POST", base + "/sessions", secret, `{"route":"loyalty"}`, nil, 400, "route"},
+			{"POST", base + "/sessions", secret, `{"route":"chat","queue_size":0}`, nil, 400, "queue_size"},
+			{"POST", base + "/sessions", "wrong", `{"route":"chat"}`, nil, 403, ""},
+			{"POST", "/v1/programs/none/sessions", "wrong", `{"route":"chat"}`, nil, 404, ""},
+			{"GET", base, "wrong", nil, nil, 403, ""},
+			{"GET", path, "wrong", nil, nil, 403, ""},
+			{"GET", base + "/sessions/" + program + ":none", key, nil, nil, 404, ""},
+			{"POST", path + "/turns", key, `{}`, []string{"turn-id", "t"}, 400, "messages"},
+			{"POST", path + "/turns", key, `{"messages":[]}`, nil, 400, "messages"},
+			{"POST", path + "/turns", key, `{"messages":[{"role":"king","content":""}]}`, nil, 400, "messages[0].role"},
+			{"POST", path + "/turns", key, `{"messages":[{"role":"user","content":3}]}`, nil, 400, "messages[0].content"},
+			{"POST", path + "/turns", key, turnBody(program, "t"), []string{"turn-id", "a b"}, 400, "Turn-Id"},
+			{"POST", path + "/turns", key, turnBody(program, "t"), []string{"last-event-id", "x"}, 400, "Last-Event-ID"},
+			{"POST", path + "/turns", key, `{"messages":[{"role":"user","content":"` + strings.Repeat("x", 1<<20) + `"}]}`, nil, 413, ""},
+			{"GET", path + "/turns/none", key, nil, nil, 404, ""},
+			{"POST", path + "/terminate", key, `{"mode":"Soft"}`, nil, 400, "mode"},
+			{"POST", base + "/tools/loyalty", secret, `{}`, nil, 400, "Idempotency-Key"},
+			{"POST", base + "/tools/chat", secret, `{}`, []string{"idempotency-key", "k"}, 400, "route"},
+			{"POST", base + "/tools/none", secret, `{}`, []string{"idempotency-key", "k"}, 404, ""},
+			{"PUT", "/v1/platform/workers", "", `{"workers":[]}`, nil, 400, "stamp"},
+			{"PUT", "/v1/platform/workers", "", `{"stamp":1,"workers":[]}`, nil, 409, ""},
+			{"PUT", "/v1/platform/workers", "", `{"stamp":9,"workers":[{"id":"a","addr":"x:1","pool":"models"},{"id":"a","addr":"x:1","pool":"models"}]}`, nil, 400, "workers[1].id"},
+			{"PUT", "/v1/platform/workers", "", `{"stamp":9,"workers":[{"id":"a","speed":1}]}`, nil, 400, "workers[0].speed"},
+			{"POST", "/v1/platform/workers/a/usage", "", `{"load":1}`, nil, 400, "number"},
+			{"DELETE", path, key, nil, nil, 404, ""},
+		}
+		for _, row := range rows {
+			got := call.send(1, row.method, row.path, row.secret, row.body, row.headers...)
+			name := row.method + " " + row.path + " " + fmt.Sprint(row.headers, row.status, row.field)
+			is.Equal(name+fmt.Sprint(got.Status), name+fmt.Sprint(row.status))
+			is.Equal(got.text("error", "request"), "not_run")
+			is.True(got.text("error", "code") != "")
+			if row.field != "" {
+				is.Equal(got.text("error", "field"), row.field)
+			}
+		}
+	})
+}
+
+func TestListingPagesByCursor(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, _ *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		for _, id := range []string{"a", "b", "c"} {
+			verdict, _, _ := call.turn(1, path, key, program, id, "").final()
+			is.Equal(verdict, "success")
+		}
+		seen, cursor := "", ""
+		ask := func(query map[string]string) (response map[string]any, status int) {
+			edge := call.f.Edges[2]
+			got := edge.gateway.Front.Handle(base.NewCtx(edge.Host.Clock(), time.Minute), requestOf("GET", path+"/turns", key, query))
+			_ = json.Unmarshal(got.Body, &response)
+			return response, got.Status
+		}
+		for page := 0; page < 3; page++ {
+			query := map[string]string{"limit": "1"}
+			if cursor != "" {
+				query["cursor"] = cursor
+			}
+			got, status := ask(query)
+			is.Equal(status, 200)
+			seen += got["turns"].([]any)[0].(map[string]any)["turn"].(string)
+			cursor = got["next_cursor"].(string)
+		}
+		is.Equal(seen, "abc")
+		is.Equal(cursor, "")
+		for _, query := range []map[string]string{{"limit": "0"}, {"limit": "1001"}, {"limit": "x"}, {"cursor": "zzz"}, {"page": "1"}, {"cursor": "djE6b3RoZXI6MQ"}} {
+			got, status := ask(query)
+			is.Equal(status, 400)
+			is.True(got["error"].(map[string]any)["field"] != "")
+		}
+		read := call.send(2, "GET", path+"/turns/b", key, nil)
+		is.Equal(read.text("state"), "Succeeded")
+		is.True(strings.Contains(read.text("answer"), "3 messages"))
+	})
+}
+
+func TestQueueIsBoundedAndOrdered(t *testing.T) {
+	shape := SmallShape()
+	shape.Gap = 300 * time.Millisecond
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(10000, nil)
+		path, key := call.session(0, program, secret, map[string]any{"queue_size": 2})
+		answers := map[string]told{}
+		for _, id := range []string{"a", "b", "c", "d"} {
+			f.Callers.Go(func() { answers[id] = call.turn(0, path, key, program, id, "") })
+			call.sleep(20 * time.Millisecond)
+		}
+		call.sleep(50 * time.Millisecond)
+		is.Equal(answers["d"].Status, 429) // one runs, two wait, the fourth is declined at once
+		is.Equal(answers["d"].text("error", "code"), "queue_full")
+		is.True(answers["d"].Header["Retry-After"] != "")
+		status := call.send(1, "GET", path, key, nil) // a read does not wait for the queue
+		is.Equal(status.text("queued"), "2")
+		is.Equal(status.text("running_turn"), "a")
+		again := call.turn(1, path, key, program, "d", "")
+		is.Equal(again.Status, 429) // a refused id stays refused
+		cancelled := call.send(2, "POST", path+"/turns/c/cancel", key, nil)
+		is.Equal(cancelled.text("state"), "Cancelled")
+		for len(answers) < 4 {
+			call.sleep(100 * time.Millisecond)
+		}
+		verdict, ran, _ := answers["c"].final()
+		is.Equal(verdict+ran, "refusednot_run")
+		for _, id := range []string{"a", "b"} {
+			verdict, _, _ := answers[id].final()
+			is.Equal(verdict, "success")
+		}
+		is.Equal(f.modelRuns(program, "c")+f.modelRuns(program, "d"), 0)
+	})
+}
+
+func TestDrainFinishesWhatWasAccepted(t *testing.T) {
+	shape := SmallShape()
+	shape.Gap = 100 * time.Millisecond
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(10000, nil)
+		path, key := call.session(0, program, secret, nil)
+		var running told
+		f.Callers.Go(func() { running = call.turn(1, path, key, program, "a", "") })
+		call.sleep(150 * time.Millisecond)
+		closing := call.send(2, "POST", path+"/close", key, nil)
+		is.Equal(closing.text("phase"), "Finalizing")
+		late := call.turn(0, path, key, program, "b", "")
+		is.Equal(late.Status, 503)
+		is.Equal(late.text("error", "request"), "not_run")
+		for len(running.Events) == 0 {
+			call.sleep(100 * time.Millisecond)
+		}
+		verdict, _, _ := running.final()
+		is.Equal(verdict, "success")
+		call.sleep(time.Second)
+		after := call.send(1, "GET", path, key, nil)
+		is.Equal(after.text("phase"), "Succeeded")
+		is.Equal(call.turn(1, path, key, program, "c", "").text("error", "code"), "run_over")
+		next := call.turn(1, path, key, program, "d", "a") // the chain outlives its Run
+		verdict, _, _ = next.final()
+		is.Equal(verdict, "success")
+		status := call.send(0, "GET", path, key, nil)
+		is.Equal(status.text("phase"), "Ready")
+		is.Equal(status.text("epoch"), "2")
+		is.True(status.text("run") != after.text("run"))
+		is.Equal(f.modelRuns(program, "b"), 0)
+	})
+}
+
+func TestTerminationOnlyEscalates(t *testing.T) {
+	shape := SmallShape()
+	shape.Gap = 400 * time.Millisecond
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(10000, nil)
+		path, key := call.session(0, program, secret, nil)
+		var running, queued told
+		f.Callers.Go(func() { running = call.turn(1, path, key, program, "a", "") })
+		call.sleep(50 * time.Millisecond)
+		f.Callers.Go(func() { queued = call.turn(1, path, key, program, "b", "") })
+		call.sleep(600 * time.Millisecond)
+		is.Equal(call.send(0, "POST", path+"/terminate", key, `{"mode":"Drain"}`).text("termination"), "Drain")
+		is.Equal(call.send(0, "POST", path+"/terminate", key, `{"mode":"Immediate"}`).text("termination"), "Immediate")
+		is.Equal(call.send(0, "POST", path+"/close", key, nil).text("termination"), "Immediate")
+		for len(running.Events) == 0 || len(queued.Events) == 0 {
+			call.sleep(50 * time.Millisecond)
+		}
+		verdict, ran, _ := queued.final()
+		is.Equal(verdict+ran, "refusednot_run")
+		_, ran, _ = running.final()
+		is.Equal(ran, "may_have_run")
+		call.sleep(time.Second)
+		is.Equal(call.send(2, "GET", path, key, nil).text("phase"), "Cancelled")
+		is.Equal(f.modelRuns(program, "b"), 0)
+	})
+}
+
+func TestBudgetIsOneForHelpersAndTurns(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(30, nil)
+		helper := call.send(1, "POST", "/v1/programs", secret, map[string]any{"parent": program, "program": "helper"})
+		is.Equal(helper.Status, 201)
+		is.Equal(call.send(1, "POST", "/v1/programs", "wrong", map[string]any{"parent": program}).Status, 403)
+		paths := [][3]string{}
+		for place := 0; place < 6; place++ {
+			owner, opener := program, secret
+			if place%2 == 1 {
+				owner, opener = helper.text("program"), helper.text("secret")
+			}
+			path, key := call.session(place, owner, opener, nil)
+			paths = append(paths, [3]string{path, key, owner})
+		}
+		answers := make([]told, len(paths))
+		left := len(paths)
+		for place, one := range paths {
+			f.Callers.Go(func() {
+				answers[place] = call.turn(place, one[0], one[1], one[2], fmt.Sprint("t", place), "")
+				left--
+			})
+		}
+		for left > 0 {
+			call.sleep(100 * time.Millisecond)
+		}
+		whole, over := 0, 0
+		for place, answer := range answers {
+			verdict, ran, code := answer.final()
+			if verdict == "success" {
+				whole++
+			}
+			if code == "over_budget" {
+				over++
+				is.Equal(ran, "not_run")
+				is.Equal(f.modelRuns(paths[place][2], fmt.Sprint("t", place)), 0)
+			}
+		}
+		is.True(whole >= 3 && over >= 1)
+		put := int64(0)
+		for _, model := range f.Models {
+			_, tokens, _, _ := model.Record()
+			for _, n := range tokens {
+				put += n
+			}
+		}
+		is.True(put <= 30)
+		shown := call.send(2, "GET", "/v1/programs/"+program, secret, nil)
+		is.Equal(shown.text("spent_tokens"), fmt.Sprint(put))
+		is.Equal(shown.text("reserved_tokens"), "0")
+	})
+}
+
+func TestDeadlineAndProgramTermination(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, map[string]any{"deadline_s": 5})
+		path, key := call.session(0, program, secret, nil)
+		verdict, _, _ := call.turn(1, path, key, program, "a", "").final()
+		is.Equal(verdict, "success")
+		call.sleep(6 * time.Second)
+		_, ran, code := call.turn(1, path, key, program, "b", "").final()
+		is.Equal(code+ran, "past_deadlinenot_run")
+		is.Equal(f.modelRuns(program, "b"), 0)
+
+		ending, secret := call.program(1000, nil)
+		path, key = call.session(0, ending, secret, nil)
+		is.Equal(call.send(1, "POST", "/v1/programs/"+ending+"/terminate", secret, `{"mode":"Drain"}`).text("termination"), "Drain")
+		is.Equal(call.send(1, "POST", "/v1/programs/"+ending+"/sessions", secret, `{"route":"chat"}`).Status, 503)
+		is.Equal(call.send(1, "POST", "/v1/programs/"+ending+"/tools/loyalty", secret, `{}`, "idempotency-key", "k").Status, 503)
+		call.sleep(2 * time.Second)
+		is.Equal(call.send(2, "GET", path, key, nil).text("phase"), "Succeeded")
+	})
+}
+
+func TestLeaseEndsTheRunAndNotTheHistory(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, _ *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, map[string]any{"lease_s": 2})
+		for place := 0; place < 4; place++ { // calls the owner sees renew the lease
+			call.sleep(1500 * time.Millisecond)
+			is.Equal(call.send(1, "POST", path+"/renew", key, nil).text("phase"), "Ready")
+		}
+		verdict, _, _ := call.turn(1, path, key, program, "a", "").final()
+		is.Equal(verdict, "success")
+		call.sleep(4 * time.Second)
+		ended := call.send(2, "GET", path, key, nil)
+		is.Equal(ended.text("phase"), "Failed")
+		is.Equal(ended.text("reason"), "lease_expired")
+		verdict, _, _ = call.turn(1, path, key, program, "b", "a").final()
+		is.Equal(verdict, "success")
+		is.Equal(call.send(2, "GET", path, key, nil).text("turns"), "2")
+	})
+}
+
+func TestToolCallWhoseAnswerNeverCameIsNotRepeated(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(100, nil)
+		path := "/v1/programs/" + program + "/tools/loyalty"
+		for _, tool := range f.Tools {
+			tool.Next = func() standin.Trouble { return standin.Silent } // it ran, the answer is lost
+		}
+		first := call.send(0, "POST", path, secret, `{"points":1}`, "idempotency-key", "k1")
+		is.Equal(first.text("error", "request"), "may_have_run")
+		for _, tool := range f.Tools {
+			tool.Next = nil
+		}
+		again := call.send(1, "POST", path, secret, `{"points":1}`, "idempotency-key", "k1")
+		is.Equal(again.text("error", "request"), "may_have_run")
+		is.Equal(f.toolRuns(program+"/k1"), 1)
+		done := call.send(1, "POST", path, secret, `{"points":2}`, "idempotency-key", "k2")
+		is.Equal(done.Status, 200)
+		replayed := call.send(2, "POST", path, secret, `{"points":2}`, "idempotency-key", "k2")
+		is.Equal(replayed.Raw, done.Raw)
+		is.Equal(replayed.Header["Idempotent-Replayed"], "true")
+		is.Equal(f.toolRuns(program+"/k2"), 1)
+		is.Equal(call.send(2, "POST", path, secret, `{"points":3}`, "idempotency-key", "k2").text("error", "code"), "key_reused")
+		// A worker that cannot be reached was not run: another takes the call.
+		f.World.Hosts["app-0"].Kill()
+		for place := 0; place < 4; place++ {
+			is.Equal(call.send(place, "POST", path, secret, `{}`, "idempotency-key", fmt.Sprint("up", place)).Status, 200)
+		}
+		f.World.Hosts["app-1"].Kill()
+		down := call.send(0, "POST", path, secret, `{}`, "idempotency-key", "down")
+		is.Equal(down.Status, 503)
+		is.Equal(down.text("error", "request"), "not_run")
+		f.World.Hosts["app-1"].alive = true
+		call.sleep(2 * time.Second)
+		is.Equal(call.send(0, "POST", path, secret, `{}`, "idempotency-key", "down").Status, 200) // not run, so it may run now
+		is.Equal(f.toolRuns(program+"/down"), 1)
+	})
+}
+
+func TestLeavingWorkerGetsNoNewWork(t *testing.T) {
+	for _, way := range []string{"report", "list", "refusal"} {
+		t.Run(way, func(t *testing.T) {
+			script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+				program, secret := call.program(100000, nil)
+				path, key := call.session(0, program, secret, nil)
+				previous := ""
+				for num := 0; num < 3; num++ {
+					id := fmt.Sprint("t", num)
+					call.turn(num, path, key, program, id, previous)
+					previous = id
+				}
+				leaving := f.Models[0]
+				if f.Models[1].Latest() > leaving.Latest() {
+					leaving = f.Models[1]
+				}
+				switch way {
+				case "report":
+					is.Equal(call.send(2, "POST", "/v1/platform/workers/"+leaving.ID+"/usage", "", `{"number":5,"leaving":true}`).Status, 200)
+				case "list":
+					is.Equal(call.send(2, "PATCH", "/v1/platform/workers", "", map[string]any{"stamp": 2, "remove": []string{leaving.ID}}).Status, 200)
+				case "refusal":
+					leaving.Next = func() standin.Trouble { return standin.Refuse }
+				}
+				knownAt := f.World.Now()
+				for num := 3; num < 30; num++ {
+					id := fmt.Sprint("t", num)
+					verdict, _, _ := call.turn(num, path, key, program, id, previous).final()
+					is.Equal(verdict, "success")
+					previous = id
+					if way == "refusal" && num == 5 {
+						leaving.Next = nil // it would take work again, if it were given any
+						knownAt = f.World.Now()
+					}
+				}
+				is.True(f.World.Now() > knownAt+3*time.Second)
+				is.True(leaving.Latest() <= knownAt+3*time.Second)
+				if way != "list" {
+					back := call.send(1, "POST", "/v1/platform/workers/"+leaving.ID+"/usage", "", `{"number":9,"incarnation":"two","leaving":false}`)
+					is.Equal(back.Status, 200)
+				}
+			})
+		})
+	}
+}
+
+func TestUnderstudyGoesOnFromItsCopy(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(10000, nil)
+		path, key := call.session(0, program, secret, nil)
+		for num, previous := range []string{"", "t0", "t1"} {
+			verdict, _, _ := call.turn(1, path, key, program, fmt.Sprint("t", num), previous).final()
+			is.Equal(verdict, "success")
+		}
+		before := call.send(1, "GET", path, key, nil)
+		is.True(strings.HasPrefix(before.text("owner"), "edge-0"))
+		is.True(strings.HasPrefix(before.text("understudy"), "edge-1")) // the other zone
+		f.Kill(f.Edges[0])
+		began := f.World.Now()
+		verdict, _, _ := call.turn(2, path, key, program, "t3", "t2").final()
+		is.Equal(verdict, "success")
+		is.True(f.World.Now()-began < 2*time.Second) // a short pause
+		after := call.send(2, "GET", path, key, nil)
+		is.Equal(after.text("owner"), before.text("understudy"))
+		is.Equal(after.text("epoch"), "2")
+		is.Equal(f.Total("chains_read_from_register"), int64(0))
+		// The next loss: the new understudy is caught up before it counts.
+		call.sleep(2 * time.Second)
+		f.Kill(f.Edges[1])
+		verdict, _, _ = call.turn(2, path, key, program, "t4", "t3").final()
+		is.Equal(verdict, "success")
+		is.Equal(call.send(2, "GET", path, key, nil).text("turns"), "5")
+	})
+}
+
+// A call that carries an assignment identity the node does not hold is
+// refused by it, and is never carried further.
+func TestOwnerChecksAssignmentAndForwardsNoFurther(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		call.turn(0, path, key, program, "a", "")
+		forwarded := f.Total("visits_forwarded")
+		is.Equal(call.send(1, "GET", path, key, nil).Status, 200)
+		is.Equal(f.Total("visits_forwarded"), forwarded+1)
+		// Two changes of owner leave gateway 2 with an old assignment, which
+		// it looks up anew once.
+		is.Equal(call.send(2, "GET", path, key, nil).Status, 200)
+		f.Kill(f.Edges[0])
+		f.Start(f.Edges[0])
+		call.sleep(3 * time.Second)
+		verdict, _, _ := call.turn(1, path, key, program, "b", "a").final()
+		is.Equal(verdict, "success")
+		is.Equal(call.send(2, "GET", path, key, nil).text("epoch"), "2")
+		verdict, _, _ = call.turn(0, path, key, program, "c", "b").final()
+		is.Equal(verdict, "success")
+	})
+}
+
+func reversed(list []string) []string {
+	turned := slices.Clone(list)
+	slices.Reverse(turned)
+	return turned
+}
+
+// Urgent programs go first when workers are full, and none starves.
+func TestUrgentGoesFirstAndNoneStarves(t *testing.T) {
+	shape := SmallShape()
+	shape.Models, shape.Capacity, shape.Gap = 1, 1, 100*time.Millisecond
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		order := []string{}
+		left := 0
+		start := func(name, urgency string) {
+			program, secret := call.program(1000, map[string]any{"urgency": urgency})
+			path, key := call.session(0, program, secret, nil)
+			left++
+			f.Callers.Go(func() {
+				verdict, _, _ := call.turn(0, path, key, program, "t", "").final()
+				order = append(order, name+" "+verdict)
+				left--
+			})
+			call.sleep(30 * time.Millisecond)
+		}
+		start("first", "low")
+		start("low", "low")
+		start("urgent", "urgent")
+		for left > 0 {
+			call.sleep(100 * time.Millisecond)
+		}
+		is.Equal(order, []string{"first success", "urgent success", "low success"})
+		for place := 0; place < 8; place++ {
+			start("old", "low")
+			start("rush", "urgent")
+		}
+		for left > 0 {
+			call.sleep(100 * time.Millisecond)
+		}
+		is.True(slices.Index(order, "old success") < len(order)-slices.Index(reversed(order), "rush success")-1) // an old one ended before the last of the rush
+		for _, done := range order {
+			is.True(strings.HasSuffix(done, " success"))
+		}
+	})
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -50,7 +50,8 @@
 	return &Tally{Counts: map[string]int{}, Refused: map[string]bool{}, Budgets: map[string]int64{}, Keys: map[string]bool{}}
 }
 
-func (t *Tally) count(name string) {
+// Count adds one to a named count.
+func (t *Tally) Count(name string) {
 	t.mu.Lock()
 	t.Counts[name]++
 	t.mu.Unlock()
@@ -113,7 +114,7 @@
 			return answer, nil
 		}
 		if err != nil {
-			c.Tally.count("lost")
+			c.Tally.Count("lost")
 			c.Home = (c.Home + 1) % c.Gateways
 			failed.Error.Ran = base.MayHaveRun
 			failed.Error.Code = "connection"
@@ -121,7 +122,7 @@
 			c.Tally.Breach("%s: answer %d without a verdict: %s", c.Name, answer.Status, answer.Body)
 			return nil, &failed
 		}
-		c.Tally.count("told_" + failed.Error.Code)
+		c.Tally.Count("told_" + failed.Error.Code)
 		again := err != nil || failed.Error.RetryAfter > 0 || failed.Error.Ran == base.MayHaveRun
 		if !again || c.Clock.Now() > end || failed.Error.Code == "worker_failed" {
 			return nil, &failed
@@ -141,7 +142,7 @@
 		answer, failed = c.settled("POST", "/v1/programs", nil, map[string]any{"group": c.Group, "site": c.Site, "budget_tokens": budgetTokens})
 	}
 	if failed != nil {
-		c.Tally.count("start_failed")
+		c.Tally.Count("start_failed")
 		return false
 	}
 	var made struct {
@@ -155,7 +156,7 @@
 	c.Tally.mu.Unlock()
 	answer, failed = c.settled("POST", "/v1/programs/"+c.program+"/sessions", c.header(c.secret, nil), map[string]any{"route": "chat"})
 	if failed != nil {
-		c.Tally.count("start_failed")
+		c.Tally.Count("start_failed")
 		return false
 	}
 	var acquired struct {
@@ -171,7 +172,7 @@
 func (c *Caller) Converse(turns int, tools bool) {
 	for turn := 1; turn <= turns; turn++ {
 		if !c.Turn(turn) {
-			c.Tally.count("conversations_broken")
+			c.Tally.Count("conversations_broken")
 			return
 		}
 		if c.Between != nil {
@@ -181,7 +182,7 @@
 			c.Tool(turn)
 		}
 	}
-	c.Tally.count("conversations_whole")
+	c.Tally.Count("conversations_whole")
 }
 
 // Session gives the path of the caller's session and its credential.
@@ -227,7 +228,7 @@
 	for c.Clock.Now() < end {
 		answer, err := c.Ask(c.Home, "POST", path+"/turns", c.header(secret, more), base.Encode(map[string]any{"messages": asked, "max_output_tokens": c.Pieces + 2}))
 		if err != nil {
-			c.Tally.count("lost")
+			c.Tally.Count("lost")
 			c.Home = (c.Home + 1) % c.Gateways
 			c.Clock.Sleep(200 * time.Millisecond)
 			unsure = true
@@ -236,7 +237,7 @@
 		if answer.Status != 200 {
 			var failed failure
 			_ = json.Unmarshal(answer.Body, &failed)
-			c.Tally.count("told_" + failed.Error.Code)
+			c.Tally.Count("told_" + failed.Error.Code)
 			switch {
 			case failed.Error.Code == "previous_turn_unknown" || failed.Error.Code == "history_gone" || failed.Error.Code == "session_over" || failed.Error.Code == "unknown_session":
 				c.Tally.Breach("%s: history of %s gone: %s", c.Name, c.last, failed.Error.Code)
@@ -264,24 +265,24 @@
 		case "success":
 			c.chain = append(append(c.chain, asked...), Message{"assistant", strings.Join(expected, "")})
 			c.last = id
-			c.Tally.count("turns_whole")
+			c.Tally.Count("turns_whole")
 			return true, false
 		case "refused":
 			c.refuse(id)
 			return false, true
 		case "over_budget":
 			c.refuse(id)
-			c.Tally.count("over_budget")
+			c.Tally.Count("over_budget")
 			return false, false
 		}
 		unsure = true
-		c.Tally.count("turns_" + verdict)
+		c.Tally.Count("turns_" + verdict)
 		if verdict == "dropped" {
 			c.Home = (c.Home + 1) % c.Gateways
 		}
 		c.Clock.Sleep(200 * time.Millisecond)
 	}
-	c.Tally.count("patience_over")
+	c.Tally.Count("patience_over")
 	return false, false
 }
 
@@ -292,7 +293,7 @@
 	c.Tally.mu.Lock()
 	c.Tally.Refused[c.program+"|"+id] = true
 	c.Tally.mu.Unlock()
-	c.Tally.count("turns_refused")
+	c.Tally.Count("turns_refused")
 }
 
 // readTurn reads a stream to its end and checks every piece.
@@ -339,7 +340,7 @@
 		if _, more := answer.NextEvent(); more {
 			c.Tally.Breach("%s: turn %s went on after its final event", c.Name, id)
 		}
-		c.Tally.count("final_" + final.Verdict + "_" + final.Error.Code)
+		c.Tally.Count("final_" + final.Verdict + "_" + final.Error.Code)
 		if final.Error.Code == "previous_turn_unknown" {
 			c.Tally.Breach("%s: history of %s gone", c.Name, c.last)
 		}
@@ -363,11 +364,11 @@
 	_, failed := c.settled("POST", "/v1/programs/"+c.program+"/tools/loyalty", c.header(c.secret, map[string]string{"idempotency-key": key}), map[string]int{"points": num})
 	switch {
 	case failed == nil:
-		c.Tally.count("tools_done")
+		c.Tally.Count("tools_done")
 	case failed.Error.Ran == base.MayHaveRun:
-		c.Tally.count("tools_unsure")
+		c.Tally.Count("tools_unsure")
 	default:
-		c.Tally.count("tools_refused")
+		c.Tally.Count("tools_refused")
 	}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -50,6 +50,7 @@
 	runs   map[string]int
 	tokens map[string]int64
 	prefix map[string]bool
+	latest time.Duration
 	hits   int
 	count  int
 }
@@ -150,6 +151,7 @@
 		m.runs, m.tokens, m.prefix = map[string]int{}, map[string]int64{}, map[string]bool{}
 	}
 	m.count++
+	m.latest = m.Clock.Now()
 	m.runs[program+"|"+turn]++
 	if len(chain) > 2 && m.prefix[base.Digest(base.Encode(chain[:len(chain)-2]))] {
 		m.hits++
@@ -177,6 +179,13 @@
 	return runs, tokens, m.count, m.hits
 }
 
+// Latest is when this worker was last given work.
+func (m *Model) Latest() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.latest
+}
+
 // Tool stands in for an application worker and counts runs per key.
 type Tool struct {
 	ID    string
