--- a/internal/conn/wire.go
+++ b/internal/conn/wire.go
@@ -14,11 +14,20 @@
 
 	"fordseam/internal/base"
 
+	"github.com/apex/log"
 	"github.com/juju/errors"
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 )
 
+// quietLogger puts gnet's own words where an operator asks for them.
+type quietLogger struct{}
+
+func (quietLogger) Debugf(format string, args ...any) { log.Debugf(format, args...) }
+func (quietLogger) Infof(format string, args ...any)  { log.Debugf(format, args...) }
+func (quietLogger) Warnf(format string, args ...any)  { log.Debugf(format, args...) }
+func (quietLogger) Errorf(format string, args ...any) { log.Debugf(format, args...) }
+func (quietLogger) Fatalf(format string, args ...any) { log.Errorf(format, args...) }
+
 type listener struct {
 	engine   gnet.Engine
 	addr     net.Addr
@@ -44,7 +53,7 @@
 	}
 	failed := make(chan error, 1)
 	go func() {
-		failed <- gnet.Run(handler, "tcp://"+addr, gnet.WithNumEventLoop(2), gnet.WithLogLevel(logging.FatalLevel),
+		failed <- gnet.Run(handler, "tcp://"+addr, gnet.WithNumEventLoop(2), gnet.WithLogger(quietLogger{}),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReuseAddr(true))
 	}()
 	select {
@@ -86,7 +95,7 @@
 // NewWire starts the dialing engine; sent is called for each message.
 func NewWire(sent func()) (*Wire, error) {
 	handler := &events{booted: make(chan gnet.Engine, 1)}
-	client, err := gnet.NewClient(handler, gnet.WithNumEventLoop(2), gnet.WithLogLevel(logging.FatalLevel), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+	client, err := gnet.NewClient(handler, gnet.WithNumEventLoop(2), gnet.WithLogger(quietLogger{}), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -58,7 +58,14 @@
 }
 
 // Self is this node's own entry.
-func (v *View) Self() *Member { return v.self }
+func (v *View) Self() *Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return copyMember(v.self)
+}
+
+// Me is this node's id, which never changes within a life.
+func (v *View) Me() string { return v.self.Id }
 
 // Run beats and shuffles until the view is closed.
 func (v *View) Run() {
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -169,7 +169,7 @@
 
 func (o *Operate) status() StatusView {
 	owned, set := o.Owner.Frame()
-	shown := StatusView{Core: o.View.Self().Id, Slots: owned, SetStamp: set.GetStamp(), Cluster: set.GetCluster(), Counters: o.Counters.Frame()}
+	shown := StatusView{Core: o.View.Me(), Slots: owned, SetStamp: set.GetStamp(), Cluster: set.GetCluster(), Counters: o.Counters.Frame()}
 	for _, role := range []string{membership.RoleEdge, membership.RoleCore, membership.RoleStorage} {
 		for _, member := range o.View.Known(role) {
 			_, alive := o.View.Find(member.Id)
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -154,7 +154,7 @@
 	return NewDiskProtobufClient("http://"+entry.Addr, o.wire)
 }
 func (o *Owner) claim(s *slot, e uint64) *Claim {
-	return &Claim{Slot: s.num, Epoch: e, Owner: o.view.Self().Id}
+	return &Claim{Slot: s.num, Epoch: e, Owner: o.view.Me()}
 }
 
 // Run takes the slots that rendezvous gives this core, and sweeps.
@@ -162,7 +162,7 @@
 	swept := o.clock.Now()
 	for !o.isClosed() {
 		for _, s := range o.slots {
-			if o.preferred(s) == o.view.Self().Id {
+			if o.preferred(s) == o.view.Me() {
 				o.start(s)
 			}
 		}
@@ -585,7 +585,7 @@
 		if serves {
 			return "", nil
 		}
-		if preferred := o.preferred(s); preferred != o.view.Self().Id {
+		if preferred := o.preferred(s); preferred != o.view.Me() {
 			return preferred, nil
 		}
 		o.start(s)
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -117,7 +117,7 @@
 		declined: map[string]*declinedVisit{}, ended: map[string]budget.Termination{}}
 }
 
-func (k *Keeper) me() string { return k.view.Self().Id }
+func (k *Keeper) me() string { return k.view.Me() }
 
 func (k *Keeper) change(ctx *base.Ctx, program, op string, asked ask) (*told, error) {
 	var answer told
--- /dev/null
+++ b/internal/session/record_test.go
@@ -0,0 +1,90 @@
+// Conformance tables taken from the design page: the Run's phases, the
+// operation states, and how limits are bounded.
+package session
+
+import (
+	"testing"
+	"time"
+
+	"fordseam/internal/budget"
+	"fordseam/internal/settings"
+
+	"github.com/matryer/is"
+)
+
+func TestPhasesFollowTheDesign(t *testing.T) {
+	order := []Phase{Pending, Scheduled, Running, Ready, Finalizing}
+	ends := []Phase{Succeeded, Failed, Cancelled}
+	is := is.New(t)
+	for from, phase := range order {
+		is.True(!phase.Terminal())
+		for to, next := range order {
+			is.Equal(phase.May(next), to > from) // only onward
+		}
+		for _, end := range ends {
+			is.True(phase.May(end)) // any active Run may end
+		}
+	}
+	for _, end := range ends {
+		is.True(end.Terminal())
+		for _, next := range append(order, ends...) {
+			is.True(!end.May(next)) // a terminal Run stays so
+		}
+	}
+}
+
+func TestOperationStatesFollowTheDesign(t *testing.T) {
+	is := is.New(t)
+	allowed := map[OperationState][]OperationState{
+		OpQueued:  {OpRunning, OpFailed, OpCancelled, OpTimedOut},
+		OpRunning: {OpSucceeded, OpFailed, OpCancelled, OpTimedOut},
+	}
+	all := []OperationState{OpQueued, OpRunning, OpSucceeded, OpFailed, OpCancelled, OpTimedOut}
+	for _, from := range all {
+		for _, to := range all {
+			want := false
+			for _, next := range allowed[from] {
+				want = want || next == to
+			}
+			is.Equal(from.May(to), want)
+		}
+	}
+}
+
+func TestTerminationEscalates(t *testing.T) {
+	is := is.New(t)
+	rows := []struct{ now, asked, after budget.Termination }{
+		{"", "", ""}, {"", budget.Drain, budget.Drain}, {"", budget.Immediate, budget.Immediate},
+		{budget.Drain, budget.Immediate, budget.Immediate}, {budget.Drain, "", budget.Drain}, {budget.Drain, budget.Drain, budget.Drain},
+		{budget.Immediate, budget.Drain, budget.Immediate}, {budget.Immediate, "", budget.Immediate},
+	}
+	for _, row := range rows {
+		is.Equal(row.now.Escalate(row.asked), row.after)
+	}
+}
+
+func TestLimitsAreTheLeastOfRunSiteAndGlobal(t *testing.T) {
+	rows := []struct {
+		document string
+		queue    int
+		timeout  time.Duration
+		wantSize int
+		wantMs   int64
+	}{
+		{``, 0, 0, 32, 300000},
+		{``, 8, time.Second, 8, 1000},
+		{``, 64, time.Hour, 32, 300000},
+		{`"queue_size":16,"operation_timeout_s":60,`, 20, 0, 16, 60000},
+		{`"queue_size":16,`, 4, 0, 4, 300000},
+	}
+	for _, row := range rows {
+		is := is.New(t)
+		tree, faults := settings.Read([]byte(`{` + row.document + `"pools":{"m":{"kind":"model"}},"groups":{"g":{"sites":{"s":{"routes":{"r":{"kind":"model","pool":"m"}}}}}}}`))
+		is.Equal(len(faults), 0)
+		route, err := tree.Match("g", "s", "r")
+		is.NoErr(err)
+		size, ms := Limits(route, row.queue, row.timeout)
+		is.Equal(size, row.wantSize)
+		is.Equal(ms, row.wantMs)
+	}
+}
