Change the disk set one disk at a time, with learning, retiring and resuming

Cause: lost disks must be replaced and machines emptied without an outage. Change: the disk set is a key of slot 0. A blank disk learns before it votes; a set counts once majorities of the one before and after adopted it; the next change waits until every slot is whole on a majority. Whoever owns slot 0 carries a change on. Ruled out on the way: a census that asked too early; the senders of idle slots slept through the new set, so 1 of 32 slots settled. They are woken now. Seen: replacing a lost disk under traffic passes in quiet, with a core or all cores killed, with the new disk down, and in a partition; retiring shows its progress, empties the disk, and is refused where fewer than three would remain. When a core joins, only slots that go to it move.

--- a/cmd/fordseam-controller/client.go
+++ b/cmd/fordseam-controller/client.go
@@ -14,6 +14,7 @@
 	"fordseam/internal/base"
 	"fordseam/internal/node"
 	"fordseam/internal/operate"
+	"fordseam/internal/register"
 	"fordseam/internal/settings"
 	"fordseam/internal/worker"
 
@@ -36,7 +37,9 @@
 		client("status", "show the fleet as one core sees it", "", nil, status),
 		client("workers", "show the platform's worker list", "", nil, workers),
 		{Name: "storage", Usage: "see to the disks", Commands: []*cli.Command{
-			client("list", "show the disks", "", nil, listStorage),
+			client("list", "show the disks and how far a change has come", "", nil, listStorage),
+			client("admit", "take a blank storage machine in", "STORAGE-ADDRESS", nil, admitStorage),
+			client("retire", "take a disk out and empty it", "DISK-ID", nil, retireStorage),
 		}},
 		client("terminate", "end a program", "PROGRAM", []cli.Flag{
 			&cli.StringFlag{Name: "mode", Value: "Drain", Usage: "`MODE`: Drain or Immediate; it only escalates"}}, terminate),
@@ -58,7 +61,7 @@
 			if core == "" {
 				return cli.Exit("--core must be given (or FORDSEAM_CORE set)", node.ExitUsage)
 			}
-			least, most := strings.Count(args, "...")+strings.Count(args, "FILE")+strings.Count(args, "CHANGE-ID")+strings.Count(args, "PROGRAM"), 3
+			least, most := strings.Count(args, "FILE")+strings.Count(args, "CHANGE-ID")+strings.Count(args, "PROGRAM")+strings.Count(args, "DISK-ID")+strings.Count(args, "STORAGE-ADDRESS"), 3
 			if args == "" {
 				most = 0
 			} else if strings.Contains(args, "...") {
@@ -280,11 +283,7 @@
 }
 
 func listStorage(c *caller) error {
-	var shown struct {
-		Cluster string             `json:"cluster"`
-		Stamp   uint64             `json:"stamp"`
-		Disks   []operate.DiskView `json:"disks"`
-	}
+	var shown operate.StorageView
 	if err := c.call("GET", "/v1/operator/storage", nil, &shown); err != nil || c.quiet() {
 		return err
 	}
@@ -297,11 +296,30 @@
 		rows = append(rows, []string{one.ID, one.Addr, one.Zone, map[bool]string{true: "yes", false: "no"}[one.Voting],
 			map[bool]string{true: "alive", false: "silent"}[one.Alive], fmt.Sprint(one.Used), fmt.Sprint(behind)})
 	}
-	fmt.Printf("%s, disk set %d\n", shown.Cluster, shown.Stamp)
+	fmt.Printf("%s, disk set %d, %d of %d slots whole on a majority%s\n", shown.Cluster, shown.Stamp, shown.Slots, shown.All,
+		map[bool]string{true: ", a change is under way", false: ""}[shown.Moving])
 	table(rows)
 	return nil
 }
 
+func admitStorage(c *caller) error {
+	return changeStorage(c, "admit", "address", "is being filled and will have a vote once it is whole")
+}
+
+func retireStorage(c *caller) error {
+	return changeStorage(c, "retire", "disk", "is being taken out; once no change is under way it may be switched off")
+}
+
+func changeStorage(c *caller, what, field, words string) error {
+	named := c.command.Args().First()
+	var shown register.Disks
+	err := c.call("POST", "/v1/operator/storage/"+what, map[string]string{field: named}, &shown)
+	if err == nil && !c.quiet() {
+		fmt.Printf("%s %s; watch it with storage list\n", named, words)
+	}
+	return err
+}
+
 func terminate(c *caller) error {
 	var shown struct {
 		Program     string `json:"program"`
--- a/internal/disk/service.go
+++ b/internal/disk/service.go
@@ -139,7 +139,7 @@
 	s.mu.Lock()
 	ack := s.judge(request.Claim)
 	held := s.replicaOf(request.Claim.Slot)
-	if ack.Ok && (held.installed != request.Claim.Epoch || request.Entries[0].Seq > held.seq+1) {
+	if ack.Ok && (held.installed != request.Claim.Epoch || len(request.Entries) > 0 && request.Entries[0].Seq > held.seq+1) {
 		ack.Ok, ack.Why = false, "behind"
 	}
 	if !ack.Ok {
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -230,6 +230,9 @@
 			return errors.Trace(err)
 		}
 		s.set = &message
+		if !s.member() {
+			s.replicas = map[uint32]*replica{}
+		}
 	case kindPromise:
 		var message register.Claim
 		if err := proto.Unmarshal(payload, &message); err != nil {
@@ -466,3 +469,14 @@
 	}
 	return nil
 }
+
+// Used counts the keys the disk holds.
+func (s *Store) Used() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, held := range s.replicas {
+		count += len(held.values)
+	}
+	return count
+}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -65,6 +65,10 @@
 		return (&worker.Client{Register: o.Register}).List(ctx)
 	case "GET /v1/operator/storage":
 		return o.storage(ctx)
+	case "POST /v1/operator/storage/admit":
+		return o.admit(ctx, r)
+	case "POST /v1/operator/storage/retire":
+		return o.retire(ctx, r)
 	case "POST /v1/operator/terminate":
 		return o.terminate(ctx, r)
 	}
--- a/internal/operate/storage.go
+++ b/internal/operate/storage.go
@@ -80,6 +80,63 @@
 	return map[string]any{"cluster": set.Cluster, "disks": len(set.Disks)}, nil
 }
 
+// disks is the recorded set, or the one the disks themselves go by.
+func (o *Operate) disks(ctx *base.Ctx) (*register.Disks, error) {
+	var recorded *register.Disks
+	if err := o.Register.Change(ctx, register.FeedGroup, "disks.get", struct{}{}, &recorded); err != nil {
+		return nil, err
+	}
+	if recorded == nil {
+		recorded = &register.Disks{Current: o.Owner.Set(), Settled: true, Slots: register.Slots}
+	}
+	return recorded, nil
+}
+
+// admit takes a blank disk into the set: it is filled first, and then has a
+// vote.
+func (o *Operate) admit(ctx *base.Ctx, r *front.Request) (any, error) {
+	var addr string
+	if err := base.ReadFields(r.Body, map[string]base.FieldReader{"address": base.Text(&addr, 64)}); err != nil {
+		return nil, err
+	}
+	if addr == "" {
+		return nil, base.DeclineField("address", "must be the address of a storage machine")
+	}
+	now, err := o.disks(ctx)
+	if err != nil {
+		return nil, err
+	}
+	state, err := o.disk(addr).Format(ctx, &register.FormatRequest{})
+	if err != nil {
+		return nil, base.Busy(503, "disk_unreachable", 1, "%s: %v", addr, base.FromWire(err).Message)
+	}
+	if state.Set != nil && (state.Set.Cluster != now.Current.Cluster || state.Retired) {
+		return nil, base.Decline(409, "disk_not_blank", "the disk at %s was retired or is another cluster's; empty its folder first", addr)
+	}
+	zone := ""
+	for _, member := range o.View.Known(membership.RoleStorage) {
+		if member.Addr == addr {
+			zone = member.Zone
+		}
+	}
+	return register.Admit(ctx, o.Register, now.Current, &register.DiskEntry{Id: state.Id, Addr: addr, Zone: zone})
+}
+
+func (o *Operate) retire(ctx *base.Ctx, r *front.Request) (any, error) {
+	var id string
+	if err := base.ReadFields(r.Body, map[string]base.FieldReader{"disk": base.Text(&id, 64)}); err != nil {
+		return nil, err
+	}
+	if id == "" {
+		return nil, base.DeclineField("disk", "must be a disk's id")
+	}
+	now, err := o.disks(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return register.Retire(ctx, o.Register, now.Current, id)
+}
+
 // DiskView is a disk in the listing.
 type DiskView struct {
 	ID     string            `json:"id"`
@@ -92,7 +149,11 @@
 }
 
 func (o *Operate) storage(ctx *base.Ctx) (any, error) {
-	set := o.Owner.Set()
+	recorded, err := o.disks(ctx)
+	if err != nil {
+		return nil, err
+	}
+	set := recorded.Current
 	if set == nil {
 		return nil, base.Busy(503, "no_disks", 1, "no disk set is known; was init run?")
 	}
@@ -131,7 +192,7 @@
 	shown := []DiskView{}
 	listed := map[string]bool{}
 	for _, entry := range set.Disks {
-		view := DiskView{ID: entry.Id, Addr: entry.Addr, Zone: entry.Zone, Voting: true}
+		view := DiskView{ID: entry.Id, Addr: entry.Addr, Zone: entry.Zone, Voting: !entry.Learner}
 		if state := states[entry.Addr]; state != nil && state.Id == entry.Id {
 			view.Alive, view.Used, view.Behind = true, state.UsedBytes, behind(state, highest)
 		}
@@ -143,7 +204,17 @@
 			shown = append(shown, DiskView{ID: state.Id, Addr: addr, Alive: true, Used: state.UsedBytes})
 		}
 	}
-	return map[string]any{"cluster": set.Cluster, "stamp": set.Stamp, "disks": shown}, nil
+	return StorageView{Cluster: set.Cluster, Stamp: set.Stamp, Moving: recorded.Under(), Slots: recorded.Slots, All: register.Slots, Disks: shown}, nil
+}
+
+// StorageView is the listing of the disks.
+type StorageView struct {
+	Cluster string     `json:"cluster"`
+	Stamp   uint64     `json:"stamp"`
+	Moving  bool       `json:"change_under_way"`
+	Slots   int        `json:"settled_slots"`
+	All     int        `json:"all_slots"`
+	Disks   []DiskView `json:"disks"`
 }
 
 func behind(state *register.DiskState, highest map[uint32]uint64) map[uint32]uint64 {
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -94,9 +94,12 @@
 	serving
 )
 
+// progress is what a disk has of a slot, and the disk set under which it
+// last said so.
 type progress struct {
 	installed bool
 	acked     uint64
+	stamp     uint64
 }
 
 type slot struct {
@@ -135,11 +138,13 @@
 
 	mu     sync.Mutex
 	set    *DiskSet
+	moving bool
 	closed bool
 }
 
 func NewOwner(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds], counters *base.Counters) *Owner {
 	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}}
+	o.handleDisks()
 	for num := range o.slots {
 		o.slots[num] = &slot{num: uint32(num), bell: base.NewBell(clock)}
 	}
@@ -166,6 +171,7 @@
 				o.start(s)
 			}
 		}
+		o.moveDisks()
 		if o.clock.Now()-swept > o.bounds.Load().Sweep() {
 			swept = o.clock.Now()
 			o.sweepAll()
@@ -270,11 +276,17 @@
 	if newer {
 		for _, s := range o.slots {
 			o.refit(s)
+			s.bell.Ring()
 		}
 	}
 }
 
-func majority(set *DiskSet) int { return len(set.Disks)/2 + 1 }
+// voters are the disks whose word counts; learners are only being filled.
+func voters(set *DiskSet) []*DiskEntry {
+	return base.Filter(set.Disks, func(entry *DiskEntry) bool { return !entry.Learner })
+}
+
+func majority(set *DiskSet) int { return len(voters(set))/2 + 1 }
 
 // ask calls all and returns once enough said yes, all have answered, or the
 // limit passed.
@@ -320,7 +332,7 @@
 	s.mu.Unlock()
 	var mu sync.Mutex
 	var newest *PromiseReply
-	promised := ask(o.clock, set.Disks, majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+	promised := ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 		claim := o.claim(s, epoch)
 		claim.SetStamp, claim.Disk = set.Stamp, entry.Id
 		reply, err := o.disk(entry).Promise(ctx, &PromiseRequest{Claim: claim})
@@ -329,6 +341,9 @@
 		}
 		if !reply.Ack.Ok {
 			o.learn(reply.Ack.Set)
+			if reply.Ack.Why == "set" {
+				o.spread(entry, reply.Ack.Set)
+			}
 			s.mu.Lock()
 			s.highest = max(s.highest, reply.Ack.Epoch)
 			s.mu.Unlock()
@@ -447,7 +462,7 @@
 		s.mu.Lock()
 		if s.epoch == epoch && s.progress[entry.Id] != nil {
 			mark := s.progress[entry.Id]
-			mark.installed, mark.acked = true, max(mark.acked, ack.Seq)
+			mark.installed, mark.acked, mark.stamp = true, max(mark.acked, ack.Seq), set.Stamp
 			s.recount(set)
 		}
 		s.mu.Unlock()
@@ -477,6 +492,9 @@
 		return install, nil
 	}
 	if mark.acked >= s.tail {
+		if mark.stamp != claim.SetStamp {
+			return nil, &AppendRequest{Claim: claim}
+		}
 		return nil, nil
 	}
 	entries := append([]*Entry(nil), s.buffer[mark.acked+1-first:]...)
@@ -504,6 +522,7 @@
 			return false
 		case "set":
 			o.learn(ack.Set)
+			o.spread(entry, ack.Set)
 		case "behind":
 			s.mu.Lock()
 			if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
@@ -526,14 +545,14 @@
 func (s *slot) recount(set *DiskSet) {
 	reached := func(seq uint64) bool {
 		count := 0
-		for _, entry := range set.Disks {
+		for _, entry := range voters(set) {
 			if mark := s.progress[entry.Id]; mark != nil && mark.installed && mark.acked >= seq {
 				count++
 			}
 		}
 		return count >= majority(set)
 	}
-	for _, entry := range set.Disks {
+	for _, entry := range voters(set) {
 		if mark := s.progress[entry.Id]; mark != nil && mark.installed && mark.acked >= s.commit && reached(mark.acked) {
 			s.commit, s.based = mark.acked, true
 		}
@@ -692,7 +711,7 @@
 		set := o.set
 		o.mu.Unlock()
 		o.counters.Add("register_confirms", 1)
-		confirmed := ask(o.clock, set.Disks, majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+		confirmed := ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 			claim := o.claim(s, epoch)
 			claim.SetStamp, claim.Disk = set.Stamp, entry.Id
 			ack, err := o.disk(entry).Confirm(ctx, &ConfirmRequest{Claim: claim})
@@ -701,6 +720,7 @@
 			}
 			if err == nil && ack.Why == "set" {
 				o.learn(ack.Set)
+				o.spread(entry, ack.Set)
 			}
 			return err == nil && ack.Ok
 		})
@@ -780,30 +800,3 @@
 	}
 	return owned, o.Set()
 }
-
-// Census tells which slots this core owns, and which of them have their
-// whole content on a majority of the given set.
-func (o *Owner) Census(_ context.Context, request *CensusRequest) (*CensusReply, error) {
-	o.learn(request.Set)
-	o.mu.Lock()
-	set := o.set
-	o.mu.Unlock()
-	reply := &CensusReply{SetStamp: set.GetStamp()}
-	for _, s := range o.slots {
-		s.mu.Lock()
-		if s.phase == serving {
-			reply.Owned = append(reply.Owned, s.num)
-			count := 0
-			for _, entry := range set.Disks {
-				if mark := s.progress[entry.Id]; mark != nil && mark.installed && mark.acked >= s.commit {
-					count++
-				}
-			}
-			if count >= majority(set) {
-				reply.Settled = append(reply.Settled, s.num)
-			}
-		}
-		s.mu.Unlock()
-	}
-	return reply, nil
-}
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -117,6 +117,17 @@
 	return append(append(append([]*Machine{}, f.Storage...), f.Cores...), f.Edges...)
 }
 
+// Add brings a new machine of a role into the fleet, at a new address.
+func (f *Fleet) Add(role string) *Machine {
+	list := map[string]*[]*Machine{"storage": &f.Storage, "core": &f.Cores, "edge": &f.Edges}[role]
+	place := len(*list)
+	m := &Machine{Host: f.World.NewHost(fmt.Sprintf("%s-%d", role, place), fmt.Sprintf("zone-%d", place%f.Shape.Zones)), Role: role}
+	m.Files = NewFiles(m.Host)
+	*list = append(*list, m)
+	f.Start(m)
+	return m
+}
+
 // Start gives a machine a new life.
 func (f *Fleet) Start(m *Machine) {
 	h := m.Host
--- /dev/null
+++ b/internal/simulate/repair_test.go
@@ -0,0 +1,192 @@
+// Disks replaced, added and retired under traffic; machines that come and go.
+package simulate
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"fordseam/internal/operate"
+	"fordseam/internal/standin"
+
+	"github.com/matryer/is"
+)
+
+// storage lists the disks as an operator sees them.
+func (t *talker) storage() operate.StorageView {
+	for {
+		for _, m := range t.f.Cores {
+			status, answer := t.f.Operate(m, "GET", "/v1/operator/storage", nil)
+			var shown operate.StorageView
+			if status == 200 && json.Unmarshal(answer, &shown) == nil {
+				return shown
+			}
+		}
+		t.sleep(200 * time.Millisecond)
+	}
+}
+
+// change asks for a change of the disks until it is under way or refused.
+func (t *talker) change(what, field, named string) (status int, code string) {
+	for tries := 0; ; tries++ {
+		core := t.f.Cores[tries%len(t.f.Cores)]
+		status, answer := t.f.Operate(core, "POST", "/v1/operator/storage/"+what, map[string]string{field: named})
+		var told struct {
+			Error struct {
+				Code string `json:"code"`
+			} `json:"error"`
+		}
+		_ = json.Unmarshal(answer, &told)
+		if status == 200 || (status >= 400 && status < 500 && told.Error.Code != "disks_moving") || tries > 300 {
+			return status, told.Error.Code
+		}
+		t.sleep(200 * time.Millisecond)
+	}
+}
+
+// moved waits until no change is under way.
+func (t *talker) moved(limit time.Duration) bool {
+	for end := t.f.World.Now() + limit; t.f.World.Now() < end; t.sleep(200 * time.Millisecond) {
+		if shown := t.storage(); !shown.Moving && shown.Slots == shown.All {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *talker) diskAt(host string) operate.DiskView {
+	for _, one := range t.storage().Disks {
+		if one.Addr == host+":1" {
+			return one
+		}
+	}
+	return operate.DiskView{}
+}
+
+// A lost disk is replaced by an empty machine at a new address while callers
+// converse, with every kind of trouble on the way; then another disk is lost.
+func TestReplacingALostDisk(t *testing.T) {
+	troubles := map[string]func(f *Fleet){
+		"in quiet":          func(*Fleet) {},
+		"a core killed":     func(f *Fleet) { f.crash(f.Cores[0], 2*time.Second, false) },
+		"all cores killed":  func(f *Fleet) { f.crash(f.Cores[0], 2*time.Second, false); f.crash(f.Cores[1], time.Second, false) },
+		"the new disk down": func(f *Fleet) { f.crash(f.Storage[3], 2*time.Second, true) },
+		"in a partition": func(f *Fleet) {
+			f.Net.CutOff(map[string]bool{f.Storage[1].Host.Name: true, f.Cores[0].Host.Name: true})
+			f.later(5*time.Second, f.Net.Heal)
+		},
+	}
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+				left := f.Converse(4, 12, true, func(c *standin.Caller) {
+					c.Between = func(int) { c.Clock.Sleep(f.World.Between(0, 2*time.Second)) }
+				})
+				call.sleep(time.Second)
+				lost := call.diskAt(f.Storage[0].Host.Name)
+				is.True(lost.Voting)
+				f.PowerLoss(f.Storage[0])
+				f.Storage[0].Files.Wipe()
+				fresh := f.Add("storage")
+				call.sleep(time.Second)
+				status, code := call.change("admit", "address", fresh.Host.Name+":1")
+				is.Equal(fmt.Sprint(status, code), "200")
+				call.sleep(300 * time.Millisecond)
+				trouble(f)
+				is.True(call.moved(2 * time.Minute))
+				is.True(call.diskAt(fresh.Host.Name).Voting)
+				status, code = call.change("retire", "disk", lost.ID)
+				is.Equal(fmt.Sprint(status, code), "200")
+				is.True(call.moved(2 * time.Minute))
+				is.Equal(len(call.storage().Disks), 3)
+				f.PowerLoss(f.Storage[1]) // the next loss, for good
+				for left() > 0 {
+					call.sleep(time.Second)
+				}
+				is.Equal(f.Tally.Counts["conversations_whole"], 4)
+			})
+		})
+	}
+}
+
+func TestRetiringADisk(t *testing.T) {
+	shape := SmallShape()
+	shape.Storage = 4
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		call.turn(0, path, key, program, "a", "")
+		gone := call.diskAt(f.Storage[0].Host.Name)
+		status, code := call.change("retire", "disk", "none")
+		is.Equal(fmt.Sprint(status, code), "404unknown_disk")
+		status, _ = call.change("retire", "disk", gone.ID)
+		is.Equal(status, 200)
+		is.True(call.moved(time.Minute))
+		is.True(f.Storage[0].storage.Ready() != nil)
+		is.Equal(f.Storage[0].storage.Store.Used(), 0) // emptied
+		next := call.diskAt(f.Storage[1].Host.Name)
+		status, code = call.change("retire", "disk", next.ID)
+		is.Equal(fmt.Sprint(status, code), "409too_few_disks")
+		// A removed machine that returns is refused, until it is emptied.
+		f.Kill(f.Storage[0])
+		f.Start(f.Storage[0])
+		call.sleep(2 * time.Second)
+		is.True(f.Storage[0].storage.Ready() != nil)
+		status, code = call.change("admit", "address", f.Storage[0].Host.Name+":1")
+		is.Equal(fmt.Sprint(status, code), "409disk_not_blank")
+		f.Kill(f.Storage[1]) // two of three must do
+		verdict, _, _ := call.turn(1, path, key, program, "b", "a").final()
+		is.Equal(verdict, "success")
+	})
+}
+
+// Duties move only as far as they must when a core or gateway comes.
+func TestDutiesMoveOnlyAsTheyMust(t *testing.T) {
+	script(t, KiondoShape(), func(is *is.I, f *Fleet, call *talker) {
+		owners := func() map[uint32]string {
+			found := map[uint32]string{}
+			for _, m := range f.Cores {
+				slots, _ := m.core.Owner.Frame()
+				for _, num := range slots {
+					found[num] = m.Host.Name
+				}
+			}
+			return found
+		}
+		call.sleep(5 * time.Second)
+		before := owners()
+		is.Equal(len(before), 32)
+		fresh := f.Add("core")
+		call.sleep(8 * time.Second)
+		after := owners()
+		is.Equal(len(after), 32)
+		moved := 0
+		for num, owner := range after {
+			if owner != before[num] {
+				moved++
+				is.Equal(owner, fresh.Host.Name) // what moved went to the newcomer
+			}
+		}
+		is.True(moved > 0 && moved <= 16)
+		program, secret := call.program(1000, nil)
+		edge := f.Add("edge")
+		call.sleep(3 * time.Second)
+		path, key := call.session(len(f.Edges)-1, program, secret, nil)
+		is.True(edge.gateway.Ready() == nil)
+		verdict, _, _ := call.turn(0, path, key, program, "a", "").final()
+		is.Equal(verdict, "success")
+	})
+}
+
+// All seeds but one dead: machines still find the fleet.
+func TestOneSeedIsEnough(t *testing.T) {
+	script(t, KiondoShape(), func(is *is.I, f *Fleet, call *talker) {
+		f.Kill(f.Cores[0])
+		f.Kill(f.Cores[len(f.Cores)-1])
+		call.sleep(5 * time.Second)
+		fresh := f.Add("edge")
+		call.sleep(4 * time.Second)
+		is.True(fresh.gateway.Ready() == nil)
+	})
+}
