Bound the line for workers by expected wait, repeats by a share, visits by a limit

Cause: a crowd must be refused early and workers in trouble not be buried. Change: a leg is declined at once when the line would outlast its time; a busy worker is waited for and not struck off; repeated legs are a tenth of all legs; a gateway has at most 2048 requests in hand; retries to cores back off. A test that took an old life of a gateway for ready is mended: machines forget their parts when killed.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
@@ -33,8 +34,13 @@
 	Backends  base.Backends
 
 	known sync.Map
+	open  atomic.Int64
 }
 
+// visitLimit bounds the requests a gateway has in hand. Admission never
+// waits: one more is declined at once.
+const visitLimit = 2048
+
 // plan is a request understood and checked: what is left is to act.
 type plan struct {
 	act func(ctx *base.Ctx) (*Response, error)
@@ -48,6 +54,11 @@
 		f.Counters.Add("requests_declined_bad", 1)
 		return Failure(err)
 	}
+	defer f.open.Add(-1)
+	if f.open.Add(1) > visitLimit {
+		f.Counters.Add("requests_declined_full", 1)
+		return Failure(base.Busy(429, "overloaded", 1, "this gateway has %d requests in hand", visitLimit))
+	}
 	if err := f.Follower.Permit(ctx); err != nil {
 		return Failure(err)
 	}
@@ -168,7 +179,7 @@
 	}
 	program.Root = program.ID
 	if parent != "" {
-		if _, err := f.open(ctx, r, parent); err != nil {
+		if _, err := f.admit(ctx, r, parent); err != nil {
 			return nil, err
 		}
 		program.ID, program.Root = parent+"."+program.ID, budget.GroupOf(parent)
@@ -209,9 +220,9 @@
 	at      time.Duration
 }
 
-// open checks a program's credentials. A right answer is kept for a while,
+// admit checks a program's credentials. A right answer is kept for a while,
 // by digest, so that not every call asks the register; a wrong one is not.
-func (f *Front) open(ctx *base.Ctx, r *Request, id string) (*budget.Program, error) {
+func (f *Front) admit(ctx *base.Ctx, r *Request, id string) (*budget.Program, error) {
 	given := bearer(r)
 	if kept, ok := f.known.Load(id + " " + given); ok && f.Clock.Now()-kept.(*opened).at < f.Bounds.Load().Recover*5/2 {
 		return kept.(*opened).program, nil
@@ -227,7 +238,7 @@
 	return found, nil
 }
 
-// Forget drops what open kept for too long.
+// Forget drops what admit kept for too long.
 func (f *Front) Forget() {
 	f.known.Range(func(key, kept any) bool {
 		if f.Clock.Now()-kept.(*opened).at > f.Bounds.Load().Recover*5/2 {
@@ -265,7 +276,7 @@
 		return nil, err
 	}
 	return &plan{func(ctx *base.Ctx) (*Response, error) {
-		if _, err := f.open(ctx, r, id); err != nil {
+		if _, err := f.admit(ctx, r, id); err != nil {
 			return nil, err
 		}
 		program, err := f.Budget.Terminate(ctx.Within(f.Bounds.Load().Recover), id, mode)
@@ -290,7 +301,7 @@
 		return nil, base.DeclineField("route", "must be given")
 	}
 	return &plan{func(ctx *base.Ctx) (*Response, error) {
-		program, err := f.open(ctx, r, id)
+		program, err := f.admit(ctx, r, id)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -27,7 +27,7 @@
 		return nil, base.DeclineField("body", "not valid JSON")
 	}
 	return &plan{func(ctx *base.Ctx) (*Response, error) {
-		opened, err := f.open(ctx, r, program)
+		opened, err := f.admit(ctx, r, program)
 		if err != nil {
 			return nil, err
 		}
@@ -155,7 +155,8 @@
 	if err != nil {
 		return nil, err, false
 	}
-	cleanup.Push(func() { f.Nominator.Release(chosenWorker, need) })
+	held := f.Clock.Now()
+	cleanup.Push(func() { f.Nominator.Release(chosenWorker, need, f.Clock.Now()-held) })
 	if err := f.Follower.Permit(t.ctx); err != nil {
 		return nil, err, false
 	}
--- a/internal/register/client.go
+++ b/internal/register/client.go
@@ -81,7 +81,7 @@
 			}
 		}
 		if hops > 0 || member == nil || hint == "" {
-			pause := c.bounds.Load().Beat() / 5
+			pause := c.bounds.Load().Beat() / 5 << min(hops, 3)
 			c.clock.Sleep(min(ctx.Left(), pause+time.Duration(c.clock.Int64N(int64(pause)))))
 		}
 	}
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -35,7 +35,10 @@
 	KindTerminate = "terminate"
 )
 
-const cacheLimit = 8192
+const (
+	cacheLimit   = 8192
+	sessionLimit = 16384
+)
 
 // Visit is one call to a session, as a caller meant it.
 type Visit struct {
@@ -82,6 +85,7 @@
 	streams  map[string]*Stream
 	declined map[string]*declinedVisit
 	ended    map[string]budget.Termination
+	repeats  float64
 	draining bool
 	closed   bool
 }
@@ -114,7 +118,7 @@
 	return &Keeper{clock: p.Clock, wire: p.Wire, view: p.View, bounds: p.Bounds, counters: p.Counters, register: p.Register,
 		follower: p.Follower, nominator: p.Nominator, workers: &worker.Client{Register: p.Register}, backends: p.Backends, tree: p.Tree,
 		held: map[string]*held{}, copies: map[string]*understudyCopy{}, cache: map[string]*Record{}, streams: map[string]*Stream{},
-		declined: map[string]*declinedVisit{}, ended: map[string]budget.Termination{}}
+		declined: map[string]*declinedVisit{}, ended: map[string]budget.Termination{}, repeats: repeatMost}
 }
 
 func (k *Keeper) me() string { return k.view.Me() }
@@ -138,6 +142,12 @@
 	if k.isDraining() {
 		return nil, base.Busy(503, "draining", 1, "this node is leaving")
 	}
+	k.mu.Lock()
+	full := len(k.held) >= sessionLimit
+	k.mu.Unlock()
+	if full {
+		return nil, base.Busy(429, "too_many_sessions", 5, "this node owns %d sessions and takes no more", sessionLimit)
+	}
 	answer, err := k.change(ctx, record.Program, "session.acquire", ask{Session: record.ID, Record: record})
 	if err != nil {
 		return nil, err
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -265,6 +265,10 @@
 			return k.stateOf(op, ctx), outcome.verdict
 		}
 		if outcome.next == legCounts {
+			if !k.mayRepeat() {
+				k.counters.Add("legs_not_repeated", 1)
+				return k.stateOf(op, ctx), outcome.verdict
+			}
 			leg++
 			k.counters.Add("legs_repeated", 1)
 		}
@@ -274,6 +278,29 @@
 	}
 }
 
+const (
+	repeatShare = 0.1
+	repeatMost  = 10
+)
+
+// Repeated legs are a bounded share of all legs on this node, so that workers
+// in trouble are not buried under them.
+func (k *Keeper) earnRepeat() {
+	k.mu.Lock()
+	k.repeats = min(repeatMost, k.repeats+repeatShare)
+	k.mu.Unlock()
+}
+
+func (k *Keeper) mayRepeat() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.repeats < 1 {
+		return false
+	}
+	k.repeats--
+	return true
+}
+
 func (k *Keeper) stateOf(op *operation, ctx *base.Ctx) OperationState {
 	switch {
 	case op.cancelled.Fired():
@@ -309,7 +336,8 @@
 		}
 		return legOutcome{base.FromWire(err), legFinal}
 	}
-	cleanup.Push(func() { k.nominator.Release(chosenWorker, made.need) })
+	held := k.clock.Now()
+	cleanup.Push(func() { k.nominator.Release(chosenWorker, made.need, k.clock.Now()-held) })
 	record := h.snapshot()
 	h.mu.Lock()
 	h.legs++
@@ -343,6 +371,7 @@
 		return legOutcome{base.FromWire(err), legFinal}
 	}
 	k.counters.Add("legs_sent", 1)
+	k.earnRepeat()
 	reply, err := k.backends.Call(ctx, chosenWorker.Addr, modelRequest(made, answer.Granted))
 	if err != nil {
 		made.need.Tried[chosenWorker.ID] = true
@@ -386,7 +415,7 @@
 // refusedLeg reads a worker's refusal. 503 is a worker's notice that it is
 // leaving; 429 and 503 say that nothing ran.
 func (k *Keeper) refusedLeg(h *held, made *plan, chosen *worker.Worker, reply base.BackReply, settle func(int64)) legOutcome {
-	made.need.Tried[chosen.ID] = true
+	made.need.Tried[chosen.ID] = reply.Status() != 429
 	switch status := reply.Status(); {
 	case status == 503:
 		k.WorkerLeaves(chosen)
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -132,6 +132,7 @@
 func (f *Fleet) Start(m *Machine) {
 	h := m.Host
 	h.alive, m.open, m.closing = true, 0, false
+	m.gateway, m.core, m.storage = nil, nil, nil
 	m.Count = base.NewCounters()
 	env := node.Env{Clock: h.Clock(), Wire: f.Net.Wire(h), Files: m.Files, Counters: m.Count,
 		Backends: &Backends{net: f.Net, host: h, models: f.models, tools: f.tools}}
@@ -163,10 +164,13 @@
 
 // Kill ends a machine's process; PowerLoss ends it and drops what its disk
 // had not synced.
-func (f *Fleet) Kill(m *Machine) { m.Host.Kill() }
+func (f *Fleet) Kill(m *Machine) {
+	m.Host.Kill()
+	m.gateway, m.core, m.storage = nil, nil, nil
+}
 
 func (f *Fleet) PowerLoss(m *Machine) {
-	m.Host.Kill()
+	f.Kill(m)
 	m.Files.LosePower()
 }
 
--- a/internal/simulate/outage_test.go
+++ b/internal/simulate/outage_test.go
@@ -90,7 +90,9 @@
 			}
 			f.Start(f.Storage[lost]) // comes back blank: it has no vote
 			call.serving(time.Minute)
-			verdict, _, _ = call.turn(1, path, key, program, "b", "a").final()
+			after := call.turn(1, path, key, program, "b", "a")
+			verdict, _, _ = after.final()
+			is.Equal(after.Raw, "")
 			is.Equal(verdict, "success")
 			is.True(f.Storage[lost].storage.Ready() != nil)
 		})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -44,9 +44,14 @@
 	Clock  base.Clock
 	Pieces int
 	Gap    time.Duration
-	Next   func() Trouble
+	// Prefill is what each message not in the cache costs before the first
+	// piece; Capacity is how many answers run at full speed, more slow down.
+	Prefill  time.Duration
+	Capacity int
+	Next     func() Trouble
 
 	mu     sync.Mutex
+	busy   int
 	runs   map[string]int
 	tokens map[string]int64
 	prefix map[string]bool
@@ -99,7 +104,8 @@
 	}
 	last := request.Messages[len(request.Messages)-1]
 	program, turn := tagIn(last.Content)
-	m.note(program, turn, request.Messages)
+	cached := m.note(program, turn, request.Messages)
+	defer m.leave()
 	if trouble == Fail {
 		begin(500)
 		return
@@ -109,13 +115,14 @@
 		return
 	}
 	begin(200)
+	m.Clock.Sleep(m.Prefill * time.Duration(len(request.Messages)-cached))
 	answer := Expected(request.Messages, m.Pieces)
 	finish := "stop"
 	if int64(len(answer)) > request.MaxTokens && trouble != Overrun {
 		answer, finish = answer[:request.MaxTokens], "length"
 	}
 	for place, piece := range answer {
-		m.Clock.Sleep(m.Gap)
+		m.Clock.Sleep(m.pace())
 		if place == len(answer)/2 {
 			switch trouble {
 			case Cut:
@@ -144,19 +151,46 @@
 	_ = emit("data: [DONE]\n\n")
 }
 
-func (m *Model) note(program, turn string, chain []Message) {
+// note records a run and tells how much of the chain was cached here.
+func (m *Model) note(program, turn string, chain []Message) (cached int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.runs == nil {
 		m.runs, m.tokens, m.prefix = map[string]int{}, map[string]int64{}, map[string]bool{}
 	}
 	m.count++
+	m.busy++
 	m.latest = m.Clock.Now()
 	m.runs[program+"|"+turn]++
 	if len(chain) > 2 && m.prefix[base.Digest(base.Encode(chain[:len(chain)-2]))] {
 		m.hits++
+		cached = len(chain) - 2
 	}
 	m.prefix[base.Digest(base.Encode(chain))] = true
+	return cached
+}
+
+func (m *Model) leave() {
+	m.mu.Lock()
+	m.busy--
+	m.mu.Unlock()
+}
+
+// Busy is how many answers are under way.
+func (m *Model) Busy() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.busy
+}
+
+// pace is the gap to the next piece at the present load.
+func (m *Model) pace() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.Capacity == 0 || m.busy <= m.Capacity {
+		return m.Gap
+	}
+	return m.Gap * time.Duration(m.busy) / time.Duration(m.Capacity)
 }
 
 func (m *Model) put(program string, tokens int64) {
--- a/internal/worker/nominate.go
+++ b/internal/worker/nominate.go
@@ -86,11 +86,12 @@
 	shunned  map[string]time.Duration
 	left     map[string]string
 	waiting  []*waiter
+	lasting  map[string]time.Duration
 }
 
 func NewNominator(clock base.Clock, bounds *base.Table[base.Bounds], counters *base.Counters, book *Book) *Nominator {
 	n := &Nominator{clock: clock, bounds: bounds, counters: counters, book: book,
-		busy: map[string]int{}, programs: map[string]int{}, shunned: map[string]time.Duration{}, left: map[string]string{}}
+		busy: map[string]int{}, programs: map[string]int{}, shunned: map[string]time.Duration{}, left: map[string]string{}, lasting: map[string]time.Duration{}}
 	n.roster.Swap(&Roster{Pools: map[string][]Worker{}})
 	return n
 }
@@ -124,10 +125,11 @@
 			line++
 		}
 	}
-	if line >= need.Waiting {
+	expected := n.lasting[need.Pool] * time.Duration(line+1) / time.Duration(max(1, n.size(need.Pool)))
+	if line >= need.Waiting || expected > ctx.Left() {
 		n.mu.Unlock()
 		n.counters.Add("legs_declined_busy", 1)
-		return nil, base.Busy(429, "overloaded", 1+line/max(1, n.size(need.Pool)), "all workers are busy and the line is full")
+		return nil, base.Busy(429, "overloaded", 1+int(expected/time.Second), "all workers are busy and the line is too long")
 	}
 	w := &waiter{need: need, since: n.clock.Now(), signal: n.clock.NewSignal()}
 	n.waiting = append(n.waiting, w)
@@ -157,10 +159,11 @@
 	n.programs[need.Program]++
 }
 
-// Release ends a leg's hold.
-func (n *Nominator) Release(held *Worker, need *Need) {
+// Release ends a leg's hold and learns how long such legs last.
+func (n *Nominator) Release(held *Worker, need *Need, lasted time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.lasting[need.Pool] += (lasted - n.lasting[need.Pool]) / 8
 	if n.busy[held.ID]--; n.busy[held.ID] <= 0 {
 		delete(n.busy, held.ID)
 	}
@@ -170,11 +173,19 @@
 	n.pump()
 }
 
-// Shun keeps off a worker for a little after it could not be reached.
+// Shun keeps off a worker for a little after it could not be reached or was
+// busy; whoever waits for it is looked at again then.
 func (n *Nominator) Shun(id string) {
+	span := n.bounds.Load().Leave / 3
 	n.mu.Lock()
-	n.shunned[id] = n.clock.Now() + n.bounds.Load().Leave/3
+	n.shunned[id] = n.clock.Now() + span
 	n.mu.Unlock()
+	n.clock.Go(func() {
+		n.clock.Sleep(span)
+		n.mu.Lock()
+		n.pump()
+		n.mu.Unlock()
+	})
 }
 
 // Incarnation is the life of a worker that this node knows of.
@@ -201,7 +212,7 @@
 }
 
 func (n *Nominator) open(one *Worker, need *Need) bool {
-	if need.Tried[one.ID] || n.clock.Now() < n.shunned[one.ID] {
+	if need.Tried[one.ID] {
 		return false
 	}
 	if _, _, leaving := n.book.Load(one.ID); leaving {
@@ -227,13 +238,17 @@
 	ids, total := []string{}, 0
 	for _, one := range n.roster.Load().Pools[need.Pool] {
 		if n.open(&one, need) {
+			possible = true
+			if n.clock.Now() < n.shunned[one.ID] {
+				continue
+			}
 			candidates[one.ID] = &one
 			ids = append(ids, one.ID)
 			total += n.usage(&one)
 		}
 	}
 	if len(ids) == 0 {
-		return nil, false
+		return nil, possible
 	}
 	order := base.Rendezvous(need.Affinity, ids)
 	if candidates[need.Former] != nil {
