Add fordseam-sim: what-if questions in virtual time, side by side

Cause: operators must see what a change does before they make it. Change: deployment, settings, load curve, script and seed in; refusals, waiting, take-over pauses, budget use, prefix reuse and must-nevers out, as a table or JSON; two settings documents side by side. Workers here slow down beyond their capacity, pay for what is not in their cache, and report their load.

--- /dev/null
+++ b/cmd/fordseam-sim/main.go
@@ -0,0 +1,89 @@
+// fordseam-sim answers what-if questions in virtual time, on the same code
+// as the daemons.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"fordseam/internal/base"
+	"fordseam/internal/fleet"
+	"fordseam/internal/node"
+	"fordseam/internal/whatif"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	node.Main(&cli.Command{
+		Name:  "fordseam-sim",
+		Usage: "simulate a deployment under a load and failures, in virtual time",
+		Description: "Without files it runs the Kiondo deployment through a quiet, rush and quiet load.\n" +
+			"The same files and seed give the same bytes out. Exit code 1 when a must-never was broken.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Usage: "deployment `FILE` (JSON)"},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` (JSON), as applied to a fleet"},
+			&cli.StringFlag{Name: "against", Usage: "a second settings `FILE`, to be compared side by side"},
+			&cli.StringFlag{Name: "load", Usage: "load `FILE` (JSON)"},
+			&cli.StringFlag{Name: "script", Usage: "script `FILE`, one JSON event a line"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of all chance"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		},
+		Action: run,
+	}, os.Args)
+}
+
+func run(_ context.Context, command *cli.Command) error {
+	question := &whatif.Question{Deployment: whatif.Kiondo(), Load: whatif.Saturday(), Settings: []byte(fleet.Shapes["kiondo"].Settings()), Seed: command.Uint64("seed")}
+	documents := map[string][]byte{}
+	for _, name := range []string{"deployment", "settings", "against", "load", "script"} {
+		if path := command.String(name); path != "" {
+			content, err := os.ReadFile(path)
+			if err != nil {
+				return cli.Exit(err.Error(), node.ExitUsage)
+			}
+			documents[name] = content
+		}
+	}
+	var err error
+	if document, ok := documents["deployment"]; ok {
+		question.Deployment, err = whatif.ReadDeployment(command.String("deployment"), document)
+	}
+	if document, ok := documents["load"]; ok && err == nil {
+		question.Load, err = whatif.ReadLoad(command.String("load"), document)
+	}
+	if document, ok := documents["script"]; ok && err == nil {
+		question.Script, err = whatif.ReadScript(command.String("script"), document, question.Deployment.Machines())
+	}
+	if err != nil {
+		return cli.Exit(err.Error(), node.ExitUsage)
+	}
+	if document, ok := documents["settings"]; ok {
+		question.Settings = document
+	}
+	names, reports := []string{"settings"}, []*whatif.Report{}
+	report, err := whatif.Answer(question)
+	if err != nil {
+		return cli.Exit("settings: "+err.Error(), node.ExitUsage)
+	}
+	reports = append(reports, report)
+	if document, ok := documents["against"]; ok {
+		question.Settings = document
+		if report, err = whatif.Answer(question); err != nil {
+			return cli.Exit("against: "+err.Error(), node.ExitUsage)
+		}
+		names, reports = append(names, "against"), append(reports, report)
+	}
+	if command.Bool("json") {
+		fmt.Println(string(base.Encode(reports)))
+	} else {
+		whatif.Write(os.Stdout, names, reports)
+	}
+	for _, report := range reports {
+		if len(report.Breaches) > 0 {
+			return cli.Exit("must-nevers were broken", node.ExitFailed)
+		}
+	}
+	return nil
+}
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -26,7 +26,11 @@
 	Capacity int
 	Pieces   int
 	Gap      time.Duration
+	Prefill  time.Duration
 	Settings string
+	// ModelPool and ToolPool are "models" and "apps" unless set.
+	ModelPool string
+	ToolPool  string
 }
 
 // SmallShape is enough for every duty to have a second machine.
@@ -80,20 +84,23 @@
 // NewFleet builds and starts a fleet.
 func NewFleet(seed uint64, shape Shape) *Fleet {
 	w := NewWorld(seed)
+	if shape.ModelPool == "" {
+		shape.ModelPool, shape.ToolPool = "models", "apps"
+	}
 	f := &Fleet{World: w, Net: NewNet(w), Shape: shape, models: map[string]*standin.Model{}, tools: map[string]*standin.Tool{}, Tally: standin.NewTally()}
 	f.Callers = w.NewHost("callers", "outside")
 	zone := func(place int) string { return fmt.Sprintf("zone-%d", place%shape.Zones) }
 	for place := 0; place < shape.Models; place++ {
 		name := fmt.Sprintf("model-%d", place)
-		model := &standin.Model{ID: name, Clock: w.NewHost(name, zone(place)).Clock(), Pieces: shape.Pieces, Gap: shape.Gap}
+		model := &standin.Model{ID: name, Clock: w.NewHost(name, zone(place)).Clock(), Pieces: shape.Pieces, Gap: shape.Gap, Prefill: shape.Prefill, Capacity: shape.Capacity}
 		f.Models, f.models[name] = append(f.Models, model), model
-		f.List.Workers = append(f.List.Workers, worker.Worker{ID: name, Addr: name + ":1", Pool: "models", Zone: zone(place), Capacity: shape.Capacity})
+		f.List.Workers = append(f.List.Workers, worker.Worker{ID: name, Addr: name + ":1", Pool: shape.ModelPool, Zone: zone(place), Capacity: shape.Capacity})
 	}
 	for place := 0; place < shape.Tools; place++ {
 		name := fmt.Sprintf("app-%d", place)
 		tool := &standin.Tool{ID: name, Clock: w.NewHost(name, zone(place)).Clock(), Pause: shape.Gap}
 		f.Tools, f.tools[name] = append(f.Tools, tool), tool
-		f.List.Workers = append(f.List.Workers, worker.Worker{ID: name, Addr: name + ":1", Pool: "apps", Zone: zone(place), Capacity: shape.Capacity})
+		f.List.Workers = append(f.List.Workers, worker.Worker{ID: name, Addr: name + ":1", Pool: shape.ToolPool, Zone: zone(place), Capacity: shape.Capacity})
 	}
 	f.List.Stamp = 1
 	add := func(list *[]*Machine, role string, count int) {
@@ -257,6 +264,22 @@
 	panic("fleet did not come up: " + what)
 }
 
+// Report has each model worker tell its load now and then, to one gateway
+// after another.
+func (f *Fleet) Report(every time.Duration) {
+	for _, model := range f.Models {
+		host := f.World.Hosts[model.ID]
+		ask := f.Asker(host)
+		host.Go(func() {
+			for turn := int(f.World.Int64N(int64(len(f.Edges)))); ; turn++ {
+				host.Clock().Sleep(every)
+				_, _ = ask(turn, "POST", "/v1/platform/workers/"+model.ID+"/usage", nil,
+					base.Encode(map[string]any{"number": f.World.Now().Milliseconds() + 1, "load": model.Busy()}))
+			}
+		})
+	}
+}
+
 // Converse starts callers and returns a function telling how many are left.
 func (f *Fleet) Converse(callers, turns int, tools bool, prepare func(*standin.Caller)) func() int {
 	left := callers
@@ -286,6 +309,15 @@
 	return total
 }
 
+// Syncs adds up the disks' syncs.
+func (f *Fleet) Syncs() int {
+	total := 0
+	for _, m := range f.Storage {
+		total += m.Files.Syncs
+	}
+	return total
+}
+
 // Check looks over callers' and workers' records.
 func (f *Fleet) Check() []string {
 	f.Tally.Check(f.Models, f.Tools, int64(f.Shape.Pieces))
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -206,6 +206,9 @@
 	h.ends = map[*Reply]struct{}{}
 }
 
+// Revive brings a worker's machine back after Kill.
+func (h *Host) Revive() { h.alive = true }
+
 // Freeze stops the host's tasks; Thaw lets them go on where they were.
 func (h *Host) Freeze() { h.frozen = true }
 
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -44,8 +44,14 @@
 	Budgets  map[string]int64
 	Slowest  time.Duration
 	Keys     map[string]bool
+	Turns    []TurnTime
+	// Seen, when set, is told of each count as it happens.
+	Seen func(name string)
 }
 
+// TurnTime is when a turn was begun and how long it took to be whole.
+type TurnTime struct{ At, Took time.Duration }
+
 func NewTally() *Tally {
 	return &Tally{Counts: map[string]int{}, Refused: map[string]bool{}, Budgets: map[string]int64{}, Keys: map[string]bool{}}
 }
@@ -55,6 +61,9 @@
 	t.mu.Lock()
 	t.Counts[name]++
 	t.mu.Unlock()
+	if t.Seen != nil {
+		t.Seen(name)
+	}
 }
 
 // Breach records that something happened which must never happen.
@@ -78,6 +87,10 @@
 	Tally    *Tally
 	// Between runs after each whole turn, for tests that cause failures.
 	Between func(turn int)
+	// Route, ToolRoute and Urgency are "chat", "loyalty" and normal unless set.
+	Route     string
+	ToolRoute string
+	Urgency   string
 
 	program string
 	secret  string
@@ -136,10 +149,12 @@
 
 // Start makes the program and its session.
 func (c *Caller) Start(budgetTokens int64) bool {
-	answer, failed := c.settled("POST", "/v1/programs", nil, map[string]any{"program": c.Name, "group": c.Group, "site": c.Site, "budget_tokens": budgetTokens})
+	asked := map[string]any{"program": c.Name, "group": c.Group, "site": c.Site, "budget_tokens": budgetTokens, "urgency": orElse(c.Urgency, "normal")}
+	answer, failed := c.settled("POST", "/v1/programs", nil, asked)
 	if failed != nil {
 		// The name may have been taken by a copy of this very request.
-		answer, failed = c.settled("POST", "/v1/programs", nil, map[string]any{"group": c.Group, "site": c.Site, "budget_tokens": budgetTokens})
+		delete(asked, "program")
+		answer, failed = c.settled("POST", "/v1/programs", nil, asked)
 	}
 	if failed != nil {
 		c.Tally.Count("start_failed")
@@ -154,7 +169,7 @@
 	c.Tally.mu.Lock()
 	c.Tally.Budgets[c.program] = budgetTokens
 	c.Tally.mu.Unlock()
-	answer, failed = c.settled("POST", "/v1/programs/"+c.program+"/sessions", c.header(c.secret, nil), map[string]any{"route": "chat"})
+	answer, failed = c.settled("POST", "/v1/programs/"+c.program+"/sessions", c.header(c.secret, nil), map[string]any{"route": orElse(c.Route, "chat")})
 	if failed != nil {
 		c.Tally.Count("start_failed")
 		return false
@@ -168,6 +183,13 @@
 	return true
 }
 
+func orElse(given, otherwise string) string {
+	if given == "" {
+		return otherwise
+	}
+	return given
+}
+
 // Converse holds a conversation of turns, with a tool call after some.
 func (c *Caller) Converse(turns int, tools bool) {
 	for turn := 1; turn <= turns; turn++ {
@@ -205,6 +227,7 @@
 		if whole {
 			c.Tally.mu.Lock()
 			c.Tally.Slowest = max(c.Tally.Slowest, c.Clock.Now()-began)
+			c.Tally.Turns = append(c.Tally.Turns, TurnTime{began, c.Clock.Now() - began})
 			c.Tally.mu.Unlock()
 			return true
 		}
@@ -361,7 +384,7 @@
 	c.Tally.mu.Lock()
 	c.Tally.Keys[c.program+"/"+key] = true
 	c.Tally.mu.Unlock()
-	_, failed := c.settled("POST", "/v1/programs/"+c.program+"/tools/loyalty", c.header(c.secret, map[string]string{"idempotency-key": key}), map[string]int{"points": num})
+	_, failed := c.settled("POST", "/v1/programs/"+c.program+"/tools/"+orElse(c.ToolRoute, "loyalty"), c.header(c.secret, map[string]string{"idempotency-key": key}), map[string]int{"points": num})
 	switch {
 	case failed == nil:
 		c.Tally.Count("tools_done")
--- /dev/null
+++ b/internal/whatif/plan.go
@@ -0,0 +1,208 @@
+// Package whatif answers operators' questions in virtual time: a deployment,
+// a settings document, a load curve, a script of failures and a seed go in;
+// refusals, waiting, take-over pauses, budget use, prefix reuse and the
+// must-nevers come out. It runs the slices' own code, and the same input
+// gives the same bytes out.
+package whatif
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/go-faster/jx"
+	"github.com/juju/errors"
+)
+
+// Deployment is the fleet in question.
+type Deployment struct {
+	Group, Site, Route, ToolRoute string
+	Zones, Edges, Cores, Storage  int
+	Models, Capacity, Pieces      int
+	Gap, Prefill                  time.Duration
+	Tools                         int
+	Pause                         time.Duration
+}
+
+// Step of a load curve holds until the next.
+type Step struct {
+	At      time.Duration
+	Callers float64
+}
+
+// Load is the callers' part.
+type Load struct {
+	Steps       []Step
+	Until       time.Duration
+	Turns       [2]int
+	LongShare   float64
+	UrgentShare float64
+	ToolCalls   bool
+	Think       time.Duration
+	Budget      int64
+	Patience    time.Duration
+}
+
+// Event of a script.
+type Event struct {
+	Line    int
+	At      time.Duration
+	Do      string
+	Machine string
+}
+
+// Kiondo is the deployment used when none is given.
+func Kiondo() *Deployment {
+	return &Deployment{Group: "kiondo", Site: "main", Route: "chat", ToolRoute: "loyalty", Zones: 4, Edges: 6, Cores: 4, Storage: 4,
+		Models: 9, Capacity: 8, Pieces: 8, Gap: 20 * time.Millisecond, Prefill: 10 * time.Millisecond, Tools: 4, Pause: 20 * time.Millisecond}
+}
+
+// Saturday is the load used when none is given: quiet, a rush, and back.
+func Saturday() *Load {
+	return &Load{Steps: []Step{{0, 2}, {10 * time.Second, 20}, {30 * time.Second, 2}}, Until: 45 * time.Second, Turns: [2]int{3, 5},
+		LongShare: 0.2, UrgentShare: 0.1, ToolCalls: true, Think: time.Second, Budget: 1000, Patience: 30 * time.Second}
+}
+
+func whole(into *int, low, high float64) base.FieldReader {
+	return func(path string, d *jx.Decoder) error {
+		var value float64
+		err := base.Number(&value, low, high, true)(path, d)
+		*into = int(value)
+		return err
+	}
+}
+
+func span(into *time.Duration, unit time.Duration, low, high float64) base.FieldReader {
+	return func(path string, d *jx.Decoder) error {
+		var value float64
+		err := base.Number(&value, low, high, false)(path, d)
+		*into = time.Duration(value * float64(unit))
+		return err
+	}
+}
+
+// fault names the file, the line and the field of what is wrong.
+func fault(file string, line int, err error) error {
+	if v := base.VerdictIn(err); v != nil {
+		if line > 0 {
+			return errors.Errorf("%s: line %d: %s: %s", file, line, v.Field, v.Message)
+		}
+		return errors.Errorf("%s: %s: %s", file, v.Field, v.Message)
+	}
+	return err
+}
+
+// ReadDeployment reads a deployment over the default.
+func ReadDeployment(file string, document []byte) (*Deployment, error) {
+	d := Kiondo()
+	err := base.ReadFields(document, map[string]base.FieldReader{
+		"group": base.Text(&d.Group, 128), "site": base.Text(&d.Site, 128), "route": base.Text(&d.Route, 128), "tool_route": base.Text(&d.ToolRoute, 128),
+		"zones": whole(&d.Zones, 1, 64), "edges": whole(&d.Edges, 1, 64), "cores": whole(&d.Cores, 1, 32), "storage": whole(&d.Storage, 3, 32),
+		"models": whole(&d.Models, 1, 128), "model_capacity": whole(&d.Capacity, 1, 4096), "answer_tokens": whole(&d.Pieces, 1, 4096),
+		"token_gap_ms": span(&d.Gap, time.Millisecond, 0.1, 10000), "prefill_ms": span(&d.Prefill, time.Millisecond, 0, 10000),
+		"tools": whole(&d.Tools, 1, 128), "tool_ms": span(&d.Pause, time.Millisecond, 0.1, 60000),
+	})
+	return d, fault(file, 0, err)
+}
+
+// ReadLoad reads a load curve over the default.
+func ReadLoad(file string, document []byte) (*Load, error) {
+	l := Saturday()
+	var turns, long, budget float64 = float64(l.Turns[0]), float64(l.Turns[1]), float64(l.Budget)
+	err := base.ReadFields(document, map[string]base.FieldReader{
+		"until_s": span(&l.Until, time.Second, 1, 86400), "turns": base.Number(&turns, 1, 100, true), "long_turns": base.Number(&long, 1, 1000, true),
+		"long_share": base.Number(&l.LongShare, 0, 1, false), "urgent_share": base.Number(&l.UrgentShare, 0, 1, false),
+		"tool_calls": base.Truth(&l.ToolCalls), "think_s": span(&l.Think, time.Second, 0, 3600), "budget_tokens": base.Number(&budget, 1, 1<<40, true),
+		"patience_s": span(&l.Patience, time.Second, 1, 3600),
+		"steps": func(path string, d *jx.Decoder) error {
+			if d.Next() != jx.Array {
+				return base.DeclineField(path, "must be a list")
+			}
+			l.Steps = nil
+			return d.Arr(func(d *jx.Decoder) error {
+				at := fmt.Sprintf("%s[%d]", path, len(l.Steps))
+				raw, err := d.Raw()
+				if err != nil {
+					return err
+				}
+				var step Step
+				err = base.ReadFields(raw, map[string]base.FieldReader{"at_s": span(&step.At, time.Second, 0, 86400), "callers_per_s": base.Number(&step.Callers, 0, 10000, false)})
+				if v := base.VerdictIn(err); v != nil {
+					v.Field = at + "." + v.Field
+					return v
+				}
+				if len(l.Steps) > 0 && step.At <= l.Steps[len(l.Steps)-1].At {
+					return base.DeclineField(at+".at_s", "must be after the step before")
+				}
+				l.Steps = append(l.Steps, step)
+				return nil
+			})
+		},
+	})
+	l.Turns, l.Budget = [2]int{int(turns), int(long)}, int64(budget)
+	if err == nil && len(l.Steps) == 0 {
+		err = base.DeclineField("steps", "must not be empty")
+	}
+	return l, fault(file, 0, err)
+}
+
+var deeds = map[string]bool{"kill": true, "power": true, "start": true, "freeze": true, "wake": true, "stop": true, "wipe": true,
+	"stall": true, "unstall": true, "cut": true, "heal": false}
+
+// ReadScript reads one event a line.
+func ReadScript(file string, document []byte, machines []string) ([]Event, error) {
+	events := []Event{}
+	for place, line := range bytes.Split(document, []byte("\n")) {
+		if len(bytes.TrimSpace(line)) == 0 {
+			continue
+		}
+		event := Event{Line: place + 1, At: -1}
+		err := base.ReadFields(line, map[string]base.FieldReader{"at_s": span(&event.At, time.Second, 0, 86400),
+			"do": base.Text(&event.Do, 16), "machine": base.Text(&event.Machine, 64)})
+		needs, known := deeds[event.Do]
+		switch {
+		case err != nil:
+		case event.At < 0:
+			err = base.DeclineField("at_s", "must be given")
+		case !known:
+			err = base.DeclineField("do", "must be one of %s", strings.Join(base.SortedKeys(deeds), ", "))
+		case needs != (event.Machine != ""):
+			err = base.DeclineField("machine", "must be given for all but heal")
+		case needs && !named(machines, event.Machine):
+			err = base.DeclineField("machine", "no machine is named %q", event.Machine)
+		case len(events) > 0 && event.At < events[len(events)-1].At:
+			err = base.DeclineField("at_s", "must not be before the line above")
+		}
+		if err != nil {
+			return nil, fault(file, place+1, err)
+		}
+		events = append(events, event)
+	}
+	return events, nil
+}
+
+func named(machines []string, name string) bool {
+	for _, one := range machines {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Machines names all machines of a deployment, workers included.
+func (d *Deployment) Machines() []string {
+	names := []string{}
+	for _, kind := range []struct {
+		name  string
+		count int
+	}{{"storage", d.Storage}, {"core", d.Cores}, {"edge", d.Edges}, {"model", d.Models}, {"app", d.Tools}} {
+		for place := 0; place < kind.count; place++ {
+			names = append(names, fmt.Sprintf("%s-%d", kind.name, place))
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/whatif/run.go
@@ -0,0 +1,297 @@
+// Running a question and reporting what came of it.
+package whatif
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/settings"
+	"fordseam/internal/simulate"
+	"fordseam/internal/standin"
+
+	"github.com/juju/errors"
+)
+
+// Question is all that goes in.
+type Question struct {
+	Deployment *Deployment
+	Settings   []byte
+	Load       *Load
+	Script     []Event
+	Seed       uint64
+}
+
+// Phase is what happened during one step of the load.
+type Phase struct {
+	FromS    float64 `json:"from_s"`
+	Callers  float64 `json:"callers_per_s"`
+	Whole    int     `json:"turns_whole"`
+	Refused  int     `json:"turns_refused"`
+	Cut      int     `json:"turns_cut"`
+	MedianMs float64 `json:"median_turn_ms"`
+	P99Ms    float64 `json:"p99_turn_ms"`
+}
+
+// Report is all that comes out.
+type Report struct {
+	Seed          uint64         `json:"seed"`
+	VirtualS      float64        `json:"virtual_s"`
+	Phases        []Phase        `json:"phases"`
+	Conversations map[string]int `json:"conversations"`
+	Refusals      map[string]int `json:"refusals"`
+	Waited        int64          `json:"legs_waited"`
+	Takeovers     int64          `json:"takeovers"`
+	TakeoverMs    float64        `json:"mean_takeover_ms"`
+	LongestMs     float64        `json:"longest_turn_ms"`
+	PrefixReuse   float64        `json:"prefix_reuse"`
+	BudgetUse     float64        `json:"budget_use"`
+	MessagesTurn  float64        `json:"messages_per_turn"`
+	SyncsTurn     float64        `json:"disk_syncs_per_turn"`
+	Breaches      []string       `json:"must_nevers_broken"`
+}
+
+const settleTime = 2 * time.Minute
+
+// Answer runs a question.
+func Answer(q *Question) (*Report, error) {
+	tree, faults := settings.Read(q.Settings)
+	if len(faults) > 0 {
+		return nil, errors.New(settings.FaultVerdict(faults).Message)
+	}
+	d := q.Deployment
+	for _, name := range []string{d.Route, d.ToolRoute} {
+		if _, err := tree.Match(d.Group, d.Site, name); err != nil {
+			return nil, errors.Annotate(err, "the settings do not fit the deployment")
+		}
+	}
+	chat, _ := tree.Match(d.Group, d.Site, d.Route)
+	tools, _ := tree.Match(d.Group, d.Site, d.ToolRoute)
+	shape := simulate.Shape{Group: d.Group, Zones: d.Zones, Edges: d.Edges, Cores: d.Cores, Storage: d.Storage, Models: d.Models, Tools: d.Tools,
+		Capacity: d.Capacity, Pieces: d.Pieces, Gap: d.Gap, Prefill: d.Prefill, Settings: string(q.Settings), ModelPool: chat.Pool, ToolPool: tools.Pool}
+	f := simulate.NewFleet(q.Seed, shape)
+	defer f.World.Close()
+	formed := false
+	f.Callers.Go(func() { f.Form(); formed = true })
+	if !f.World.Run(time.Minute, func() bool { return formed }) {
+		return nil, errors.New("the fleet did not form")
+	}
+	f.Report(time.Second)
+	began := f.World.Now()
+	started, syncs, messages := 0, f.Syncs(), f.Net.Messages
+	r := &Report{Seed: q.Seed, Conversations: map[string]int{}, Refusals: map[string]int{}}
+	moments := map[string][]time.Duration{}
+	f.Tally.Seen = func(name string) { moments[name] = append(moments[name], f.World.Now()-began) }
+	left, over := 0, false
+	f.Callers.Go(func() {
+		for now := time.Duration(0); now < q.Load.Until; now = f.World.Now() - began {
+			rate := rateAt(q.Load.Steps, now)
+			if rate <= 0 {
+				f.Callers.Clock().Sleep(100 * time.Millisecond)
+				continue
+			}
+			q.caller(f, started, &left)
+			started++
+			f.Callers.Clock().Sleep(time.Duration(float64(time.Second) / rate))
+		}
+		over = true
+	})
+	f.Callers.Go(func() { q.play(f, began) })
+	f.World.Run(began+q.Load.Until+settleTime, func() bool { return over && left == 0 })
+	r.VirtualS = (f.World.Now() - began).Seconds()
+	r.fill(q, f, moments, began, started-left)
+	r.MessagesTurn = float64(f.Net.Messages-messages) / float64(max(1, f.Tally.Counts["turns_whole"]))
+	r.SyncsTurn = float64(f.Syncs()-syncs) / float64(max(1, f.Tally.Counts["turns_whole"]))
+	return r, nil
+}
+
+func rateAt(steps []Step, now time.Duration) float64 {
+	rate := 0.0
+	for _, step := range steps {
+		if step.At <= now {
+			rate = step.Callers
+		}
+	}
+	return rate
+}
+
+func (q *Question) caller(f *simulate.Fleet, num int, left *int) {
+	w := f.World
+	c := &standin.Caller{Name: fmt.Sprintf("c%d", num), Clock: f.Callers.Clock(), Ask: f.Asker(f.Callers), Gateways: len(f.Edges), Home: int(w.Int64N(int64(len(f.Edges)))),
+		Group: q.Deployment.Group, Site: q.Deployment.Site, Route: q.Deployment.Route, ToolRoute: q.Deployment.ToolRoute, Pieces: q.Deployment.Pieces,
+		Patience: q.Load.Patience, Tally: f.Tally}
+	if w.Chance(q.Load.UrgentShare) {
+		c.Urgency = "urgent"
+	}
+	turns := q.Load.Turns[0]
+	if w.Chance(q.Load.LongShare) {
+		turns = q.Load.Turns[1]
+	}
+	c.Between = func(int) { c.Clock.Sleep(w.Between(0, 2*q.Load.Think)) }
+	*left++
+	f.Callers.Go(func() {
+		if c.Start(q.Load.Budget) {
+			c.Converse(turns, q.Load.ToolCalls)
+		}
+		*left--
+	})
+}
+
+// play does the script's deeds at their times.
+func (q *Question) play(f *simulate.Fleet, began time.Duration) {
+	machines := map[string]*simulate.Machine{}
+	for _, m := range f.All() {
+		machines[m.Host.Name] = m
+	}
+	for _, event := range q.Script {
+		if wait := began + event.At - f.World.Now(); wait > 0 {
+			f.Callers.Clock().Sleep(wait)
+		}
+		host, m := f.World.Hosts[event.Machine], machines[event.Machine]
+		switch event.Do {
+		case "kill", "power":
+			switch {
+			case m == nil:
+				host.Kill()
+			case event.Do == "kill":
+				f.Kill(m)
+			default:
+				f.PowerLoss(m)
+			}
+		case "start":
+			if m == nil {
+				host.Revive()
+			} else {
+				f.Start(m)
+			}
+		case "freeze":
+			host.Freeze()
+		case "wake":
+			host.Thaw()
+		case "stop":
+			if m != nil {
+				f.Callers.Go(func() { f.Stop(m) })
+			}
+		case "wipe":
+			if m != nil {
+				f.PowerLoss(m)
+				m.Files.Wipe()
+			}
+		case "stall", "unstall":
+			if m != nil {
+				m.Files.Stalled = event.Do == "stall"
+			}
+		case "cut":
+			f.Net.CutOff(map[string]bool{event.Machine: true})
+		case "heal":
+			f.Net.Heal()
+		}
+	}
+}
+
+func (r *Report) fill(q *Question, f *simulate.Fleet, moments map[string][]time.Duration, began time.Duration, ended int) {
+	counts := f.Tally.Counts
+	r.Conversations = map[string]int{"whole": counts["conversations_whole"], "ended": ended}
+	for _, name := range base.SortedKeys(counts) {
+		if code, ok := strings.CutPrefix(name, "told_"); ok {
+			r.Refusals[code] += counts[name]
+		}
+		if code, ok := strings.CutPrefix(name, "final_refused_"); ok {
+			r.Refusals[code] += counts[name]
+		}
+	}
+	for place, step := range q.Load.Steps {
+		until := time.Duration(1 << 62)
+		if place+1 < len(q.Load.Steps) {
+			until = q.Load.Steps[place+1].At
+		}
+		within := func(at time.Duration) bool { return at >= step.At && at < until }
+		phase := Phase{FromS: step.At.Seconds(), Callers: step.Callers}
+		took := []time.Duration{}
+		for _, turn := range f.Tally.Turns {
+			if within(turn.At - began) {
+				took = append(took, turn.Took)
+			}
+		}
+		slices.Sort(took)
+		phase.Whole = len(took)
+		if len(took) > 0 {
+			phase.MedianMs = millis(took[len(took)/2])
+			phase.P99Ms = millis(took[len(took)*99/100])
+		}
+		phase.Refused = len(base.Filter(moments["turns_refused"], within))
+		phase.Cut = len(base.Filter(moments["turns_cut"], within)) + len(base.Filter(moments["turns_dropped"], within))
+		r.Phases = append(r.Phases, phase)
+	}
+	r.Waited, r.Takeovers = f.Total("legs_waited"), f.Total("runs_succeeded")
+	if r.Takeovers > 0 {
+		r.TakeoverMs = float64(f.Total("takeover_ms")) / float64(r.Takeovers)
+	}
+	r.LongestMs = millis(f.Tally.Slowest)
+	runs, hits, put, allowed := 0, 0, int64(0), int64(0)
+	for _, model := range f.Models {
+		_, tokens, count, reused := model.Record()
+		runs, hits = runs+count, hits+reused
+		for _, n := range tokens {
+			put += n
+		}
+	}
+	for _, budget := range f.Tally.Budgets {
+		allowed += budget
+	}
+	if later := runs - counts["conversations_whole"]; later > 0 {
+		r.PrefixReuse = float64(hits) / float64(later)
+	}
+	if allowed > 0 {
+		r.BudgetUse = float64(put) / float64(allowed)
+	}
+	r.Breaches = append([]string{}, f.Check()...)
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// Write shows reports side by side.
+func Write(out io.Writer, names []string, reports []*Report) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	row := func(name string, cell func(*Report) string) {
+		fmt.Fprintln(w, strings.Join(append([]string{name}, base.Map(reports, cell)...), "\t"))
+	}
+	fmt.Fprintln(w, strings.Join(append([]string{""}, names...), "\t"))
+	for place := range reports[0].Phases {
+		title := fmt.Sprintf("from %gs, %g callers/s:", reports[0].Phases[place].FromS, reports[0].Phases[place].Callers)
+		row(title+" turns whole", func(r *Report) string { return fmt.Sprint(r.Phases[place].Whole) })
+		row("  refused / cut", func(r *Report) string { return fmt.Sprintf("%d / %d", r.Phases[place].Refused, r.Phases[place].Cut) })
+		row("  turn ms, median / p99", func(r *Report) string {
+			return fmt.Sprintf("%.0f / %.0f", r.Phases[place].MedianMs, r.Phases[place].P99Ms)
+		})
+	}
+	row("conversations whole / ended", func(r *Report) string {
+		return fmt.Sprintf("%d / %d", r.Conversations["whole"], r.Conversations["ended"])
+	})
+	codes := map[string]bool{}
+	for _, r := range reports {
+		for code := range r.Refusals {
+			codes[code] = true
+		}
+	}
+	for _, code := range base.SortedKeys(codes) {
+		row("told "+code, func(r *Report) string { return fmt.Sprint(r.Refusals[code]) })
+	}
+	row("legs that waited for a worker", func(r *Report) string { return fmt.Sprint(r.Waited) })
+	row("successor Runs / mean pause ms", func(r *Report) string { return fmt.Sprintf("%d / %.0f", r.Takeovers, r.TakeoverMs) })
+	row("longest turn ms", func(r *Report) string { return fmt.Sprintf("%.0f", r.LongestMs) })
+	row("prefix reuse", func(r *Report) string { return fmt.Sprintf("%.3f", r.PrefixReuse) })
+	row("budget used", func(r *Report) string { return fmt.Sprintf("%.3f", r.BudgetUse) })
+	row("messages / disk syncs a turn", func(r *Report) string { return fmt.Sprintf("%.1f / %.1f", r.MessagesTurn, r.SyncsTurn) })
+	row("must-nevers broken", func(r *Report) string { return fmt.Sprint(len(r.Breaches)) })
+	_ = w.Flush()
+	for place, r := range reports {
+		for _, breach := range r.Breaches {
+			fmt.Fprintf(out, "BROKEN (%s): %s\n", names[place], breach)
+		}
+	}
+}
