Keep a chain on its worker while that has room, spread new chains by session

Cause: the load bound sent chains away from nearly idle workers, and all chains of a site began at the same worker.

--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -224,7 +224,7 @@
 	h.mu.Lock()
 	former := h.worker
 	h.mu.Unlock()
-	made.need = &worker.Need{Pool: route.Pool, Affinity: string(chain[0]), Former: former, Program: record.Program,
+	made.need = &worker.Need{Pool: route.Pool, Affinity: record.ID, Former: former, Program: record.Program,
 		Urgency: record.Urgency, Waiting: route.Waiting, Tried: map[string]bool{}}
 	return made, nil
 }
--- a/internal/worker/nominate.go
+++ b/internal/worker/nominate.go
@@ -1,7 +1,7 @@
-// Nominating a worker keeps a chain where its prefix is cached, under a
-// bounded load: the first worker in the chain's own order whose load is
-// below a ratio of the mean takes the leg, so that a burst spills over and
-// comes back. A leg that finds every worker full waits in a bounded line:
+// Nominating a worker keeps a chain where its prefix is cached, as long as
+// that worker has room. A chain without such a worker goes to the first in
+// the session's own order whose load is below a ratio of the mean, so that
+// sessions spread and a burst spills over. A leg that finds every worker full waits in a bounded line:
 // urgent programs first, waiting counts as urgency so that none starves, and
 // among equals the program with fewest legs under way. A line that is full
 // declines at once and says when to come again.
@@ -250,17 +250,18 @@
 	if len(ids) == 0 {
 		return nil, possible
 	}
-	order := base.Rendezvous(need.Affinity, ids)
-	if candidates[need.Former] != nil {
-		order = append([]string{need.Former}, order...)
+	if former := candidates[need.Former]; former != nil && n.usage(former) < former.Capacity {
+		n.counters.Add("nominated_at_prefix", 1)
+		return former, true
 	}
+	order := base.Rendezvous(need.Affinity, ids)
 	bound := int(math.Ceil(spillRatio * float64(total+1) / float64(len(ids))))
 	for _, allowed := range []int{bound, math.MaxInt} {
 		for place, id := range order {
 			one := candidates[id]
 			if used := n.usage(one); used < min(allowed, one.Capacity) {
-				if place == 0 {
-					n.counters.Add("nominated_at_prefix", 1)
+				if place == 0 && need.Former == "" {
+					n.counters.Add("nominated_first", 1)
 				} else {
 					n.counters.Add("nominated_spilled", 1)
 				}
