--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -40,6 +40,10 @@
 					&cli.IntFlag{Name: "conversations", Value: 4, Usage: "`CONVERSATIONS` each"},
 					&cli.StringSliceFlag{Name: "kill", Usage: "kill and later restart a machine, as `NAME@SECONDS`, such as edge-2@3"},
 					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
+			{Name: "badday", Usage: "start a fleet and put it through a scripted bad day under load", Action: badday,
+				Flags: append(shared(),
+					&cli.IntFlag{Name: "callers", Value: 24, Usage: "`CALLERS` at once"},
+					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
 		},
 	}
 	node.Main(command, os.Args)
@@ -107,12 +111,29 @@
 	}
 	clock := base.NewRealClock()
 	before := f.Total()
-	f.Load(tally, command.Int("callers"), command.Int("conversations"), command.Int("pieces"), "c")
+	conversations := command.Int("conversations")
+	f.Load(tally, command.Int("callers"), command.Int("pieces"), 0, func(round int) bool { return round < conversations })
 	took := clock.Now()
 	tally.Check(parties.Models, parties.Tools, int64(command.Int("pieces")))
 	return f.Report(os.Stdout, tally, parties, before, took, command.Bool("json"))
 }
 
+func badday(_ context.Context, command *cli.Command) error {
+	f, parties, err := start(command)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	defer parties.Stop()
+	tally := standin.NewTally()
+	clock := base.NewRealClock()
+	if err := f.BadDay(parties, tally, command.Int("callers"), command.Int("pieces"), os.Stderr); err != nil {
+		return err
+	}
+	tally.Check(parties.Models, parties.Tools, int64(command.Int("pieces")))
+	return f.Report(os.Stdout, tally, parties, nil, clock.Now(), command.Bool("json"))
+}
+
 func killLater(f *fleet.Fleet, plan string) error {
 	var name string
 	var seconds float64
--- /dev/null
+++ b/internal/fleet/badday.go
@@ -0,0 +1,298 @@
+// A bad day: under callers' load, workers are replaced, machines are frozen,
+// killed and told to stop, a disk is lost and replaced, operators collide, and
+// at last everything falls at once. What callers and workers saw is checked
+// from the outside, and so are the settings that gateways show.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/operate"
+	"fordseam/internal/standin"
+
+	"github.com/juju/errors"
+)
+
+type day struct {
+	fleet   *Fleet
+	parties *Parties
+	tally   *standin.Tally
+	out     io.Writer
+	clock   base.Clock
+	over    atomic.Bool
+
+	mu      sync.Mutex
+	taken   map[uint64]time.Duration
+	refused map[string]bool
+}
+
+// BadDay runs the whole script and waits for the callers' last words.
+func (f *Fleet) BadDay(parties *Parties, tally *standin.Tally, callers, pieces int, out io.Writer) error {
+	d := &day{fleet: f, parties: parties, tally: tally, out: out, clock: base.NewRealClock(), taken: map[uint64]time.Duration{}, refused: map[string]bool{}}
+	var group sync.WaitGroup
+	group.Add(2)
+	go func() {
+		defer group.Done()
+		f.Load(tally, callers, pieces, 300*time.Millisecond, func(int) bool { return !d.over.Load() })
+	}()
+	go func() {
+		defer group.Done()
+		d.watch()
+	}()
+	steps := []struct {
+		name string
+		do   func() error
+	}{
+		{"workers are replaced one by one", d.rollWorkers},
+		{"a gateway is frozen and woken", func() error { return d.freeze(f.Edges[0], 4*time.Second) }},
+		{"a core is frozen and woken", func() error { return d.freeze(f.Cores[1], 4*time.Second) }},
+		{"a gateway is told to stop and comes back", func() error { return d.restart(f.Edges[1], syscall.SIGTERM) }},
+		{"a core is told to stop and comes back", func() error { return d.restart(f.Cores[0], syscall.SIGTERM) }},
+		{"a gateway is killed", func() error { return d.restart(f.Edges[2], syscall.SIGKILL) }},
+		{"a core is killed", func() error { return d.restart(f.Cores[1], syscall.SIGKILL) }},
+		{"a storage machine is killed", func() error { return d.restart(f.Storage[1], syscall.SIGKILL) }},
+		{"a disk is lost and its machine replaced", d.replaceDisk},
+		{"two operators collide while a core is killed", d.collide},
+		{"everything falls at once, one disk stays away", d.fallAll},
+	}
+	var failed error
+	for _, step := range steps {
+		began := d.clock.Now()
+		if failed = step.do(); failed != nil {
+			failed = errors.Annotate(failed, step.name)
+			break
+		}
+		_, _ = fmt.Fprintf(out, "%6.1fs  %s (%.1fs)\n", d.clock.Now().Seconds(), step.name, (d.clock.Now() - began).Seconds())
+		d.clock.Sleep(time.Second)
+	}
+	d.over.Store(true)
+	group.Wait()
+	return failed
+}
+
+func (d *day) rollWorkers() error {
+	stamp := d.parties.List.Stamp
+	for place := range 3 {
+		old := d.parties.List.Workers[place]
+		fresh, err := d.fleet.startWorker(d.parties, old.Pool, fmt.Sprintf("%s-next", old.ID))
+		if err != nil {
+			return err
+		}
+		stamp++
+		body := map[string]any{"stamp": stamp, "put": []any{fresh}, "remove": []string{old.ID}}
+		if err := retry(d.clock, d.clock.Now()+10*time.Second, func() error {
+			return Send("PATCH", d.fleet.Edges[place%len(d.fleet.Edges)].Public, "/v1/platform/workers", body, nil)
+		}); err != nil {
+			return err
+		}
+		known := d.clock.Now()
+		d.clock.Sleep(3500 * time.Millisecond)
+		for _, model := range d.parties.Models {
+			if model.ID == old.ID && model.Latest() > 0 && model.Clock.Now()-model.Latest() < d.clock.Now()-known-3*time.Second {
+				d.tally.Breach("%s got work more than 3 s after it was taken off the list", old.ID)
+			}
+		}
+		_ = d.parties.servers[old.ID].Close()
+	}
+	return nil
+}
+
+func (d *day) freeze(p *Process, span time.Duration) error {
+	p.Signal(syscall.SIGSTOP)
+	d.clock.Sleep(span)
+	p.Signal(syscall.SIGCONT)
+	return AwaitReady([]*Process{p}, 20*time.Second)
+}
+
+func (d *day) restart(p *Process, how syscall.Signal) error {
+	p.Signal(how)
+	code, ended := p.Wait(30 * time.Second)
+	if !ended || (how == syscall.SIGTERM && code != 0) {
+		return errors.Errorf("%s: ended %v with code %d", p.Name, ended, code)
+	}
+	d.clock.Sleep(time.Second)
+	if err := d.fleet.Start(p); err != nil {
+		return err
+	}
+	return AwaitReady([]*Process{p}, 20*time.Second)
+}
+
+// core gives some core that answers.
+func (d *day) core(call func(p *Process) error) error {
+	return retry(d.clock, d.clock.Now()+30*time.Second, func() error {
+		return call(d.fleet.Cores[rand.IntN(len(d.fleet.Cores))])
+	})
+}
+
+func (d *day) moved() error {
+	return d.core(func(p *Process) error {
+		var shown operate.StorageView
+		if err := Send("GET", p.Public, "/v1/operator/storage", nil, &shown); err != nil {
+			return err
+		}
+		if shown.Moving || shown.Slots != shown.All {
+			return errors.Errorf("%d of %d slots settled", shown.Slots, shown.All)
+		}
+		return nil
+	})
+}
+
+func (d *day) replaceDisk() error {
+	f := d.fleet
+	lost := f.Storage[len(f.Storage)-1]
+	var shown operate.StorageView
+	if err := d.core(func(p *Process) error { return Send("GET", p.Public, "/v1/operator/storage", nil, &shown) }); err != nil {
+		return err
+	}
+	id := ""
+	for _, disk := range shown.Disks {
+		if disk.Addr == lost.Addr {
+			id = disk.ID
+		}
+	}
+	lost.Kill()
+	if err := os.RemoveAll(lost.Data); err != nil {
+		return err
+	}
+	place := len(f.Storage)
+	if err := f.add(&f.Storage, "storage", place); err != nil {
+		return err
+	}
+	fresh := f.Storage[place]
+	f.Storage = append(f.Storage[:place-1], fresh)
+	if err := f.Start(fresh); err != nil {
+		return err
+	}
+	change := func(what string, body map[string]string) error {
+		if err := d.core(func(p *Process) error { return Send("POST", p.Public, "/v1/operator/storage/"+what, body, nil) }); err != nil {
+			return err
+		}
+		return d.moved()
+	}
+	if err := change("retire", map[string]string{"disk": id}); err != nil {
+		return err
+	}
+	return change("admit", map[string]string{"address": fresh.Addr})
+}
+
+// collide has two operators apply at once, again and again.
+func (d *day) collide() error {
+	var group sync.WaitGroup
+	for operator := range 2 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			stamp := uint64(1)
+			for round := range 6 {
+				stamp = d.apply(fmt.Sprintf("op%d-%d", operator, round), stamp)
+				d.clock.Sleep(time.Duration(200+rand.IntN(400)) * time.Millisecond)
+			}
+		}()
+	}
+	d.clock.Sleep(500 * time.Millisecond)
+	err := d.restart(d.fleet.Cores[0], syscall.SIGKILL)
+	group.Wait()
+	return err
+}
+
+// apply takes one change to a known end and gives the stamp that stands.
+func (d *day) apply(change string, stamp uint64) uint64 {
+	document := strings.Replace(d.fleet.Shape.Settings(), `"model": "stand-in"`, `"model": "`+change+`"`, 1)
+	body := map[string]any{"change": change, "based_on": stamp, "document": json.RawMessage(document)}
+	path := "/v1/operator/settings/apply"
+	var told struct {
+		Outcome string       `json:"outcome"`
+		Stamp   uint64       `json:"stamp"`
+		Error   base.Verdict `json:"error"`
+	}
+	for tries := 0; tries < 100; tries++ {
+		status, answer, err := Exchange("POST", d.fleet.Cores[rand.IntN(len(d.fleet.Cores))].Public, path, body)
+		_ = json.Unmarshal(answer, &told)
+		d.mu.Lock()
+		switch {
+		case err == nil && status == 200 && told.Outcome == "taken":
+			d.taken[told.Stamp] = d.clock.Now()
+			d.mu.Unlock()
+			d.tally.Count("settings_taken")
+			return told.Stamp
+		case err == nil && (status == 200 || status == 409):
+			d.refused[change] = true
+			d.mu.Unlock()
+			d.tally.Count("settings_refused")
+			return max(stamp, told.Stamp, told.Error.Stamp)
+		}
+		d.mu.Unlock()
+		d.tally.Count("settings_unknown")
+		path, body = "/v1/operator/settings/outcome", map[string]any{"change": change}
+		d.clock.Sleep(200 * time.Millisecond)
+	}
+	d.tally.Breach("change %s has no outcome", change)
+	return stamp
+}
+
+// watch asks every gateway for the stamp it serves by.
+func (d *day) watch() {
+	shown := map[string]uint64{}
+	for !d.over.Load() {
+		for _, p := range d.fleet.Edges {
+			asked := d.clock.Now()
+			var now struct {
+				Stamp uint64 `json:"stamp"`
+			}
+			if Send("GET", p.Public, "/v1/platform/settings", nil, &now) != nil {
+				continue
+			}
+			if now.Stamp < shown[p.Name] {
+				d.tally.Breach("%s slid back from stamp %d to %d", p.Name, shown[p.Name], now.Stamp)
+			}
+			shown[p.Name] = now.Stamp
+			d.mu.Lock()
+			for stamp, at := range d.taken {
+				if stamp > now.Stamp && asked > at+2*time.Second {
+					d.tally.Breach("%s serves by stamp %d, %d was taken %v before", p.Name, now.Stamp, stamp, asked-at)
+				}
+			}
+			d.mu.Unlock()
+		}
+		d.clock.Sleep(50 * time.Millisecond)
+	}
+}
+
+// fallAll kills everything and brings it back in any order, one disk missing.
+func (d *day) fallAll() error {
+	all := d.fleet.All()
+	for _, p := range all {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range all {
+		p.Wait(10 * time.Second)
+	}
+	away := d.fleet.Storage[rand.IntN(len(d.fleet.Storage))]
+	began := d.clock.Now()
+	for _, place := range rand.Perm(len(all)) {
+		if all[place] != away {
+			if err := d.fleet.Start(all[place]); err != nil {
+				return err
+			}
+		}
+	}
+	if err := AwaitReady(d.fleet.Edges, 60*time.Second); err != nil {
+		return err
+	}
+	took := d.clock.Now() - began
+	_, _ = fmt.Fprintf(d.out, "         all gateways serve again %.2fs after the first start\n", took.Seconds())
+	if took > 12*time.Second {
+		d.tally.Breach("service was back after %v", took)
+	}
+	return d.fleet.Start(away)
+}
--- a/internal/fleet/parties.go
+++ b/internal/fleet/parties.go
@@ -23,49 +23,59 @@
 
 // Parties are a fleet's workers.
 type Parties struct {
-	Clock     base.Clock
-	Models    []*standin.Model
-	Tools     []*standin.Tool
-	List      worker.List
-	listeners []net.Listener
-	servers   []*http.Server
+	Clock   base.Clock
+	Models  []*standin.Model
+	Tools   []*standin.Tool
+	List    worker.List
+	servers map[string]*http.Server
+	pieces  int
+	gap     time.Duration
 }
 
 // StartParties opens all workers of a shape.
 func (f *Fleet) StartParties(pieces int, gap time.Duration) (*Parties, error) {
-	parties := &Parties{Clock: base.NewRealClock(), List: worker.List{Stamp: 1}}
+	parties := &Parties{Clock: base.NewRealClock(), List: worker.List{Stamp: 1}, servers: map[string]*http.Server{}, pieces: pieces, gap: gap}
 	for place := 0; place < f.Shape.Models+f.Shape.Tools; place++ {
-		f.machines++
-		host := fmt.Sprintf("127.%d.%d.%d", 10+f.network/250%200, 1+f.network%250, f.machines)
-		listener, err := net.Listen("tcp", host+":0")
-		if err != nil {
-			return nil, errors.Trace(err)
+		pool, name := "models", fmt.Sprintf("model-%d", place+1)
+		if place >= f.Shape.Models {
+			pool, name = "apps", fmt.Sprintf("app-%d", place-f.Shape.Models+1)
 		}
-		one := worker.Worker{Addr: listener.Addr().String(), Zone: f.Shape.Zones[place%len(f.Shape.Zones)], Capacity: 16}
-		var handler http.Handler
-		if place < f.Shape.Models {
-			one.ID, one.Pool = fmt.Sprintf("model-%d", place+1), "models"
-			model := &standin.Model{ID: one.ID, Clock: parties.Clock, Pieces: pieces, Gap: gap}
-			parties.Models = append(parties.Models, model)
-			handler = modelHandler(model)
-		} else {
-			one.ID, one.Pool = fmt.Sprintf("app-%d", place-f.Shape.Models+1), "apps"
-			tool := &standin.Tool{ID: one.ID, Clock: parties.Clock, Pause: gap}
-			parties.Tools = append(parties.Tools, tool)
-			handler = toolHandler(tool)
+		one, err := f.startWorker(parties, pool, name)
+		if err != nil {
+			return nil, err
 		}
-		server := &http.Server{Handler: handler}
-		go func() { _ = server.Serve(listener) }()
-		parties.listeners, parties.servers = append(parties.listeners, listener), append(parties.servers, server)
 		parties.List.Workers = append(parties.List.Workers, one)
 	}
 	return parties, nil
 }
 
+// startWorker opens one worker at an address of its own.
+func (f *Fleet) startWorker(parties *Parties, pool, name string) (worker.Worker, error) {
+	listener, err := net.Listen("tcp", f.nextHost()+":0")
+	if err != nil {
+		return worker.Worker{}, errors.Trace(err)
+	}
+	one := worker.Worker{ID: name, Pool: pool, Addr: listener.Addr().String(), Zone: f.Shape.Zones[f.machines%len(f.Shape.Zones)], Capacity: 16}
+	var handler http.Handler
+	if pool == "models" {
+		model := &standin.Model{ID: name, Clock: parties.Clock, Pieces: parties.pieces, Gap: parties.gap}
+		parties.Models = append(parties.Models, model)
+		handler = modelHandler(model)
+	} else {
+		tool := &standin.Tool{ID: name, Clock: parties.Clock, Pause: parties.gap}
+		parties.Tools = append(parties.Tools, tool)
+		handler = toolHandler(tool)
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	parties.servers[name] = server
+	return one, nil
+}
+
 // Stop closes the workers.
 func (p *Parties) Stop() {
-	for _, server := range p.servers {
-		_ = server.Close()
+	for _, name := range base.SortedKeys(p.servers) {
+		_ = p.servers[name].Close()
 	}
 }
 
@@ -165,8 +175,8 @@
 	return counters
 }
 
-// Send makes one plain exchange with a process.
-func Send(method, addr, path string, body, into any) error {
+// Exchange makes one plain exchange with a process.
+func Exchange(method, addr, path string, body any) (status int, answer []byte, err error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -175,16 +185,23 @@
 	if body != nil {
 		request.SetBody(base.Encode(body))
 	}
-	if err := fasthttp.DoTimeout(request, response, 20*time.Second); err != nil {
-		return errors.Trace(err)
+	err = fasthttp.DoTimeout(request, response, 20*time.Second)
+	return response.StatusCode(), append([]byte(nil), response.Body()...), errors.Trace(err)
+}
+
+// Send makes an exchange that must go well, and reads the answer.
+func Send(method, addr, path string, body, into any) error {
+	status, answer, err := Exchange(method, addr, path, body)
+	if err != nil {
+		return err
 	}
-	if response.StatusCode() >= 300 {
-		return errors.Errorf("%s %s: %d %s", method, path, response.StatusCode(), response.Body())
+	if status >= 300 {
+		return errors.Errorf("%s %s: %d %s", method, path, status, answer)
 	}
 	if into == nil {
 		return nil
 	}
-	return json.Unmarshal(response.Body(), into)
+	return json.Unmarshal(answer, into)
 }
 
 // Form starts all processes, forms the cluster, applies the settings and
@@ -226,17 +243,21 @@
 	}
 }
 
-// Load runs many callers at once until each is done.
-func (f *Fleet) Load(tally *standin.Tally, callers, conversations, pieces int, name string) {
+// Load runs many callers at once; each begins conversations while there are
+// to be more.
+func (f *Fleet) Load(tally *standin.Tally, callers, pieces int, think time.Duration, more func(round int) bool) {
 	var group sync.WaitGroup
 	ask := f.Asker()
 	for caller := 0; caller < callers; caller++ {
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			for round := 0; round < conversations; round++ {
-				c := &standin.Caller{Name: fmt.Sprintf("%s-%d-%d", name, caller, round), Clock: base.NewRealClock(), Ask: ask, Gateways: len(f.Edges),
+			for round := 0; more(round); round++ {
+				c := &standin.Caller{Name: fmt.Sprintf("c-%d-%d", caller, round), Clock: base.NewRealClock(), Ask: ask, Gateways: len(f.Edges),
 					Home: caller % len(f.Edges), Group: f.Shape.Group, Site: "main", Pieces: pieces, Patience: 60 * time.Second, Tally: tally}
+				if think > 0 {
+					c.Between = func(int) { c.Clock.Sleep(time.Duration(c.Clock.Int64N(int64(2 * think)))) }
+				}
 				turns := f.Shape.Turns[0]
 				if (caller+round)%4 == 0 {
 					turns = f.Shape.Turns[1]
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -67,9 +67,14 @@
 	return f, nil
 }
 
-func (f *Fleet) add(list *[]*Process, role string, place int) error {
+// nextHost is a loopback address that no other machine has.
+func (f *Fleet) nextHost() string {
 	f.machines++
-	host := fmt.Sprintf("127.%d.%d.%d", 10+f.network/250%200, 1+f.network%250, f.machines)
+	return fmt.Sprintf("127.%d.%d.%d", 10+f.network/250%200, 1+f.network%250, f.machines)
+}
+
+func (f *Fleet) add(list *[]*Process, role string, place int) error {
+	host := f.nextHost()
 	p := &Process{Name: fmt.Sprintf("%s-%d", role, place+1), Role: role, Zone: f.Shape.Zones[place%len(f.Shape.Zones)]}
 	var err error
 	if p.Addr, err = freeAddr(host); err == nil {
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -33,7 +33,16 @@
 		count, hits = count+runs, hits+reused
 	}
 	perTurn := map[string]float64{}
+	for _, name := range base.SortedKeys(after) {
+		if before == nil || after[name] < before[name] {
+			before, perTurn = nil, nil // processes were restarted: their counts began anew
+			break
+		}
+	}
 	for _, name := range []string{"disk_syncs", "disk_records", "messages_sent", "register_changes", "register_confirms", "legs_sent"} {
+		if before == nil {
+			break
+		}
 		perTurn[name] = float64(after[name]-before[name]) / float64(turns)
 	}
 	shown := map[string]any{"seconds": took.Seconds(), "callers": tally.Counts, "per_turn": perTurn, "model_runs": count, "prefix_hits": hits,
@@ -45,7 +54,9 @@
 		for _, name := range base.SortedKeys(tally.Counts) {
 			_, _ = fmt.Fprintf(out, "  %-40s %d\n", name, tally.Counts[name])
 		}
-		_, _ = fmt.Fprintln(out, "per whole turn:")
+		if perTurn != nil {
+			_, _ = fmt.Fprintln(out, "per whole turn:")
+		}
 		for _, name := range base.SortedKeys(perTurn) {
 			_, _ = fmt.Fprintf(out, "  %-40s %.2f\n", name, perTurn[name])
 		}
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -7,6 +7,7 @@
 
 	"fordseam/internal/base"
 	"fordseam/internal/membership"
+	"fordseam/internal/settings"
 	"fordseam/internal/worker"
 
 	"github.com/go-faster/jx"
@@ -22,6 +23,11 @@
 			}
 			return answer(200, list), nil
 		}}, nil
+	case "GET settings":
+		return &plan{func(*base.Ctx) (*Response, error) {
+			stamp, _ := settings.FromFrame(f.Follower.Frame().Values)
+			return answer(200, map[string]uint64{"stamp": stamp}), nil
+		}}, nil
 	case "PUT workers":
 		return f.planReplace(r)
 	case "PATCH workers":
