--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -312,6 +312,15 @@
 		if matched.Kind != "model" {
 			return nil, base.DeclineField("route", "route %q is not for sessions", route)
 		}
+		if matched.Policy != nil {
+			allowed, err := matched.Policy.Admit(program.Urgency, route, f.Keeper.Owned())
+			if err != nil {
+				f.Counters.Add("policy_faults", 1)
+			}
+			if !allowed {
+				return nil, base.Busy(429, "not_admitted", 2, "the site's policy takes no such session now")
+			}
+		}
 		secret, digest := f.newSecret()
 		record := &session.Record{ID: id + ":" + base.NewID(f.Clock, "s"), Program: id, ProgramSecret: program.Secret, Secret: digest,
 			Group: program.Group, Site: program.Site, Route: route, Urgency: program.Urgency, LeaseMs: int64(lease * 1000)}
--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -137,7 +137,7 @@
 func (t *toolVisit) send(tried map[string]bool) (*toolcall.Answer, error) {
 	f := t.front
 	need := &worker.Need{Pool: t.route.Pool, Affinity: t.claim.Program, Program: t.claim.Program, Urgency: t.urgency,
-		Waiting: t.route.Waiting, Tried: tried}
+		Waiting: t.route.Waiting, Tried: tried, Policy: t.route.Policy}
 	for {
 		given, err, another := t.sendOnce(need)
 		if !another || t.ctx.Over() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,7 @@
 	place.Role = membership.RoleEdge
 	bounds, tree := newBounds(), &base.Table[settings.Tree]{}
 	book := worker.NewBook(env.Clock, bounds)
-	nominator := worker.NewNominator(env.Clock, bounds, env.Counters, book)
+	nominator := worker.NewNominator(env.Clock, bounds, env.Counters, book, place.Zone)
 	c := newCommon(env, place, book, bounds)
 	g := &Gateway{common: c}
 	client, follower := c.follow(tree, func(frame *feed.Frame) {
--- a/internal/session/held.go
+++ b/internal/session/held.go
@@ -475,6 +475,7 @@
 	if h.busy {
 		h.lastSeen = now
 	}
+	idle := now-h.lastSeen > 4*bounds.Retain && !h.busy
 	lease := time.Duration(h.record.LeaseMs) * time.Millisecond
 	expired := lease > 0 && now-h.lastSeen > lease
 	for id, op := range h.ops {
@@ -490,7 +491,7 @@
 	member, alive := k.view.Find(h.record.Understudy)
 	lacking := !alive || member.Leaving || h.offered[h.record.Understudy] < uint64(len(h.turns))
 	finalizing := h.record.Phase == Finalizing && !h.busy && len(h.queue) == 0
-	h.tending = expired || lacking || finalizing
+	h.tending = expired || lacking || finalizing || idle
 	due := h.tending
 	h.mu.Unlock()
 	if !due {
@@ -504,6 +505,11 @@
 			if k.moveRun(ctx, h, Failed, "", "lease_expired") == nil {
 				k.cancelAll(h, "the lease expired")
 			}
+		case idle:
+			// The register forgets what nobody may ask for any more.
+			if _, err := k.change(ctx, h.program, "session.get", ask{Session: h.snapshot().ID}); base.IsCode(err, "unknown_session") {
+				h.lose()
+			}
 		case finalizing:
 			_ = k.closeIfQuiet(ctx, h)
 		default:
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -142,10 +142,7 @@
 	if k.isDraining() {
 		return nil, base.Busy(503, "draining", 1, "this node is leaving")
 	}
-	k.mu.Lock()
-	full := len(k.held) >= sessionLimit
-	k.mu.Unlock()
-	if full {
+	if k.Owned() >= sessionLimit {
 		return nil, base.Busy(429, "too_many_sessions", 5, "this node owns %d sessions and takes no more", sessionLimit)
 	}
 	answer, err := k.change(ctx, record.Program, "session.acquire", ask{Session: record.ID, Record: record})
@@ -157,6 +154,13 @@
 	return answer.Record, nil
 }
 
+// Owned counts the sessions in this node's memory.
+func (k *Keeper) Owned() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.held)
+}
+
 func (k *Keeper) isDraining() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -662,3 +666,11 @@
 		}
 	}
 }
+
+// Sizes counts what this node keeps of sessions: owned, understudied, and
+// streams carried for other gateways.
+func (k *Keeper) Sizes() (owned, copies, streams int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.held), len(k.copies), len(k.streams)
+}
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -225,7 +225,7 @@
 	former := h.worker
 	h.mu.Unlock()
 	made.need = &worker.Need{Pool: route.Pool, Affinity: record.ID, Former: former, Program: record.Program,
-		Urgency: record.Urgency, Waiting: route.Waiting, Tried: map[string]bool{}}
+		Urgency: record.Urgency, Waiting: route.Waiting, Tried: map[string]bool{}, Policy: route.Policy}
 	return made, nil
 }
 
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/policy"
 
 	"github.com/go-faster/jx"
 )
@@ -52,6 +53,7 @@
 	{name: "waiting", kind: kindInt, low: 0, high: 65536, initial: 256.0, capped: true},
 	{name: "model", kind: kindText, initial: ""},
 	{name: "pool", kind: kindText, initial: ""},
+	{name: "policy", kind: kindText, initial: ""},
 	{name: "kind", kind: kindText, initial: "", routeOnly: true},
 	{name: "repeatable", kind: kindBool, initial: false, routeOnly: true},
 	{name: "path", kind: kindText, initial: "", routeOnly: true},
@@ -82,9 +84,10 @@
 
 // Tree is one whole, valid set of settings.
 type Tree struct {
-	root   *level
-	pools  map[string]string
-	bounds base.Bounds
+	root     *level
+	pools    map[string]string
+	policies map[string]*policy.Policy
+	bounds   base.Bounds
 }
 
 type reader struct {
@@ -100,7 +103,7 @@
 // Read judges a document. The tree is nil when there are faults.
 func Read(document []byte) (*Tree, []Fault) {
 	r := &reader{}
-	tree := &Tree{root: &level{path: "$", values: map[string]any{}, children: map[string]*level{}}, pools: map[string]string{}}
+	tree := &Tree{root: &level{path: "$", values: map[string]any{}, children: map[string]*level{}}, pools: map[string]string{}, policies: map[string]*policy.Policy{}}
 	limits := map[string]any{}
 	decoder := jx.DecodeBytes(document)
 	if decoder.Next() != jx.Object {
@@ -284,6 +287,13 @@
 	if pool, ok := at.values["pool"].(string); ok && tree.pools[pool] == "" {
 		r.fault(at.path+".pool", "no pool is named %q", pool)
 	}
+	if source, ok := at.values["policy"].(string); ok && source != "" && tree.policies[source] == nil {
+		compiled, err := policy.Compile(source)
+		if err != nil {
+			r.fault(at.path+".policy", "%v", err)
+		}
+		tree.policies[source] = compiled
+	}
 	for _, name := range base.SortedKeys(at.children) {
 		r.descend(tree, at.children[name], merged, depth+1)
 	}
@@ -343,6 +353,7 @@
 	Repeatable        bool
 	Path              string
 	Fallback          string
+	Policy            *policy.Policy
 }
 
 // Origin is one value in force and the level it came from.
@@ -400,7 +411,8 @@
 		OperationTimeout: seconds("operation_timeout_s"), ToolTimeout: seconds("tool_timeout_s"),
 		MaxOutputTokens: int64(number("max_output_tokens")), MaxBodyBytes: int(number("max_body_bytes")),
 		Legs: int(number("legs")), Waiting: int(number("waiting")), Model: text("model"), Pool: text("pool"), Kind: text("kind"),
-		Repeatable: repeatable, Path: text("path"), Fallback: text("fallback")}, nil
+		Repeatable: repeatable, Path: text("path"), Fallback: text("fallback"),
+		Policy: t.policies[text("policy")]}, nil
 }
 
 // Bounds are the promised times in the tree.
--- a/internal/settings/tree_test.go
+++ b/internal/settings/tree_test.go
@@ -33,6 +33,7 @@
 		{"dangling fallback", `{"pools":{"m":{"kind":"model"}},"groups":{"g":{"sites":{"s":{"routes":{"r":{"pool":"m","kind":"model","fallback":"q"}}}}}}}`, "$.groups.g.sites.s.routes.r.fallback"},
 		{"cycle", `{"pools":{"m":{"kind":"model"}},"groups":{"g":{"sites":{"s":{"routes":{"r":{"pool":"m","kind":"model","fallback":"q"},"q":{"pool":"m","kind":"model","fallback":"r"}}}}}}}`, "$.groups.g.sites.s.routes.q.fallback"},
 		{"bounds do not fit", `{"bounds":{"settings_bound_s":10,"recover_bound_s":12}}`, "$.bounds.recover_bound_s"},
+		{"faulty policy", `{"policy":"def admit(s): return 1"}`, "$.policy"},
 		{"bad name", `{"groups":{"a/b":{}}}`, "$.groups"},
 	}
 	for _, row := range rows {
--- /dev/null
+++ b/internal/simulate/long_test.go
@@ -0,0 +1,142 @@
+// What must stay bounded over a long run, load beyond what workers can do,
+// and policies at work.
+package simulate
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/standin"
+
+	"github.com/matryer/is"
+)
+
+// Retention really deletes: with a short retain_s, waves of conversations
+// leave the disks no fuller than the first few did, and quiet empties them.
+func TestRetentionBoundsTheDisks(t *testing.T) {
+	shape := SmallShape()
+	shape.Settings = strings.Replace(DefaultSettings, `{"pools"`, `{"bounds":{"settings_bound_s":2,"recover_bound_s":6,"retain_s":8},"pools"`, 1)
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		keys := func() int {
+			most := 0
+			for _, m := range f.Storage {
+				most = max(most, m.storage.Store.Used())
+			}
+			return most
+		}
+		peaks := []int{}
+		for wave := 0; wave < 12; wave++ {
+			left := f.Converse(6, 3, true, func(c *standin.Caller) { c.Name = fmt.Sprint("w", wave, c.Name) })
+			for left() > 0 {
+				call.sleep(200 * time.Millisecond)
+			}
+			peaks = append(peaks, keys())
+			call.sleep(8 * time.Second)
+		}
+		early := max(peaks[4], peaks[5])
+		for _, peak := range peaks[6:] {
+			is.True(peak <= early*3/2)
+		}
+		call.sleep(2 * time.Minute)
+		is.True(keys() < 10) // settings, workers and the change log are left
+		for _, m := range f.Edges {
+			sessions, copies, streams := m.gateway.Keeper.Sizes()
+			is.Equal(copies, 0)
+			is.Equal(streams, 0)
+			is.Equal(sessions, 0)
+		}
+		for _, m := range f.Storage {
+			is.True(m.Files.Size("log-0")+m.Files.Size("log-1") < 4<<20)
+		}
+	})
+}
+
+// Past saturation goodput does not collapse: refusals are early and say when
+// to come again, and the answers that are given stay whole.
+func TestACrowdIsRefusedEarly(t *testing.T) {
+	shape := SmallShape()
+	shape.Capacity, shape.Gap = 4, 50*time.Millisecond
+	shape.Settings = strings.Replace(DefaultSettings, `"operation_timeout_s":30`, `"operation_timeout_s":4,"waiting":16`, 1)
+	goodput := func(callers int) (whole int, counts map[string]int) {
+		script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+			f.Report(500 * time.Millisecond)
+			f.Converse(callers, 1000, false, func(c *standin.Caller) { c.Patience = time.Hour })
+			call.sleep(20 * time.Second)
+			whole, counts = f.Tally.Counts["turns_whole"], f.Tally.Counts
+		})
+		return whole, counts
+	}
+	is := is.New(t)
+	full, _ := goodput(8)
+	crowd, counts := goodput(80)
+	t.Logf("at saturation %d turns, with ten times the callers %d: %v", full, crowd, counts)
+	is.True(crowd > full*7/10)
+	is.True(counts["final_refused_overloaded"] > 0)
+}
+
+// A runaway program with many helpers does not keep others from workers.
+func TestARunawayProgramLeavesRoom(t *testing.T) {
+	shape := SmallShape()
+	shape.Models, shape.Capacity, shape.Gap = 1, 4, 50*time.Millisecond
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		runaway, secret := call.program(100000, nil)
+		for place := 0; place < 40; place++ {
+			path, key := call.session(0, runaway, secret, nil)
+			f.Callers.Go(func() {
+				for num := 0; num < 100; num++ {
+					call.turn(0, path, key, runaway, fmt.Sprint("t", num), "")
+				}
+			})
+		}
+		call.sleep(2 * time.Second)
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		for num := 0; num < 5; num++ {
+			began := f.World.Now()
+			verdict, _, _ := call.turn(0, path, key, program, fmt.Sprint("t", num), "").final()
+			is.Equal(verdict, "success")
+			is.True(f.World.Now()-began < 2*time.Second) // an answer takes 0.3 s, the runaway's line is 36 long
+		}
+	})
+}
+
+func TestPoliciesAtWork(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		apply := func(stamp int, change, source string) (int, string) {
+			document := strings.Replace(DefaultSettings, `"chat":{`, `"chat":{"policy":`+string(base.Encode(source))+`,`, 1)
+			status, answer := f.Operate(f.Cores[0], "POST", "/v1/operator/settings/apply",
+				map[string]any{"change": change, "based_on": stamp, "document": json.RawMessage(document)})
+			call.sleep(2 * time.Second)
+			return status, string(answer)
+		}
+		status, answer := apply(1, "bad", "def nominate(leg): return 1")
+		is.Equal(status, 400)
+		is.True(strings.Contains(answer, "routes.chat.policy"))
+		status, _ = apply(1, "one", "def nominate(leg, workers):\n  return workers[-1]['id']\ndef admit(session):\n  return session['urgency'] != 'low'")
+		is.Equal(status, 200)
+		program, secret := call.program(1000, nil)
+		for place := 0; place < 3; place++ {
+			path, key := call.session(place, program, secret, nil)
+			verdict, _, _ := call.turn(place, path, key, program, fmt.Sprint("p", place), "").final()
+			is.Equal(verdict, "success")
+		}
+		_, _, first, _ := f.Models[0].Record()
+		_, _, last, _ := f.Models[1].Record()
+		is.Equal([]int{first, last}, []int{0, 3}) // always the last one listed
+		low, secret := call.program(1000, map[string]any{"urgency": "low"})
+		refused := call.send(0, "POST", "/v1/programs/"+low+"/sessions", secret, `{"route":"chat"}`)
+		is.Equal(refused.text("error", "code"), "not_admitted")
+		// One that faults on live data counts, and the rule goes on.
+		status, _ = apply(2, "two", "def nominate(leg, workers):\n  return workers[0]['id'] if workers[0]['id'].startswith('worker') else 1 // 0")
+		is.Equal(status, 200)
+		program, secret = call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		verdict, _, _ := call.turn(0, path, key, program, "x", "").final()
+		is.Equal(verdict, "success")
+		is.True(f.Total("policy_faults") > 0)
+	})
+}
--- a/internal/worker/nominate.go
+++ b/internal/worker/nominate.go
@@ -2,9 +2,11 @@
 // that worker has room. A chain without such a worker goes to the first in
 // the session's own order whose load is below a ratio of the mean, so that
 // sessions spread and a burst spills over. A leg that finds every worker full waits in a bounded line:
-// urgent programs first, waiting counts as urgency so that none starves, and
-// among equals the program with fewest legs under way. A line that is full
-// declines at once and says when to come again.
+// urgent programs first; the time since a program was last served counts as
+// urgency, so that none starves and none crowds out others by its own numbers;
+// and among equals the program with fewest legs under way. A line that is full
+// declines at once and says when to come again, and so does one in
+// which a leg could not come to its end in time.
 package worker
 
 import (
@@ -16,6 +18,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/policy"
 )
 
 const spillRatio = 1.25
@@ -57,6 +60,7 @@
 	Urgency  string
 	Waiting  int
 	Tried    map[string]bool
+	Policy   *policy.Policy
 }
 
 var urgencies = map[string]int{"low": 0, "normal": 1, "": 1, "urgent": 2}
@@ -67,6 +71,7 @@
 type waiter struct {
 	need    *Need
 	since   time.Duration
+	until   time.Duration
 	granted *Worker
 	signal  base.Signal
 	gone    bool
@@ -78,6 +83,7 @@
 	bounds   *base.Table[base.Bounds]
 	counters *base.Counters
 	book     *Book
+	zone     string
 	roster   base.Table[Roster]
 
 	mu       sync.Mutex
@@ -87,11 +93,12 @@
 	left     map[string]string
 	waiting  []*waiter
 	lasting  map[string]time.Duration
+	served   map[string]time.Duration
 }
 
-func NewNominator(clock base.Clock, bounds *base.Table[base.Bounds], counters *base.Counters, book *Book) *Nominator {
-	n := &Nominator{clock: clock, bounds: bounds, counters: counters, book: book,
-		busy: map[string]int{}, programs: map[string]int{}, shunned: map[string]time.Duration{}, left: map[string]string{}, lasting: map[string]time.Duration{}}
+func NewNominator(clock base.Clock, bounds *base.Table[base.Bounds], counters *base.Counters, book *Book, zone string) *Nominator {
+	n := &Nominator{zone: zone, clock: clock, bounds: bounds, counters: counters, book: book,
+		busy: map[string]int{}, programs: map[string]int{}, shunned: map[string]time.Duration{}, left: map[string]string{}, lasting: map[string]time.Duration{}, served: map[string]time.Duration{}}
 	n.roster.Swap(&Roster{Pools: map[string][]Worker{}})
 	return n
 }
@@ -125,13 +132,13 @@
 			line++
 		}
 	}
-	expected := n.lasting[need.Pool] * time.Duration(line+1) / time.Duration(max(1, n.size(need.Pool)))
+	expected := n.lasting[need.Pool] + n.lasting[need.Pool]*time.Duration(line+1)/time.Duration(max(1, n.size(need.Pool)))
 	if line >= need.Waiting || expected > ctx.Left() {
 		n.mu.Unlock()
 		n.counters.Add("legs_declined_busy", 1)
 		return nil, base.Busy(429, "overloaded", 1+int(expected/time.Second), "all workers are busy and the line is too long")
 	}
-	w := &waiter{need: need, since: n.clock.Now(), signal: n.clock.NewSignal()}
+	w := &waiter{need: need, since: n.clock.Now(), until: ctx.Until, signal: n.clock.NewSignal()}
 	n.waiting = append(n.waiting, w)
 	n.mu.Unlock()
 	n.counters.Add("legs_waited", 1)
@@ -157,6 +164,7 @@
 func (n *Nominator) take(chosen *Worker, need *Need) {
 	n.busy[chosen.ID]++
 	n.programs[need.Program]++
+	n.served[need.Program] = n.clock.Now()
 }
 
 // Release ends a leg's hold and learns how long such legs last.
@@ -169,6 +177,7 @@
 	}
 	if n.programs[need.Program]--; n.programs[need.Program] <= 0 {
 		delete(n.programs, need.Program)
+		delete(n.served, need.Program)
 	}
 	n.pump()
 }
@@ -250,6 +259,9 @@
 	if len(ids) == 0 {
 		return nil, possible
 	}
+	if one := n.byPolicy(need, ids, candidates); one != nil {
+		return one, true
+	}
 	if former := candidates[need.Former]; former != nil && n.usage(former) < former.Capacity {
 		n.counters.Add("nominated_at_prefix", 1)
 		return former, true
@@ -272,8 +284,31 @@
 	return nil, true
 }
 
+// byPolicy asks the operators' policy, if there is one; it may name a worker
+// that has room, or leave the choice to the rule.
+func (n *Nominator) byPolicy(need *Need, ids []string, candidates map[string]*Worker) *Worker {
+	if need.Policy == nil {
+		return nil
+	}
+	offered := base.Map(ids, func(id string) policy.Candidate {
+		one := candidates[id]
+		return policy.Candidate{ID: id, Zone: one.Zone, Load: n.usage(one), Capacity: one.Capacity, Former: id == need.Former}
+	})
+	id, err := need.Policy.Nominate(need.Urgency, n.zone, offered)
+	if err != nil {
+		n.counters.Add("policy_faults", 1)
+		return nil
+	}
+	one := candidates[id]
+	if one == nil || n.usage(one) >= one.Capacity {
+		return nil
+	}
+	n.counters.Add("nominated_by_policy", 1)
+	return one
+}
+
 func (n *Nominator) rank(w *waiter) float64 {
-	aged := float64(n.clock.Now()-w.since) / float64(n.bounds.Load().Recover/6)
+	aged := float64(n.clock.Now()-max(w.since, n.served[w.need.Program])) / float64(n.bounds.Load().Recover/6)
 	return float64(urgencies[w.need.Urgency]) + aged
 }
 
@@ -292,6 +327,11 @@
 		if w.granted != nil || w.gone {
 			continue
 		}
+		if n.clock.Now()+n.lasting[w.need.Pool] > w.until {
+			w.gone = true // it could not end in time: better told now
+			w.signal.Fire()
+			continue
+		}
 		if chosen, _ := n.choose(w.need); chosen != nil {
 			w.granted = chosen
 			n.take(chosen, w.need)
