Take a closing connection for a worker's notice; be fair by site; more losses

Cause: a worker that begins to close connections it used to keep is leaving; a refusal that nothing bore out kept a returned worker away for good; sites with many programs crowded out others. Change: such a close is a notice, a worker that never kept connections says nothing by it; refusals are forgotten after ten times the leave bound; the line is fair by site, then program. Tests for a second init, blank disks after the loss of all, a draining understudy and a full disk.

--- a/internal/base/backend.go
+++ b/internal/base/backend.go
@@ -17,6 +17,8 @@
 type BackReply interface {
 	Status() int
 	Header(name string) string
+	// Closes tells that the worker will not keep the connection.
+	Closes() bool
 	Line(limit time.Duration) ([]byte, error)
 	Body(limit time.Duration, most int) ([]byte, error)
 	Close()
--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -136,7 +136,7 @@
 // send tries workers until one was reached; from then on there is no other.
 func (t *toolVisit) send(tried map[string]bool) (*toolcall.Answer, error) {
 	f := t.front
-	need := &worker.Need{Pool: t.route.Pool, Affinity: t.claim.Program, Program: t.claim.Program, Urgency: t.urgency,
+	need := &worker.Need{Pool: t.route.Pool, Affinity: t.claim.Program, Program: t.claim.Program, Site: t.route.Group + "/" + t.route.Site, Urgency: t.urgency,
 		Waiting: t.route.Waiting, Tried: tried, Policy: t.route.Policy}
 	for {
 		given, err, another := t.sendOnce(need)
@@ -189,6 +189,9 @@
 		}
 		return nil, base.Unsure(502, "worker_leaving", "the worker refused the call as it leaves, but bytes had gone out"), false
 	}
+	if f.Nominator.Answered(chosenWorker, reply.Closes()) {
+		f.Keeper.WorkerLeaves(chosenWorker)
+	}
 	body, err := reply.Body(t.ctx.Left(), toolBodyLimit)
 	if err != nil {
 		return nil, base.Unsure(502, "worker_cut", "the worker's answer was cut short"), false
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -73,6 +73,8 @@
 func (r *backReply) Status() int               { return r.response.StatusCode() }
 func (r *backReply) Header(name string) string { return string(r.response.Header.Peek(name)) }
 
+func (r *backReply) Closes() bool { return r.response.ConnectionClose() }
+
 func (r *backReply) Line(limit time.Duration) ([]byte, error) {
 	_ = r.plain.SetReadDeadline(time.Now().Add(limit))
 	line, err := r.reader.ReadBytes('\n')
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -224,7 +224,7 @@
 	h.mu.Lock()
 	former := h.worker
 	h.mu.Unlock()
-	made.need = &worker.Need{Pool: route.Pool, Affinity: record.ID, Former: former, Program: record.Program,
+	made.need = &worker.Need{Pool: route.Pool, Affinity: record.ID, Former: former, Program: record.Program, Site: record.Group + "/" + record.Site,
 		Urgency: record.Urgency, Waiting: route.Waiting, Tried: map[string]bool{}, Policy: route.Policy}
 	return made, nil
 }
@@ -388,6 +388,9 @@
 	if reply.Status() != 200 {
 		return k.refusedLeg(h, made, chosenWorker, reply, settle)
 	}
+	if k.nominator.Answered(chosenWorker, reply.Closes()) {
+		k.WorkerLeaves(chosenWorker)
+	}
 	h.abortable(op, reply.Close)
 	cleanup.Push(func() { h.abortable(op, nil) })
 	if !op.stream.begin(legID) {
--- a/internal/simulate/chaos_test.go
+++ b/internal/simulate/chaos_test.go
@@ -68,6 +68,12 @@
 		m.Files.Stalled = true
 		f.later(3*time.Second, func() { m.Files.Stalled = false })
 	}},
+	{name: "disk fills", every: 5 * time.Second, do: func(f *Fleet, _ int) {
+		m := f.pick(f.Storage)
+		limit := m.Files.Limit
+		m.Files.Limit -= m.Files.Free()
+		f.later(3*time.Second, func() { m.Files.Limit = limit })
+	}},
 	{name: "messages lost, late and twice", every: time.Hour, net: Faults{Lost: 0.01, Late: 0.02, Twice: 0.02, LateLimit: 4 * time.Second}},
 	{name: "a machine cut off", every: 8 * time.Second, do: func(f *Fleet, _ int) {
 		f.Net.CutOff(map[string]bool{f.pick(append(append([]*Machine{}, f.Edges...), f.Cores...)).Host.Name: true})
--- a/internal/simulate/parties.go
+++ b/internal/simulate/parties.go
@@ -17,6 +17,7 @@
 	bell   *base.Bell
 	status int
 	begun  bool
+	closes bool
 	lines  []string
 	ended  bool
 	died   bool
@@ -50,6 +51,7 @@
 
 func (r *Reply) Status() int          { return r.status }
 func (r *Reply) Header(string) string { return "application/json" }
+func (r *Reply) Closes() bool         { return r.closes }
 
 func (r *Reply) Line(limit time.Duration) ([]byte, error) {
 	if err := r.await(limit, func() bool { return len(r.lines) > 0 }); err != nil {
@@ -91,6 +93,7 @@
 	body := append([]byte(nil), request.Body...)
 	target.Go(func() {
 		if model := b.models[target.Name]; model != nil {
+			reply.closes = model.Closing
 			model.Serve(body, func(status int) { reply.status, reply.begun = status, true; reply.bell.Ring() }, func(line string) error {
 				if reply.closed {
 					return io.ErrClosedPipe
--- a/internal/simulate/path_test.go
+++ b/internal/simulate/path_test.go
@@ -502,7 +502,7 @@
 }
 
 func TestLeavingWorkerGetsNoNewWork(t *testing.T) {
-	for _, way := range []string{"report", "list", "refusal"} {
+	for _, way := range []string{"report", "list", "refusal", "closing"} {
 		t.Run(way, func(t *testing.T) {
 			script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
 				program, secret := call.program(100000, nil)
@@ -522,6 +522,8 @@
 					is.Equal(call.send(2, "POST", "/v1/platform/workers/"+leaving.ID+"/usage", "", `{"number":5,"leaving":true}`).Status, 200)
 				case "list":
 					is.Equal(call.send(2, "PATCH", "/v1/platform/workers", "", map[string]any{"stamp": 2, "remove": []string{leaving.ID}}).Status, 200)
+				case "closing":
+					leaving.Closing = true
 				case "refusal":
 					leaving.Next = func() standin.Trouble { return standin.Refuse }
 				}
@@ -531,8 +533,8 @@
 					verdict, _, _ := call.turn(num, path, key, program, id, previous).final()
 					is.Equal(verdict, "success")
 					previous = id
-					if way == "refusal" && num == 5 {
-						leaving.Next = nil // it would take work again, if it were given any
+					if (way == "refusal" || way == "closing") && num == 5 {
+						leaving.Next, leaving.Closing = nil, false // it would take work again, if it were given any
 						knownAt = f.World.Now()
 					}
 				}
--- a/internal/simulate/repair_test.go
+++ b/internal/simulate/repair_test.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -179,6 +180,62 @@
 	})
 }
 
+// The cluster is formed once; nothing forms it again by itself or by hand.
+func TestAClusterIsFormedOnce(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		cluster := call.storage().Cluster
+		addrs := []string{"storage-0:1", "storage-1:1", "storage-2:1"}
+		status, answer := f.Operate(f.Cores[1], "POST", "/v1/operator/init", map[string]any{"disks": addrs})
+		is.Equal(status, 409)
+		is.True(strings.Contains(string(answer), "cluster_exists"))
+		for _, bad := range []any{[]string{"storage-0:1"}, []string{"storage-0:1", "storage-0:1", "storage-1:1"}, "storage-0:1"} {
+			status, answer = f.Operate(f.Cores[1], "POST", "/v1/operator/init", map[string]any{"disks": bad})
+			is.Equal(status, 400)
+			is.True(strings.Contains(string(answer), `"field":"disks"`))
+		}
+		for _, m := range f.All() {
+			f.PowerLoss(m)
+			m.Files.Wipe()
+		}
+		for _, m := range f.All() {
+			f.Start(m)
+		}
+		call.sleep(20 * time.Second)
+		for _, m := range f.Storage {
+			is.True(m.storage.Ready() != nil) // blank, and no cluster by itself
+		}
+		for _, m := range f.Edges {
+			is.True(m.gateway.Ready() != nil)
+		}
+		is.True(cluster != "")
+	})
+}
+
+// The owner is lost while its understudy is leaving: another goes on.
+func TestTakeOverWhileTheUnderstudyDrains(t *testing.T) {
+	shape := SmallShape()
+	shape.Edges = 4
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		verdict, _, _ := call.turn(2, path, key, program, "a", "").final()
+		is.Equal(verdict, "success")
+		understudy := call.send(2, "GET", path, key, nil).text("understudy")
+		for _, m := range f.Edges {
+			if strings.HasPrefix(understudy, m.Host.Name) {
+				f.Callers.Go(func() { f.Stop(m) })
+			}
+		}
+		call.sleep(10 * time.Millisecond)
+		f.Kill(f.Edges[0])
+		verdict, _, _ = call.turn(2, path, key, program, "b", "a").final()
+		is.Equal(verdict, "success")
+		after := call.send(2, "GET", path, key, nil)
+		is.True(after.text("owner") != understudy)
+		is.Equal(after.text("turns"), "2")
+	})
+}
+
 // All seeds but one dead: machines still find the fleet.
 func TestOneSeedIsEnough(t *testing.T) {
 	script(t, KiondoShape(), func(is *is.I, f *Fleet, call *talker) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -49,6 +49,8 @@
 	Prefill  time.Duration
 	Capacity int
 	Next     func() Trouble
+	// Closing says on each answer that the connection will not be kept.
+	Closing bool
 
 	mu     sync.Mutex
 	busy   int
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -51,6 +51,7 @@
 	Leaving     bool   `json:"leaving"`
 	Source      string `json:"source"`
 	Number      uint64 `json:"number"`
+	At          int64  `json:"at"`
 }
 
 func loadList(tx *register.Tx) List {
@@ -95,6 +96,7 @@
 // Serve adds the workers' ops to a core.
 func Serve(owner *register.Owner) {
 	owner.Handle("worker.list", func(tx *register.Tx, _ []byte) (any, error) { return loadList(tx), nil })
+	owner.Sweep(sweep)
 	owner.Handle("worker.replace", func(tx *register.Tx, args []byte) (any, error) {
 		var next List
 		_ = json.Unmarshal(args, &next)
@@ -144,6 +146,7 @@
 		switch {
 		case now.find(notice.Worker) < 0:
 		case notice.Leaving && (raw == nil || held.Incarnation != notice.Incarnation):
+			notice.At = tx.Wall.UnixMilli()
 			tx.Put(LeavingPrefix+notice.Worker, base.Encode(notice))
 		case !notice.Leaving && raw != nil && (held.Incarnation != notice.Incarnation || held.Source != "report"):
 			tx.Gone(LeavingPrefix + notice.Worker)
@@ -152,6 +155,19 @@
 	})
 }
 
+// sweep forgets refusals that nothing else has borne out: the worker is
+// tried again, and refuses again if it is still leaving.
+func sweep(tx *register.Tx) {
+	tx.Walk(LeavingPrefix, "", func(key string, value []byte) bool {
+		var notice Notice
+		old := json.Unmarshal(value, &notice) == nil && tx.Wall.UnixMilli()-notice.At > NoticeSpan(tx.Bounds).Milliseconds()
+		if old && notice.Source != "report" {
+			tx.Gone(key)
+		}
+		return true
+	})
+}
+
 // Client asks for changes of the list.
 type Client struct{ Register *register.Client }
 
--- a/internal/worker/nominate.go
+++ b/internal/worker/nominate.go
@@ -4,7 +4,7 @@
 // sessions spread and a burst spills over. A leg that finds every worker full waits in a bounded line:
 // urgent programs first; the time since a program was last served counts as
 // urgency, so that none starves and none crowds out others by its own numbers;
-// and among equals the program with fewest legs under way. A line that is full
+// and among equals the site, then the program, with fewest legs under way. A line that is full
 // declines at once and says when to come again, and so does one in
 // which a leg could not come to its end in time.
 package worker
@@ -57,6 +57,7 @@
 	Affinity string
 	Former   string
 	Program  string
+	Site     string
 	Urgency  string
 	Waiting  int
 	Tried    map[string]bool
@@ -68,6 +69,16 @@
 // KnownUrgency reports whether a word names an urgency.
 func KnownUrgency(word string) bool { _, ok := urgencies[word]; return ok }
 
+// mark is a worker's own notice as this node saw it.
+type mark struct {
+	incarnation string
+	at          time.Duration
+}
+
+// NoticeSpan is how long a worker's refusal counts as its leaving, if nothing
+// else is heard; a report of its own counts until it says otherwise.
+func NoticeSpan(bounds *base.Bounds) time.Duration { return 10 * bounds.Leave }
+
 type waiter struct {
 	need    *Need
 	since   time.Duration
@@ -90,7 +101,9 @@
 	busy     map[string]int
 	programs map[string]int
 	shunned  map[string]time.Duration
-	left     map[string]string
+	left     map[string]mark
+	kept     map[string]bool
+	sites    map[string]int
 	waiting  []*waiter
 	lasting  map[string]time.Duration
 	served   map[string]time.Duration
@@ -98,7 +111,7 @@
 
 func NewNominator(clock base.Clock, bounds *base.Table[base.Bounds], counters *base.Counters, book *Book, zone string) *Nominator {
 	n := &Nominator{zone: zone, clock: clock, bounds: bounds, counters: counters, book: book,
-		busy: map[string]int{}, programs: map[string]int{}, shunned: map[string]time.Duration{}, left: map[string]string{}, lasting: map[string]time.Duration{}, served: map[string]time.Duration{}}
+		busy: map[string]int{}, programs: map[string]int{}, shunned: map[string]time.Duration{}, left: map[string]mark{}, kept: map[string]bool{}, sites: map[string]int{}, lasting: map[string]time.Duration{}, served: map[string]time.Duration{}}
 	n.roster.Swap(&Roster{Pools: map[string][]Worker{}})
 	return n
 }
@@ -107,6 +120,17 @@
 func (n *Nominator) Swap(roster *Roster) {
 	n.roster.Swap(roster)
 	n.mu.Lock()
+	listed := map[string]bool{}
+	for _, pool := range roster.Pools {
+		for _, one := range pool {
+			listed[one.ID+" "+n.Incarnation(&one)] = true
+		}
+	}
+	for life := range n.kept {
+		if !listed[life] {
+			delete(n.kept, life)
+		}
+	}
 	n.pump()
 	n.mu.Unlock()
 }
@@ -164,6 +188,7 @@
 func (n *Nominator) take(chosen *Worker, need *Need) {
 	n.busy[chosen.ID]++
 	n.programs[need.Program]++
+	n.sites[need.Site]++
 	n.served[need.Program] = n.clock.Now()
 }
 
@@ -175,6 +200,9 @@
 	if n.busy[held.ID]--; n.busy[held.ID] <= 0 {
 		delete(n.busy, held.ID)
 	}
+	if n.sites[need.Site]--; n.sites[need.Site] <= 0 {
+		delete(n.sites, need.Site)
+	}
 	if n.programs[need.Program]--; n.programs[need.Program] <= 0 {
 		delete(n.programs, need.Program)
 		delete(n.served, need.Program)
@@ -208,10 +236,23 @@
 // LeftNow stops new work for this life of a worker at once on this node.
 func (n *Nominator) LeftNow(one *Worker) {
 	n.mu.Lock()
-	n.left[one.ID] = n.Incarnation(one)
+	n.left[one.ID] = mark{n.Incarnation(one), n.clock.Now()}
 	n.mu.Unlock()
 }
 
+// Answered looks at how a worker answered. One that used to keep connections
+// and now closes them says that it is leaving; one that never kept any says
+// nothing by it.
+func (n *Nominator) Answered(one *Worker, closes bool) (leaving bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	life := one.ID + " " + n.Incarnation(one)
+	if !closes {
+		n.kept[life] = true
+	}
+	return closes && n.kept[life]
+}
+
 // Back takes a local leaving mark away again.
 func (n *Nominator) Back(id string) {
 	n.mu.Lock()
@@ -228,7 +269,7 @@
 		return false
 	}
 	incarnation := n.Incarnation(one)
-	if mark, ok := n.left[one.ID]; ok && mark == incarnation {
+	if seen, ok := n.left[one.ID]; ok && seen.incarnation == incarnation && n.clock.Now()-seen.at < NoticeSpan(n.bounds.Load()) {
 		return false
 	}
 	notice, ok := n.roster.Load().Leaving[one.ID]
@@ -318,6 +359,9 @@
 		if first, second := math.Floor(n.rank(a)), math.Floor(n.rank(b)); first != second {
 			return int(second - first)
 		}
+		if first, second := n.sites[a.need.Site], n.sites[b.need.Site]; first != second {
+			return first - second
+		}
 		if first, second := n.programs[a.need.Program], n.programs[b.need.Program]; first != second {
 			return first - second
 		}
