--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -45,6 +45,7 @@
 	Slowest  time.Duration
 	Keys     map[string]bool
 	Turns    []TurnTime
+	Refusals []TurnTime
 	// Seen, when set, is told of each count as it happens.
 	Seen func(name string)
 }
@@ -246,7 +247,7 @@
 	if c.last != "" {
 		more["previous-turn"] = c.last
 	}
-	unsure := false
+	began, unsure := c.Clock.Now(), false
 	expected := Expected(append(append([]Message(nil), c.chain...), asked...), c.Pieces)
 	for c.Clock.Now() < end {
 		answer, err := c.Ask(c.Home, "POST", path+"/turns", c.header(secret, more), base.Encode(map[string]any{"messages": asked, "max_output_tokens": c.Pieces + 2}))
@@ -269,7 +270,7 @@
 				// A gateway that knows nothing of the turn speaks of this request
 				// alone; after an unknown outcome only the owner's word counts.
 				if !unsure || !gatewayWords[failed.Error.Code] {
-					c.refuse(id)
+					c.refuse(id, began)
 				}
 				if answer.Status == 503 {
 					c.Home = (c.Home + 1) % c.Gateways
@@ -291,10 +292,10 @@
 			c.Tally.Count("turns_whole")
 			return true, false
 		case "refused":
-			c.refuse(id)
+			c.refuse(id, began)
 			return false, true
 		case "over_budget":
-			c.refuse(id)
+			c.refuse(id, began)
 			c.Tally.Count("over_budget")
 			return false, false
 		}
@@ -312,9 +313,10 @@
 var gatewayWords = map[string]bool{"no_confirmed_settings": true, "no_settings": true, "owner_unreachable": true, "control_unreachable": true,
 	"outcome_unknown": true, "slot_not_ready": true, "draining": true}
 
-func (c *Caller) refuse(id string) {
+func (c *Caller) refuse(id string, began time.Duration) {
 	c.Tally.mu.Lock()
 	c.Tally.Refused[c.program+"|"+id] = true
+	c.Tally.Refusals = append(c.Tally.Refusals, TurnTime{began, c.Clock.Now() - began})
 	c.Tally.mu.Unlock()
 	c.Tally.Count("turns_refused")
 }
--- a/internal/whatif/run.go
+++ b/internal/whatif/run.go
@@ -36,6 +36,8 @@
 	Cut      int     `json:"turns_cut"`
 	MedianMs float64 `json:"median_turn_ms"`
 	P99Ms    float64 `json:"p99_turn_ms"`
+	// RefusedMs is the time to a refusal, at the median and the 99th of 100.
+	RefusedMs [2]float64 `json:"refusal_ms"`
 }
 
 // Report is all that comes out.
@@ -240,19 +242,14 @@
 		}
 		within := func(at time.Duration) bool { return at >= step.At && at < until }
 		phase := Phase{FromS: step.At.Seconds(), Callers: step.Callers}
-		took := []time.Duration{}
-		for _, turn := range f.Tally.Turns {
-			if within(turn.At - began) {
-				took = append(took, turn.Took)
-			}
-		}
-		slices.Sort(took)
-		phase.Whole = len(took)
-		if len(took) > 0 {
-			phase.MedianMs = millis(took[len(took)/2])
-			phase.P99Ms = millis(took[len(took)*99/100])
+		during := func(list []standin.TurnTime) []time.Duration {
+			inside := base.Filter(list, func(one standin.TurnTime) bool { return within(one.At - began) })
+			return base.Map(inside, func(one standin.TurnTime) time.Duration { return one.Took })
 		}
-		phase.Refused = len(base.Filter(moments["turns_refused"], within))
+		took, refused := during(f.Tally.Turns), during(f.Tally.Refusals)
+		phase.Whole, phase.Refused = len(took), len(refused)
+		phase.MedianMs, phase.P99Ms = spread(took)
+		phase.RefusedMs[0], phase.RefusedMs[1] = spread(refused)
 		phase.Cut = len(base.Filter(moments["turns_cut"], within)) + len(base.Filter(moments["turns_dropped"], within))
 		r.Phases = append(r.Phases, phase)
 	}
@@ -281,6 +278,15 @@
 	r.Breaches = append([]string{}, f.Check()...)
 }
 
+// spread gives the median and the 99th of 100, in milliseconds.
+func spread(took []time.Duration) (median, p99 float64) {
+	if len(took) == 0 {
+		return 0, 0
+	}
+	slices.Sort(took)
+	return millis(took[len(took)/2]), millis(took[len(took)*99/100])
+}
+
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // Write shows reports side by side.
@@ -294,6 +300,9 @@
 		title := fmt.Sprintf("from %gs, %g callers/s:", reports[0].Phases[place].FromS, reports[0].Phases[place].Callers)
 		row(title+" turns whole", func(r *Report) string { return fmt.Sprint(r.Phases[place].Whole) })
 		row("  refused / cut", func(r *Report) string { return fmt.Sprintf("%d / %d", r.Phases[place].Refused, r.Phases[place].Cut) })
+		row("  refusal ms, median / p99", func(r *Report) string {
+			return fmt.Sprintf("%.0f / %.0f", r.Phases[place].RefusedMs[0], r.Phases[place].RefusedMs[1])
+		})
 		row("  turn ms, median / p99", func(r *Report) string {
 			return fmt.Sprintf("%.0f / %.0f", r.Phases[place].MedianMs, r.Phases[place].P99Ms)
 		})
