Ask the register before a leg goes out when the permit had lapsed

Cause: a frozen owner that woke waited for its permit to be renewed and then sent a leg of a Run that had been succeeded meanwhile. Change: the last look before a leg covers the register's word if the permit lapsed since.

--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -363,11 +363,8 @@
 		}
 		h.take(answer.Record)
 	}
-	if err := k.follower.Permit(ctx); err != nil || !h.isRun(record.Run) {
+	if err := k.stillOwns(ctx, h, record.Run); err != nil {
 		settle(0)
-		if err == nil {
-			err = staleRun()
-		}
 		return legOutcome{base.FromWire(err), legFinal}
 	}
 	k.counters.Add("legs_sent", 1)
@@ -415,6 +412,21 @@
 	return k.finishTurn(h, op, record, turn)
 }
 
+// stillOwns is the last look before a leg goes out: the permit on the
+// monotonic clock, and the register's word if the permit had lapsed since.
+func (k *Keeper) stillOwns(ctx *base.Ctx, h *held, run string) error {
+	if err := k.follower.Permit(ctx); err != nil {
+		return err
+	}
+	if err := k.revalidate(ctx, h); err != nil {
+		return err
+	}
+	if !h.isRun(run) {
+		return staleRun()
+	}
+	return nil
+}
+
 // refusedLeg reads a worker's refusal. 503 is a worker's notice that it is
 // leaving; 429 and 503 say that nothing ran.
 func (k *Keeper) refusedLeg(h *held, made *plan, chosen *worker.Worker, reply base.BackReply, settle func(int64)) legOutcome {
