Test back ends over real sockets; count without a lock; mind the last pieces

Change: raw-socket tests for not sent, cut and whole answers; a leaving node gives partners up to one hold to pull what they are owed; counters are atomics; storage list asks every disk of the set, known to the view or not.

--- a/cmd/fordseam-controller/client.go
+++ b/cmd/fordseam-controller/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -244,7 +245,11 @@
 	}
 	rows := [][]string{{"KEY", "VALUE", "FROM"}}
 	for _, origin := range shown.Values {
-		rows = append(rows, []string{origin.Key, fmt.Sprint(origin.Value), origin.From})
+		value := fmt.Sprint(origin.Value)
+		if number, ok := origin.Value.(float64); ok {
+			value = strconv.FormatFloat(number, 'f', -1, 64)
+		}
+		rows = append(rows, []string{origin.Key, value, origin.From})
 	}
 	table(rows)
 	return nil
--- a/cmd/fordseam-controller/main.go
+++ b/cmd/fordseam-controller/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	command := &cli.Command{
-		Name:  "fordseam-controller",
+		Name: "fordseam-controller", Version: node.Version,
 		Usage: "run the control plane, and operate it",
 		Description: "Exit codes: 0 done; 1 refused or failed; 2 wrong command line, settings file or document;\n" +
 			"3 the outcome is not known and can be asked for by its change id.",
--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -30,7 +30,7 @@
 		}
 	}
 	command := &cli.Command{
-		Name:  "fordseam-fleet",
+		Name: "fordseam-fleet", Version: node.Version,
 		Usage: "run a whole fleet on this machine's loopback addresses",
 		Commands: []*cli.Command{
 			{Name: "up", Usage: "start a fleet and keep it until interrupted", Flags: shared(), Action: up},
--- a/cmd/fordseam-gateway/main.go
+++ b/cmd/fordseam-gateway/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	command := &cli.Command{
-		Name:  "fordseam-gateway",
+		Name: "fordseam-gateway", Version: node.Version,
 		Usage: "serve callers, own sessions, stand in for other gateways",
 		Flags: node.PlaceFlags(),
 		Action: func(_ context.Context, command *cli.Command) error {
--- a/cmd/fordseam-sim/main.go
+++ b/cmd/fordseam-sim/main.go
@@ -17,7 +17,7 @@
 
 func main() {
 	node.Main(&cli.Command{
-		Name:  "fordseam-sim",
+		Name: "fordseam-sim", Version: node.Version,
 		Usage: "simulate a deployment under a load and failures, in virtual time",
 		Description: "Without files it runs the Kiondo deployment through a quiet, rush and quiet load.\n" +
 			"The same files and seed give the same bytes out. Exit code 1 when a must-never was broken.",
--- a/internal/base/containers.go
+++ b/internal/base/containers.go
@@ -87,31 +87,25 @@
 	return raw
 }
 
-// Counters are named counts, made on first use.
-type Counters struct {
-	mu     sync.Mutex
-	counts map[string]*atomic.Int64
-}
+// Counters are named counts, made on first use and added to without a lock.
+type Counters struct{ counts sync.Map }
 
-func NewCounters() *Counters { return &Counters{counts: map[string]*atomic.Int64{}} }
+func NewCounters() *Counters { return &Counters{} }
 
 func (c *Counters) Add(name string, n int64) {
-	c.mu.Lock()
-	count, ok := c.counts[name]
+	count, ok := c.counts.Load(name)
 	if !ok {
-		count = &atomic.Int64{}
-		c.counts[name] = count
+		count, _ = c.counts.LoadOrStore(name, &atomic.Int64{})
 	}
-	c.mu.Unlock()
-	count.Add(n)
+	count.(*atomic.Int64).Add(n)
 }
 
+// Frame is all counts as they stand.
 func (c *Counters) Frame() map[string]int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := make(map[string]int64, len(c.counts))
-	for name, count := range c.counts {
-		out[name] = count.Load()
-	}
+	out := map[string]int64{}
+	c.counts.Range(func(name, count any) bool {
+		out[name.(string)] = count.(*atomic.Int64).Load()
+		return true
+	})
 	return out
 }
--- /dev/null
+++ b/internal/node/backends_test.go
@@ -0,0 +1,132 @@
+// Back ends over real sockets: what proves that nothing left, what is cut,
+// and what a place's faults are.
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/matryer/is"
+)
+
+// answering listens once and writes raw bytes after the request's head.
+func answering(is *is.I, raw string, after func(net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		accepted, err := listener.Accept()
+		_ = listener.Close()
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(accepted))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(accepted, raw)
+		if after != nil {
+			after(accepted)
+		}
+		_ = accepted.Close()
+	}()
+	return listener.Addr().String()
+}
+
+func call(addr string) (base.BackReply, error) {
+	ctx := base.NewCtx(base.NewRealClock(), 20*time.Second)
+	return NewBackends(5*time.Second).Call(ctx, addr, &base.BackRequest{Method: "POST", Path: "/x", Body: []byte(`{"a":1}`)})
+}
+
+func TestOnlyAFailedConnectIsNotSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := listener.Addr().String()
+	is.NoErr(listener.Close())
+	_, err = call(addr)
+	is.True(base.WasNotSent(err))
+	_, err = call(answering(is, "", nil)) // it took the request and hung up
+	is.True(err != nil)
+	is.True(!base.WasNotSent(err))
+}
+
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	rows := []struct {
+		name, raw string
+		whole     bool
+	}{
+		{"whole by length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true},
+		{"cut by length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", false},
+		{"whole in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true},
+		{"cut in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false},
+		{"without a length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello", false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			reply, err := call(answering(is, row.raw, nil))
+			is.NoErr(err)
+			defer reply.Close()
+			body, err := reply.Body(10*time.Second, 1000)
+			is.Equal(err == nil, row.whole)
+			if row.whole {
+				is.Equal(string(body), "hello")
+			}
+		})
+	}
+}
+
+func TestLinesComeOneByOneAndCloseEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	held := make(chan struct{})
+	defer close(held)
+	reply, err := call(answering(is, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\ndata: a\n\r\n", func(net.Conn) { <-held }))
+	is.NoErr(err)
+	line, err := reply.Line(10 * time.Second)
+	is.NoErr(err)
+	is.Equal(string(line), "data: a\n")
+	ended := make(chan error)
+	go func() {
+		_, err := reply.Line(time.Minute)
+		ended <- err
+	}()
+	reply.Close()
+	is.True(<-ended != nil)
+}
+
+func TestPlaces(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "place.json")
+	write := func(document string) error {
+		is.NoErr(os.WriteFile(file, []byte(document), 0o600))
+		return ReadPlace(file, &Place{})
+	}
+	for document, field := range map[string]string{`{"adress":"x"}`: "adress", `{"seeds":"x"}`: "seeds", `{"zone":1}`: "zone", `{`: "body", `{"seeds":[1]}`: "seeds[0]"} {
+		err := write(document)
+		is.True(err != nil && strings.Contains(err.Error(), ": "+field+": "))
+	}
+	whole := Place{Role: "storage", Addr: "127.0.0.1:1", Public: "127.0.0.1:2", Zone: "z", Seeds: []string{"127.0.0.1:1"}, Data: "d"}
+	is.Equal(len(whole.Check("core", "storage")), 0)
+	for field, bad := range map[string]Place{
+		"role":           {Role: "king", Addr: whole.Addr, Public: whole.Public, Zone: "z", Seeds: whole.Seeds},
+		"address":        {Role: "core", Addr: "host:1", Public: whole.Public, Zone: "z", Seeds: whole.Seeds},
+		"public_address": {Role: "core", Addr: whole.Addr, Public: whole.Addr, Zone: "z", Seeds: whole.Seeds},
+		"zone":           {Role: "core", Addr: whole.Addr, Public: whole.Public, Seeds: whole.Seeds},
+		"seeds":          {Role: "core", Addr: whole.Addr, Public: whole.Public, Zone: "z"},
+		"seeds[0]":       {Role: "core", Addr: whole.Addr, Public: whole.Public, Zone: "z", Seeds: []string{"x"}},
+		"data":           {Role: "storage", Addr: whole.Addr, Public: whole.Public, Zone: "z", Seeds: whole.Seeds},
+	} {
+		faults := bad.Check("core", "storage")
+		is.Equal(len(faults), 1)
+		is.True(strings.HasPrefix(faults[0], field+":"))
+	}
+}
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -11,6 +11,9 @@
 	"github.com/urfave/cli/v3"
 )
 
+// Version is the release all programs are of.
+const Version = "0.1.0"
+
 // ExitUnknown is for an outcome that is not known and can be asked for.
 const ExitUnknown = 3
 
--- a/internal/operate/storage.go
+++ b/internal/operate/storage.go
@@ -161,14 +161,20 @@
 	highest := map[uint32]uint64{}
 	states := map[string]*register.DiskState{}
 	bell := base.NewBell(o.Clock)
-	members := o.View.Known(membership.RoleStorage)
-	left := len(members)
-	for _, member := range members {
+	zones := map[string]string{}
+	for _, entry := range set.Disks {
+		zones[entry.Addr] = entry.Zone
+	}
+	for _, member := range o.View.Known(membership.RoleStorage) {
+		zones[member.Addr] = member.Zone
+	}
+	left := len(zones)
+	for _, addr := range base.SortedKeys(zones) {
 		o.Clock.Go(func() {
-			state, err := o.disk(member.Addr).Describe(base.NewCtx(o.Clock, o.Bounds.Load().DiskLimit()), &register.DescribeRequest{})
+			state, err := o.disk(addr).Describe(base.NewCtx(o.Clock, o.Bounds.Load().DiskLimit()), &register.DescribeRequest{})
 			mu.Lock()
 			if err == nil {
-				states[member.Addr] = state
+				states[addr] = state
 				for slot, seq := range state.Seqs {
 					highest[slot] = max(highest[slot], seq)
 				}
@@ -192,7 +198,7 @@
 	shown := []DiskView{}
 	listed := map[string]bool{}
 	for _, entry := range set.Disks {
-		view := DiskView{ID: entry.Id, Addr: entry.Addr, Zone: entry.Zone, Voting: !entry.Learner}
+		view := DiskView{ID: entry.Id, Addr: entry.Addr, Zone: zones[entry.Addr], Voting: !entry.Learner}
 		if state := states[entry.Addr]; state != nil && state.Id == entry.Id {
 			view.Alive, view.Used, view.Behind = true, state.UsedBytes, behind(state, highest)
 		}
@@ -201,7 +207,7 @@
 	}
 	for _, addr := range base.SortedKeys(states) {
 		if state := states[addr]; !listed[state.Id] {
-			shown = append(shown, DiskView{ID: state.Id, Addr: addr, Alive: true, Used: state.UsedBytes})
+			shown = append(shown, DiskView{ID: state.Id, Addr: addr, Zone: zones[addr], Alive: true, Used: state.UsedBytes})
 		}
 	}
 	return StorageView{Cluster: set.Cluster, Stamp: set.Stamp, Moving: recorded.Under(), Slots: recorded.Slots, All: register.Slots, Disks: shown}, nil
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -631,6 +631,24 @@
 		over := left == 0
 		mu.Unlock()
 		if over || !next.Wait(max(0, end-k.clock.Now())) {
+			break
+		}
+	}
+	k.flush()
+}
+
+// flush gives partners that carry streams to their callers a little time to
+// pull the last pieces.
+func (k *Keeper) flush() {
+	hold := k.bounds.Load().Pull()
+	for end := k.clock.Now() + hold; k.clock.Now() < end; k.clock.Sleep(hold / 20) {
+		owed := false
+		k.mu.Lock()
+		for _, id := range base.SortedKeys(k.streams) {
+			owed = owed || k.streams[id].owed(k.clock.Now()-2*hold)
+		}
+		k.mu.Unlock()
+		if !owed {
 			return
 		}
 	}
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -44,6 +44,7 @@
 	pieces []*Piece
 	pulled time.Duration
 	moved  bool
+	given  uint64
 }
 
 func newStream(clock base.Clock) *Stream { return &Stream{bell: base.NewBell(clock)} }
@@ -117,6 +118,7 @@
 		s.pulled = now()
 		if place < uint64(len(s.pieces)) {
 			found := append([]*Piece(nil), s.pieces[place:]...)
+			s.given = max(s.given, uint64(len(s.pieces)))
 			s.mu.Unlock()
 			return found
 		}
@@ -128,6 +130,13 @@
 	}
 }
 
+// owed tells whether a partner that pulled lately has yet to get the end.
+func (s *Stream) owed(since time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pulled >= since && s.given < uint64(len(s.pieces))
+}
+
 func (s *Stream) lastPulled() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/simulate/outage_test.go
+++ b/internal/simulate/outage_test.go
@@ -147,7 +147,10 @@
 		is := is.New(t)
 		formed(t, f)
 		left := f.Converse(12, 8, true, func(c *standin.Caller) {
-			c.Between = func(int) { c.Clock.Sleep(f.World.Between(0, time.Second)) }
+			c.Between = func(int) {
+				c.Home = int(f.World.Int64N(int64(len(f.Edges)))) // so that turns are carried to their owners
+				c.Clock.Sleep(f.World.Between(0, time.Second))
+			}
 		})
 		f.Callers.Go(func() {
 			for round := 0; left() > 0; round++ {
--- a/internal/simulate/path_test.go
+++ b/internal/simulate/path_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/front"
 	"fordseam/internal/standin"
 
 	"github.com/matryer/is"
@@ -116,6 +117,10 @@
 	return t.send(gateway, "POST", path+"/turns", key, turnBody(program, id), headers...)
 }
 
+func requestOf(method, path, secret string, query map[string]string) *front.Request {
+	return &front.Request{Method: method, Path: path, Query: query, Header: map[string]string{"authorization": "Bearer " + secret}}
+}
+
 func (t *talker) sleep(d time.Duration) { t.f.Callers.Clock().Sleep(d) }
 
 // script runs one caller's steps to their end.
