Say not run only on the owner's word, also in a storm of failures

Change: a gateway keeps what became of the copies it sent; after a loss only an owner's verdict on the turn counts, else the owner is asked to fence the turn; fences hold for the turn and not the request alone; every decline of a forwarded copy is kept.

--- a/internal/session/held.go
+++ b/internal/session/held.go
@@ -87,6 +87,25 @@
 	return slices.Contains(h.record.Unsure, turn)
 }
 
+// refuseUnknown keeps a turn that this owner knows nothing of from ever being
+// accepted; false when it is known.
+func (h *held) refuseUnknown(turn string, verdict *declinedVisit) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ops[turn] != nil || slices.Contains(h.record.Unsure, turn) || h.refused[turn] != nil && h.refused[turn].verdict.Ran != base.NotRun {
+		return false
+	}
+	for place := range h.turns {
+		if h.turns[place].ID == turn {
+			return false
+		}
+	}
+	if h.refused[turn] == nil {
+		h.refused[turn] = verdict
+	}
+	return true
+}
+
 func (h *held) quiet() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -95,9 +95,12 @@
 	at    time.Duration
 }
 
+// declinedVisit is what became of a visit here: declined with a verdict,
+// accepted, or neither yet.
 type declinedVisit struct {
-	verdict *base.Verdict
-	at      time.Duration
+	verdict  *base.Verdict
+	at       time.Duration
+	accepted bool
 }
 
 // Parts are what a keeper is built from.
@@ -235,16 +238,45 @@
 	return answer.Record, nil
 }
 
+// attempt is what a visit has learnt of the copies it sent.
+type attempt struct {
+	lostTo *Record
+	moved  bool
+}
+
+func (a *attempt) lost(record *Record) {
+	a.moved = a.moved || (a.lostTo != nil && a.lostTo.Run != record.Run)
+	a.lostTo = record
+}
+
+// ownerWords are an owner's verdicts on the turn itself, which hold whatever
+// became of earlier copies of the request.
+var ownerWords = map[string]bool{"queue_full": true, "session_draining": true, "turn_id_reused": true, "run_over": true, "leg_changed": true,
+	"unknown_session": true, "unknown_turn": true, "session_over": true, "forbidden": true, "withdrawn": true}
+
+// giveUp is the visit's last word. Where a copy's reply was lost, only the
+// owner's word makes it not run.
+func (k *Keeper) giveUp(v *Visit, a *attempt, err error) error {
+	verdict := base.FromWire(err)
+	switch {
+	case a.lostTo == nil || ownerWords[verdict.Code]:
+		return verdict
+	case a.moved:
+		return base.Unsure(504, "owner_silent", "the session's owner was lost with the request: %s", verdict.Message)
+	}
+	return k.withdraw(a.lostTo, v, verdict)
+}
+
 // Visit carries one call out, wherever the owner is.
 func (k *Keeper) Visit(ctx *base.Ctx, v *Visit) (*Reply, error) {
-	anew, lookedUp, lost := false, "", false
+	anew, lookedUp, tried := false, "", &attempt{}
 	for {
 		if err := k.follower.Permit(ctx); err != nil {
-			return nil, err
+			return nil, k.giveUp(v, tried, err)
 		}
 		record, err := k.resolve(ctx, v, anew)
 		if err != nil {
-			return nil, err
+			return nil, k.giveUp(v, tried, err)
 		}
 		if v.Program != record.Program {
 			return nil, unknownSession()
@@ -261,42 +293,36 @@
 			return k.withAgain(reply, v), nil
 		}
 		verdict := base.FromWire(err)
+		lostOwner := false
 		switch verdict.Code {
 		case "stale_assignment":
 			if freshly && lookedUp == record.Run {
-				return nil, verdict
+				return nil, k.giveUp(v, tried, verdict)
 			}
 			anew, lookedUp = true, record.Run
-			if freshly {
-				lookedUp = record.Run
-			}
 		case "unreachable", "owner_lost":
 			k.counters.Add("owner_unreachable", 1)
-			if err := k.takeOver(ctx, v, record); err != nil {
-				return nil, err
-			}
+			lostOwner = true
 		case "handing_over":
 			// The owner is leaving and finishes what it accepted; ask again.
 		case "reply_lost":
-			lost = true
-			if _, alive := k.view.Find(record.Owner); !alive {
-				if err := k.takeOver(ctx, v, record); err != nil {
-					return nil, err
-				}
-			} else if ctx.Over() {
-				return nil, k.withdraw(record, v, verdict)
-			}
+			tried.lost(record)
+			_, alive := k.view.Find(record.Owner)
+			lostOwner = !alive
 		default:
-			return nil, verdict
+			return nil, k.giveUp(v, tried, verdict)
 		}
-		if ctx.Over() {
-			if lost {
-				return nil, k.withdraw(record, v, verdict)
+		if lostOwner {
+			tried.moved = tried.lostTo != nil
+			if err := k.takeOver(ctx, v, record); err != nil {
+				return nil, k.giveUp(v, tried, err)
 			}
-			if verdict.Code == "handing_over" {
-				return nil, verdict
+		}
+		if ctx.Over() {
+			if verdict.Code != "handing_over" {
+				verdict = base.Busy(503, "owner_unreachable", 1, "the session's owner could not be reached in time")
 			}
-			return nil, base.Busy(503, "owner_unreachable", 1, "the session's owner could not be reached in time")
+			return nil, k.giveUp(v, tried, verdict)
 		}
 	}
 }
@@ -351,12 +377,17 @@
 		// The caller reached this address for a former life of the process.
 		return nil, base.ToWire(base.Busy(503, "owner_lost", 1, "the owner's life at this address is over"))
 	}
-	if err := k.follower.Permit(ctx); err != nil {
-		return nil, base.ToWire(err)
-	}
 	record := &Record{ID: v.Session, Program: v.Program, Run: request.Assignment.Run, Epoch: request.Assignment.Epoch, Owner: k.me()}
-	reply, err := k.serve(ctx, record, &v)
+	var reply *Reply
+	err := k.follower.Permit(ctx)
+	if err == nil {
+		reply, err = k.serve(ctx, record, &v)
+	}
 	if err != nil {
+		// The forwarder will tell its caller so: a late copy must not run.
+		if verdict := base.FromWire(err); verdict.Ran == base.NotRun && verdict.Code != "stale_assignment" && verdict.Code != "handing_over" {
+			err = k.decline(&v, verdict)
+		}
 		return nil, base.ToWire(err)
 	}
 	if reply.Stream != nil {
@@ -379,23 +410,33 @@
 		return unsure
 	}
 	ctx := base.NewCtx(k.clock, k.bounds.Load().Call()/2)
-	reply, err := NewOwnerProtobufClient("http://"+member.Addr, k.wire).Withdraw(ctx, &WithdrawRequest{Visit: v.ID})
+	reply, err := NewOwnerProtobufClient("http://"+member.Addr, k.wire).Withdraw(ctx, &WithdrawRequest{Visit: v.ID, Session: v.Session, Turn: v.Turn, Run: record.Run})
 	if err != nil || !reply.Fenced {
 		return unsure
 	}
 	return base.Busy(503, "owner_silent", 1, "the owner was slow and has put the request aside: %s", verdict.Message)
 }
 
-// Withdraw fences a visit that was not accepted: its copies are declined.
+// Withdraw fences a visit that was not accepted: its copies are declined, and
+// so is its turn, whichever request brings it.
 func (k *Keeper) Withdraw(_ context.Context, request *WithdrawRequest) (*WithdrawReply, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	known := k.declined[request.Visit]
-	if known == nil {
-		k.declined[request.Visit] = &declinedVisit{verdict: base.Decline(503, "withdrawn", "the request was withdrawn"), at: k.clock.Now()}
-		return &WithdrawReply{Fenced: true}, nil
+	h := k.held[request.Session]
+	if h == nil || !h.isRun(request.Run) {
+		return &WithdrawReply{}, nil
+	}
+	withdrawn := &declinedVisit{verdict: base.Decline(503, "withdrawn", "the request was withdrawn"), at: k.clock.Now()}
+	if known := k.declined[request.Visit]; known != nil && (known.verdict == nil || known.verdict.Ran != base.NotRun) {
+		return &WithdrawReply{}, nil
 	}
-	return &WithdrawReply{Fenced: known.verdict != nil && known.verdict.Ran == base.NotRun}, nil
+	if request.Turn != "" && !h.refuseUnknown(request.Turn, withdrawn) {
+		return &WithdrawReply{}, nil
+	}
+	if k.declined[request.Visit] == nil {
+		k.declined[request.Visit] = withdrawn
+	}
+	return &WithdrawReply{Fenced: true}, nil
 }
 
 // admit marks a visit as seen, once. A copy of one that was declined is
@@ -410,9 +451,21 @@
 	return nil
 }
 
+// accepted marks a visit whose turn is in the queue.
+func (k *Keeper) accepted(v *Visit) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.declined[v.ID] = &declinedVisit{at: k.clock.Now(), accepted: true}
+}
+
+// decline keeps the words a visit was declined with, unless a copy of it was
+// accepted before.
 func (k *Keeper) decline(v *Visit, verdict *base.Verdict) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if known := k.declined[v.ID]; known != nil && known.accepted {
+		return base.Unsure(verdict.Status, verdict.Code, "%s", verdict.Message)
+	}
 	k.declined[v.ID] = &declinedVisit{verdict: verdict, at: k.clock.Now()}
 	return verdict
 }
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -99,7 +99,7 @@
 	h.mu.Lock()
 	var verdict *base.Verdict
 	if h.record.Phase != Ready {
-		verdict = base.Decline(503, "draining", "the session takes no new turns")
+		verdict = base.Decline(503, "session_draining", "the session takes no new turns")
 	} else if len(h.queue) >= h.record.QueueSize {
 		verdict = base.Busy(429, "queue_full", 1, "the session's queue of %d is full", h.record.QueueSize)
 	}
@@ -107,7 +107,7 @@
 		if slices.Contains(h.record.Unsure, v.Turn) {
 			verdict.Ran = base.MayHaveRun
 		}
-		h.refused[v.Turn] = &declinedVisit{verdict, k.clock.Now()}
+		h.refused[v.Turn] = &declinedVisit{verdict: verdict, at: k.clock.Now()}
 		h.mu.Unlock()
 		k.counters.Add("turns_declined", 1)
 		return nil, k.decline(v, verdict)
@@ -119,6 +119,7 @@
 	starts := !h.busy
 	h.busy = true
 	h.mu.Unlock()
+	k.accepted(v)
 	k.counters.Add("turns_accepted", 1)
 	if starts {
 		k.clock.Go(func() { k.work(h) })
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -189,10 +189,8 @@
 				err = failed
 			}
 		}
-		v := base.FromWire(err)
-		if r.given > 0 || v.Ran != base.NotRun {
-			v = base.Unsure(502, "cut", "the session's owner was lost before the answer was whole")
-		}
+		// The turn was accepted once, so this node cannot know that it did not run.
+		v := base.Unsure(502, "cut", "the session's owner was lost before the answer was whole: %s", base.FromWire(err).Message)
 		r.done = true
 		return []*Piece{{Place: r.place + 1, Data: base.Encode(finalOf(r.turn, v)), Final: true}}, r.leg, true
 	}
--- a/internal/simulate/chaos_test.go
+++ b/internal/simulate/chaos_test.go
@@ -109,6 +109,34 @@
 		host.Kill()
 		f.later(time.Second, func() { host.alive = true })
 	}},
+	{name: "a storm", every: 1500 * time.Millisecond, net: Faults{Lost: 0.03, Late: 0.05, Twice: 0.05, LateLimit: 6 * time.Second}, do: func(f *Fleet, _ int) {
+		switch f.World.Int64N(9) {
+		case 0:
+			f.crash(f.pick(f.Edges), f.World.Between(0, 3*time.Second), false)
+		case 1:
+			f.freeze(f.pick(f.Edges), f.World.Between(time.Second, 5*time.Second))
+		case 2:
+			f.crash(f.pick(f.Cores), f.World.Between(0, 2*time.Second), false)
+		case 3:
+			f.freeze(f.pick(f.Cores), f.World.Between(time.Second, 4*time.Second))
+		case 4:
+			f.crash(f.pick(f.Storage), f.World.Between(0, 2*time.Second), true)
+		case 5:
+			f.freeze(f.pick(f.Storage), f.World.Between(time.Second, 3*time.Second))
+		case 6:
+			m := f.pick(f.Edges)
+			if m.Host.alive && !m.Host.frozen && m.gateway != nil && !m.closing {
+				f.Callers.Go(func() { f.Stop(m); f.Start(m) })
+			}
+		case 7:
+			f.Net.Cut(f.pick(f.All()).Host.Name, f.pick(f.All()).Host.Name)
+			f.later(3*time.Second, f.Net.Heal)
+		case 8:
+			host := f.World.Hosts[f.List.Workers[f.World.Int64N(int64(len(f.List.Workers)))].ID]
+			host.Kill()
+			f.later(time.Second, func() { host.alive = true })
+		}
+	}},
 	{name: "everything at once", every: 4 * time.Second, net: Faults{Lost: 0.005, Late: 0.01, Twice: 0.01, LateLimit: 3 * time.Second}, do: func(f *Fleet, round int) {
 		switch round % 4 {
 		case 0:
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -40,7 +40,7 @@
 	mu       sync.Mutex
 	Counts   map[string]int
 	Breaches []string
-	Refused  map[string]bool
+	Refused  map[string]string
 	Budgets  map[string]int64
 	Slowest  time.Duration
 	Keys     map[string]bool
@@ -54,7 +54,7 @@
 type TurnTime struct{ At, Took time.Duration }
 
 func NewTally() *Tally {
-	return &Tally{Counts: map[string]int{}, Refused: map[string]bool{}, Budgets: map[string]int64{}, Keys: map[string]bool{}}
+	return &Tally{Counts: map[string]int{}, Refused: map[string]string{}, Budgets: map[string]int64{}, Keys: map[string]bool{}}
 }
 
 // Count adds one to a named count.
@@ -267,11 +267,13 @@
 				c.Tally.Breach("%s: history of %s gone: %s", c.Name, c.last, failed.Error.Code)
 				return false, false
 			case failed.Error.Ran == base.NotRun:
-				// A gateway that knows nothing of the turn speaks of this request
-				// alone; after an unknown outcome only the owner's word counts.
-				if !unsure || !gatewayWords[failed.Error.Code] {
-					c.refuse(id, began)
+				if unsure && gatewayWords[failed.Error.Code] {
+					// A gateway that knows nothing of the turn speaks of this request
+					// alone; after an unknown outcome only the owner's word counts.
+					c.Home = (c.Home + 1) % c.Gateways
+					break
 				}
+				c.refuse(id, failed.Error.Code, began)
 				if answer.Status == 503 {
 					c.Home = (c.Home + 1) % c.Gateways
 				}
@@ -292,10 +294,10 @@
 			c.Tally.Count("turns_whole")
 			return true, false
 		case "refused":
-			c.refuse(id, began)
+			c.refuse(id, "in its stream", began)
 			return false, true
 		case "over_budget":
-			c.refuse(id, began)
+			c.refuse(id, "over_budget", began)
 			c.Tally.Count("over_budget")
 			return false, false
 		}
@@ -313,9 +315,9 @@
 var gatewayWords = map[string]bool{"no_confirmed_settings": true, "no_settings": true, "owner_unreachable": true, "control_unreachable": true,
 	"outcome_unknown": true, "slot_not_ready": true, "draining": true}
 
-func (c *Caller) refuse(id string, began time.Duration) {
+func (c *Caller) refuse(id, code string, began time.Duration) {
 	c.Tally.mu.Lock()
-	c.Tally.Refused[c.program+"|"+id] = true
+	c.Tally.Refused[c.program+"|"+id] = code
 	c.Tally.Refusals = append(c.Tally.Refusals, TurnTime{began, c.Clock.Now() - began})
 	c.Tally.mu.Unlock()
 	c.Tally.Count("turns_refused")
@@ -424,7 +426,7 @@
 	t.mu.Unlock()
 	for _, turn := range base.SortedKeys(refused) {
 		if turnRuns[turn] > 0 {
-			t.Breach("turn %s was refused and ran %d times", turn, turnRuns[turn])
+			t.Breach("turn %s was refused (%s) and ran %d times", turn, refused[turn], turnRuns[turn])
 		}
 	}
 	for _, program := range base.SortedKeys(budgets) {
