Test that a minority acknowledges nothing and that no trouble is a success

Change: a test with two of three disks stalled, a table of workers' troubles, and callers that want a finish reason with each success.

--- a/internal/simulate/outage_test.go
+++ b/internal/simulate/outage_test.go
@@ -212,3 +212,39 @@
 		is.Equal(status.text("epoch"), "2")
 	})
 }
+
+// With two of three disks stalled nothing is acknowledged; what the third
+// disk alone was given is fenced before it is called refused.
+func TestAMinorityOfDisksAcknowledgesNothing(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		f.Storage[1].Files.Stalled, f.Storage[2].Files.Stalled = true, true
+		got := call.turn(0, path, key, program, "a", "")
+		verdict, _, _ := got.final()
+		is.True(verdict != "success")
+		is.True(call.send(1, "POST", "/v1/programs", "", map[string]any{"group": "g", "site": "main", "budget_tokens": 10}).Status != 201)
+		is.True(call.send(1, "POST", "/v1/programs/"+program+"/tools/loyalty", secret, `{}`, "idempotency-key", "k").Status != 200)
+		is.Equal(f.toolRuns(program+"/k"), 0) // no claim, no call
+		status, _ := f.Operate(f.Cores[0], "POST", "/v1/operator/settings/apply", map[string]any{"change": "lone", "based_on": 1, "document": document("lone")})
+		is.Equal(status, 504)     // unknown
+		f.PowerLoss(f.Storage[0]) // the one disk that may have it is away
+		f.Storage[1].Files.Stalled, f.Storage[2].Files.Stalled = false, false
+		var answer []byte
+		for status = 0; status != 200; call.sleep(200 * time.Millisecond) {
+			status, answer = f.Operate(f.Cores[1], "POST", "/v1/operator/settings/outcome", map[string]string{"change": "lone"})
+		}
+		l := newLedger(f)
+		l.resolve("lone", status, answer)
+		f.Start(f.Storage[0]) // back, and still it never comes into force if it was refused
+		call.sleep(3 * time.Second)
+		f.Kill(f.Storage[1])
+		call.sleep(5 * time.Second)
+		if l.refused["lone"] {
+			for _, m := range f.Edges {
+				is.Equal(m.gateway.Stamp(), uint64(1))
+			}
+		}
+		is.Equal(len(l.refused)+len(l.taken), 1)
+	})
+}
--- a/internal/simulate/path_test.go
+++ b/internal/simulate/path_test.go
@@ -650,3 +650,34 @@
 		}
 	})
 }
+
+// No trouble of a worker is ever shown as success.
+func TestWorkersTroublesAreNeverSuccess(t *testing.T) {
+	shape := SmallShape()
+	shape.Settings = strings.Replace(DefaultSettings, `"operation_timeout_s":30`, `"operation_timeout_s":10,"legs":1`, 1)
+	for trouble, want := range map[standin.Trouble]string{
+		standin.Cut: "cut may_have_run", standin.Malformed: "cut may_have_run", standin.NoFinish: "cut may_have_run", standin.Overrun: "cut may_have_run",
+		standin.Hang: "cut may_have_run", standin.Fail: "failed may_have_run", standin.Silent: "failed may_have_run", standin.Refuse: "refused not_run",
+	} {
+		t.Run(string(trouble), func(t *testing.T) {
+			script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+				for _, model := range f.Models {
+					model.Next = func() standin.Trouble { return trouble }
+				}
+				program, secret := call.program(100, nil)
+				path, key := call.session(0, program, secret, nil)
+				body := turnBody(program, "t")
+				body["max_output_tokens"] = 3 // of six: one that overruns is seen
+				got := call.send(1, "POST", path+"/turns", key, body, "turn-id", "t")
+				verdict, ran, _ := got.final()
+				is.Equal(verdict+" "+ran, want)
+				is.Equal(call.send(1, "GET", path+"/turns/t", key, nil).text("answer"), "<nil>")
+				if ran == "not_run" {
+					is.Equal(f.modelRuns(program, "t"), 0)
+				} else { // what is not known to have ended counts as spent in full
+					is.Equal(call.send(1, "GET", "/v1/programs/"+program, secret, nil).text("spent_tokens"), "3")
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -350,6 +350,7 @@
 		var final struct {
 			Verdict string   `json:"verdict"`
 			Ran     base.Ran `json:"request"`
+			Finish  string   `json:"finish_reason"`
 			Error   struct {
 				Code string `json:"code"`
 			} `json:"error"`
@@ -361,6 +362,9 @@
 		if final.Verdict == "success" && strings.Join(pieces, "") != strings.Join(expected, "") {
 			c.Tally.Breach("%s: turn %s was given as whole but reads %q and not %q", c.Name, id, pieces, expected)
 		}
+		if final.Verdict == "success" && final.Finish == "" {
+			c.Tally.Breach("%s: turn %s is a success that the worker did not give", c.Name, id)
+		}
 		if final.Ran == base.NotRun && len(pieces) > 0 {
 			c.Tally.Breach("%s: turn %s gave pieces and was then called not run", c.Name, id)
 		}
