--- a/internal/simulate/outage_test.go
+++ b/internal/simulate/outage_test.go
@@ -2,6 +2,7 @@
 package simulate
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -248,3 +249,54 @@
 		is.Equal(len(l.refused)+len(l.taken), 1)
 	})
 }
+
+// A core that is cut off with a gateway cannot keep that gateway serving, nor
+// answer operators from what it remembers, while others change the settings.
+func TestACutOffOwnerConfirmsNothing(t *testing.T) {
+	script(t, KiondoShape(), func(is *is.I, f *Fleet, call *talker) {
+		var owner, other *Machine
+		for _, m := range f.Cores {
+			slots, _ := m.core.Owner.Frame()
+			if slices.Contains(slots, 0) {
+				owner = m
+			} else {
+				other = m
+			}
+		}
+		is.True(owner != nil && other != nil)
+		f.Net.CutOff(map[string]bool{owner.Host.Name: true, f.Edges[0].Host.Name: true})
+		status := 0
+		for status != 200 {
+			status, _ = f.Operate(other, "POST", "/v1/operator/settings/apply", map[string]any{"change": "new", "based_on": 1, "document": document("new")})
+			call.sleep(100 * time.Millisecond)
+		}
+		call.sleep(2 * time.Second)
+		is.True(!f.Edges[0].gateway.Follower.Permitted())
+		status, _ = f.Operate(owner, "GET", "/v1/operator/settings", nil)
+		is.Equal(status, 503)
+		for _, m := range f.Edges[1:] {
+			is.True(m.gateway.Follower.Permitted())
+			is.Equal(m.gateway.Stamp(), uint64(2))
+		}
+	})
+}
+
+// A turn whose leg was lost with its owner is not called not run, whatever
+// stops its next leg.
+func TestALostLegIsNeverCalledNotRun(t *testing.T) {
+	shape := SmallShape()
+	shape.Gap = 300 * time.Millisecond
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(8, nil)
+		path, key := call.session(0, program, secret, nil)
+		f.Callers.Go(func() { call.turn(0, path, key, program, "a", "") })
+		call.sleep(700 * time.Millisecond)
+		is.Equal(f.modelRuns(program, "a"), 1)
+		f.Kill(f.Edges[0])
+		verdict, ran, code := call.turn(1, path, key, program, "a", "").final()
+		is.Equal(verdict+" "+ran+" "+code, "failed may_have_run over_budget") // the lost leg counts as spent
+		is.Equal(f.modelRuns(program, "a"), 1)
+		_, ran, code = call.turn(1, path, key, program, "b", "").final()
+		is.Equal(ran+" "+code, "not_run over_budget")
+	})
+}
