Answer a turn refused before its first piece with a plain status

Cause: a turn refused over budget, past its deadline or under overload came as a 200 stream with one final event, though callers are promised 402, 408 and 429 with Retry-After.

--- a/internal/base/verdict.go
+++ b/internal/base/verdict.go
@@ -22,7 +22,7 @@
 )
 
 type Verdict struct {
-	Status     int    `json:"-"`
+	Status     int    `json:"status,omitempty"`
 	Code       string `json:"code"`
 	Message    string `json:"message"`
 	Ran        Ran    `json:"request"`
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -385,6 +385,9 @@
 		return nil, err
 	}
 	if reply.Stream != nil {
+		if refused := reply.Stream.Refused(f.Bounds.Load().Call()); refused != nil {
+			return nil, refused
+		}
 		header := map[string]string{"Content-Type": "text/event-stream", "Cache-Control": "no-store", "Turn-Id": v.Turn}
 		return &Response{Status: 200, Header: header, Stream: reply.Stream}, nil
 	}
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -165,6 +166,7 @@
 	// again finds the stream anew after its owner was lost.
 	again func() (*Reader, error)
 	done  bool
+	ahead []*Piece
 }
 
 type remoteStream struct {
@@ -173,9 +175,32 @@
 	owner  string
 }
 
+// Refused waits up to a limit for the stream's first event. A turn that ends
+// without success before any piece can be answered with a plain status; what
+// was read ahead otherwise comes first out of Next.
+func (r *Reader) Refused(limit time.Duration) *base.Verdict {
+	end := r.keeper.clock.Now() + limit
+	for len(r.ahead) == 0 && !r.done && r.keeper.clock.Now() < end {
+		r.ahead, _, _ = r.Next()
+	}
+	if len(r.ahead) != 1 || !r.ahead[0].Final || r.ahead[0].Place != 1 {
+		return nil
+	}
+	var final Final
+	if json.Unmarshal(r.ahead[0].Data, &final) != nil {
+		return nil
+	}
+	return final.Error
+}
+
 // Next gives the pieces that came since, or none after a hold. After the
 // final piece, done is true.
 func (r *Reader) Next() (pieces []*Piece, leg string, done bool) {
+	if len(r.ahead) > 0 {
+		ahead := r.ahead
+		r.ahead = nil
+		return ahead, r.leg, r.done
+	}
 	if r.done {
 		return nil, r.leg, true
 	}
--- a/internal/simulate/chaos_test.go
+++ b/internal/simulate/chaos_test.go
@@ -19,6 +19,7 @@
 	every time.Duration
 	net   Faults
 	do    func(f *Fleet, round int)
+	more  int
 }
 
 func (f *Fleet) pick(list []*Machine) *Machine { return list[f.World.Int64N(int64(len(list)))] }
@@ -109,7 +110,7 @@
 		host.Kill()
 		f.later(time.Second, func() { host.alive = true })
 	}},
-	{name: "a storm", every: 1500 * time.Millisecond, net: Faults{Lost: 0.03, Late: 0.05, Twice: 0.05, LateLimit: 6 * time.Second}, do: func(f *Fleet, _ int) {
+	{name: "a storm", more: 9, every: 1500 * time.Millisecond, net: Faults{Lost: 0.03, Late: 0.05, Twice: 0.05, LateLimit: 6 * time.Second}, do: func(f *Fleet, _ int) {
 		switch f.World.Int64N(9) {
 		case 0:
 			f.crash(f.pick(f.Edges), f.World.Between(0, 3*time.Second), false)
@@ -170,7 +171,7 @@
 func TestNothingThatMustNeverHappens(t *testing.T) {
 	for _, one := range harms {
 		t.Run(one.name, func(t *testing.T) {
-			bring(t, *seeds, SmallShape(), func(t *testing.T, f *Fleet) {
+			bring(t, *seeds+one.more, SmallShape(), func(t *testing.T, f *Fleet) {
 				is := is.New(t)
 				formed(t, f)
 				left := f.Converse(6, 6, true, func(c *standin.Caller) {
--- a/internal/simulate/path_test.go
+++ b/internal/simulate/path_test.go
@@ -43,9 +43,17 @@
 	return fmt.Sprint(at)
 }
 
-// final is the verdict, the word on whether it ran, and the error's code of
+// final is a turn's end, a plain status before any piece or a stream's last
+// event: the verdict, the word on whether it ran, and the error's code of
 // a stream's last event.
 func (a told) final() (verdict, ran, code string) {
+	if a.Status >= 400 {
+		verdict = map[string]string{"not_run": "refused"}[a.text("error", "request")]
+		if verdict == "" {
+			verdict = "failed"
+		}
+		return verdict, a.text("error", "request"), a.text("error", "code")
+	}
 	if len(a.Events) == 0 || a.Events[len(a.Events)-1].Kind != "final" {
 		return "none", "", ""
 	}
@@ -327,7 +335,7 @@
 		late := call.turn(0, path, key, program, "b", "")
 		is.Equal(late.Status, 503)
 		is.Equal(late.text("error", "request"), "not_run")
-		for len(running.Events) == 0 {
+		for running.Status == 0 {
 			call.sleep(100 * time.Millisecond)
 		}
 		verdict, _, _ := running.final()
@@ -361,7 +369,7 @@
 		is.Equal(call.send(0, "POST", path+"/terminate", key, `{"mode":"Drain"}`).text("termination"), "Drain")
 		is.Equal(call.send(0, "POST", path+"/terminate", key, `{"mode":"Immediate"}`).text("termination"), "Immediate")
 		is.Equal(call.send(0, "POST", path+"/close", key, nil).text("termination"), "Immediate")
-		for len(running.Events) == 0 || len(queued.Events) == 0 {
+		for running.Status == 0 || queued.Status == 0 {
 			call.sleep(50 * time.Millisecond)
 		}
 		verdict, ran, _ := queued.final()
