--- a/internal/simulate/path_test.go
+++ b/internal/simulate/path_test.go
@@ -689,3 +689,32 @@
 		})
 	}
 }
+
+// A worker that leaves while it is busy finishes what it has.
+func TestAWorkerLeavingWhileBusyFinishes(t *testing.T) {
+	shape := SmallShape()
+	shape.Gap = 500 * time.Millisecond
+	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		var running told
+		f.Callers.Go(func() { running = call.turn(1, path, key, program, "a", "") })
+		call.sleep(700 * time.Millisecond)
+		busy := f.Models[0]
+		if f.Models[1].Busy() > 0 {
+			busy = f.Models[1]
+		}
+		is.Equal(busy.Busy(), 1)
+		is.Equal(call.send(2, "PATCH", "/v1/platform/workers", "", map[string]any{"stamp": 2, "remove": []string{busy.ID}}).Status, 200)
+		is.Equal(call.send(2, "POST", "/v1/platform/workers/"+busy.ID+"/usage", "", `{"number":5,"leaving":true}`).Status, 200)
+		for running.Status == 0 {
+			call.sleep(100 * time.Millisecond)
+		}
+		verdict, _, _ := running.final()
+		is.Equal(verdict, "success")
+		verdict, _, _ = call.turn(1, path, key, program, "b", "a").final()
+		is.Equal(verdict, "success")
+		_, _, runs, _ := busy.Record()
+		is.Equal(runs, 1) // the next turn went elsewhere
+	})
+}
--- a/internal/simulate/repair_test.go
+++ b/internal/simulate/repair_test.go
@@ -247,3 +247,55 @@
 		is.True(fresh.gateway.Ready() == nil)
 	})
 }
+
+// Bad input at the operators' interface is declined by name, nothing done.
+func TestOperatorsBadInput(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		before := call.storage()
+		rows := []struct {
+			path   string
+			body   any
+			status int
+			field  string
+		}{
+			{"storage/admit", map[string]any{}, 400, "address"},
+			{"storage/admit", map[string]any{"address": 3}, 400, "address"},
+			{"storage/admit", map[string]any{"address": "storage-0:1"}, 409, ""},
+			{"storage/admit", map[string]any{"address": "nowhere:1"}, 503, ""},
+			{"storage/retire", map[string]any{"disk": ""}, 400, "disk"},
+			{"storage/retire", map[string]any{"disc": "x"}, 400, "disc"},
+			{"storage/retire", map[string]any{"disk": "none"}, 404, ""},
+			{"storage/retire", map[string]any{"disk": before.Disks[0].ID}, 409, ""},
+			{"settings/apply", map[string]any{"based_on": 1, "document": map[string]any{}}, 400, "change"},
+			{"settings/apply", map[string]any{"change": "a b", "based_on": 1, "document": map[string]any{}}, 400, "change"},
+			{"settings/apply", map[string]any{"change": "a", "document": map[string]any{}}, 400, "based_on"},
+			{"settings/apply", map[string]any{"change": "a", "based_on": -1, "document": map[string]any{}}, 400, "based_on"},
+			{"settings/apply", map[string]any{"change": "a", "based_on": 1}, 400, "document"},
+			{"settings/apply", map[string]any{"change": "a", "based_on": 0, "document": map[string]any{}}, 409, ""},
+			{"settings/outcome", map[string]any{}, 400, "change"},
+			{"settings/check", map[string]any{"pool": "none"}, 400, "$.pool"},
+			{"terminate", map[string]any{"mode": "Drain"}, 400, "program"},
+			{"terminate", map[string]any{"program": "p", "mode": "Gently"}, 400, "mode"},
+			{"terminate", map[string]any{"program": "none", "mode": "Drain"}, 404, ""},
+			{"nothing", map[string]any{}, 404, ""},
+		}
+		for _, row := range rows {
+			status, answer := f.Operate(f.Cores[0], "POST", "/v1/operator/"+row.path, row.body)
+			var told struct {
+				Error struct {
+					Ran   string `json:"request"`
+					Field string `json:"field"`
+				} `json:"error"`
+			}
+			is.NoErr(json.Unmarshal(answer, &told))
+			name := fmt.Sprint(row.path, row.body)
+			is.Equal(fmt.Sprint(name, status, told.Error.Field), fmt.Sprint(name, row.status, row.field))
+			is.Equal(told.Error.Ran, "not_run")
+		}
+		after := call.storage()
+		is.Equal(after.Stamp, before.Stamp)
+		status, answer := f.Operate(f.Cores[1], "GET", "/v1/operator/settings", nil)
+		is.Equal(status, 200)
+		is.True(strings.Contains(string(answer), `"stamp":1`))
+	})
+}
