--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -97,27 +97,7 @@
 		addrs = append(addrs, v.known[id].member.Addr)
 	}
 	v.mu.Unlock()
-	told := base.NewBell(v.clock)
-	left := len(addrs)
-	for _, addr := range addrs {
-		v.clock.Go(func() {
-			v.exchange(addr)
-			v.mu.Lock()
-			left--
-			v.mu.Unlock()
-			told.Ring()
-		})
-	}
-	end := v.clock.Now() + limit
-	for {
-		next := told.Next()
-		v.mu.Lock()
-		done := left == 0
-		v.mu.Unlock()
-		if done || !next.Wait(max(0, end-v.clock.Now())) {
-			return
-		}
-	}
+	base.AskAll(v.clock, addrs, limit, func(_ *base.Ctx, addr string) { v.exchange(addr) })
 }
 
 func (v *View) Close() {
--- a/internal/operate/storage.go
+++ b/internal/operate/storage.go
@@ -160,7 +160,6 @@
 	var mu sync.Mutex
 	highest := map[uint32]uint64{}
 	states := map[string]*register.DiskState{}
-	bell := base.NewBell(o.Clock)
 	zones := map[string]string{}
 	for _, entry := range set.Disks {
 		zones[entry.Addr] = entry.Zone
@@ -168,31 +167,18 @@
 	for _, member := range o.View.Known(membership.RoleStorage) {
 		zones[member.Addr] = member.Zone
 	}
-	left := len(zones)
-	for _, addr := range base.SortedKeys(zones) {
-		o.Clock.Go(func() {
-			state, err := o.disk(addr).Describe(base.NewCtx(o.Clock, o.Bounds.Load().DiskLimit()), &register.DescribeRequest{})
-			mu.Lock()
-			if err == nil {
-				states[addr] = state
-				for slot, seq := range state.Seqs {
-					highest[slot] = max(highest[slot], seq)
-				}
-			}
-			left--
-			mu.Unlock()
-			bell.Ring()
-		})
-	}
-	for {
-		next := bell.Next()
+	base.AskAll(o.Clock, base.SortedKeys(zones), o.Bounds.Load().DiskLimit(), func(ctx *base.Ctx, addr string) {
+		state, err := o.disk(addr).Describe(ctx, &register.DescribeRequest{})
+		if err != nil {
+			return
+		}
 		mu.Lock()
-		over := left == 0
-		mu.Unlock()
-		if over || !next.Wait(ctx.Left()) {
-			break
+		defer mu.Unlock()
+		states[addr] = state
+		for slot, seq := range state.Seqs {
+			highest[slot] = max(highest[slot], seq)
 		}
-	}
+	})
 	mu.Lock()
 	defer mu.Unlock()
 	shown := []DiskView{}
--- a/internal/register/disks.go
+++ b/internal/register/disks.go
@@ -224,7 +224,7 @@
 	var mu sync.Mutex
 	took := map[string]bool{}
 	list := base.Map(base.SortedKeys(all), func(id string) *DiskEntry { return all[id] })
-	ask(o.clock, list, len(list), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+	base.Ask(o.clock, list, len(list), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 		state, err := o.disk(entry).Describe(ctx, &DescribeRequest{})
 		if err != nil || state.Id != entry.Id {
 			return false
@@ -258,7 +258,7 @@
 	var mu sync.Mutex
 	whole, filled := map[uint32]bool{}, map[uint32]bool{}
 	cores := o.view.Present(membership.RoleCore)
-	ask(o.clock, cores, len(cores), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, member *membership.Member) bool {
+	base.Ask(o.clock, cores, len(cores), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, member *membership.Member) bool {
 		reply, err := NewRegisterProtobufClient("http://"+member.Addr, o.wire).Census(ctx, &CensusRequest{Set: set})
 		if err != nil || reply.SetStamp != set.Stamp {
 			return false
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -253,7 +253,7 @@
 		return known
 	}
 	limit := o.bounds.Load().DiskLimit()
-	ask(o.clock, o.view.Known(membership.RoleStorage), 2, limit, func(ctx *base.Ctx, member *membership.Member) bool {
+	base.Ask(o.clock, o.view.Known(membership.RoleStorage), 2, limit, func(ctx *base.Ctx, member *membership.Member) bool {
 		state, err := NewDiskProtobufClient("http://"+member.Addr, o.wire).Describe(ctx, &DescribeRequest{})
 		if err != nil || state.Set == nil || len(state.Set.Disks) == 0 {
 			return false
@@ -288,39 +288,6 @@
 
 func majority(set *DiskSet) int { return len(voters(set))/2 + 1 }
 
-// ask calls all and returns once enough said yes, all have answered, or the
-// limit passed.
-func ask[T any](clock base.Clock, all []T, enough int, limit time.Duration, call func(*base.Ctx, T) bool) bool {
-	var mu sync.Mutex
-	bell := base.NewBell(clock)
-	said, yes := 0, 0
-	for _, one := range all {
-		clock.Go(func() {
-			ok := call(base.NewCtx(clock, limit), one)
-			mu.Lock()
-			said++
-			if ok {
-				yes++
-			}
-			mu.Unlock()
-			bell.Ring()
-		})
-	}
-	end := clock.Now() + limit
-	for {
-		next := bell.Next()
-		mu.Lock()
-		over, enoughYes := said == len(all), yes >= enough
-		mu.Unlock()
-		if over || enoughYes {
-			return enoughYes
-		}
-		if !next.Wait(max(0, end-clock.Now())) {
-			return false
-		}
-	}
-}
-
 func (o *Owner) take(s *slot) error {
 	set := o.Set()
 	if set == nil {
@@ -332,7 +299,7 @@
 	s.mu.Unlock()
 	var mu sync.Mutex
 	var newest *PromiseReply
-	promised := ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+	promised := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 		claim := o.claim(s, epoch)
 		claim.SetStamp, claim.Disk = set.Stamp, entry.Id
 		reply, err := o.disk(entry).Promise(ctx, &PromiseRequest{Claim: claim})
@@ -713,7 +680,7 @@
 		set := o.set
 		o.mu.Unlock()
 		o.counters.Add("register_confirms", 1)
-		confirmed := ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+		confirmed := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 			claim := o.claim(s, epoch)
 			claim.SetStamp, claim.Disk = set.Stamp, entry.Id
 			ack, err := o.disk(entry).Confirm(ctx, &ConfirmRequest{Claim: claim})
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -665,28 +665,7 @@
 		all = append(all, k.held[id])
 	}
 	k.mu.Unlock()
-	end := k.clock.Now() + limit
-	bell := base.NewBell(k.clock)
-	var mu sync.Mutex
-	left := len(all)
-	for _, h := range all {
-		k.clock.Go(func() {
-			k.handOver(h, end)
-			mu.Lock()
-			left--
-			mu.Unlock()
-			bell.Ring()
-		})
-	}
-	for {
-		next := bell.Next()
-		mu.Lock()
-		over := left == 0
-		mu.Unlock()
-		if over || !next.Wait(max(0, end-k.clock.Now())) {
-			break
-		}
-	}
+	base.AskAll(k.clock, all, limit, func(ctx *base.Ctx, h *held) { k.handOver(h, ctx.Until) })
 	k.flush()
 }
 
