Let go of the client's state after each call to a back end

Cause: the body stream of a reply was never closed, so the HTTP client's cleaner of idle connections ran on for good, one for each call. Found by reading the library; the new test failed before (40 calls, their tasks still there after 20 s). Change: closing a reply lets go of the stream when nobody reads it. After: the test passes under the race detector; goroutines are shown in /counters.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
@@ -27,6 +29,33 @@
 	plain    net.Conn
 	reader   *bufio.Reader
 	timer    *time.Timer
+	reading  sync.Mutex
+	closed   atomic.Bool
+	release  sync.Once
+}
+
+// read runs one reading. Close may come from another task meanwhile; the
+// client's own state is let go only when nobody reads.
+func (r *backReply) read(reading func() error) error {
+	r.reading.Lock()
+	err := reading()
+	r.reading.Unlock()
+	if r.closed.Load() {
+		r.letGo()
+	}
+	return err
+}
+
+func (r *backReply) letGo() {
+	if !r.reading.TryLock() {
+		return // whoever reads lets go after
+	}
+	defer r.reading.Unlock()
+	r.release.Do(func() {
+		if stream, ok := r.response.BodyStream().(fasthttp.ReadCloserWithError); ok {
+			_ = stream.CloseWithError(net.ErrClosed)
+		}
+	})
 }
 
 func (b *backends) Call(ctx *base.Ctx, addr string, request *base.BackRequest) (base.BackReply, error) {
@@ -37,6 +66,7 @@
 	}
 	used := false
 	client := &fasthttp.HostClient{Addr: addr, StreamResponseBody: true, MaxConns: 1, MaxIdemponentCallAttempts: 1,
+		MaxIdleConnDuration:      50 * time.Millisecond,
 		NoDefaultUserAgentHeader: true, ReadBufferSize: 16 << 10,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		Dial: func(string) (net.Conn, error) {
@@ -76,8 +106,12 @@
 func (r *backReply) Closes() bool { return r.response.ConnectionClose() }
 
 func (r *backReply) Line(limit time.Duration) ([]byte, error) {
-	_ = r.plain.SetReadDeadline(time.Now().Add(limit))
-	line, err := r.reader.ReadBytes('\n')
+	var line []byte
+	err := r.read(func() (err error) {
+		_ = r.plain.SetReadDeadline(time.Now().Add(limit))
+		line, err = r.reader.ReadBytes('\n')
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -85,12 +119,16 @@
 }
 
 func (r *backReply) Body(limit time.Duration, most int) ([]byte, error) {
-	_ = r.plain.SetReadDeadline(time.Now().Add(limit))
 	length := r.response.Header.ContentLength()
 	if length == -2 {
 		return nil, errors.New("an answer without a length cannot be told from a cut one")
 	}
-	body, err := io.ReadAll(io.LimitReader(r.reader, int64(most)+1))
+	var body []byte
+	err := r.read(func() (err error) {
+		_ = r.plain.SetReadDeadline(time.Now().Add(limit))
+		body, err = io.ReadAll(io.LimitReader(r.reader, int64(most)+1))
+		return err
+	})
 	switch {
 	case err != nil:
 		return nil, err
@@ -105,4 +143,6 @@
 func (r *backReply) Close() {
 	r.timer.Stop()
 	_ = r.plain.Close()
+	r.closed.Store(true)
+	r.letGo()
 }
--- a/internal/node/backends_test.go
+++ b/internal/node/backends_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -130,3 +131,31 @@
 		is.True(strings.HasPrefix(faults[0], field+":"))
 	}
 }
+
+// A call leaves nothing running behind it, however it ends.
+func TestCallsLeaveNothingBehind(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "data: a\n\ndata: b\n\n")
+	})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	before := runtime.NumGoroutine()
+	for place := range 40 {
+		reply, err := call(listener.Addr().String())
+		is.NoErr(err)
+		if place%2 == 0 {
+			_, err = reply.Body(10*time.Second, 1000)
+		} else {
+			_, err = reply.Line(10 * time.Second)
+		}
+		is.NoErr(err)
+		reply.Close()
+	}
+	for end := time.Now().Add(20 * time.Second); runtime.NumGoroutine() > before+8 && time.Now().Before(end); {
+		runtime.Gosched()
+	}
+	is.True(runtime.NumGoroutine() <= before+8)
+}
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"time"
 
@@ -55,7 +56,9 @@
 				ctx.SetBodyString("ready\n")
 			case "/counters":
 				ctx.SetContentType("application/json")
-				ctx.SetBody(append(base.Encode(counters.Frame()), '\n'))
+				frame := counters.Frame()
+				frame["goroutines"] = int64(runtime.NumGoroutine())
+				ctx.SetBody(append(base.Encode(frame), '\n'))
 			default:
 				write(ctx, handle(base.NewCtx(clock, 10*time.Minute), read(ctx, path)))
 			}
