Reject bounds whose own intervals do not fit together

Cause: a settings bound much shorter than the leave bound let one try at the feed outlast a permit, and a short recover bound suspected nodes between beats. Change: both are faults of the document, with their paths; the table has a row for each.

--- a/internal/base/bounds.go
+++ b/internal/base/bounds.go
@@ -28,6 +28,9 @@
 // FeedHold is how long the feed keeps a quiet follower waiting.
 func (b *Bounds) FeedHold() time.Duration { return b.Settings / 10 }
 
+// Follow bounds one try at following the feed, its hold included.
+func (b *Bounds) Follow() time.Duration { return b.FeedHold()*3/2 + b.Beat()*3/2 }
+
 // Beat is the period of shuffles between neighbours.
 func (b *Bounds) Beat() time.Duration { return b.Leave / 12 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -82,7 +82,7 @@
 		asked := f.clock.Now()
 		var reply *FollowReply
 		request := &FollowRequest{Node: f.node, Place: f.Frame().Place, HoldMs: bounds.FeedHold().Milliseconds()}
-		err := f.client.Reach(base.NewCtx(f.clock, bounds.Permit()), 0, bounds.FeedHold()*3/2+bounds.Beat()*3/2, func(ctx *base.Ctx, addr string) (string, error) {
+		err := f.client.Reach(base.NewCtx(f.clock, bounds.Permit()), 0, bounds.Follow(), func(ctx *base.Ctx, addr string) (string, error) {
 			asked = f.clock.Now()
 			answered, err := NewFeedProtobufClient("http://"+addr, f.wire).Follow(ctx, request)
 			if err != nil {
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -147,6 +147,12 @@
 	if tree.bounds.Permit()+tree.bounds.Hold() > tree.bounds.Settings*95/100 {
 		r.fault("$.bounds.settings_bound_s", "permit and hold do not fit inside it")
 	}
+	if tree.bounds.Follow() >= tree.bounds.Permit() {
+		r.fault("$.bounds.settings_bound_s", "too short beside leave_bound_s: one try at the feed would outlast a permit")
+	}
+	if tree.bounds.Suspect() < 4*tree.bounds.Beat() {
+		r.fault("$.bounds.recover_bound_s", "too short beside leave_bound_s: nodes would be suspected between beats")
+	}
 	if tree.bounds.Retain < tree.bounds.Recover {
 		r.fault("$.bounds.retain_s", "must be at least recover_bound_s")
 	}
--- a/internal/settings/tree_test.go
+++ b/internal/settings/tree_test.go
@@ -34,6 +34,9 @@
 		{"cycle", `{"pools":{"m":{"kind":"model"}},"groups":{"g":{"sites":{"s":{"routes":{"r":{"pool":"m","kind":"model","fallback":"q"},"q":{"pool":"m","kind":"model","fallback":"r"}}}}}}}`, "$.groups.g.sites.s.routes.q.fallback"},
 		{"bounds do not fit", `{"bounds":{"settings_bound_s":10,"recover_bound_s":12}}`, "$.bounds.recover_bound_s"},
 		{"faulty policy", `{"policy":"def admit(s): return 1"}`, "$.policy"},
+		{"one try outlasts a permit", `{"bounds":{"settings_bound_s":0.5}}`, "$.bounds.settings_bound_s"},
+		{"suspected between beats", `{"bounds":{"leave_bound_s":3,"recover_bound_s":4}}`, "$.bounds.recover_bound_s"},
+		{"nothing kept long enough", `{"bounds":{"retain_s":5}}`, "$.bounds.retain_s"},
 		{"bad name", `{"groups":{"a/b":{}}}`, "$.groups"},
 	}
 	for _, row := range rows {
