--- a/internal/simulate/chaos_test.go
+++ b/internal/simulate/chaos_test.go
@@ -171,6 +171,7 @@
 func TestNothingThatMustNeverHappens(t *testing.T) {
 	for _, one := range harms {
 		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
 			bring(t, *seeds+one.more, SmallShape(), func(t *testing.T, f *Fleet) {
 				is := is.New(t)
 				formed(t, f)
--- a/internal/simulate/long_test.go
+++ b/internal/simulate/long_test.go
@@ -18,6 +18,7 @@
 // Retention really deletes: with a short retain_s, waves of conversations
 // leave the disks no fuller than the first few did, and quiet empties them.
 func TestRetentionBoundsTheDisks(t *testing.T) {
+	t.Parallel()
 	shape := SmallShape()
 	shape.Settings = strings.Replace(DefaultSettings, `{"pools"`, `{"bounds":{"settings_bound_s":2,"recover_bound_s":6,"retain_s":8},"pools"`, 1)
 	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
@@ -58,6 +59,7 @@
 // Past saturation goodput does not collapse: refusals are early and say when
 // to come again, and the answers that are given stay whole.
 func TestACrowdIsRefusedEarly(t *testing.T) {
+	t.Parallel()
 	shape := SmallShape()
 	shape.Capacity, shape.Gap = 4, 50*time.Millisecond
 	shape.Settings = strings.Replace(DefaultSettings, `"operation_timeout_s":30`, `"operation_timeout_s":4,"waiting":16`, 1)
@@ -80,6 +82,7 @@
 
 // A runaway program with many helpers does not keep others from workers.
 func TestARunawayProgramLeavesRoom(t *testing.T) {
+	t.Parallel()
 	shape := SmallShape()
 	shape.Models, shape.Capacity, shape.Gap = 1, 4, 50*time.Millisecond
 	script(t, shape, func(is *is.I, f *Fleet, call *talker) {
--- a/internal/simulate/outage_test.go
+++ b/internal/simulate/outage_test.go
@@ -28,6 +28,7 @@
 }
 
 func TestTotalOutageKeepsWhatWasAcknowledged(t *testing.T) {
+	t.Parallel()
 	for seed := 0; seed < *seeds; seed++ {
 		script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
 			for range seed {
@@ -103,6 +104,7 @@
 // Split in two, the side without a majority of disks declines, the other
 // goes on, and healing brings nobody back to older settings.
 func TestPartitionOfCoreAndStorage(t *testing.T) {
+	t.Parallel()
 	script(t, KiondoShape(), func(is *is.I, f *Fleet, call *talker) {
 		minority := map[string]bool{f.Storage[0].Host.Name: true, f.Cores[0].Host.Name: true, f.Cores[1].Host.Name: true,
 			f.Edges[0].Host.Name: true, f.Edges[1].Host.Name: true}
@@ -144,6 +146,7 @@
 // A planned stop finishes what was read and hands sessions over: callers see
 // no failure but connections refused where nothing listens.
 func TestPlannedStopsDropNothing(t *testing.T) {
+	t.Parallel()
 	bring(t, *seeds, KiondoShape(), func(t *testing.T, f *Fleet) {
 		is := is.New(t)
 		formed(t, f)
@@ -217,6 +220,7 @@
 // With two of three disks stalled nothing is acknowledged; what the third
 // disk alone was given is fenced before it is called refused.
 func TestAMinorityOfDisksAcknowledgesNothing(t *testing.T) {
+	t.Parallel()
 	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
 		program, secret := call.program(1000, nil)
 		path, key := call.session(0, program, secret, nil)
@@ -253,6 +257,7 @@
 // A core that is cut off with a gateway cannot keep that gateway serving, nor
 // answer operators from what it remembers, while others change the settings.
 func TestACutOffOwnerConfirmsNothing(t *testing.T) {
+	t.Parallel()
 	script(t, KiondoShape(), func(is *is.I, f *Fleet, call *talker) {
 		var owner, other *Machine
 		for _, m := range f.Cores {
--- a/internal/simulate/repair_test.go
+++ b/internal/simulate/repair_test.go
@@ -80,6 +80,7 @@
 	}
 	for name, trouble := range troubles {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
 				left := f.Converse(4, 12, true, func(c *standin.Caller) {
 					c.Between = func(int) { c.Clock.Sleep(f.World.Between(0, 2*time.Second)) }
@@ -144,6 +145,7 @@
 
 // Duties move only as far as they must when a core or gateway comes.
 func TestDutiesMoveOnlyAsTheyMust(t *testing.T) {
+	t.Parallel()
 	script(t, KiondoShape(), func(is *is.I, f *Fleet, call *talker) {
 		owners := func() map[uint32]string {
 			found := map[uint32]string{}
@@ -238,6 +240,7 @@
 
 // All seeds but one dead: machines still find the fleet.
 func TestOneSeedIsEnough(t *testing.T) {
+	t.Parallel()
 	script(t, KiondoShape(), func(is *is.I, f *Fleet, call *talker) {
 		f.Kill(f.Cores[0])
 		f.Kill(f.Cores[len(f.Cores)-1])
--- a/internal/simulate/settings_test.go
+++ b/internal/simulate/settings_test.go
@@ -124,6 +124,7 @@
 	for _, name := range []string{"edges killed", "edges frozen and woken", "cores killed", "cores frozen and woken", "disks lose power",
 		"disks frozen and woken", "messages lost, late and twice", "a machine cut off", "one-way loss"} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			bring(t, *seeds, SmallShape(), func(t *testing.T, f *Fleet) {
 				is := is.New(t)
 				formed(t, f)
