--- a/internal/worker/nominate_test.go
+++ b/internal/worker/nominate_test.go
@@ -2,6 +2,7 @@
 package worker
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -68,3 +69,38 @@
 		})
 	}
 }
+
+// Among legs of one urgency the site with fewest under way goes first, and
+// then the program with fewest.
+func TestTheLineIsFairBySiteThenProgram(t *testing.T) {
+	is := is.New(t)
+	n, _ := bench(map[string][]byte{ListKey: base.Encode(List{Stamp: 1, Workers: []Worker{{ID: "a", Pool: "p", Capacity: 3}}})})
+	hold := func(site, program string) *Need {
+		return &Need{Pool: "p", Site: site, Program: program, Affinity: program, Waiting: 8, Tried: map[string]bool{}}
+	}
+	ctx := base.NewCtx(base.NewRealClock(), time.Minute)
+	under := []*Need{hold("crowded", "one"), hold("crowded", "one"), hold("crowded", "two")}
+	var held *Worker
+	for _, need := range under {
+		chosen, err := n.Hold(ctx, need)
+		is.NoErr(err)
+		held = chosen
+	}
+	granted := make(chan string)
+	for place, need := range []*Need{hold("crowded", "one"), hold("crowded", "three"), hold("quiet", "four")} {
+		go func() {
+			if _, err := n.Hold(ctx, need); err == nil {
+				granted <- need.Program
+			}
+		}()
+		for waiting := 0; waiting <= place; runtime.Gosched() {
+			n.mu.Lock()
+			waiting = len(n.waiting)
+			n.mu.Unlock()
+		}
+	}
+	for _, want := range []string{"four", "three"} {
+		n.Release(held, under[2], 0)
+		is.Equal(<-granted, want)
+	}
+}
