Pace repair: two frames out at once from a core, take-overs apart

Cause: a new disk was sent all 32 slots at once, beside live traffic. Change: frames to disks that are behind while their slot is served wait for one of two places; the replacement test wants to see them wait.

--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -136,10 +136,11 @@
 	sweeps   []func(tx *Tx)
 	slots    [Slots]*slot
 
-	mu     sync.Mutex
-	set    *DiskSet
-	moving bool
-	closed bool
+	mu      sync.Mutex
+	set     *DiskSet
+	moving  bool
+	repairs int
+	closed  bool
 }
 
 func NewOwner(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds], counters *base.Counters) *Owner {
@@ -414,12 +415,21 @@
 		claim := o.claim(s, epoch)
 		claim.SetStamp, claim.Disk = set.Stamp, entry.Id
 		install, appended := s.outstanding(claim, entry.Id)
+		repair := install != nil && s.based
 		s.mu.Unlock()
 		if install == nil && appended == nil {
 			next.Wait(-1)
 			continue
 		}
+		if repair && !o.beginRepair() {
+			pause := o.bounds.Load().Beat() / 4
+			o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
+			continue
+		}
 		ack, err := o.deliver(entry, install, appended)
+		if repair {
+			o.endRepair()
+		}
 		if err != nil || !ack.Ok {
 			if !o.mend(s, epoch, entry, ack) {
 				return
@@ -437,6 +447,28 @@
 	}
 }
 
+// repairsAtOnce bounds the frames that one core sends to disks that are behind
+// while their slots are served without them, so that repair stays below the
+// live traffic. A take-over's own frames are not held back.
+const repairsAtOnce = 2
+
+func (o *Owner) beginRepair() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.repairs >= repairsAtOnce {
+		o.counters.Add("repairs_paced", 1)
+		return false
+	}
+	o.repairs++
+	return true
+}
+
+func (o *Owner) endRepair() {
+	o.mu.Lock()
+	o.repairs--
+	o.mu.Unlock()
+}
+
 func inSet(set *DiskSet, id string) bool {
 	for _, entry := range set.Disks {
 		if entry.Id == id {
--- a/internal/simulate/repair_test.go
+++ b/internal/simulate/repair_test.go
@@ -98,6 +98,9 @@
 				trouble(f)
 				is.True(call.moved(2 * time.Minute))
 				is.True(call.diskAt(fresh.Host.Name).Voting)
+				if name == "in quiet" {
+					is.True(f.Total("repairs_paced") > 0) // 32 slots were not sent at once
+				}
 				status, code = call.change("retire", "disk", lost.ID)
 				is.Equal(fmt.Sprint(status, code), "200")
 				is.True(call.moved(2 * time.Minute))
