Say once what was said several times; wait before building a repair's frame

A sender that had to wait for a place to repair built the slot's whole frame under its lock first, each time it asked. The disk set under its lock, a claim's head, a disk's progress, a set refusal, a turn by its id, an unsure turn and an exchange between neighbours were each written out several times; the fleet tool's two runs shared a beginning and end; the client guessed its argument counts from words.

--- a/cmd/fordseam-controller/client.go
+++ b/cmd/fordseam-controller/client.go
@@ -62,13 +62,11 @@
 			if core == "" {
 				return cli.Exit("--core must be given (or FORDSEAM_CORE set)", node.ExitUsage)
 			}
-			least, most := strings.Count(args, "FILE")+strings.Count(args, "CHANGE-ID")+strings.Count(args, "PROGRAM")+strings.Count(args, "DISK-ID")+strings.Count(args, "STORAGE-ADDRESS"), 3
-			if args == "" {
-				most = 0
-			} else if strings.Contains(args, "...") {
+			named := strings.Fields(args)
+			least := len(base.Filter(named, func(name string) bool { return !strings.HasPrefix(name, "[") }))
+			most := len(named)
+			if strings.HasSuffix(args, "...") {
 				most = 64
-			} else if least > 0 {
-				most = least
 			}
 			if count := command.Args().Len(); count < least || count > most {
 				return cli.Exit(fmt.Sprintf("%s takes %s", name, strings.TrimSpace("arguments: "+args)), node.ExitUsage)
--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -96,42 +96,42 @@
 	return nil
 }
 
-func run(_ context.Context, command *cli.Command) error {
+// observed starts a fleet, puts it through something, and reports what the
+// parties saw; through gives the counts from before, if they can be compared.
+func observed(command *cli.Command, through func(f *fleet.Fleet, parties *fleet.Parties, tally *standin.Tally) (before map[string]int64, err error)) error {
 	f, parties, err := start(command)
 	if err != nil {
 		return err
 	}
 	defer f.Stop()
 	defer parties.Stop()
-	tally := standin.NewTally()
-	for _, plan := range command.StringSlice("kill") {
-		if err := killLater(f, plan); err != nil {
-			return err
-		}
+	tally, clock := standin.NewTally(), base.NewRealClock()
+	before, err := through(f, parties, tally)
+	if err != nil {
+		return err
 	}
-	clock := base.NewRealClock()
-	before := f.Total()
-	conversations := command.Int("conversations")
-	f.Load(tally, command.Int("callers"), command.Int("pieces"), 0, func(round int) bool { return round < conversations })
 	took := clock.Now()
 	tally.Check(parties.Models, parties.Tools, int64(command.Int("pieces")))
 	return f.Report(os.Stdout, tally, parties, before, took, command.Bool("json"))
 }
 
+func run(_ context.Context, command *cli.Command) error {
+	return observed(command, func(f *fleet.Fleet, _ *fleet.Parties, tally *standin.Tally) (map[string]int64, error) {
+		for _, plan := range command.StringSlice("kill") {
+			if err := killLater(f, plan); err != nil {
+				return nil, err
+			}
+		}
+		before, conversations := f.Total(), command.Int("conversations")
+		f.Load(tally, command.Int("callers"), command.Int("pieces"), 0, func(round int) bool { return round < conversations })
+		return before, nil
+	})
+}
+
 func badday(_ context.Context, command *cli.Command) error {
-	f, parties, err := start(command)
-	if err != nil {
-		return err
-	}
-	defer f.Stop()
-	defer parties.Stop()
-	tally := standin.NewTally()
-	clock := base.NewRealClock()
-	if err := f.BadDay(parties, tally, command.Int("callers"), command.Int("pieces"), os.Stderr); err != nil {
-		return err
-	}
-	tally.Check(parties.Models, parties.Tools, int64(command.Int("pieces")))
-	return f.Report(os.Stdout, tally, parties, nil, clock.Now(), command.Bool("json"))
+	return observed(command, func(f *fleet.Fleet, parties *fleet.Parties, tally *standin.Tally) (map[string]int64, error) {
+		return nil, f.BadDay(parties, tally, command.Int("callers"), command.Int("pieces"), os.Stderr)
+	})
 }
 
 func killLater(f *fleet.Fleet, plan string) error {
--- a/internal/fleet/badday.go
+++ b/internal/fleet/badday.go
@@ -202,7 +202,28 @@
 	d.clock.Sleep(500 * time.Millisecond)
 	err := d.restart(d.fleet.Cores[0], syscall.SIGKILL)
 	group.Wait()
-	return err
+	if err != nil {
+		return err
+	}
+	return d.noneRefused()
+}
+
+// noneRefused looks for a refused change in the settings that stand.
+func (d *day) noneRefused() error {
+	var now struct {
+		Document json.RawMessage `json:"document"`
+	}
+	if err := d.core(func(p *Process) error { return Send("GET", p.Public, "/v1/operator/settings", nil, &now) }); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for change := range d.refused {
+		if strings.Contains(string(now.Document), `"`+change+`"`) {
+			d.tally.Breach("refused change %s is in force", change)
+		}
+	}
+	return nil
 }
 
 // apply takes one change to a known end and gives the stamp that stands.
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -23,6 +23,24 @@
 	return total
 }
 
+// perWholeTurn is nothing when the counts cannot be compared: there are none
+// from before, or processes were restarted and theirs began anew.
+func perWholeTurn(before, after map[string]int64, turns float64) map[string]float64 {
+	if before == nil {
+		return nil
+	}
+	for name := range after {
+		if after[name] < before[name] {
+			return nil
+		}
+	}
+	each := map[string]float64{}
+	for _, name := range []string{"disk_syncs", "disk_records", "messages_sent", "register_changes", "register_confirms", "legs_sent"} {
+		each[name] = float64(after[name]-before[name]) / turns
+	}
+	return each
+}
+
 // Report writes a run's outcome; a breach makes it an error.
 func (f *Fleet) Report(out io.Writer, tally *standin.Tally, parties *Parties, before map[string]int64, took time.Duration, asJSON bool) error {
 	after := f.Total()
@@ -32,19 +50,7 @@
 		_, _, runs, reused := model.Record()
 		count, hits = count+runs, hits+reused
 	}
-	perTurn := map[string]float64{}
-	for _, name := range base.SortedKeys(after) {
-		if before == nil || after[name] < before[name] {
-			before, perTurn = nil, nil // processes were restarted: their counts began anew
-			break
-		}
-	}
-	for _, name := range []string{"disk_syncs", "disk_records", "messages_sent", "register_changes", "register_confirms", "legs_sent"} {
-		if before == nil {
-			break
-		}
-		perTurn[name] = float64(after[name]-before[name]) / float64(turns)
-	}
+	perTurn := perWholeTurn(before, after, float64(turns))
 	shown := map[string]any{"seconds": took.Seconds(), "callers": tally.Counts, "per_turn": perTurn, "model_runs": count, "prefix_hits": hits,
 		"slowest_turn_s": tally.Slowest.Seconds(), "breaches": tally.Breaches, "counters": after}
 	if asJSON {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -79,7 +79,7 @@
 		v.self.Beat++
 		v.mu.Unlock()
 		for _, chosenAddr := range v.nominate() {
-			v.clock.Go(func() { v.exchange(chosenAddr) })
+			v.clock.Go(func() { _ = v.exchange(chosenAddr, 4) })
 		}
 		beat := v.bounds.Load().Beat()
 		v.clock.Sleep(beat*3/4 + time.Duration(v.clock.Int64N(int64(beat/2))))
@@ -97,7 +97,7 @@
 		addrs = append(addrs, v.known[id].member.Addr)
 	}
 	v.mu.Unlock()
-	base.AskAll(v.clock, addrs, limit, func(_ *base.Ctx, addr string) { v.exchange(addr) })
+	base.AskAll(v.clock, addrs, limit, func(_ *base.Ctx, addr string) { _ = v.exchange(addr, 4) })
 }
 
 func (v *View) Close() {
@@ -140,16 +140,18 @@
 	}
 }
 
-func (v *View) exchange(addr string) {
-	ctx := base.NewCtx(v.clock, v.bounds.Load().Beat()*4)
+// exchange shuffles with whoever lives at an address, within some beats.
+func (v *View) exchange(addr string, beats time.Duration) error {
+	ctx := base.NewCtx(v.clock, v.bounds.Load().Beat()*beats)
 	reply, err := NewMembershipProtobufClient("http://"+addr, v.wire).Shuffle(ctx, v.message())
 	if err != nil {
 		if base.WasNotSent(err) {
 			v.SuspectAddr(addr)
 		}
-		return
+		return err
 	}
 	v.merge(reply, addr)
+	return nil
 }
 
 // Probe asks a member for a sign of life, and doubts it when none comes soon.
@@ -165,11 +167,7 @@
 	addr := held.member.Addr
 	v.mu.Unlock()
 	v.clock.Go(func() {
-		ctx := base.NewCtx(v.clock, v.bounds.Load().Beat()*2)
-		reply, err := NewMembershipProtobufClient("http://"+addr, v.wire).Shuffle(ctx, v.message())
-		if err == nil {
-			v.merge(reply, addr)
-		}
+		err := v.exchange(addr, 2)
 		v.mu.Lock()
 		held.probing = false
 		v.mu.Unlock()
--- a/internal/register/disks.go
+++ b/internal/register/disks.go
@@ -61,11 +61,15 @@
 }
 
 func (o *Owner) handleDisks() {
-	o.Handle("disks.get", func(tx *Tx, _ []byte) (any, error) { return loadDisks(tx.Get(DisksKey)), nil })
-	o.Handle("disks.propose", func(tx *Tx, args []byte) (any, error) {
-		var asked disksAsk
-		_ = json.Unmarshal(args, &asked)
-		now := loadDisks(tx.Get(DisksKey))
+	handle := func(name string, op func(tx *Tx, asked *disksAsk, now *Disks) (*Disks, error)) {
+		o.Handle(name, func(tx *Tx, args []byte) (any, error) {
+			var asked disksAsk
+			_ = json.Unmarshal(args, &asked)
+			return op(tx, &asked, loadDisks(tx.Get(DisksKey)))
+		})
+	}
+	handle("disks.get", func(_ *Tx, _ *disksAsk, now *Disks) (*Disks, error) { return now, nil })
+	handle("disks.propose", func(tx *Tx, asked *disksAsk, now *Disks) (*Disks, error) {
 		if now == nil {
 			now = &Disks{Current: asked.Base, Settled: true, Slots: Slots}
 		}
@@ -82,20 +86,14 @@
 		tx.Put(DisksKey, base.Encode(now))
 		return now, nil
 	})
-	o.Handle("disks.conclude", func(tx *Tx, args []byte) (any, error) {
-		var asked disksAsk
-		_ = json.Unmarshal(args, &asked)
-		now := loadDisks(tx.Get(DisksKey))
+	handle("disks.conclude", func(tx *Tx, asked *disksAsk, now *Disks) (*Disks, error) {
 		if now != nil && now.Next != nil && now.Next.Stamp == asked.Stamp {
 			now.Current, now.Next, now.Settled, now.Slots = now.Next, nil, false, 0
 			tx.Put(DisksKey, base.Encode(now))
 		}
 		return now, nil
 	})
-	o.Handle("disks.settle", func(tx *Tx, args []byte) (any, error) {
-		var asked disksAsk
-		_ = json.Unmarshal(args, &asked)
-		now := loadDisks(tx.Get(DisksKey))
+	handle("disks.settle", func(tx *Tx, asked *disksAsk, now *Disks) (*Disks, error) {
 		if now != nil && now.Current.Stamp == asked.Stamp && (now.Slots != asked.Slots || now.Settled != (asked.Slots == Slots)) {
 			now.Slots, now.Settled = asked.Slots, asked.Slots == Slots
 			tx.Put(DisksKey, base.Encode(now))
@@ -134,13 +132,15 @@
 	return &now, client.Change(ctx, FeedGroup, "disks.propose", disksAsk{Base: current, Next: next}, &now)
 }
 
-// spread gives a disk that goes by an older set the one this core knows.
-// That set was recorded as proposed before any disk adopted it.
-func (o *Owner) spread(entry *DiskEntry, theirs *DiskSet) {
-	o.mu.Lock()
-	set := o.set
-	o.mu.Unlock()
-	if theirs.GetStamp() < set.Stamp {
+// agreeOnSet settles a refusal for another disk set: a newer one is learnt, and
+// a disk that goes by an older one is given the set this core knows, which was
+// recorded as proposed before any disk adopted it.
+func (o *Owner) agreeOnSet(entry *DiskEntry, ack *Ack) {
+	if ack.Why != "set" {
+		return
+	}
+	o.learn(ack.Set)
+	if set := o.knownSet(); ack.Set.GetStamp() < set.Stamp {
 		_, _ = o.disk(entry).Adopt(base.NewCtx(o.clock, o.bounds.Load().DiskLimit()), &AdoptRequest{Set: set})
 	}
 }
@@ -224,19 +224,15 @@
 	var mu sync.Mutex
 	took := map[string]bool{}
 	list := base.Map(base.SortedKeys(all), func(id string) *DiskEntry { return all[id] })
-	base.Ask(o.clock, list, len(list), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+	base.AskAll(o.clock, list, o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) {
 		state, err := o.disk(entry).Describe(ctx, &DescribeRequest{})
 		if err != nil || state.Id != entry.Id {
-			return false
+			return
 		}
 		ack, err := o.disk(entry).Adopt(ctx, &AdoptRequest{Set: next})
-		if err != nil || !ack.Ok {
-			return false
-		}
 		mu.Lock()
-		took[entry.Id] = true
+		took[entry.Id] = err == nil && ack.Ok
 		mu.Unlock()
-		return true
 	})
 	mu.Lock()
 	defer mu.Unlock()
@@ -258,10 +254,10 @@
 	var mu sync.Mutex
 	whole, filled := map[uint32]bool{}, map[uint32]bool{}
 	cores := o.view.Present(membership.RoleCore)
-	base.Ask(o.clock, cores, len(cores), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, member *membership.Member) bool {
+	base.AskAll(o.clock, cores, o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, member *membership.Member) {
 		reply, err := NewRegisterProtobufClient("http://"+member.Addr, o.wire).Census(ctx, &CensusRequest{Set: set})
 		if err != nil || reply.SetStamp != set.Stamp {
-			return false
+			return
 		}
 		mu.Lock()
 		defer mu.Unlock()
@@ -271,7 +267,6 @@
 		for _, num := range reply.Learned {
 			filled[num] = true
 		}
-		return true
 	})
 	mu.Lock()
 	defer mu.Unlock()
@@ -282,9 +277,7 @@
 // majority of the set, and which are whole on all its learners.
 func (o *Owner) Census(_ context.Context, request *CensusRequest) (*CensusReply, error) {
 	o.learn(request.Set)
-	o.mu.Lock()
-	set := o.set
-	o.mu.Unlock()
+	set := o.knownSet()
 	reply := &CensusReply{SetStamp: set.GetStamp()}
 	for _, s := range o.slots {
 		s.mu.Lock()
@@ -292,7 +285,7 @@
 			reply.Owned = append(reply.Owned, s.num)
 			has := func(entry *DiskEntry) bool {
 				mark := s.progress[entry.Id]
-				return mark != nil && mark.installed && mark.stamp == set.Stamp && mark.acked >= s.commit
+				return mark.has(s.commit) && mark.stamp == set.Stamp
 			}
 			learners := base.Filter(set.Disks, func(entry *DiskEntry) bool { return entry.Learner })
 			if len(base.Filter(voters(set), has)) >= majority(set) {
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -102,6 +102,9 @@
 	stamp     uint64
 }
 
+// has reports whether the disk is known to hold the slot up to a number.
+func (p *progress) has(seq uint64) bool { return p != nil && p.installed && p.acked >= seq }
+
 type slot struct {
 	num  uint32
 	bell *base.Bell
@@ -159,8 +162,10 @@
 func (o *Owner) disk(entry *DiskEntry) Disk {
 	return NewDiskProtobufClient("http://"+entry.Addr, o.wire)
 }
-func (o *Owner) claim(s *slot, e uint64) *Claim {
-	return &Claim{Slot: s.num, Epoch: e, Owner: o.view.Me()}
+
+// claim is a message's head to one disk of a set.
+func (o *Owner) claim(s *slot, epoch uint64, set *DiskSet, entry *DiskEntry) *Claim {
+	return &Claim{Slot: s.num, Epoch: epoch, Owner: o.view.Me(), SetStamp: set.Stamp, Disk: entry.Id}
 }
 
 // Run takes the slots that rendezvous gives this core, and sweeps.
@@ -247,10 +252,7 @@
 
 // Set is the disk set this core goes by, looked up on the disks if need be.
 func (o *Owner) Set() *DiskSet {
-	o.mu.Lock()
-	known := o.set
-	o.mu.Unlock()
-	if known != nil {
+	if known := o.knownSet(); known != nil {
 		return known
 	}
 	limit := o.bounds.Load().DiskLimit()
@@ -262,6 +264,11 @@
 		o.learn(state.Set)
 		return true
 	})
+	return o.knownSet()
+}
+
+// knownSet is the disk set as this core has learnt it, without asking.
+func (o *Owner) knownSet() *DiskSet {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.set
@@ -301,17 +308,12 @@
 	var mu sync.Mutex
 	var newest *PromiseReply
 	promised := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
-		claim := o.claim(s, epoch)
-		claim.SetStamp, claim.Disk = set.Stamp, entry.Id
-		reply, err := o.disk(entry).Promise(ctx, &PromiseRequest{Claim: claim})
+		reply, err := o.disk(entry).Promise(ctx, &PromiseRequest{Claim: o.claim(s, epoch, set, entry)})
 		if err != nil {
 			return false
 		}
 		if !reply.Ack.Ok {
-			o.learn(reply.Ack.Set)
-			if reply.Ack.Why == "set" {
-				o.spread(entry, reply.Ack.Set)
-			}
+			o.agreeOnSet(entry, reply.Ack)
 			s.mu.Lock()
 			s.highest = max(s.highest, reply.Ack.Epoch)
 			s.mu.Unlock()
@@ -364,9 +366,7 @@
 
 // refit starts a sender to each disk of the set that has none.
 func (o *Owner) refit(s *slot) {
-	o.mu.Lock()
-	set := o.set
-	o.mu.Unlock()
+	set := o.knownSet()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.epoch == 0 || s.progress == nil {
@@ -404,28 +404,25 @@
 			s.mu.Unlock()
 			return
 		}
-		o.mu.Lock()
-		set := o.set
-		o.mu.Unlock()
+		set := o.knownSet()
 		if !inSet(set, entry.Id) {
 			delete(s.progress, entry.Id)
 			s.mu.Unlock()
 			return
 		}
-		claim := o.claim(s, epoch)
-		claim.SetStamp, claim.Disk = set.Stamp, entry.Id
-		install, appended := s.outstanding(claim, entry.Id)
-		repair := install != nil && s.based
-		s.mu.Unlock()
-		if install == nil && appended == nil {
-			next.Wait(-1)
-			continue
-		}
+		repair := s.based && s.needsFrame(entry.Id)
 		if repair && !o.beginRepair() {
+			s.mu.Unlock()
 			pause := o.bounds.Load().Beat() / 4
 			o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
 			continue
 		}
+		install, appended := s.outstanding(o.claim(s, epoch, set, entry), entry.Id)
+		s.mu.Unlock()
+		if install == nil && appended == nil {
+			next.Wait(-1)
+			continue
+		}
 		ack, err := o.deliver(entry, install, appended)
 		if repair {
 			o.endRepair()
@@ -478,11 +475,20 @@
 	return false
 }
 
+// first is the number that the buffer begins with; the caller holds the lock.
+func (s *slot) first() uint64 { return s.tail + 1 - uint64(len(s.buffer)) }
+
+// needsFrame tells that a disk cannot go on from the buffer; the caller holds
+// the lock.
+func (s *slot) needsFrame(diskID string) bool {
+	mark := s.progress[diskID]
+	return !mark.installed || mark.acked+1 < s.first()
+}
+
 // outstanding builds what a disk lacks; the caller holds the lock.
 func (s *slot) outstanding(claim *Claim, diskID string) (*InstallRequest, *AppendRequest) {
 	mark := s.progress[diskID]
-	first := s.tail + 1 - uint64(len(s.buffer))
-	if !mark.installed || mark.acked+1 < first {
+	if s.needsFrame(diskID) {
 		mark.installed = false
 		install := &InstallRequest{Claim: claim, Seq: s.tail}
 		s.held.Each(func(key, value any) {
@@ -496,7 +502,7 @@
 		}
 		return nil, nil
 	}
-	entries := append([]*Entry(nil), s.buffer[mark.acked+1-first:]...)
+	entries := append([]*Entry(nil), s.buffer[mark.acked+1-s.first():]...)
 	return nil, &AppendRequest{Claim: claim, Entries: entries}
 }
 
@@ -520,8 +526,7 @@
 			o.stepDown(s, epoch, ack.Epoch)
 			return false
 		case "set":
-			o.learn(ack.Set)
-			o.spread(entry, ack.Set)
+			o.agreeOnSet(entry, ack)
 		case "behind":
 			s.mu.Lock()
 			if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
@@ -545,14 +550,14 @@
 	reached := func(seq uint64) bool {
 		count := 0
 		for _, entry := range voters(set) {
-			if mark := s.progress[entry.Id]; mark != nil && mark.installed && mark.acked >= seq {
+			if s.progress[entry.Id].has(seq) {
 				count++
 			}
 		}
 		return count >= majority(set)
 	}
 	for _, entry := range voters(set) {
-		if mark := s.progress[entry.Id]; mark != nil && mark.installed && mark.acked >= s.commit && reached(mark.acked) {
+		if mark := s.progress[entry.Id]; mark.has(s.commit) && reached(mark.acked) {
 			s.commit, s.based = mark.acked, true
 		}
 	}
@@ -562,7 +567,7 @@
 			lowest = min(lowest, mark.acked)
 		}
 	}
-	first := s.tail + 1 - uint64(len(s.buffer))
+	first := s.first()
 	keep := max(lowest+1, first)
 	if lowest < s.commit && uint64(len(s.buffer)) > bufferLimit {
 		keep = s.commit + 1
@@ -708,20 +713,15 @@
 		}
 		epoch := s.epoch
 		s.mu.Unlock()
-		o.mu.Lock()
-		set := o.set
-		o.mu.Unlock()
+		set := o.knownSet()
 		o.counters.Add("register_confirms", 1)
 		confirmed := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
-			claim := o.claim(s, epoch)
-			claim.SetStamp, claim.Disk = set.Stamp, entry.Id
-			ack, err := o.disk(entry).Confirm(ctx, &ConfirmRequest{Claim: claim})
+			ack, err := o.disk(entry).Confirm(ctx, &ConfirmRequest{Claim: o.claim(s, epoch, set, entry)})
 			if err == nil && ack.Why == "epoch" {
 				o.stepDown(s, epoch, ack.Epoch)
 			}
-			if err == nil && ack.Why == "set" {
-				o.learn(ack.Set)
-				o.spread(entry, ack.Set)
+			if err == nil {
+				o.agreeOnSet(entry, ack)
 			}
 			return err == nil && ack.Ok
 		})
@@ -779,7 +779,7 @@
 		return 0, false, nil, "", base.Busy(503, "slot_not_ready", 1, "the feed is changing hands")
 	}
 	epoch, target := s.epoch, s.tail
-	first := s.tail + 1 - uint64(len(s.buffer))
+	first := s.first()
 	frame = place == 0 || place+1 < first || place > target
 	if frame {
 		s.held.Each(func(key, value any) { puts = append(puts, &Put{Key: key.(string), Value: value.([]byte)}) })
--- a/internal/session/held.go
+++ b/internal/session/held.go
@@ -84,7 +84,17 @@
 func (h *held) mayHaveRun(turn string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return slices.Contains(h.record.Unsure, turn)
+	return h.record.unsure(turn)
+}
+
+// whole finds a turn of the chain; the caller holds the lock.
+func (h *held) whole(turn string) *Turn {
+	for place := range h.turns {
+		if h.turns[place].ID == turn {
+			return &h.turns[place]
+		}
+	}
+	return nil
 }
 
 // refuseUnknown keeps a turn that this owner knows nothing of from ever being
@@ -92,17 +102,13 @@
 func (h *held) refuseUnknown(turn string, verdict *declinedVisit) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ops[turn] != nil || slices.Contains(h.record.Unsure, turn) || h.refused[turn] != nil && h.refused[turn].verdict.Ran != base.NotRun {
+	if h.ops[turn] != nil || h.whole(turn) != nil || h.record.unsure(turn) {
 		return false
 	}
-	for place := range h.turns {
-		if h.turns[place].ID == turn {
-			return false
-		}
-	}
-	if h.refused[turn] == nil {
-		h.refused[turn] = verdict
+	if known := h.refused[turn]; known != nil {
+		return known.verdict.Ran == base.NotRun
 	}
+	h.refused[turn] = verdict
 	return true
 }
 
@@ -339,10 +345,8 @@
 func (h *held) read(v *Visit) (*Reply, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for place := range h.turns {
-		if h.turns[place].ID == v.Turn {
-			return &Reply{Status: 200, Body: viewTurn(&h.turns[place], true)}, nil
-		}
+	if turn := h.whole(v.Turn); turn != nil {
+		return &Reply{Status: 200, Body: viewTurn(turn, true)}, nil
 	}
 	if op := h.ops[v.Turn]; op != nil {
 		return &Reply{Status: 200, Body: TurnView{Turn: op.id, State: op.state, Error: op.verdict}}, nil
@@ -419,7 +423,7 @@
 		return nil, err
 	}
 	if mode == budget.Immediate {
-		k.cancelAll(h, "the session was terminated")
+		k.cancelAll(h)
 	}
 	if err := k.closeIfQuiet(ctx, h); err != nil {
 		return nil, err
@@ -427,7 +431,7 @@
 	return &Reply{Status: 200, Body: h.status()}, nil
 }
 
-func (k *Keeper) cancelAll(h *held, _ string) {
+func (k *Keeper) cancelAll(h *held) {
 	h.mu.Lock()
 	all := slices.Clone(h.queue)
 	if h.running != nil {
@@ -522,7 +526,7 @@
 		case expired:
 			k.counters.Add("leases_expired", 1)
 			if k.moveRun(ctx, h, Failed, "", "lease_expired") == nil {
-				k.cancelAll(h, "the lease expired")
+				k.cancelAll(h)
 			}
 		case idle:
 			// The register forgets what nobody may ask for any more.
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -10,7 +10,6 @@
 import (
 	"encoding/json"
 	"io"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -53,16 +52,14 @@
 
 func (k *Keeper) accept(h *held, v *Visit, digest string) (*Reply, error) {
 	h.mu.Lock()
-	for place := range h.turns {
-		if turn := &h.turns[place]; turn.ID == v.Turn {
-			run := h.record.Run
-			h.mu.Unlock()
-			if turn.Digest != digest {
-				return nil, turnReused()
-			}
-			k.counters.Add("turns_replayed", 1)
-			return k.reader(replayStream(k.clock, turn, run), v)
+	if turn := h.whole(v.Turn); turn != nil {
+		run := h.record.Run
+		h.mu.Unlock()
+		if turn.Digest != digest {
+			return nil, turnReused()
 		}
+		k.counters.Add("turns_replayed", 1)
+		return k.reader(replayStream(k.clock, turn, run), v)
 	}
 	if op := h.ops[v.Turn]; op != nil {
 		again := op.state == OpFailed && op.verdict.Ran == base.MayHaveRun
@@ -104,7 +101,7 @@
 		verdict = base.Busy(429, "queue_full", 1, "the session's queue of %d is full", h.record.QueueSize)
 	}
 	if verdict != nil {
-		if slices.Contains(h.record.Unsure, v.Turn) {
+		if h.record.unsure(v.Turn) {
 			verdict.Ran = base.MayHaveRun
 		}
 		h.refused[v.Turn] = &declinedVisit{verdict: verdict, at: k.clock.Now()}
@@ -169,10 +166,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if previous := op.visit.Previous; previous != "" && previous != h.record.LastTurn {
-		for place := range h.turns {
-			if h.turns[place].ID == previous {
-				return nil, base.Decline(409, "previous_turn_not_latest", "the chain has gone on past that Previous-Turn")
-			}
+		if h.whole(previous) != nil {
+			return nil, base.Decline(409, "previous_turn_not_latest", "the chain has gone on past that Previous-Turn")
 		}
 		return nil, base.Decline(404, "previous_turn_unknown", "that Previous-Turn was not answered whole in this session")
 	}
--- a/internal/session/record.go
+++ b/internal/session/record.go
@@ -152,10 +152,13 @@
 	}
 }
 
+// unsure tells of a turn that may have run by a leg whose end is not known.
+func (r *Record) unsure(turn string) bool { return slices.Contains(r.Unsure, turn) }
+
 func (r *Record) doubt(leg string) {
 	_, rest, _ := strings.Cut(leg, "/")
 	turn, _, _ := strings.Cut(rest, "/")
-	if turn != "" && !slices.Contains(r.Unsure, turn) {
+	if turn != "" && !r.unsure(turn) {
 		r.Unsure = append(r.Unsure, turn)
 		r.Unsure = r.Unsure[max(0, len(r.Unsure)-unsureLimit):]
 	}
