Look at a worker once more before a leg goes out; campaigns; each check seen to catch

Ruled out: a permit that was too long (it had been renewed), late news (the new list was there). Change: the nominator is asked once more after the permit.

fordseam-sim campaign runs scenarios over seeds and sizes and prints the command for each failing one. A second table takes each mechanism away in the simulator.

--- /dev/null
+++ b/cmd/fordseam-sim/campaign.go
@@ -0,0 +1,91 @@
+// The campaign subcommand: any number of seeds of any scenarios, at any of
+// the known sizes, across processors.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+
+	"fordseam/internal/base"
+	"fordseam/internal/node"
+	"fordseam/internal/simulate"
+
+	"github.com/urfave/cli/v3"
+)
+
+func campaignCommand() *cli.Command {
+	return &cli.Command{
+		Name: "campaign", Usage: "run scenarios of failure over many seeds",
+		Description: "Prints each failing seed with the command that plays it again. Exit code 1 when a must-never was broken.",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "scenario", Usage: "`NAME` of a scenario; may be repeated; all unless given"},
+			&cli.StringSliceFlag{Name: "shape", Usage: "`SHAPE`: " + strings.Join(base.SortedKeys(simulate.Shapes), ", ") + "; may be repeated; all unless given"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first `SEED`"},
+			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "how `MANY` seeds of each"},
+			&cli.IntFlag{Name: "processors", Value: runtime.NumCPU(), Usage: "how `MANY` runs at once"},
+			&cli.BoolFlag{Name: "list", Usage: "list the scenarios and end"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		},
+		Action: campaign,
+	}
+}
+
+func campaign(_ context.Context, command *cli.Command) error {
+	if command.Bool("list") {
+		for _, name := range simulate.ScenarioNames() {
+			fmt.Println(name)
+		}
+		return nil
+	}
+	c := &simulate.Campaign{Scenarios: simulate.Scenarios, Shapes: base.SortedKeys(simulate.Shapes), First: command.Uint64("seed"),
+		Seeds: command.Int("seeds"), Processors: command.Int("processors")}
+	usage := func(format string, args ...any) error { return cli.Exit(fmt.Sprintf(format, args...), node.ExitUsage) }
+	if names := command.StringSlice("scenario"); len(names) > 0 {
+		c.Scenarios = nil
+		for _, name := range names {
+			one := simulate.ScenarioNamed(name)
+			if one == nil {
+				return usage("scenario: none is named %q; see --list", name)
+			}
+			c.Scenarios = append(c.Scenarios, one)
+		}
+	}
+	if names := command.StringSlice("shape"); len(names) > 0 {
+		for _, name := range names {
+			if !slices.Contains(c.Shapes, name) {
+				return usage("shape: must be one of %s, is %q", strings.Join(c.Shapes, ", "), name)
+			}
+		}
+		c.Shapes = names
+	}
+	switch {
+	case command.Args().Len() > 0:
+		return usage("campaign takes no arguments, was given %q", command.Args().First())
+	case c.Seeds < 1 || c.Seeds > 1000000:
+		return usage("seeds: must be between 1 and 1000000, is %d", c.Seeds)
+	case c.Processors < 1 || c.Processors > 1024:
+		return usage("processors: must be between 1 and 1024, is %d", c.Processors)
+	}
+	rows := c.Run(func(outcome *simulate.Outcome) {
+		if len(outcome.Breaches) > 0 {
+			fmt.Fprintf(os.Stderr, "failing: %s\n", outcome.Replay())
+		}
+	})
+	failed := 0
+	if command.Bool("json") {
+		fmt.Println(string(base.Encode(rows)))
+		for _, row := range rows {
+			failed += len(row.Failing)
+		}
+	} else {
+		failed = simulate.WriteCampaign(os.Stdout, rows)
+	}
+	if failed > 0 {
+		return cli.Exit(fmt.Sprintf("%d runs broke a must-never", failed), node.ExitFailed)
+	}
+	return nil
+}
--- a/cmd/fordseam-sim/main.go
+++ b/cmd/fordseam-sim/main.go
@@ -30,7 +30,8 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of all chance"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 		},
-		Action: run,
+		Commands: []*cli.Command{campaignCommand()},
+		Action:   run,
 	}, os.Args)
 }
 
--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -160,6 +160,10 @@
 	if err := f.Follower.Permit(t.ctx); err != nil {
 		return nil, err, false
 	}
+	if !f.Nominator.Stays(chosenWorker, need) {
+		f.Counters.Add("legs_turned_back", 1)
+		return nil, base.Busy(503, "worker_leaving", 1, "the worker is leaving"), true
+	}
 	if t.ctx.Over() {
 		return nil, base.Decline(504, "timed_out", "the call's time was over before it went out"), false
 	}
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -370,6 +370,11 @@
 		settle(0)
 		return legOutcome{base.FromWire(err), legFinal}
 	}
+	if !k.nominator.Stays(chosenWorker, made.need) {
+		settle(0)
+		k.counters.Add("legs_turned_back", 1)
+		return legOutcome{base.Busy(503, "worker_leaving", 1, "the worker is leaving"), legFree}
+	}
 	k.counters.Add("legs_sent", 1)
 	k.earnRepeat()
 	reply, err := k.backends.Call(ctx, chosenWorker.Addr, modelRequest(made, answer.Granted))
--- a/internal/simulate/files.go
+++ b/internal/simulate/files.go
@@ -22,6 +22,8 @@
 	Limit   int64
 	Stalled bool
 	Syncs   int
+	// Lying disks say that they synced and did not.
+	Lying bool
 	// Rotten tells that some of it was changed behind its back.
 	Rotten bool
 	// Syncing counts syncs under way.
@@ -77,7 +79,9 @@
 		clock.Sleep(100 * time.Millisecond)
 	}
 	clock.Sleep(f.host.World.Between(f.Quick, f.Slow))
-	held.synced = covered
+	if !f.Lying {
+		held.synced = covered
+	}
 	f.Syncing--
 	f.Syncs++
 	return nil
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -98,6 +98,8 @@
 	reports int64
 	// harms counts failures whose end is still to come.
 	harms int
+	// lost, set by tests only, takes mechanisms away that lie outside the wire.
+	lost struct{ leave, seeds, endMark bool }
 }
 
 // NewFleet builds and starts a fleet.
@@ -162,8 +164,11 @@
 	m.gateway, m.core, m.storage = nil, nil, nil
 	m.Count = base.NewCounters()
 	env := node.Env{Clock: h.Clock(), Wire: f.Net.Wire(h), Files: m.Files, Counters: m.Count,
-		Backends: &Backends{net: f.Net, host: h, models: f.models, tools: f.tools}}
+		Backends: &Backends{net: f.Net, host: h, models: f.models, tools: f.tools, endMark: f.lost.endMark}}
 	place := node.Place{Addr: h.Name + ":1", Public: h.Name + ":2", Zone: h.Zone, Seeds: []string{f.Cores[0].Host.Name + ":1", f.Cores[len(f.Cores)-1].Host.Name + ":1", f.Storage[0].Host.Name + ":1"}}
+	if f.lost.seeds {
+		place.Seeds = []string{"nowhere:1"}
+	}
 	h.Go(func() {
 		switch m.Role {
 		case "edge":
@@ -230,6 +235,10 @@
 		bell.Ring()
 	})
 	m.closing = true
+	if f.lost.leave {
+		f.Tally.Dropped(m.Host.Name, m.open)
+		f.Kill(m)
+	}
 	for end := f.World.now + stopLimit + time.Second; (!left || m.open > 0) && m.Host.life == life && f.World.now < end; {
 		bell.Next().Wait(pollEvery)
 	}
--- a/internal/simulate/net.go
+++ b/internal/simulate/net.go
@@ -34,6 +34,17 @@
 	cuts     map[[2]string]bool
 	Messages int
 	Lost     int
+	// Meddle, set by tests only, stands between the machines and takes a
+	// mechanism away: it may answer a message itself, or change what passes.
+	Meddle func(m *Message) *http.Response
+}
+
+// Message is one exchange between machines; Pass carries it to its end.
+type Message struct {
+	From, To *Host
+	Path     string
+	Body     []byte
+	Pass     func(body []byte) (*http.Response, error)
 }
 
 func NewNet(world *World) *Net {
@@ -92,6 +103,24 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.Meddle == nil {
+		return x.carry(request, body, left)
+	}
+	var failed error
+	response := n.Meddle(&Message{From: x.host, To: w.Hosts[hostOf(request.URL.Host)], Path: request.URL.Path, Body: body,
+		Pass: func(body []byte) (response *http.Response, err error) {
+			response, failed = x.carry(request, body, left)
+			return response, failed
+		}})
+	if response != nil {
+		return response, nil
+	}
+	return nil, failed
+}
+
+// carry takes a message to its machine and the reply back.
+func (x *wire) carry(request *http.Request, body []byte, left time.Duration) (*http.Response, error) {
+	n, w := x.net, x.net.World
 	n.Messages++
 	target := w.Hosts[hostOf(request.URL.Host)]
 	if target == nil || !target.alive {
@@ -116,7 +145,7 @@
 			}
 			recorder := httptest.NewRecorder()
 			arrived := request.Clone(context.Background())
-			arrived.Body = io.NopCloser(bytes.NewReader(body))
+			arrived.Body, arrived.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 			arrived.RequestURI = request.URL.RequestURI()
 			target.serve.ServeHTTP(recorder, arrived)
 			if !answered || n.cut(target.Name, x.host.Name) || w.Chance(n.Faults.Lost) {
--- a/internal/simulate/operators.go
+++ b/internal/simulate/operators.go
@@ -38,7 +38,12 @@
 	clock := f.Callers.Clock()
 	stamp := uint64(1)
 	for round := 0; going(); round++ {
-		stamp = max(stamp, f.change(fmt.Sprintf("%s-%d", name, round), stamp))
+		change := fmt.Sprintf("%s-%d", name, round)
+		if round%6 == 5 {
+			f.invalid(change, stamp)
+		} else {
+			stamp = max(stamp, f.change(change, stamp))
+		}
 		clock.Sleep(f.World.Between(100*time.Millisecond, 1200*time.Millisecond))
 	}
 }
@@ -50,6 +55,16 @@
 	return f.resolve(change, stamp, status, answer)
 }
 
+// invalid asks for a change that must never be taken.
+func (f *Fleet) invalid(change string, stamp uint64) {
+	document := strings.Replace(string(f.marked(change)), `"pools"`, `"queue_size":0,"pools"`, 1)
+	status, answer := f.Operate(f.pick(f.Cores), "POST", "/v1/operator/settings/apply", map[string]any{"change": change, "based_on": stamp, "document": json.RawMessage(document)})
+	if status == 200 {
+		f.Tally.Breach("invalid change %s was acknowledged: %s", change, answer)
+	}
+	f.Tally.ChangeRefused(change)
+}
+
 // resolve asks by the change's id until its outcome is known.
 func (f *Fleet) resolve(change string, basedOn uint64, status int, answer []byte) uint64 {
 	for tries := 0; tries < 400; tries++ {
--- a/internal/simulate/path_test.go
+++ b/internal/simulate/path_test.go
@@ -718,3 +718,33 @@
 		is.Equal(runs, 1) // the next turn went elsewhere
 	})
 }
+
+// A leg that waited for the control state, on a gateway that was cut off from
+// it, does not go out to a worker that has left meanwhile.
+func TestAWorkerThatLeftWhileALegWaited(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		call.turn(0, path, key, program, "a", "")
+		former, other := f.Models[0], f.Models[1]
+		if other.Latest() > former.Latest() {
+			former, other = other, former
+		}
+		for _, m := range f.Cores {
+			f.Net.Cut(f.Edges[0].Host.Name, m.Host.Name)
+		}
+		var waited told
+		f.Callers.Go(func() { waited = call.turn(0, path, key, program, "b", "a") })
+		call.sleep(200 * time.Millisecond)
+		is.Equal(call.send(1, "PATCH", "/v1/platform/workers", "", map[string]any{"stamp": 2, "remove": []string{former.ID}}).Status, 200)
+		left := f.World.Now()
+		call.sleep(4 * time.Second)
+		f.Net.Heal()
+		for waited.Status == 0 {
+			call.sleep(100 * time.Millisecond)
+		}
+		verdict, _, _ := waited.final()
+		is.Equal(verdict, "success")
+		is.True(former.Latest() < left && other.Latest() > left)
+	})
+}
--- /dev/null
+++ b/internal/simulate/removal_test.go
@@ -0,0 +1,219 @@
+// Each must-never's mechanism is taken away, from outside the daemons' code
+// where that can be done, and some seed of some scenario must then be caught by
+// the checks that every run makes. A mechanism whose loss nothing catches would
+// have no proof.
+package simulate
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"fordseam/internal/base"
+	"fordseam/internal/feed"
+	"fordseam/internal/register"
+	"fordseam/internal/session"
+
+	"google.golang.org/protobuf/proto"
+)
+
+func replied(message proto.Message) *http.Response {
+	recorder := httptest.NewRecorder()
+	recorder.Header().Set("Content-Type", "application/protobuf")
+	raw, _ := proto.Marshal(message)
+	_, _ = recorder.Write(raw)
+	return recorder.Result()
+}
+
+// passed carries a message on and reads the reply; nil when none came.
+func passed[M proto.Message](m *Message, body []byte, into M) (M, *http.Response) {
+	response, err := m.Pass(body)
+	if err != nil || response == nil {
+		return into, nil
+	}
+	raw, _ := io.ReadAll(response.Body)
+	response.Body = io.NopCloser(strings.NewReader(string(raw)))
+	if response.StatusCode == 200 {
+		_ = proto.Unmarshal(raw, into)
+	}
+	return into, response
+}
+
+// onChange meddles with one op of the register.
+func onChange(op string, meddle func(m *Message, asked *register.ChangeRequest, pass func(op string, args []byte) (*register.ChangeReply, *http.Response)) *http.Response) func(f *Fleet) {
+	return func(f *Fleet) {
+		f.Net.Meddle = func(m *Message) *http.Response {
+			var asked register.ChangeRequest
+			if strings.HasSuffix(m.Path, "Register/Change") && proto.Unmarshal(m.Body, &asked) == nil && (asked.Op == op || op == "") {
+				return meddle(m, &asked, func(op string, args []byte) (*register.ChangeReply, *http.Response) {
+					raw, _ := proto.Marshal(&register.ChangeRequest{Group: asked.Group, Op: op, Args: args})
+					return passed(m, raw, &register.ChangeReply{})
+				})
+			}
+			response, _ := m.Pass(m.Body)
+			return response
+		}
+	}
+}
+
+// onPath meddles with one kind of message.
+func onPath(suffix string, meddle func(m *Message) *http.Response) func(f *Fleet) {
+	return func(f *Fleet) {
+		f.Net.Meddle = func(m *Message) *http.Response {
+			if strings.HasSuffix(m.Path, suffix) {
+				return meddle(m)
+			}
+			response, _ := m.Pass(m.Body)
+			return response
+		}
+	}
+}
+
+func TestEachMechanismTakenAwayIsCaught(t *testing.T) {
+	rows := []struct {
+		mechanism string
+		scenario  string
+		shape     string
+		take      func(f *Fleet)
+		word      string
+	}{
+		{"the claim on a tool call's key", "workers in trouble", "small", onChange("toolcall.claim", func(_ *Message, _ *register.ChangeRequest, _ func(string, []byte) (*register.ChangeReply, *http.Response)) *http.Response {
+			return replied(&register.ChangeReply{Result: []byte(`{"go":true}`)})
+		}), "ran 2 times"},
+		{"the reservation of tokens", "nothing but load", "small", onChange("session.reserve", func(_ *Message, asked *register.ChangeRequest, pass func(string, []byte) (*register.ChangeReply, *http.Response)) *http.Response {
+			var wanted struct {
+				Tokens int64 `json:"tokens"`
+			}
+			_ = json.Unmarshal(asked.Args, &wanted)
+			reply, response := pass("session.get", asked.Args)
+			if response == nil || len(reply.Result) == 0 {
+				return response
+			}
+			var told map[string]any
+			_ = json.Unmarshal(reply.Result, &told)
+			told["granted"] = wanted.Tokens
+			return replied(&register.ChangeReply{Result: base.Encode(told)})
+		}), "put out"},
+		{"the memory of lost legs", "everything at once", "small", onChange("", func(m *Message, asked *register.ChangeRequest, pass func(string, []byte) (*register.ChangeReply, *http.Response)) *http.Response {
+			reply, response := pass(asked.Op, asked.Args)
+			if response == nil || !strings.Contains(string(reply.Result), `"unsure"`) {
+				return response
+			}
+			var told map[string]any
+			_ = json.Unmarshal(reply.Result, &told)
+			delete(told["record"].(map[string]any), "unsure")
+			return replied(&register.ChangeReply{Result: base.Encode(told)})
+		}), "was refused"},
+		{"the chain on a majority", "edges killed", "small", onChange("session.finish", func(_ *Message, asked *register.ChangeRequest, pass func(string, []byte) (*register.ChangeReply, *http.Response)) *http.Response {
+			_, response := pass("session.get", asked.Args)
+			return response
+		}), "history of"},
+		{"the fence of a request whose reply was lost", "a storm", "small", onPath("Owner/Withdraw", func(*Message) *http.Response {
+			return replied(&session.WithdrawReply{Fenced: true})
+		}), "was refused"},
+		{"pieces pulled by place", "edges killed", "small", onPath("Owner/Pull", func(m *Message) *http.Response {
+			var asked session.PullRequest
+			_ = proto.Unmarshal(m.Body, &asked)
+			asked.Place = max(asked.Place, 1) - 1
+			raw, _ := proto.Marshal(&asked)
+			response, _ := m.Pass(raw)
+			return response
+		}), "skipped, repeated or spliced"},
+		{"the end mark of an answer", "workers in trouble", "small", func(f *Fleet) { f.lost.endMark = true }, "was given as whole but reads"},
+		{"the stamp that a change is based on", "nothing but load", "small", onChange("settings.apply", func(_ *Message, asked *register.ChangeRequest, pass func(string, []byte) (*register.ChangeReply, *http.Response)) *http.Response {
+			now, response := pass("settings.get", []byte("{}"))
+			var record struct {
+				Stamp uint64 `json:"stamp"`
+			}
+			var change map[string]any
+			if response == nil || json.Unmarshal(now.Result, &record) != nil {
+				return response
+			}
+			_ = json.Unmarshal(asked.Args, &change)
+			change["based_on"] = record.Stamp
+			_, response = pass("settings.apply", base.Encode(change))
+			return response
+		}), "a losing change was acknowledged"},
+		{"the fence of a refused change", "messages lost, late and twice", "small", onChange("settings.outcome", func(*Message, *register.ChangeRequest, func(string, []byte) (*register.ChangeReply, *http.Response)) *http.Response {
+			return replied(&register.ChangeReply{Result: []byte(`{"outcome":"refused","stamp":1}`)})
+		}), "refused change"},
+		{"the permit", "a machine cut off", "small", onPath("Feed/Follow", func(m *Message) *http.Response {
+			var asked feed.FollowRequest
+			_ = proto.Unmarshal(m.Body, &asked)
+			response, _ := m.Pass(m.Body)
+			if response == nil && asked.Place > 0 {
+				return replied(&feed.FollowReply{Place: asked.Place})
+			}
+			return response
+		}), "serves by stamp"},
+		{"an owner's proof of its epoch", "a zone cut off", "kiondo", onPath("Disk/Confirm", func(*Message) *http.Response {
+			return replied(&register.Ack{Ok: true})
+		}), "serves by stamp"},
+		{"the fence of a former owner's epoch", "cores frozen and woken", "small", func(f *Fleet) {
+			f.Net.Meddle = func(m *Message) *http.Response {
+				if !strings.Contains(m.Path, "register.Disk/") || strings.HasSuffix(m.Path, "Promise") {
+					response, _ := m.Pass(m.Body)
+					return response
+				}
+				ack, response := passed(m, m.Body, &register.Ack{})
+				if response == nil || ack.Why != "epoch" {
+					return response
+				}
+				var asked register.AppendRequest
+				_ = proto.Unmarshal(m.Body, &asked)
+				for _, entry := range asked.Entries {
+					ack.Seq = entry.Seq
+				}
+				return replied(&register.Ack{Ok: true, Seq: ack.Seq})
+			}
+		}, "history of"},
+		{"a majority of disks", "total outages", "small", onPath("Disk/Append", func(m *Message) *http.Response {
+			var asked register.AppendRequest
+			_ = proto.Unmarshal(m.Body, &asked)
+			if m.To.Name == "storage-0" || len(asked.Entries) == 0 {
+				response, _ := m.Pass(m.Body)
+				return response
+			}
+			return replied(&register.Ack{Ok: true, Seq: asked.Entries[len(asked.Entries)-1].Seq})
+		}), "settings are lost"},
+		{"syncing before the answer", "total outages", "small", func(f *Fleet) {
+			for _, m := range f.Storage {
+				m.Files.Lying = true
+			}
+		}, "settings are lost"},
+		{"news of leaving workers", "nothing but load", "small", onPath("Feed/Follow", func(m *Message) *http.Response {
+			reply, response := passed(m, m.Body, &feed.FollowReply{})
+			if response == nil || response.StatusCode != 200 {
+				return response
+			}
+			reply.Puts = base.Filter(reply.Puts, func(put *register.Put) bool {
+				return !strings.HasPrefix(put.Key, "feed/leaving/") && (put.Key != "feed/workers" || strings.Contains(string(put.Value), `"stamp":1,`))
+			})
+			return replied(reply)
+		}), "got new work"},
+		{"the hand-over of a planned stop", "planned stops", "small", func(f *Fleet) { f.lost.leave = true }, "planned stop"},
+		{"addresses to begin with", "total outages", "small", func(f *Fleet) {
+			f.Callers.Go(func() { f.Callers.Clock().Sleep(1); f.lost.seeds = true })
+		}, "service was back"},
+	}
+	for _, row := range rows {
+		t.Run(row.mechanism, func(t *testing.T) {
+			t.Parallel()
+			const most = 12
+			for seed := uint64(1); seed <= most; seed++ {
+				outcome := ScenarioNamed(row.scenario).RunWith(seed, Shapes[row.shape](), row.take)
+				for _, breach := range outcome.Breaches {
+					if strings.Contains(breach, row.word) {
+						t.Logf("without %s, %q at size %s: seed %d: %s", row.mechanism, row.scenario, row.shape, seed, breach)
+						return
+					}
+				}
+				t.Logf("seed %d: %q", seed, outcome.Breaches)
+			}
+			t.Errorf("none of %d seeds of %q was caught with %q", most, row.scenario, row.word)
+		})
+	}
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -436,7 +436,7 @@
 }
 
 // Check looks over the workers' own records.
-func (t *Tally) Check(models []*Model, tools []*Tool, onePiece int64) {
+func (t *Tally) Check(models []*Model, tools []*Tool, oneTurn int64) {
 	perKey, perProgram, turnRuns := map[string]int{}, map[string]int64{}, map[string]int{}
 	for _, tool := range tools {
 		for key, runs := range tool.Runs() {
@@ -467,7 +467,7 @@
 		}
 	}
 	for _, program := range base.SortedKeys(budgets) {
-		if perProgram[program] > budgets[program]+onePiece {
+		if perProgram[program] > budgets[program]+oneTurn {
 			t.Breach("program %s put out %d of %d", program, perProgram[program], budgets[program])
 		}
 	}
--- a/internal/worker/nominate.go
+++ b/internal/worker/nominate.go
@@ -261,6 +261,18 @@
 	n.mu.Unlock()
 }
 
+// Stays is the last look at a worker before a leg goes out: whoever holds it
+// may have waited since, and the news come meanwhile.
+func (n *Nominator) Stays(held *Worker, need *Need) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listed := false
+	for _, one := range n.roster.Load().Pools[need.Pool] {
+		listed = listed || one.ID == held.ID && one.Addr == held.Addr
+	}
+	return listed && n.open(held, need)
+}
+
 func (n *Nominator) open(one *Worker, need *Need) bool {
 	if need.Tried[one.ID] {
 		return false
