Hold a worker's notice until the control state takes it back

Cause: a worker told, under its second life, that it was leaving; all gateways were restarted by an outage and knew only the list, which names no life. The same came about without an outage once a report was older than twice leave_bound_s. Ruled out: the notice lost (it was on a majority), the permit. Change: the notice alone counts; a report of another life, or a new list, removes it from the control state, as before.

--- a/internal/worker/nominate.go
+++ b/internal/worker/nominate.go
@@ -284,8 +284,10 @@
 	if seen, ok := n.left[one.ID]; ok && seen.incarnation == incarnation && n.clock.Now()-seen.at < NoticeSpan(n.bounds.Load()) {
 		return false
 	}
-	notice, ok := n.roster.Load().Leaving[one.ID]
-	return !ok || notice.Incarnation != incarnation
+	// A notice stands until the control state takes it back: a node that was
+	// restarted, or has not heard the worker lately, cannot tell its lives apart.
+	_, noticed := n.roster.Load().Leaving[one.ID]
+	return !noticed
 }
 
 func (n *Nominator) usage(one *Worker) int {
