--- a/internal/simulate/outage_test.go
+++ b/internal/simulate/outage_test.go
@@ -13,7 +13,7 @@
 
 func TestTotalOutageKeepsWhatWasAcknowledged(t *testing.T) {
 	t.Parallel()
-	for seed := 0; seed < *seeds; seed++ {
+	for seed := 0; seed < *seeds+1; seed++ {
 		script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
 			for range seed {
 				f.World.Int64N(2) // another draw, another run
@@ -213,7 +213,7 @@
 		is.True(call.send(1, "POST", "/v1/programs", "", map[string]any{"group": "g", "site": "main", "budget_tokens": 10}).Status != 201)
 		is.True(call.send(1, "POST", "/v1/programs/"+program+"/tools/loyalty", secret, `{}`, "idempotency-key", "k").Status != 200)
 		is.Equal(f.toolRuns(program+"/k"), 0) // no claim, no call
-		f.PowerLoss(f.Storage[0]) // the one disk that may have it is away
+		f.PowerLoss(f.Storage[0])             // the one disk that may have it is away
 		f.Storage[1].Files.Stalled, f.Storage[2].Files.Stalled = false, false
 		var answer []byte
 		for status = 0; status != 200; call.sleep(200 * time.Millisecond) {
--- a/internal/simulate/settings_test.go
+++ b/internal/simulate/settings_test.go
@@ -17,7 +17,7 @@
 		"disks frozen and woken", "messages lost, late and twice", "a machine cut off", "one-way loss"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			bring(t, *seeds, SmallShape(), func(t *testing.T, f *Fleet) {
+			bring(t, *seeds+1, SmallShape(), func(t *testing.T, f *Fleet) {
 				is := is.New(t)
 				formed(t, f)
 				left, done := 2, 0
