Name what is unwell in status; show what a document would change

Cause: status listed members and left it to operators to see what was wrong: a gateway without a permit looked alive, a disk that was lost was not in it, slots without an owner showed nowhere. Ruled out: asking every machine over its public address (cores have no client for that). Change: each node's entry carries the word for what keeps it from serving; status asks the disks and cores as well and ends with what is unwell. settings diff shows the values a document would change, by path, before it is applied.

--- a/cmd/fordseam-controller/client.go
+++ b/cmd/fordseam-controller/client.go
@@ -29,6 +29,7 @@
 		{Name: "settings", Usage: "read and change the settings tree", Commands: []*cli.Command{
 			client("get", "show the settings in force", "", nil, getSettings),
 			client("check", "check a document without applying it", "FILE", nil, checkSettings),
+			client("diff", "show what a document would change", "FILE", nil, diffSettings),
 			client("apply", "apply a document", "FILE", []cli.Flag{
 				&cli.Int64Flag{Name: "based-on", Value: -1, Usage: "`STAMP` the document was based on; required"},
 				&cli.StringFlag{Name: "change", Usage: "change `ID`, to ask again by; made up when absent"}}, applySettings),
@@ -193,6 +194,32 @@
 	return nil
 }
 
+func diffSettings(c *caller) error {
+	content, err := document(c)
+	if err != nil {
+		return err
+	}
+	var shown struct {
+		Stamp       uint64                `json:"stamp"`
+		Differences []settings.Difference `json:"differences"`
+	}
+	if err := c.call("POST", "/v1/operator/settings/diff", content, &shown); err != nil || c.quiet() {
+		return err
+	}
+	fmt.Printf("against stamp %d: %d values differ\n", shown.Stamp, len(shown.Differences))
+	rows := [][]string{}
+	for _, one := range shown.Differences {
+		if one.Was != "" {
+			rows = append(rows, []string{"-", one.Path, one.Was})
+		}
+		if one.Now != "" {
+			rows = append(rows, []string{"+", one.Path, one.Now})
+		}
+	}
+	table(rows)
+	return nil
+}
+
 func applySettings(c *caller) error {
 	if c.command.Int64("based-on") < 0 {
 		return cli.Exit("--based-on must name the stamp the document was based on (0 for the first)", node.ExitUsage)
@@ -262,12 +289,22 @@
 	rows := [][]string{{"ROLE", "ZONE", "ADDRESS", "PUBLIC", "STATE"}}
 	for _, member := range shown.Members {
 		state := map[bool]string{true: "alive", false: "silent"}[member.Alive]
-		if member.Leaving {
+		switch {
+		case !member.Alive:
+		case member.Leaving:
 			state = "leaving"
+		case member.Unwell != "":
+			state = "not ready: " + member.Unwell
 		}
 		rows = append(rows, []string{member.Role, member.Zone, member.Addr, member.Public, state})
 	}
 	table(rows)
+	if len(shown.Unwell) == 0 {
+		fmt.Println("all is well")
+	}
+	for _, word := range shown.Unwell {
+		fmt.Println("UNWELL:", word)
+	}
 	return nil
 }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -40,6 +40,9 @@
 	counters *base.Counters
 	seeds    []string
 	usages   UsageBook
+	// Unwell says in a word what keeps this node from serving, if anything; it
+	// is set before Run.
+	Unwell func() string
 
 	mu     sync.Mutex
 	self   *Member
@@ -78,6 +81,12 @@
 		}
 		v.self.Beat++
 		v.mu.Unlock()
+		if v.Unwell != nil {
+			word := v.Unwell()
+			v.mu.Lock()
+			v.self.Unwell = word
+			v.mu.Unlock()
+		}
 		for _, chosenAddr := range v.nominate() {
 			v.clock.Go(func() { _ = v.exchange(chosenAddr, 4) })
 		}
@@ -200,7 +209,7 @@
 }
 
 func copyMember(m *Member) *Member {
-	return &Member{Id: m.Id, Addr: m.Addr, PublicAddr: m.PublicAddr, Role: m.Role, Zone: m.Zone, Beat: m.Beat, Leaving: m.Leaving}
+	return &Member{Id: m.Id, Addr: m.Addr, PublicAddr: m.PublicAddr, Role: m.Role, Zone: m.Zone, Beat: m.Beat, Leaving: m.Leaving, Unwell: m.Unwell}
 }
 
 // Shuffle answers a neighbour's exchange.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,8 +129,19 @@
 	return ended
 }
 
+// unwell is the word that a node's entry carries while it is not ready.
+func unwell(ready func() error) func() string {
+	return func() string {
+		if err := ready(); err != nil {
+			return base.FromWire(err).Code
+		}
+		return ""
+	}
+}
+
 // Start begins the node's own tasks.
 func (g *Gateway) Start() {
+	g.view.Unwell = unwell(g.Ready)
 	g.env.Clock.Go(g.view.Run)
 	g.env.Clock.Go(g.Follower.Run)
 	g.env.Clock.Go(g.Keeper.Run)
@@ -201,6 +212,7 @@
 }
 
 func (c *Core) Start() {
+	c.view.Unwell = unwell(c.Ready)
 	c.env.Clock.Go(c.view.Run)
 	c.env.Clock.Go(c.Owner.Run)
 	c.env.Clock.Go(c.Follower.Run)
@@ -244,7 +256,11 @@
 	return &Storage{common: c, Store: store}, nil
 }
 
-func (s *Storage) Start()              { s.env.Clock.Go(s.view.Run) }
+func (s *Storage) Start() {
+	s.view.Unwell = unwell(s.Ready)
+	s.env.Clock.Go(s.view.Run)
+}
+
 func (s *Storage) Ready() error        { return s.Store.Ready() }
 func (s *Storage) Leave(time.Duration) { s.view.Leave(s.bounds.Load().Beat() * 4) }
 
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -4,7 +4,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"slices"
 	"strings"
+	"sync"
 
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
@@ -61,6 +64,8 @@
 		return o.effective(ctx, r)
 	case "GET /v1/operator/status":
 		return o.status(), nil
+	case "POST /v1/operator/settings/diff":
+		return o.diff(ctx, r.Body)
 	case "GET /v1/operator/workers":
 		return (&worker.Client{Register: o.Register}).List(ctx)
 	case "GET /v1/operator/storage":
@@ -159,6 +164,7 @@
 	Public  string `json:"public,omitempty"`
 	Alive   bool   `json:"alive"`
 	Leaving bool   `json:"leaving,omitempty"`
+	Unwell  string `json:"unwell,omitempty"`
 }
 
 // StatusView is a core's view of the fleet.
@@ -169,6 +175,8 @@
 	Cluster  string           `json:"cluster"`
 	Members  []MemberView     `json:"members"`
 	Counters map[string]int64 `json:"counters"`
+	// Unwell names what needs an operator's eye; empty when all is well.
+	Unwell []string `json:"unwell"`
 }
 
 func (o *Operate) status() StatusView {
@@ -177,12 +185,85 @@
 	for _, role := range []string{membership.RoleEdge, membership.RoleCore, membership.RoleStorage} {
 		for _, member := range o.View.Known(role) {
 			_, alive := o.View.Find(member.Id)
-			shown.Members = append(shown.Members, MemberView{member.Id, role, member.Zone, member.Addr, member.PublicAddr, alive, member.Leaving})
+			shown.Members = append(shown.Members, MemberView{member.Id, role, member.Zone, member.Addr, member.PublicAddr, alive, member.Leaving, member.Unwell})
 		}
 	}
+	shown.Unwell = o.unwell(shown.Members, set)
 	return shown
 }
 
+// unwell looks over the machines, the disks of the set and the slots.
+func (o *Operate) unwell(members []MemberView, set *register.DiskSet) []string {
+	found := []string{}
+	say := func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) }
+	for _, member := range members {
+		switch {
+		case !member.Alive:
+			say("%s %s in %s is silent", member.Role, member.Addr, member.Zone)
+		case member.Leaving:
+			say("%s %s in %s is leaving", member.Role, member.Addr, member.Zone)
+		case member.Unwell != "":
+			say("%s %s in %s is not ready: %s", member.Role, member.Addr, member.Zone, member.Unwell)
+		}
+	}
+	if set == nil {
+		say("no disk set is known; was init run, and do the storage machines run?")
+		return found
+	}
+	var mu sync.Mutex
+	answering, voting, owned := 0, 0, map[uint32]bool{}
+	base.AskAll(o.Clock, set.Disks, o.Bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *register.DiskEntry) {
+		state, err := o.disk(entry.Addr).Describe(ctx, &register.DescribeRequest{})
+		mu.Lock()
+		defer mu.Unlock()
+		well := err == nil && state.Id == entry.Id
+		if !entry.Learner {
+			voting++
+		}
+		if well && !entry.Learner {
+			answering++
+		}
+		if !well {
+			found = append(found, fmt.Sprintf("disk %s at %s does not answer; if it is lost, retire it and admit another", entry.Id, entry.Addr))
+		}
+	})
+	base.AskAll(o.Clock, o.View.Present(membership.RoleCore), o.Bounds.Load().DiskLimit(), func(ctx *base.Ctx, member *membership.Member) {
+		reply, err := register.NewRegisterProtobufClient("http://"+member.Addr, o.Wire).Census(ctx, &register.CensusRequest{Set: set})
+		mu.Lock()
+		defer mu.Unlock()
+		if err == nil {
+			for _, num := range reply.Owned {
+				owned[num] = true
+			}
+		}
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	switch need := voting/2 + 1; {
+	case answering < need:
+		say("%d of %d disks answer, %d must: nothing can be changed", answering, voting, need)
+	case answering == need && voting > need:
+		say("%d of %d disks answer, %d must: no other may be lost", answering, voting, need)
+	}
+	if missing := register.Slots - len(owned); missing > 0 {
+		say("%d of %d slots have no owner", missing, register.Slots)
+	}
+	slices.Sort(found)
+	return found
+}
+
+// diff shows what a document would change, before it is applied.
+func (o *Operate) diff(ctx *base.Ctx, document []byte) (any, error) {
+	if _, err := o.check(document); err != nil {
+		return nil, err
+	}
+	now, err := o.settings(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return map[string]any{"stamp": now.Stamp, "differences": settings.Diff(now.Document, document)}, nil
+}
+
 func (o *Operate) terminate(ctx *base.Ctx, r *front.Request) (any, error) {
 	var program, mode string
 	err := base.ReadFields(r.Body, map[string]base.FieldReader{"program": base.Text(&program, 128), "mode": base.Text(&mode, 16)})
--- /dev/null
+++ b/internal/simulate/operate_test.go
@@ -0,0 +1,73 @@
+// What operators are shown: what is unwell, and what a document would change.
+package simulate
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"fordseam/internal/operate"
+	"fordseam/internal/settings"
+
+	"github.com/matryer/is"
+)
+
+func (f *Fleet) unwell(m *Machine) string {
+	var shown operate.StatusView
+	_, answer := f.Operate(m, "GET", "/v1/operator/status", nil)
+	_ = json.Unmarshal(answer, &shown)
+	return strings.Join(shown.Unwell, "\n")
+}
+
+func TestStatusNamesWhatIsUnwell(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		call.sleep(3 * time.Second)
+		is.Equal(f.unwell(f.Cores[0]), "")
+		for _, core := range f.Cores { // its word still reaches the others by its neighbours
+			f.Net.Cut(f.Edges[1].Host.Name, core.Host.Name)
+		}
+		f.Kill(f.Storage[2])
+		f.Edges[2].Host.Freeze()
+		call.sleep(6 * time.Second)
+		shown := f.unwell(f.Cores[0])
+		for _, word := range []string{"edge edge-1:1 in zone-1 is not ready: no_confirmed_settings", "edge edge-2:1 in zone-0 is silent", "storage storage-2:1 in zone-0 is silent",
+			"at storage-2:1 does not answer; if it is lost, retire it", "2 of 3 disks answer, 2 must: no other may be lost"} {
+			is.True(strings.Contains(shown, word))
+		}
+		f.Kill(f.Storage[1])
+		f.Kill(f.Cores[1])
+		call.sleep(4 * time.Second)
+		shown = f.unwell(f.Cores[0])
+		is.True(strings.Contains(shown, "1 of 3 disks answer, 2 must: nothing can be changed"))
+		is.True(strings.Contains(shown, "slots have no owner"))
+		f.Net.Heal()
+		f.Edges[2].Host.Thaw()
+		for _, m := range []*Machine{f.Storage[1], f.Storage[2], f.Cores[1]} {
+			f.Start(m)
+		}
+		call.sleep(8 * time.Second)
+		is.Equal(f.unwell(f.Cores[1]), "")
+	})
+}
+
+func TestDiffShowsWhatADocumentWouldChange(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, _ *talker) {
+		diff := func(document string) (int, string) {
+			status, answer := f.Operate(f.Cores[1], "POST", "/v1/operator/settings/diff", json.RawMessage(document))
+			return status, string(answer)
+		}
+		status, answer := diff(DefaultSettings)
+		is.Equal(status, 200)
+		is.True(strings.Contains(answer, `"differences":[]`) && strings.Contains(answer, `"stamp":1`))
+		changed := strings.Replace(strings.Replace(DefaultSettings, `"operation_timeout_s":30,`, "", 1), `"tool_timeout_s":5`, `"tool_timeout_s":7`, 1)
+		_, answer = diff(changed)
+		var shown struct{ Differences []settings.Difference }
+		is.NoErr(json.Unmarshal([]byte(answer), &shown))
+		is.Equal(shown.Differences, []settings.Difference{{Path: "$.groups.g.operation_timeout_s", Was: "30"},
+			{Path: "$.groups.g.sites.main.routes.loyalty.tool_timeout_s", Was: "5", Now: "7"}})
+		status, answer = diff(`{"queue_size":0}`)
+		is.Equal(status, 400)
+		is.True(strings.Contains(answer, "$.queue_size"))
+	})
+}
