Find the fleet when all seeds are gone; keep clusters apart

Cause: a process knew only its three seeds at a start. With all three machines replaced at new addresses and then a total outage, nobody found anybody (TestAllSeedsReplacedThenAnOutage without the memory). And a node of another cluster that came to a given-up address was taken in: its cores would have been asked for slots. Ruled out: lists on every machine (most have no disk); learning from whoever comes. Seen to fail: without the memory, and with clusters not told apart.

--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -559,6 +559,13 @@
 	return nil
 }
 
+// Cluster is the cluster the disk is of, or was.
+func (s *Store) Cluster() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.set.GetCluster()
+}
+
 // Used counts the keys the disk holds.
 func (s *Store) Used() int {
 	s.mu.Lock()
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -40,14 +40,18 @@
 	counters *base.Counters
 	seeds    []string
 	usages   UsageBook
+	// Cluster tells the cluster this node knows itself to be of, from its disk
+	// or the control state; "" while it does not know. It is set before Run.
+	Cluster func() string
 	// Unwell says in a word what keeps this node from serving, if anything; it
 	// is set before Run.
 	Unwell func() string
 
-	mu     sync.Mutex
-	self   *Member
-	known  map[string]*neighbour
-	closed bool
+	mu      sync.Mutex
+	self    *Member
+	cluster string
+	known   map[string]*neighbour
+	closed  bool
 }
 
 // UsageBook is the worker slice's soft state that shuffles carry.
@@ -81,6 +85,9 @@
 		}
 		v.self.Beat++
 		v.mu.Unlock()
+		if v.Cluster != nil {
+			v.belong(v.Cluster())
+		}
 		if v.Unwell != nil {
 			word := v.Unwell()
 			v.mu.Lock()
@@ -95,6 +102,31 @@
 	}
 }
 
+// belong takes the name of this node's cluster, once.
+func (v *View) belong(cluster string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.cluster == "" {
+		v.cluster = cluster
+	}
+}
+
+// Pin names the cluster from the settings file, before Run.
+func (v *View) Pin(cluster string) { v.belong(cluster) }
+
+// Addresses lists where live neighbours are.
+func (v *View) Addresses() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	found := map[string]bool{}
+	for _, held := range v.known {
+		if v.alive(held) {
+			found[held.member.Addr] = true
+		}
+	}
+	return base.SortedKeys(found)
+}
+
 // Leave tells neighbours that this node takes no more duties, and is over
 // when most have heard or the limit passed.
 func (v *View) Leave(limit time.Duration) {
@@ -115,6 +147,13 @@
 	v.mu.Unlock()
 }
 
+// Closed reports whether the view was ended.
+func (v *View) Closed() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.closed
+}
+
 func (v *View) nominate() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -190,6 +229,7 @@
 	message := &ShuffleMessage{}
 	v.mu.Lock()
 	self := copyMember(v.self)
+	message.Cluster = v.cluster
 	live := []string{}
 	for _, id := range base.SortedKeys(v.known) {
 		if v.alive(v.known[id]) {
@@ -223,6 +263,11 @@
 // word on who lives at its address ends any former life there.
 func (v *View) merge(message *ShuffleMessage, asked string) {
 	v.mu.Lock()
+	if !v.kin(message.Cluster, asked != "") {
+		v.mu.Unlock()
+		v.counters.Add("foreign_members_dropped", 1)
+		return
+	}
 	now := v.clock.Now()
 	for place, member := range message.Members {
 		if member.Id == v.self.Id {
@@ -250,6 +295,21 @@
 	}
 }
 
+// kin keeps clusters apart whose machines reach each other at addresses that
+// one of them has given up. A node that does not know its cluster learns it
+// from those it asked itself, never from whoever comes. The caller holds the
+// lock.
+func (v *View) kin(cluster string, asked bool) bool {
+	switch {
+	case cluster == "" || cluster == v.cluster:
+		return true
+	case v.cluster == "" && asked:
+		v.cluster = cluster
+		return true
+	}
+	return false
+}
+
 // superseded keeps hearsay about an address from displacing a life there
 // that this node knows to be alive.
 func (v *View) superseded(member *Member) bool {
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -38,6 +38,7 @@
 		&cli.StringFlag{Name: "public-address", Usage: "`IP:PORT` for callers, the platform or operators (HTTP)"},
 		&cli.StringFlag{Name: "zone", Usage: "`ZONE` the machine stands in"},
 		&cli.StringSliceFlag{Name: "seed", Usage: "`IP:PORT` of another process; up to three"},
+		&cli.StringFlag{Name: "cluster", Usage: "`NAME` of the cluster, as init printed it; the process then joins no other"},
 		&cli.StringFlag{Name: "log", Value: "text", Usage: "log `FORM`: text or json"},
 		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "`LEVEL`: debug, info, warn or error"},
 	}
@@ -50,7 +51,7 @@
 			return nil, cli.Exit(err.Error(), ExitUsage)
 		}
 	}
-	for name, into := range map[string]*string{"address": &place.Addr, "public-address": &place.Public, "zone": &place.Zone, "data": &place.Data, "role": &place.Role} {
+	for name, into := range map[string]*string{"address": &place.Addr, "public-address": &place.Public, "zone": &place.Zone, "data": &place.Data, "role": &place.Role, "cluster": &place.Cluster} {
 		if command.IsSet(name) {
 			*into = command.String(name)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,6 +41,8 @@
 	Data   string
 	Seeds  []string
 	Limit  int64
+	// Cluster, when given, is the only one this process will be of.
+	Cluster string
 }
 
 type common struct {
@@ -52,7 +55,12 @@
 func newCommon(env Env, place Place, usages membership.UsageBook, bounds *base.Table[base.Bounds]) *common {
 	c := &common{env: env, bounds: bounds, mux: http.NewServeMux()}
 	self := &membership.Member{Id: place.Addr + "/" + base.NewID(env.Clock, ""), Addr: place.Addr, PublicAddr: place.Public, Role: place.Role, Zone: place.Zone}
-	c.view = membership.NewView(env.Clock, env.Wire, bounds, env.Counters, self, place.Seeds, usages)
+	seeds := slices.Clone(place.Seeds)
+	if env.Files != nil {
+		seeds = append(seeds, disk.Neighbours(env.Files)...)
+	}
+	c.view = membership.NewView(env.Clock, env.Wire, bounds, env.Counters, self, seeds, usages)
+	c.view.Pin(place.Cluster)
 	c.mount(membership.NewMembershipServer(c.view))
 	return c
 }
@@ -212,7 +220,7 @@
 }
 
 func (c *Core) Start() {
-	c.view.Unwell = unwell(c.Ready)
+	c.view.Unwell, c.view.Cluster = unwell(c.Ready), c.Owner.Cluster
 	c.env.Clock.Go(c.view.Run)
 	c.env.Clock.Go(c.Owner.Run)
 	c.env.Clock.Go(c.Follower.Run)
@@ -257,8 +265,23 @@
 }
 
 func (s *Storage) Start() {
-	s.view.Unwell = unwell(s.Ready)
+	s.view.Unwell, s.view.Cluster = unwell(s.Ready), s.Store.Cluster
 	s.env.Clock.Go(s.view.Run)
+	s.env.Clock.Go(s.remember)
+}
+
+// remember keeps the addresses of the fleet in the data folder: when all seeds
+// have been replaced, the storage machines still find it after an outage.
+func (s *Storage) remember() {
+	kept := disk.Neighbours(s.env.Files)
+	for !s.view.Closed() {
+		s.env.Clock.Sleep(s.bounds.Load().Suspect())
+		if now := s.view.Addresses(); s.Store.Cluster() != "" && len(now) > 0 && !slices.Equal(now, kept) {
+			if disk.KeepNeighbours(s.env.Files, now) == nil {
+				kept = now
+			}
+		}
+	}
 }
 
 func (s *Storage) Ready() error        { return s.Store.Ready() }
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -24,7 +24,7 @@
 	limit := float64(place.Limit)
 	err = base.ReadFields(document, map[string]base.FieldReader{
 		"role": base.Text(&place.Role, 16), "address": base.Text(&place.Addr, 64), "public_address": base.Text(&place.Public, 64),
-		"zone": base.Text(&place.Zone, 128), "data": base.Text(&place.Data, 4096), "disk_limit_bytes": base.Number(&limit, 0, 1<<50, true),
+		"zone": base.Text(&place.Zone, 128), "cluster": base.Text(&place.Cluster, 128), "data": base.Text(&place.Data, 4096), "disk_limit_bytes": base.Number(&limit, 0, 1<<50, true),
 		"seeds": func(path string, d *jx.Decoder) error {
 			if d.Next() != jx.Array {
 				return base.DeclineField(path, "must be a list of addresses")
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -280,6 +280,9 @@
 	return o.knownSet()
 }
 
+// Cluster is the cluster of the disk set this core goes by.
+func (o *Owner) Cluster() string { return o.knownSet().GetCluster() }
+
 // knownSet is the disk set as this core has learnt it, without asking.
 func (o *Owner) knownSet() *DiskSet {
 	o.mu.Lock()
@@ -289,7 +292,7 @@
 
 func (o *Owner) learn(set *DiskSet) {
 	o.mu.Lock()
-	newer := set != nil && len(set.Disks) > 0 && (o.set == nil || set.Stamp > o.set.Stamp)
+	newer := set != nil && len(set.Disks) > 0 && (o.set == nil || set.Stamp > o.set.Stamp && set.Cluster == o.set.Cluster)
 	if newer {
 		o.set = set
 	}
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -94,6 +94,9 @@
 	tools   map[string]*standin.Tool
 	List    worker.List
 	Tally   *standin.Tally
+	// Seeds, when set, are every machine's; Pinned is the cluster in their places.
+	Seeds   []string
+	Pinned  string
 	lives   map[string]life
 	reports int64
 	// harms counts failures whose end is still to come.
@@ -168,6 +171,10 @@
 	env := node.Env{Clock: h.Clock(), Wire: f.Net.Wire(h), Files: m.Files, Counters: m.Count,
 		Backends: &Backends{net: f.Net, host: h, models: f.models, tools: f.tools, lost: &f.lost}}
 	place := node.Place{Addr: h.Name + ":1", Public: h.Name + ":2", Zone: h.Zone, Seeds: []string{f.Cores[0].Host.Name + ":1", f.Cores[len(f.Cores)-1].Host.Name + ":1", f.Storage[0].Host.Name + ":1"}}
+	if f.Seeds != nil {
+		place.Seeds = f.Seeds
+	}
+	place.Cluster = f.Pinned
 	if f.lost.seeds {
 		place.Seeds = []string{"nowhere:1"}
 	}
--- a/internal/simulate/repair_test.go
+++ b/internal/simulate/repair_test.go
@@ -253,3 +253,51 @@
 		is.True(strings.Contains(string(answer), `"stamp":1`))
 	})
 }
+
+// All three seed machines are replaced at new addresses, one by one, and then
+// everything falls at once. With the cluster's name in their places the
+// machines find each other by what the disks remember; without it, operators
+// start them with new seeds.
+func TestAllSeedsReplacedThenAnOutage(t *testing.T) {
+	for _, way := range []string{"cluster named", "new seeds"} {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+				cluster := f.Disks().Cluster
+				f.Seeds = []string{"core-0:1", "core-1:1", "storage-0:1"}
+				program, secret := call.program(1000, nil)
+				path, key := call.session(0, program, secret, nil)
+				verdict, _, _ := call.turn(1, path, key, program, "a", "").final()
+				is.Equal(verdict, "success")
+				for place := range 2 {
+					f.Add("core")
+					call.sleep(2 * time.Second)
+					f.Kill(f.Cores[place])
+					f.Cores[place].gone = true
+				}
+				f.Cores = f.Cores[2:]
+				lost := f.DiskAt("storage-0").ID
+				f.Add("storage")
+				call.sleep(time.Second)
+				status, _ := f.ChangeDisks("admit", "address", "storage-3:1")
+				is.Equal(status, 200)
+				is.True(f.DisksMoved(time.Minute))
+				status, _ = f.ChangeDisks("retire", "disk", lost)
+				is.Equal(status, 200)
+				is.True(f.DisksMoved(time.Minute))
+				f.Kill(f.Storage[0])
+				f.Storage[0].gone = true
+				call.sleep(10 * time.Second)
+				if way == "cluster named" {
+					f.Pinned = cluster
+				} else {
+					f.Seeds = []string{"core-2:1", "storage-3:1", "storage-1:1"}
+				}
+				f.outage()
+				is.Equal(len(f.Tally.Breaches), 0)
+				verdict, _, _ = call.turn(1, path, key, program, "b", "a").final()
+				is.Equal(verdict, "success")
+			})
+		})
+	}
+}
