Credit prefixes shared between sessions in the stand-in models; weigh nomination again

Cause: the stand-ins credited only a session's own chain and kept every prefix, so nomination by first message could not be judged.

--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -32,6 +32,7 @@
 	Pieces   int
 	Gap      time.Duration
 	Prefill  time.Duration
+	Cache    int
 	Settings string
 	// ModelPool and ToolPool are "models" and "apps" unless set.
 	ModelPool string
@@ -118,7 +119,7 @@
 	zone := func(place int) string { return fmt.Sprintf("zone-%d", place%shape.Zones) }
 	for place := 0; place < shape.Models; place++ {
 		name := fmt.Sprintf("model-%d", place)
-		model := &standin.Model{ID: name, Clock: w.NewHost(name, zone(place)).Clock(), Pieces: shape.Pieces, Gap: shape.Gap, Prefill: shape.Prefill, Capacity: shape.Capacity, Given: f.Tally.Given}
+		model := &standin.Model{ID: name, Clock: w.NewHost(name, zone(place)).Clock(), Pieces: shape.Pieces, Gap: shape.Gap, Prefill: shape.Prefill, Cache: shape.Cache, Capacity: shape.Capacity, Given: f.Tally.Given}
 		f.Models, f.models[name] = append(f.Models, model), model
 		f.List.Workers = append(f.List.Workers, worker.Worker{ID: name, Addr: name + ":1", Pool: shape.ModelPool, Zone: zone(place), Capacity: shape.Capacity})
 	}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -100,6 +100,8 @@
 	Tally    *Tally
 	// Between runs after each whole turn, for tests that cause failures.
 	Between func(turn int)
+	// Prompt is the system prompt, one for all of a site unless set.
+	Prompt string
 	// Hasty callers come back at once, whatever Retry-After says.
 	Hasty bool
 	// Route, ToolRoute and Urgency are "chat", "loyalty" and normal unless set.
@@ -255,7 +257,7 @@
 		id := fmt.Sprintf("t%d.%d", num, again)
 		asked := []Message{{"user", fmt.Sprintf("question %d %s", num, Tag(c.program, id))}}
 		if len(c.chain) == 0 {
-			asked = append([]Message{{"system", "You help shoppers at till site " + c.Site}}, asked...)
+			asked = append([]Message{{"system", orElse(c.Prompt, "You help shoppers at till site "+c.Site)}}, asked...)
 		}
 		c.after = 0
 		whole, refused := c.askTurn(id, asked, end)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -48,7 +48,10 @@
 	// piece; Capacity is how many answers run at full speed, more slow down.
 	Prefill  time.Duration
 	Capacity int
-	Next     func() Trouble
+	// Cache is how many prefixes are kept, of whichever session, the longest
+	// unused going first; 0 keeps all.
+	Cache int
+	Next  func() Trouble
 	// Closing says on each answer that the connection will not be kept.
 	Closing bool
 	// Given, when set, is told of each run as it begins.
@@ -58,10 +61,13 @@
 	busy   int
 	runs   map[string]int
 	tokens map[string]int64
-	prefix map[string]bool
+	prefix map[string]int
+	used   int
 	latest time.Duration
 	hits   int
 	count  int
+	// asked and found count prompt messages, and those found in the cache.
+	asked, found int
 }
 
 // Expected is the answer a right model gives to a chain.
@@ -163,20 +169,44 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.runs == nil {
-		m.runs, m.tokens, m.prefix = map[string]int{}, map[string]int64{}, map[string]bool{}
+		m.runs, m.tokens, m.prefix = map[string]int{}, map[string]int64{}, map[string]int{}
 	}
 	m.count++
 	m.busy++
 	m.latest = m.Clock.Now()
 	m.runs[program+"|"+turn]++
-	if len(chain) > 2 && m.prefix[base.Digest(base.Encode(chain[:len(chain)-2]))] {
+	// The longest prefix in the cache counts, whichever session brought it.
+	for upto := 1; upto <= len(chain); upto++ {
+		prefix := base.Digest(base.Encode(chain[:upto]))
+		if _, ok := m.prefix[prefix]; ok && cached == upto-1 {
+			cached = upto
+		}
+		m.used++
+		m.prefix[prefix] = m.used
+	}
+	m.asked, m.found = m.asked+len(chain), m.found+cached
+	if len(chain) > 2 && cached >= len(chain)-2 {
 		m.hits++
-		cached = len(chain) - 2
 	}
-	m.prefix[base.Digest(base.Encode(chain))] = true
+	for m.Cache > 0 && len(m.prefix) > m.Cache {
+		oldest := ""
+		for prefix, at := range m.prefix {
+			if oldest == "" || at < m.prefix[oldest] {
+				oldest = prefix
+			}
+		}
+		delete(m.prefix, oldest)
+	}
 	return cached
 }
 
+// Reuse counts prompt messages, and those that were found in the cache.
+func (m *Model) Reuse() (asked, found int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.asked, m.found
+}
+
 func (m *Model) leave() {
 	m.mu.Lock()
 	m.busy--
--- a/internal/whatif/plan.go
+++ b/internal/whatif/plan.go
@@ -22,9 +22,11 @@
 	Group, Site, Route, ToolRoute string
 	Zones, Edges, Cores, Storage  int
 	Models, Capacity, Pieces      int
-	Gap, Prefill                  time.Duration
-	Tools                         int
-	Pause                         time.Duration
+	// Cache is how many prefixes a model worker keeps; 0 keeps all.
+	Cache        int
+	Gap, Prefill time.Duration
+	Tools        int
+	Pause        time.Duration
 }
 
 // Step of a load curve holds until the next.
@@ -44,6 +46,8 @@
 	Think       time.Duration
 	Budget      int64
 	Patience    time.Duration
+	// Prompts is how many system prompts there are.
+	Prompts int
 	// Hasty is the share of callers who do not obey Retry-After.
 	Hasty float64
 }
@@ -65,7 +69,7 @@
 // Saturday is the load used when none is given: quiet, a rush, and back.
 func Saturday() *Load {
 	return &Load{Steps: []Step{{0, 2}, {10 * time.Second, 20}, {30 * time.Second, 2}}, Until: 45 * time.Second, Turns: [2]int{3, 5},
-		LongShare: 0.2, UrgentShare: 0.1, ToolCalls: true, Think: time.Second, Budget: 1000, Patience: 30 * time.Second}
+		LongShare: 0.2, UrgentShare: 0.1, ToolCalls: true, Think: time.Second, Budget: 1000, Patience: 30 * time.Second, Prompts: 1}
 }
 
 func whole(into *int, low, high float64) base.FieldReader {
@@ -104,7 +108,7 @@
 		"group": base.Text(&d.Group, 128), "site": base.Text(&d.Site, 128), "route": base.Text(&d.Route, 128), "tool_route": base.Text(&d.ToolRoute, 128),
 		"zones": whole(&d.Zones, 1, 64), "edges": whole(&d.Edges, 1, 64), "cores": whole(&d.Cores, 1, 32), "storage": whole(&d.Storage, 3, 32),
 		"models": whole(&d.Models, 1, 128), "model_capacity": whole(&d.Capacity, 1, 4096), "answer_tokens": whole(&d.Pieces, 1, 4096),
-		"token_gap_ms": span(&d.Gap, time.Millisecond, 0.1, 10000), "prefill_ms": span(&d.Prefill, time.Millisecond, 0, 10000),
+		"token_gap_ms": span(&d.Gap, time.Millisecond, 0.1, 10000), "cache_prefixes": whole(&d.Cache, 0, 1<<20), "prefill_ms": span(&d.Prefill, time.Millisecond, 0, 10000),
 		"tools": whole(&d.Tools, 1, 128), "tool_ms": span(&d.Pause, time.Millisecond, 0.1, 60000),
 	})
 	return d, fault(file, 0, err)
@@ -118,7 +122,7 @@
 		"until_s": span(&l.Until, time.Second, 1, 86400), "turns": base.Number(&turns, 1, 100, true), "long_turns": base.Number(&long, 1, 1000, true),
 		"long_share": base.Number(&l.LongShare, 0, 1, false), "urgent_share": base.Number(&l.UrgentShare, 0, 1, false),
 		"tool_calls": base.Truth(&l.ToolCalls), "think_s": span(&l.Think, time.Second, 0, 3600), "budget_tokens": base.Number(&budget, 1, 1<<40, true),
-		"patience_s": span(&l.Patience, time.Second, 1, 3600), "hasty_share": base.Number(&l.Hasty, 0, 1, false),
+		"patience_s": span(&l.Patience, time.Second, 1, 3600), "hasty_share": base.Number(&l.Hasty, 0, 1, false), "prompts": whole(&l.Prompts, 1, 1<<20),
 		"steps": func(path string, d *jx.Decoder) error {
 			if d.Next() != jx.Array {
 				return base.DeclineField(path, "must be a list")
--- a/internal/whatif/run.go
+++ b/internal/whatif/run.go
@@ -52,6 +52,7 @@
 	TakeoverMs    float64        `json:"mean_takeover_ms"`
 	LongestMs     float64        `json:"longest_turn_ms"`
 	PrefixReuse   float64        `json:"prefix_reuse"`
+	PromptReuse   float64        `json:"prompt_messages_in_cache"`
 	BudgetUse     float64        `json:"budget_use"`
 	MessagesTurn  float64        `json:"messages_per_turn"`
 	SyncsTurn     float64        `json:"disk_syncs_per_turn"`
@@ -77,7 +78,7 @@
 	chat, _ := tree.Match(d.Group, d.Site, d.Route)
 	tools, _ := tree.Match(d.Group, d.Site, d.ToolRoute)
 	shape := simulate.Shape{Group: d.Group, Zones: d.Zones, Edges: d.Edges, Cores: d.Cores, Storage: d.Storage, Models: d.Models, Tools: d.Tools,
-		Capacity: d.Capacity, Pieces: d.Pieces, Gap: d.Gap, Prefill: d.Prefill, Settings: string(q.Settings), ModelPool: chat.Pool, ToolPool: tools.Pool}
+		Capacity: d.Capacity, Pieces: d.Pieces, Gap: d.Gap, Prefill: d.Prefill, Cache: d.Cache, Settings: string(q.Settings), ModelPool: chat.Pool, ToolPool: tools.Pool}
 	f := simulate.NewFleet(q.Seed, shape)
 	defer f.World.Close()
 	formed := false
@@ -134,6 +135,9 @@
 		Group: q.Deployment.Group, Site: q.Deployment.Site, Route: q.Deployment.Route, ToolRoute: q.Deployment.ToolRoute, Pieces: q.Deployment.Pieces,
 		Patience: q.Load.Patience, Tally: f.Tally}
 	c.Hasty = w.Chance(q.Load.Hasty)
+	if q.Load.Prompts > 1 {
+		c.Prompt = fmt.Sprintf("You help callers with matter %d", w.Int64N(int64(q.Load.Prompts)))
+	}
 	if w.Chance(q.Load.UrgentShare) {
 		c.Urgency = "urgent"
 	}
@@ -260,9 +264,12 @@
 	}
 	r.LongestMs = millis(f.Tally.Slowest)
 	runs, hits, put, allowed := 0, 0, int64(0), int64(0)
+	asked, inCache := 0, 0
 	for _, model := range f.Models {
 		_, tokens, count, reused := model.Record()
 		runs, hits = runs+count, hits+reused
+		more, found := model.Reuse()
+		asked, inCache = asked+more, inCache+found
 		for _, n := range tokens {
 			put += n
 		}
@@ -273,6 +280,9 @@
 	if later := runs - counts["conversations_whole"]; later > 0 {
 		r.PrefixReuse = float64(hits) / float64(later)
 	}
+	if asked > 0 {
+		r.PromptReuse = float64(inCache) / float64(asked)
+	}
 	if allowed > 0 {
 		r.BudgetUse = float64(put) / float64(allowed)
 	}
@@ -324,6 +334,7 @@
 	row("successor Runs / mean pause ms", func(r *Report) string { return fmt.Sprintf("%d / %.0f", r.Takeovers, r.TakeoverMs) })
 	row("longest turn ms", func(r *Report) string { return fmt.Sprintf("%.0f", r.LongestMs) })
 	row("prefix reuse", func(r *Report) string { return fmt.Sprintf("%.3f", r.PrefixReuse) })
+	row("prompt messages found in a cache", func(r *Report) string { return fmt.Sprintf("%.3f", r.PromptReuse) })
 	row("budget used", func(r *Report) string { return fmt.Sprintf("%.3f", r.BudgetUse) })
 	row("messages / disk syncs a turn", func(r *Report) string { return fmt.Sprintf("%.1f / %.1f", r.MessagesTurn, r.SyncsTurn) })
 	row("idle messages/s, whole fleet", func(r *Report) string { return fmt.Sprintf("%.0f", r.IdleMessages) })
