--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -55,11 +55,8 @@
 		return nil, nil, cli.Exit("shape: must be kiondo, ljubljana or small", node.ExitUsage)
 	}
 	folder := command.String("folder")
-	if err := os.RemoveAll(folder); err != nil {
-		return nil, nil, err
-	}
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return nil, nil, err
+	if err := fleet.EmptyFolder(folder); err != nil {
+		return nil, nil, cli.Exit("folder: "+err.Error(), node.ExitUsage)
 	}
 	self, err := os.Executable()
 	if err != nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -147,3 +147,21 @@
 		}
 	}
 }
+
+// A folder that is not a fleet's is never emptied.
+func TestOnlyAFleetsFolderIsEmptied(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	is.NoErr(EmptyFolder(folder))
+	is.NoErr(os.WriteFile(filepath.Join(folder, "edge-1.log"), []byte("x"), 0o600))
+	is.NoErr(EmptyFolder(folder))
+	entries, err := os.ReadDir(folder)
+	is.NoErr(err)
+	is.Equal(len(entries), 1)
+	other := t.TempDir()
+	is.NoErr(os.WriteFile(filepath.Join(other, "payroll.db"), []byte("x"), 0o600))
+	is.True(EmptyFolder(other) != nil)
+	kept, err := os.ReadFile(filepath.Join(other, "payroll.db"))
+	is.NoErr(err)
+	is.Equal(string(kept), "x")
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -67,6 +67,27 @@
 	return f, nil
 }
 
+const folderMark = ".fordseam-fleet"
+
+// EmptyFolder gives an empty folder for a fleet. Only one that is empty or was
+// a fleet's before is emptied.
+func EmptyFolder(folder string) error {
+	entries, err := os.ReadDir(folder)
+	if err != nil && !os.IsNotExist(err) {
+		return errors.Trace(err)
+	}
+	if _, err := os.Stat(filepath.Join(folder, folderMark)); len(entries) > 0 && err != nil {
+		return errors.Errorf("%s holds files that are not a fleet's; give an empty folder", folder)
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		return errors.Trace(err)
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(os.WriteFile(filepath.Join(folder, folderMark), nil, 0o644))
+}
+
 // nextHost is a loopback address that no other machine has.
 func (f *Fleet) nextHost() string {
 	f.machines++
