Let a node that knows no cluster learn it from the first it hears

Cause: two cores came back at once with the third seed dead for good; the disks called them, and they dropped what came, since they had not asked (TestReplacingALostDisk, "all cores killed", ran for an hour without an end; TestADiskLostJustAfterAcknowledging). Ruled out: the disks' memory. Change: only a node that knows its cluster drops others; a place that names it is pinned from the start.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -263,7 +263,7 @@
 // word on who lives at its address ends any former life there.
 func (v *View) merge(message *ShuffleMessage, asked string) {
 	v.mu.Lock()
-	if !v.kin(message.Cluster, asked != "") {
+	if !v.kin(message.Cluster) {
 		v.mu.Unlock()
 		v.counters.Add("foreign_members_dropped", 1)
 		return
@@ -297,13 +297,13 @@
 
 // kin keeps clusters apart whose machines reach each other at addresses that
 // one of them has given up. A node that does not know its cluster learns it
-// from those it asked itself, never from whoever comes. The caller holds the
-// lock.
-func (v *View) kin(cluster string, asked bool) bool {
+// from the first it hears, so one whose place names it is safer. The caller
+// holds the lock.
+func (v *View) kin(cluster string) bool {
 	switch {
 	case cluster == "" || cluster == v.cluster:
 		return true
-	case v.cluster == "" && asked:
+	case v.cluster == "":
 		v.cluster = cluster
 		return true
 	}
