Build callers, operators' changes and the end of harm from what is there

Each now calls the one piece. No draw of chance moves and no check changes: the test command passes.

--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -337,10 +337,8 @@
 // Converse starts callers and returns a function telling how many are left.
 func (f *Fleet) Converse(callers, turns int, tools bool, prepare func(*standin.Caller)) func() int {
 	left := callers
-	ask := f.Asker(f.Callers)
 	for caller := 0; caller < callers; caller++ {
-		c := &standin.Caller{Name: fmt.Sprintf("c%d", caller), Clock: f.Callers.Clock(), Ask: ask, Gateways: len(f.Edges), Home: caller,
-			Group: f.Shape.Group, Site: "main", Pieces: f.Shape.Pieces, Patience: 90 * time.Second, Tally: f.Tally}
+		c := f.caller(fmt.Sprintf("c%d", caller), caller)
 		if prepare != nil {
 			prepare(c)
 		}
--- a/internal/simulate/operators.go
+++ b/internal/simulate/operators.go
@@ -50,15 +50,18 @@
 
 // change takes one change to its known end and gives the stamp that stands.
 func (f *Fleet) change(change string, stamp uint64) uint64 {
-	body := map[string]any{"change": change, "based_on": stamp, "document": f.marked(change)}
-	status, answer := f.Operate(f.pick(f.Cores), "POST", "/v1/operator/settings/apply", body)
+	status, answer := f.apply(change, stamp, f.marked(change))
 	return f.resolve(change, stamp, status, answer)
 }
 
+func (f *Fleet) apply(change string, stamp uint64, document json.RawMessage) (status int, answer []byte) {
+	return f.Operate(f.pick(f.Cores), "POST", "/v1/operator/settings/apply", map[string]any{"change": change, "based_on": stamp, "document": document})
+}
+
 // invalid asks for a change that must never be taken.
 func (f *Fleet) invalid(change string, stamp uint64) {
 	document := strings.Replace(string(f.marked(change)), `"pools"`, `"queue_size":0,"pools"`, 1)
-	status, answer := f.Operate(f.pick(f.Cores), "POST", "/v1/operator/settings/apply", map[string]any{"change": change, "based_on": stamp, "document": json.RawMessage(document)})
+	status, answer := f.apply(change, stamp, json.RawMessage(document))
 	if status == 200 {
 		f.Tally.Breach("invalid change %s was acknowledged: %s", change, answer)
 	}
--- a/internal/simulate/scenario.go
+++ b/internal/simulate/scenario.go
@@ -171,8 +171,8 @@
 			m.Host.Thaw()
 		}
 	}
-	for _, id := range append(base.Map(f.Models, func(m *standin.Model) string { return m.ID }), base.Map(f.Tools, func(m *standin.Tool) string { return m.ID })...) {
-		f.World.Hosts[id].alive = true
+	for _, one := range f.List.Workers {
+		f.World.Hosts[one.ID].alive = true
 	}
 	done, whole := false, f.Tally.Counts["conversations_whole"]
 	f.Callers.Go(func() {
