--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,156 @@
+// Package route is the operator's whole configuration of routes, services
+// and limits, as one document with one version. A table is immutable and
+// swapped whole; a request is matched by host and longest path prefix. How a
+// document is written is its codec's matter; what it may say is checked here.
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"fordseam/internal/base"
+)
+
+// Kind says how often a request of a route may run.
+type Kind int
+
+const (
+	// Repeatable requests may run more than once.
+	Repeatable Kind = iota
+	// Once requests run at most once a try.
+	Once
+	// Stream requests run at most once and answer in events.
+	Stream
+)
+
+// Share is a service's weight within a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route is one rule of the table.
+type Route struct {
+	Name     string
+	Host     string
+	Prefix   string
+	Kind     Kind
+	Timeout  time.Duration
+	Target   time.Duration
+	Gap      time.Duration
+	Urgency  int
+	Tries    int
+	Retained bool
+	Retain   time.Duration
+	Pinned   bool
+	Shares   []Share
+}
+
+// Engine is what is published of a service's model workers.
+type Engine struct {
+	Slots       int
+	CacheTokens int
+	Stride      int
+}
+
+// Service is a pool of workers that do the same.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int
+	Engine     *Engine
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderRead  time.Duration
+	Idle        time.Duration
+}
+
+// Table is one version of the configuration.
+type Table struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]*Service
+	Limits   Limits
+
+	hosts map[string][]*Route
+}
+
+// Index prepares matching and lists the faults of a table: the first field
+// at fault as an error, or nil.
+func (t *Table) Index() error {
+	t.hosts = map[string][]*Route{}
+	seen := map[string]bool{}
+	for place := range t.Routes {
+		r := &t.Routes[place]
+		field := "routes[" + string(base.Encode(place)) + "]"
+		switch {
+		case r.Host == "":
+			return base.DeclineField(field+".host", "must be given")
+		case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+			return base.DeclineField(field+".prefix", "must start and end with a slash")
+		case seen[strings.ToLower(r.Host)+" "+r.Prefix]:
+			return base.DeclineField(field+".prefix", "another route has the same host and prefix")
+		case r.Timeout <= 0:
+			return base.DeclineField(field+".timeout", "must be above 0")
+		case len(r.Shares) == 0:
+			return base.DeclineField(field+".service", "must be given")
+		}
+		sum := 0
+		for _, share := range r.Shares {
+			if t.Services[share.Service] == nil {
+				return base.DeclineField(field+".service", "there is no service %q", share.Service)
+			}
+			if share.Weight < 0 {
+				return base.DeclineField(field+".weight", "must not be below 0")
+			}
+			sum += share.Weight
+		}
+		if sum == 0 {
+			return base.DeclineField(field+".weight", "the weights sum to 0")
+		}
+		host := strings.ToLower(r.Host)
+		seen[host+" "+r.Prefix] = true
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return nil
+}
+
+// Match finds the route of the host whose prefix is the longest that begins
+// the path.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	path, _, _ = strings.Cut(path, "?")
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick chooses a service by the shares' weights; roll is a number drawn
+// from 0 up to the sum of weights.
+func (r *Route) Pick(roll func(n int64) int64) string {
+	sum := 0
+	for _, share := range r.Shares {
+		sum += share.Weight
+	}
+	at := int(roll(int64(sum)))
+	for _, share := range r.Shares {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return r.Shares[0].Service
+}
