--- /dev/null
+++ b/internal/line/carry.go
@@ -0,0 +1,91 @@
+// How a call travels between gateways, and how an answer is pulled.
+package line
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/relay"
+)
+
+func isEnd(err error) bool { return err == io.EOF }
+
+func packCall(call *relay.Call, ctx *base.Ctx) *Call {
+	packed := &Call{Id: call.ID, Host: call.Host, Method: call.Method, Target: call.Target, Body: call.Body, DeadlineMs: ctx.Left().Milliseconds(),
+		Model: call.Model, Prompt: int64(call.Prompt), Most: int64(call.Most), Program: call.Program, Session: call.Session,
+		FinishMs: call.Finish.Milliseconds(), Budget: call.Budget, HasBudget: call.HasBudget, Previous: call.Previous, Headers: packHeaders(call.Headers)}
+	for _, part := range call.Parts {
+		packed.Parts = append(packed.Parts, &Part{Id: part.ID, Tokens: int64(part.Tokens)})
+	}
+	return packed
+}
+
+func unpackCall(packed *Call) *relay.Call {
+	if packed == nil {
+		return &relay.Call{}
+	}
+	call := &relay.Call{ID: packed.Id, Host: packed.Host, Method: packed.Method, Target: packed.Target, Body: packed.Body, Deadline: time.Duration(packed.DeadlineMs) * time.Millisecond,
+		Model: packed.Model, Prompt: int(packed.Prompt), Most: int(packed.Most), Program: packed.Program, Session: packed.Session,
+		Finish: time.Duration(packed.FinishMs) * time.Millisecond, Budget: packed.Budget, HasBudget: packed.HasBudget, Previous: packed.Previous, Headers: unpackHeaders(packed.Headers)}
+	for _, part := range packed.Parts {
+		call.Parts = append(call.Parts, relay.Part{ID: part.Id, Tokens: int(part.Tokens)})
+	}
+	return call
+}
+
+func packHeaders(headers []relay.Header) []*Header {
+	return base.Map(headers, func(h relay.Header) *Header { return &Header{Name: h.Name, Value: h.Value} })
+}
+
+func unpackHeaders(headers []*Header) []relay.Header {
+	return base.Map(headers, func(h *Header) relay.Header { return relay.Header{Name: h.Name, Value: h.Value} })
+}
+
+// follow keeps a forwarded turn's stream where pulls find it; the caller
+// holds the lock.
+func (k *Keeper) followed(call *relay.Call, stream *Stream) {
+	if k.streams == nil {
+		k.streams = map[string]*Stream{}
+	}
+	id := call.Session + " " + call.ID
+	k.streams[id] = stream
+	k.Clock.Go(func() {
+		k.Clock.Sleep(call.Deadline + k.Bounds.Load().Recover/4)
+		k.mu.Lock()
+		delete(k.streams, id)
+		k.mu.Unlock()
+	})
+}
+
+// Pull gives a forwarded turn's answer from a place on.
+func (k *Keeper) Pull(plain context.Context, request *PullRequest) (*PullReply, error) {
+	k.mu.Lock()
+	stream := k.streams[request.Session+" "+request.Turn]
+	k.mu.Unlock()
+	if stream == nil {
+		return nil, base.ToWire(base.Unsure(502, "owner_lost", "this node does not have the answer"))
+	}
+	if request.Leave {
+		stream.Leave()
+		return &PullReply{Done: true, Cut: true}, nil
+	}
+	return k.news(base.CtxOf(plain, k.Clock), stream, int(request.Place), time.Duration(request.HoldMs)*time.Millisecond)
+}
+
+// news is what a stream has from a place on, after at most hold.
+func (k *Keeper) news(ctx *base.Ctx, stream *Stream, place int, hold time.Duration) (*PullReply, error) {
+	pieces, done, cut := stream.From(place, min(hold, ctx.Left()/2), k.Clock)
+	stream.mu.Lock()
+	head, failed := stream.head, stream.failed
+	stream.mu.Unlock()
+	if failed != nil {
+		return nil, base.ToWire(failed)
+	}
+	reply := &PullReply{Pieces: pieces, Place: uint64(place), Done: done, Cut: cut}
+	if head != nil && place == 0 {
+		reply.Status, reply.Headers = int64(head.Status), packHeaders(head.Headers)
+	}
+	return reply, nil
+}
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -90,40 +90,76 @@
 	Stop()
 }
 
-// RunDaemon serves a place until a signal.
-func RunDaemon(place *Place) error {
-	var cleanup base.Cleanup
-	defer cleanup.Run()
+// Running is a process whose slices are built and whose inner address
+// listens.
+type Running struct {
+	Env     Env
+	Process process
+	Public  Handler
+
+	private  net.Listener
+	partners *http.Server
+	cleanup  base.Cleanup
+}
+
+// Open builds a place's process; Start begins it, Close ends it.
+func Open(place *Place) (*Running, error) {
+	r := &Running{}
 	counters := base.NewCounters()
 	wire, err := conn.NewWire(func() { counters.Add("messages_sent", 1) })
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
-	cleanup.Push(wire.Close)
-	env := Env{Clock: base.NewRealClock(), Wire: wire, Counters: counters, Backends: NewBackends(base.DefaultBounds().Recover / 12)}
-	private, err := conn.Listen(place.Addr)
-	if err != nil {
-		return err
+	r.cleanup.Push(wire.Close)
+	r.Env = Env{Clock: base.NewRealClock(), Wire: wire, Counters: counters, Backends: NewBackends(base.DefaultBounds().Recover / 12)}
+	if r.private, err = conn.Listen(place.Addr); err != nil {
+		r.cleanup.Run()
+		return nil, err
+	}
+	r.cleanup.Push(func() { _ = r.private.Close() })
+	if r.Process, r.Public, err = build(r.Env, place); err != nil {
+		r.cleanup.Run()
+		return nil, err
 	}
-	cleanup.Push(func() { _ = private.Close() })
+	r.partners = &http.Server{Handler: r.Process.Handler()}
+	return r, nil
+}
+
+// Start serves partners and begins the slices' own tasks.
+func (r *Running) Start() {
+	go func() { _ = r.partners.Serve(r.private) }()
+	r.Process.Start()
+}
+
+// Close ends the process's tasks and lets go of what it holds.
+func (r *Running) Close() {
+	r.Process.Stop()
+	bounded, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = r.partners.Shutdown(bounded)
+	r.cleanup.Run()
+}
+
+// RunDaemon serves a place until a signal.
+func RunDaemon(place *Place) error {
 	public, err := net.Listen("tcp", place.Public)
 	if err != nil {
 		return errors.Annotate(err, "public address")
 	}
-	cleanup.Push(func() { _ = public.Close() })
-	running, handle, err := build(env, place)
+	defer public.Close()
+	opened, err := Open(place)
 	if err != nil {
 		return err
 	}
-	partners := &http.Server{Handler: running.Handler()}
-	go func() { _ = partners.Serve(private) }()
-	face := NewPublic(env.Clock, counters, running.Ready, handle)
+	defer opened.Close()
+	running := opened.Process
+	face := NewPublic(opened.Env.Clock, opened.Env.Counters, running.Ready, opened.Public)
 	served := make(chan error, 1)
 	go func() { served <- face.Serve(public) }()
-	running.Start()
+	opened.Start()
 	entry := log.WithFields(log.Fields{"role": place.Role, "address": place.Addr, "public": place.Public, "zone": place.Zone})
 	entry.Info("started")
-	go logReadiness(env.Clock, running, entry)
+	go logReadiness(opened.Env.Clock, running, entry)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
@@ -139,10 +175,6 @@
 		entry.WithError(err).Warn("some requests were still open")
 	}
 	<-handedOver
-	running.Stop()
-	bounded, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = partners.Shutdown(bounded)
 	entry.Info("left")
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,14 @@
 	Limit  int64
 	// Cluster, when given, is the only one this process will be of.
 	Cluster string
+	// Node is the machine's name.
+	Node string
+	// Found says that this is the very first start of the whole system.
+	Found bool
+	// Tolerate is how many machines with disks may be lost at once.
+	Tolerate int
+	// Bounds, when given, hold until settings bring others.
+	Bounds *base.Bounds
 }
 
 type common struct {
@@ -78,9 +86,12 @@
 // View is the node's partial view of the fleet.
 func (c *common) View() *membership.View { return c.view }
 
-func newBounds() *base.Table[base.Bounds] {
+func newBounds(place Place) *base.Table[base.Bounds] {
 	table := &base.Table[base.Bounds]{}
 	table.Swap(base.DefaultBounds())
+	if place.Bounds != nil {
+		table.Swap(place.Bounds)
+	}
 	return table
 }
 
@@ -108,7 +119,7 @@
 
 func NewGateway(env Env, place Place) *Gateway {
 	place.Role = membership.RoleEdge
-	bounds, tree := newBounds(), &base.Table[settings.Tree]{}
+	bounds, tree := newBounds(place), &base.Table[settings.Tree]{}
 	book := worker.NewBook(env.Clock, bounds)
 	nominator := worker.NewNominator(env.Clock, bounds, env.Counters, book, place.Zone)
 	c := newCommon(env, place, book, bounds)
@@ -204,7 +215,7 @@
 
 func NewCore(env Env, place Place) *Core {
 	place.Role = membership.RoleCore
-	bounds, tree := newBounds(), &base.Table[settings.Tree]{}
+	bounds, tree := newBounds(place), &base.Table[settings.Tree]{}
 	c := newCommon(env, place, nil, bounds)
 	owner := register.NewOwner(env.Clock, env.Wire, c.view, bounds, env.Counters)
 	settings.Serve(owner)
@@ -254,7 +265,7 @@
 
 func NewStorage(env Env, place Place) (*Storage, error) {
 	place.Role = membership.RoleStorage
-	bounds := newBounds()
+	bounds := newBounds(place)
 	c := newCommon(env, place, nil, bounds)
 	store, err := disk.Open(env.Clock, env.Files, env.Counters)
 	if err != nil {
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -835,3 +835,11 @@
 	}
 	return owned, o.Set()
 }
+
+// ServesFeed tells whether this core owns the feed's slot.
+func (o *Owner) ServesFeed() bool {
+	s := o.slots[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.phase == serving
+}
--- /dev/null
+++ b/internal/relay/duty.go
@@ -0,0 +1,74 @@
+// One core at a time keeps the roster: the owner of the feed's slot asks the
+// deployment's list of workers and puts what changed into the feed, in the
+// slot that makes it the holder, so that a former holder's word is fenced. The
+// roster outlives its holder; while the list does not answer, it stands.
+package relay
+
+import (
+	"maps"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/feed"
+	"fordseam/internal/register"
+
+	"github.com/apex/log"
+)
+
+// Lister asks for the whole list of workers.
+type Lister func(limit time.Duration) ([]Worker, error)
+
+// Duty keeps the roster.
+type Duty struct {
+	Clock    base.Clock
+	Bounds   *base.Table[base.Bounds]
+	Counters *base.Counters
+	Register *register.Client
+	Follower *feed.Follower
+	Lister   Lister
+	// Holds tells whether this node has the duty now.
+	Holds func() bool
+	// Needed tells whether anyone uses the roster yet.
+	Needed func() bool
+}
+
+// Run asks at a third of the leave bound while the duty is held.
+func (d *Duty) Run() {
+	failing := false
+	for !d.Follower.Closed() {
+		period := d.Bounds.Load().Leave / 3
+		asked := d.Clock.Now()
+		if d.Holds() && d.Needed() {
+			list, err := d.Lister(period)
+			if err != nil {
+				d.Counters.Add("roster_asks_failed", 1)
+			} else {
+				d.Counters.Add("roster_asks", 1)
+				d.tell(list)
+			}
+			if failing != (err != nil) {
+				failing = err != nil
+				log.WithField("answers", !failing).Info("list of workers")
+			}
+		}
+		d.Clock.Sleep(max(period/8, period-(d.Clock.Now()-asked)))
+	}
+}
+
+func (d *Duty) tell(list []Worker) {
+	next, now := map[string]Worker{}, map[string]Worker{}
+	for _, one := range list {
+		next[one.ID] = one
+	}
+	for _, one := range RosterOf(d.Follower.Frame().Values) {
+		now[one.ID] = one
+	}
+	if maps.Equal(next, now) {
+		return
+	}
+	if err := Replace(base.NewCtx(d.Clock, d.Bounds.Load().Call()), d.Register, list); err != nil {
+		d.Counters.Add("roster_changes_failed", 1)
+		return
+	}
+	d.Counters.Add("roster_changes", 1)
+}
