--- a/internal/line/history.go
+++ b/internal/line/history.go
@@ -31,9 +31,15 @@
 func (h *history) keep(turn Kept, retain time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, ok := h.turns[turn.Turn]; !ok && h.size < historyMost {
-		h.size += len(turn.Input) + len(turn.Output)
-		h.turns[turn.Turn] = &remembered{turn, h.clock.Now() + retain}
+	if _, ok := h.turns[turn.Turn]; ok || h.size > historyMost {
+		return
+	}
+	until := h.clock.Now() + retain
+	h.size += len(turn.Input) + len(turn.Output)
+	h.turns[turn.Turn] = &remembered{turn, until}
+	// What came before is kept as long as what follows from it.
+	for former := h.turns[turn.Previous]; former != nil && former.until < until; former = h.turns[former.Previous] {
+		former.until = until
 	}
 }
 
@@ -51,14 +57,9 @@
 		size += len(found.Input) + len(found.Output)
 		turn = found.Previous
 	}
-	until := h.clock.Now()
 	body := make([]byte, 0, size)
 	for last := len(line) - 1; last >= 0; last-- {
 		body = append(append(body, line[last].Input...), line[last].Output...)
-		until = max(until, line[last].until)
-	}
-	for _, one := range line {
-		one.until = max(one.until, until)
 	}
 	return body, true
 }
--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -123,13 +123,12 @@
 				if hops > 2 {
 					return nil, base.Busy(503, "owner_unreachable", 1, "the session's owner could not be reached")
 				}
-				k.mu.Lock()
-				delete(k.elsewhere, call.Session)
-				k.mu.Unlock()
+				k.forgetAssignment(call.Session, other)
 				if v.Code == "stale_assignment" {
 					other = nil // looked up anew
 				}
 			default:
+				k.forgetAssignment(call.Session, other)
 				return nil, err
 			}
 		}
@@ -143,6 +142,15 @@
 	}
 }
 
+// forgetAssignment lets an assignment be looked up anew.
+func (k *Keeper) forgetAssignment(id string, was *Assignment) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.elsewhere[id] == was {
+		delete(k.elsewhere, id)
+	}
+}
+
 // accept puts a turn into its session's queue on this node. after is an
 // assignment that is to be succeeded.
 func (k *Keeper) accept(ctx *base.Ctx, call *relay.Call, found *held, after *Assignment, marked bool) (*Stream, *Assignment, error) {
@@ -412,36 +420,68 @@
 		op.stream.fail(base.Unsure(502, "cancelled", "the turn was given up"))
 		return
 	}
-	if !reply.Streams() || reply.Status()/100 != 2 {
+	if !reply.Streams() {
+		k.settle(call, 0)
+		op.state = session.OpFailed
 		k.answerPlain(op, reply)
 		return
 	}
-	op.stream.open(&Head{Status: reply.Status(), Headers: reply.Headers()})
-	tokens, stride := int64(0), int64(1)
+	stride := int64(1)
 	if known := k.Routes.Load().Services[service]; known != nil && known.Engine != nil {
 		stride = int64(max(1, known.Engine.Stride))
 	}
-	output := []byte{}
+	output, events, whole := k.passOn(op, reply)
+	if !whole {
+		k.settle(call, events*stride)
+		op.state = session.OpFailed
+		k.Counters.Add("turns_cut", 1)
+		op.stream.fail(base.Unsure(502, "cut", "the worker's answer was cut short"))
+		return
+	}
+	k.keep(h, op, matched, output, events*stride)
+}
+
+// passOn gives each event to the reader as it comes.
+func (k *Keeper) passOn(op *operation, reply Reply) (output []byte, events int64, whole bool) {
+	op.stream.open(&Head{Status: reply.Status(), Headers: reply.Headers()})
 	for {
-		raw, data, err := reply.Event(ctx.Left())
-		if len(raw) > 0 {
-			tokens += stride
-			output = append(append(output, data...), '\n')
-			op.stream.put(raw)
+		event, err := reply.Event(op.ctx.Left())
+		if err != nil {
+			return output, events, isEnd(err) && !op.isCancelled()
 		}
-		if err == nil {
-			continue
+		if event.Data != nil {
+			events++
+			output = append(append(output, event.Data...), '\n')
 		}
-		if !isEnd(err) {
-			k.settle(call, min(tokens, int64(call.Most)))
-			op.state = session.OpFailed
-			k.Counters.Add("turns_cut", 1)
-			op.stream.fail(base.Unsure(502, "cut", "the worker's answer was cut short"))
+		op.stream.put(event.Raw)
+	}
+}
+
+// Pass takes a streamed call that belongs to no line to a worker.
+func (k *Keeper) Pass(ctx *base.Ctx, matched *route.Route, call *relay.Call) *Stream {
+	op := &operation{call: call, ctx: ctx, state: session.OpRunning}
+	op.stream = newStream(k.Clock, op.cancel)
+	k.Clock.Go(func() {
+		reply, err := k.Workers.Offer(ctx, matched, matched.Pick(k.Clock.Int64N), call, call.Body)
+		if err != nil {
+			op.stream.fail(base.FromWire(err))
 			return
 		}
-		break
-	}
-	k.keep(h, op, matched, output, min(tokens, max(int64(call.Most), tokens)))
+		defer reply.Close()
+		switch {
+		case !op.attach(reply):
+			op.stream.fail(base.Unsure(502, "cancelled", "the call was given up"))
+		case !reply.Streams():
+			k.answerPlain(op, reply)
+		default:
+			if _, _, whole := k.passOn(op, reply); !whole {
+				op.stream.fail(base.Unsure(502, "cut", "the worker's answer was cut short"))
+				return
+			}
+			op.stream.finish()
+		}
+	})
+	return op.stream
 }
 
 // keep makes the turn whole: the end of the answer waits for the ledger.
@@ -469,15 +509,12 @@
 // answerPlain passes an answer on that is no stream.
 func (k *Keeper) answerPlain(op *operation, reply Reply) {
 	body, err := reply.Body(op.ctx.Left())
-	k.settle(op.call, 0)
 	if err != nil {
-		op.state = session.OpFailed
 		op.stream.fail(base.Unsure(502, "worker_cut", "the worker's answer was cut short"))
 		return
 	}
 	op.stream.open(&Head{Status: reply.Status(), Headers: reply.Headers()})
 	op.stream.put(body)
-	op.state = session.OpFailed
 	op.stream.finish()
 }
 
@@ -617,10 +654,10 @@
 	k.Counters.Add("turns_forwarded", 1)
 	owner := NewOwnerProtobufClient("http://"+member.Addr, k.Wire)
 	hold := k.Bounds.Load().Recover / 24
-	reply, err := owner.Forward(ctx.Within(max(hold*6, ctx.Left()/2)), &ForwardRequest{From: k.me(), Forwarded: true, Assignment: to, Call: packCall(call, ctx)})
+	reply, err := owner.Forward(ctx.Within(hold*5/2), &ForwardRequest{From: k.me(), Forwarded: true, Assignment: to, Call: packCall(call, ctx)})
 	if err != nil {
 		v := base.FromWire(err)
-		if v.Code == "unreachable" || v.Code == "owner_lost" {
+		if v.Code == "unreachable" || v.Code == "owner_lost" || v.Code == "reply_lost" {
 			k.View.Suspect(to.Owner)
 		}
 		return nil, v
--- a/internal/line/ports.go
+++ b/internal/line/ports.go
@@ -65,9 +65,10 @@
 type Reply interface {
 	Status() int
 	Headers() []relay.Header
-	// Event gives the next event as it came, and its data; io.EOF at a clean end.
-	Event(limit time.Duration) (raw, data []byte, err error)
+	// Event gives the next event; io.EOF at a clean end.
+	Event(limit time.Duration) (*relay.Event, error)
 	Body(limit time.Duration) ([]byte, error)
+	// Streams tells that events are to come; otherwise the body is whole.
 	Streams() bool
 	Close()
 }
