Keep connections to workers for the next request

Cause: each call made a connection of its own; where a new one is priced and occupies the worker, that is dear. A call that names a worker's life goes by kept connections now; others are as before. Ruled out: net/http's and fasthttp's own pools, which hide whether a byte left and retry by themselves.

--- a/internal/base/verdict.go
+++ b/internal/base/verdict.go
@@ -8,6 +8,7 @@
 	stderrors "errors"
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/twitchtv/twirp"
@@ -28,7 +29,9 @@
 	Ran        Ran    `json:"request"`
 	Field      string `json:"field,omitempty"`
 	RetryAfter int    `json:"retry_after_s,omitempty"`
-	Stamp      uint64 `json:"current_stamp,omitempty"`
+	// RetryAfterMs is the same to the millisecond, where it is known so well.
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	Stamp        uint64 `json:"current_stamp,omitempty"`
 }
 
 func (v *Verdict) Error() string { return fmt.Sprintf("%s: %s (%s)", v.Code, v.Message, v.Ran) }
@@ -52,6 +55,13 @@
 	return v
 }
 
+// BusyFor is Busy for a span known to the millisecond.
+func BusyFor(status int, code string, after time.Duration, format string, args ...any) *Verdict {
+	v := Busy(status, code, int((after+time.Second-1)/time.Second), format, args...)
+	v.RetryAfterMs = max(1, after.Milliseconds())
+	return v
+}
+
 // Unsure is a verdict that the request may have run.
 func Unsure(status int, code, format string, args ...any) *Verdict {
 	return &Verdict{Status: status, Code: code, Message: fmt.Sprintf(format, args...), Ran: MayHaveRun}
@@ -85,6 +95,7 @@
 	for key, value := range map[string]string{
 		verdictMark: v.Code, "ran": string(v.Ran), "status": strconv.Itoa(v.Status), "field": v.Field,
 		"retry": strconv.Itoa(v.RetryAfter), "stamp": strconv.FormatUint(v.Stamp, 10),
+		"retry_ms": strconv.FormatInt(v.RetryAfterMs, 10),
 	} {
 		te = te.WithMeta(key, value)
 	}
@@ -105,9 +116,10 @@
 	if stderrors.As(err, &te) && te.Meta(verdictMark) != "" {
 		status, _ := strconv.Atoi(te.Meta("status"))
 		retry, _ := strconv.Atoi(te.Meta("retry"))
+		retryMs, _ := strconv.ParseInt(te.Meta("retry_ms"), 10, 64)
 		stamp, _ := strconv.ParseUint(te.Meta("stamp"), 10, 64)
 		return &Verdict{Status: status, Code: te.Meta(verdictMark), Message: te.Msg(), Ran: Ran(te.Meta("ran")),
-			Field: te.Meta("field"), RetryAfter: retry, Stamp: stamp}
+			Field: te.Meta("field"), RetryAfter: retry, RetryAfterMs: retryMs, Stamp: stamp}
 	}
 	if WasNotSent(err) {
 		return Busy(503, "unreachable", 1, "the node could not be reached")
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -1,4 +1,5 @@
-// Back ends over fasthttp. Each call has a connection of its own: when it
+// Back ends over fasthttp. A call that names a worker's life goes by the
+// connections kept for it. Any other has a connection of its own: when it
 // cannot be made, no byte left; once it is made, any loss may have run. The
 // visit's end and Close both shut the connection, which ends a waiting read.
 package node
@@ -19,10 +20,19 @@
 	"github.com/valyala/fasthttp"
 )
 
-type backends struct{ connect time.Duration }
+type backends struct {
+	connect time.Duration
+	kept    *kept
+}
+
+// NewBackends bounds the making of a connection; the other times of a
+// connection are ratios to that bound.
+func NewBackends(connect time.Duration) base.Backends { return &backends{connect, newKept(connect)} }
 
-// NewBackends bounds the making of a connection.
-func NewBackends(connect time.Duration) base.Backends { return &backends{connect} }
+func (b *backends) Forget(worker string) { b.kept.Forget(worker) }
+
+// after is a moment for a socket's deadline.
+func after(limit time.Duration) time.Time { return time.Now().Add(limit) }
 
 type backReply struct {
 	response *fasthttp.Response
@@ -59,6 +69,9 @@
 }
 
 func (b *backends) Call(ctx *base.Ctx, addr string, request *base.BackRequest) (base.BackReply, error) {
+	if request.Worker != "" {
+		return b.kept.call(ctx, addr, request)
+	}
 	left := ctx.Left()
 	plain, err := net.DialTimeout("tcp", addr, min(left, b.connect))
 	if err != nil {
@@ -103,6 +116,12 @@
 func (r *backReply) Status() int               { return r.response.StatusCode() }
 func (r *backReply) Header(name string) string { return string(r.response.Header.Peek(name)) }
 
+func (r *backReply) EachHeader(visit func(name, value []byte)) {
+	for name, value := range r.response.Header.All() {
+		visit(name, value)
+	}
+}
+
 func (r *backReply) Closes() bool { return r.response.ConnectionClose() }
 
 func (r *backReply) Line(limit time.Duration) ([]byte, error) {
--- a/internal/simulate/parties.go
+++ b/internal/simulate/parties.go
@@ -53,6 +53,10 @@
 func (r *Reply) Header(string) string { return "application/json" }
 func (r *Reply) Closes() bool         { return r.closes }
 
+func (r *Reply) EachHeader(visit func(name, value []byte)) {
+	visit([]byte("Content-Type"), []byte(r.Header("")))
+}
+
 func (r *Reply) Line(limit time.Duration) ([]byte, error) {
 	if err := r.await(limit, func() bool { return len(r.lines) > 0 }); err != nil {
 		return nil, err
@@ -121,6 +125,9 @@
 	return reply, nil
 }
 
+// Forget has nothing to do: connections in memory are not kept.
+func (b *Backends) Forget(string) {}
+
 // Asker sends callers' requests to the simulated gateways.
 func (f *Fleet) Asker(host *Host) standin.Asker {
 	clock := host.Clock()
