Offer requests to workers by their expected time

Cause: requests of the routes' table need a worker, a second one only after a proof that the first did not run it, and an early refusal otherwise. Ruled out: the sessions' nominator, which knows neither load reports nor prompts' parts.

--- a/internal/base/backend.go
+++ b/internal/base/backend.go
@@ -5,7 +5,18 @@
 // reply's body is read line by line as it comes, or whole.
 package base
 
-import "time"
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
+
+var (
+	// ErrNoConnection says that a worker has as many connections as it may.
+	ErrNoConnection = errors.New("all of the worker's connections are taken")
+	// ErrLeaves says that the worker gets nothing more.
+	ErrLeaves = errors.New("the worker gets nothing more")
+)
 
 // HeaderLine is one header line.
 type HeaderLine struct{ Name, Value string }
@@ -27,6 +38,8 @@
 	Match HeaderLine
 	// MostConns bounds the open connections to this worker; 0 for no bound.
 	MostConns int
+	// Connect bounds the making of a connection; 0 for the usual bound.
+	Connect time.Duration
 	// Stays is asked just before the first byte leaves; when it says no, the
 	// request is not sent.
 	Stays func() bool
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -34,12 +34,8 @@
 	linesFirst = 4 << 10
 )
 
-// ErrNoConnection says that a worker has as many connections as it may.
-var ErrNoConnection = errors.New("all of the worker's connections are taken")
-
 var (
 	errForeign = errors.New("the answer belongs to another request")
-	errLeaves  = errors.New("the worker gets nothing more")
 	errClosed  = errors.New("the reply was closed")
 	errLength  = errors.New("an answer without a length cannot be told from a cut one")
 )
@@ -129,7 +125,7 @@
 		if last < 0 {
 			if most > 0 && held.open >= most {
 				k.mu.Unlock()
-				return nil, nil, ErrNoConnection
+				return nil, nil, base.ErrNoConnection
 			}
 			held.open++
 			k.mu.Unlock()
@@ -209,8 +205,11 @@
 	}
 }
 
-func (k *kept) dial(ctx *base.Ctx, addr string, held *stock) (*link, error) {
-	limit, cancel := context.WithTimeout(context.Background(), min(ctx.Left(), k.connect))
+func (k *kept) dial(ctx *base.Ctx, addr string, bound time.Duration, held *stock) (*link, error) {
+	if bound <= 0 || bound > k.connect {
+		bound = k.connect
+	}
+	limit, cancel := context.WithTimeout(context.Background(), min(ctx.Left(), bound))
 	defer cancel()
 	plain, err := k.dialer.DialContext(limit, "tcp", addr)
 	if err != nil {
@@ -246,14 +245,14 @@
 		}
 		fresh := one == nil
 		if fresh {
-			if one, err = k.dial(ctx, addr, held); err != nil {
+			if one, err = k.dial(ctx, addr, request.Connect, held); err != nil {
 				k.released(held)
 				return nil, &base.NotSent{Cause: err}
 			}
 		}
 		if ctx.Over() || (request.Stays != nil && !request.Stays()) {
 			k.keepUnused(one, fresh)
-			return nil, &base.NotSent{Cause: errLeaves}
+			return nil, &base.NotSent{Cause: base.ErrLeaves}
 		}
 		_ = one.SetDeadline(after(ctx.Left()))
 		sent, err := one.send(*message, request.Body)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -41,4 +41,6 @@
 	Budget    int64
 	HasBudget bool
 	Previous  string
+	// Former is the worker that ran the session's last turn, if that is known.
+	Former string
 }
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,315 @@
+// A request is offered to one worker after another of a route's service until
+// one takes it. It goes on to a second worker only when the first certainly did
+// not run it: no byte left, or the answer says so. A request that may be
+// repeated goes on after any failure. Nothing is sent to a worker that the list
+// shows leaving, nor when too little time is left for the send to count.
+package relay
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/route"
+
+	"github.com/juju/errors"
+)
+
+// Worker is one life of a worker as the platform's list has it.
+type Worker struct {
+	ID       string
+	Addr     string
+	Service  string
+	Zone     string
+	Capacity int
+	Draining bool
+}
+
+// Workers is the list, swapped whole.
+type Workers []Worker
+
+// Parts are what a relay is made of.
+type Parts struct {
+	Clock    base.Clock
+	Backends base.Backends
+	Bounds   *base.Table[base.Bounds]
+	Counters *base.Counters
+	Names    *Names
+	Zone     string
+	// AnswerLimit bounds the bytes of a whole answer.
+	AnswerLimit int
+	// ConnShare is how many of a service's connections to each worker are this
+	// node's; nil or 0 for no bound.
+	ConnShare func(*route.Service) int
+	// Rank orders requests when there is not room for all, the lowest first
+	// and before urgency; nil for no order.
+	Rank func(*Call) int
+}
+
+// Relay offers requests to workers on one node.
+type Relay struct {
+	Parts
+	roster base.Table[roster]
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	known map[string]*state
+}
+
+// roster is who may get requests now, by id.
+type roster struct{ serving map[string]bool }
+
+// New makes a relay that knows no workers yet.
+func New(parts Parts) *Relay {
+	r := &Relay{Parts: parts, pools: map[string]*pool{}, known: map[string]*state{}}
+	r.roster.Swap(&roster{})
+	return r
+}
+
+// Swap takes a new list. Workers that have gone or are leaving get nothing
+// from now on; idle connections to those that have gone are dropped.
+func (r *Relay) Swap(workers Workers) {
+	next := &roster{serving: make(map[string]bool, len(workers))}
+	listed := make(map[string]bool, len(workers))
+	for _, one := range workers {
+		listed[one.ID] = true
+		if !one.Draining {
+			next.serving[one.ID] = true
+		}
+	}
+	r.roster.Swap(next)
+	r.mu.Lock()
+	var gone []string
+	for _, id := range base.SortedKeys(r.known) {
+		if !listed[id] {
+			gone = append(gone, id)
+			delete(r.known, id)
+		}
+	}
+	for _, p := range r.pools {
+		p.workers = nil
+	}
+	for _, one := range workers {
+		s := r.known[one.ID]
+		if s == nil || s.Addr != one.Addr || s.Service != one.Service {
+			s = &state{Worker: one, held: newPrefixes()}
+			r.known[one.ID] = s
+		}
+		s.Worker = one
+		if !one.Draining {
+			p := r.pool(one.Service)
+			p.workers = append(p.workers, s)
+		}
+	}
+	for _, name := range base.SortedKeys(r.pools) {
+		r.pump(r.pools[name])
+	}
+	r.mu.Unlock()
+	for _, id := range gone {
+		r.Backends.Forget(id)
+	}
+}
+
+// serves tells whether a worker may get requests at this moment.
+func (r *Relay) serves(id string) bool { return r.roster.Load().serving[id] }
+
+// offer is one request on its way to a worker.
+type offer struct {
+	route   *route.Route
+	service *route.Service
+	call    *Call
+	body    []byte
+	ctx     *base.Ctx
+	began   time.Duration
+	until   time.Duration
+	rank    int
+	lines   []base.HeaderLine
+	tried   []*state
+	sent    int
+	maybe   bool // a worker may have run it
+
+	// At the model worker that was chosen: tokens to read, how long it has to
+	// read before, and the parts it did not hold.
+	unread  int
+	backlog time.Duration
+	added   []partKey
+}
+
+// Offer sends the request to a worker of the service and gives its answer:
+// whole, or a stream under way. An error is a verdict.
+func (r *Relay) Offer(ctx *base.Ctx, rt *route.Route, service *route.Service, call *Call, body []byte) (*Reply, error) {
+	now := r.Clock.Now()
+	limit := min(ctx.Left(), rt.Timeout)
+	if call.Deadline > 0 {
+		limit = min(limit, call.Deadline)
+	}
+	o := &offer{route: rt, service: service, call: call, body: body, ctx: ctx, began: now, until: now + limit}
+	if r.Rank != nil {
+		o.rank = r.Rank(call)
+	}
+	o.lines = r.passed(call, rt)
+	for {
+		chosen, err := r.hold(o)
+		if err != nil {
+			return nil, o.settle(err)
+		}
+		reply, err := r.send(o, chosen)
+		if reply != nil {
+			return reply, nil
+		}
+		o.tried = append(o.tried, chosen)
+		if v := base.VerdictIn(err); v == nil || v.Ran != base.NotRun {
+			o.maybe = true
+			if rt.Kind != route.Repeatable || o.sent >= max(1, rt.Tries) {
+				return nil, err
+			}
+		} else if o.sent >= max(1, rt.Tries) {
+			r.mu.Lock()
+			err = r.refuse(o)
+			r.mu.Unlock()
+			return nil, o.settle(err)
+		}
+		r.count("offers_carried_on")
+	}
+}
+
+// settle keeps a refusal from promising what an earlier worker may have broken.
+func (o *offer) settle(err error) error {
+	if v := base.VerdictIn(err); o.maybe && v != nil && v.Ran == base.NotRun {
+		return base.Unsure(502, "worker_lost", "a worker's answer was lost, and then: %s", v.Message)
+	}
+	return err
+}
+
+// least is the least time that makes a send an offer.
+func (o *offer) least() time.Duration { return o.route.Target / 10 }
+
+func (r *Relay) count(name string) {
+	if r.Counters != nil {
+		r.Counters.Add(name, 1)
+	}
+}
+
+// Headers that concern one connection only, and those that are written anew.
+var ownHeaders = []string{"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+	"transfer-encoding", "upgrade", "host", "content-length", "expect"}
+
+// passed are the client's header lines that go on, and the id.
+func (r *Relay) passed(call *Call, rt *route.Route) []base.HeaderLine {
+	lines := make([]base.HeaderLine, 0, len(call.Headers)+4)
+	var named string
+	for _, line := range call.Headers {
+		if strings.EqualFold(line.Name, "Connection") {
+			named += "," + line.Value
+		}
+	}
+	n := r.Names
+	for _, line := range call.Headers {
+		if slices.ContainsFunc(ownHeaders, func(own string) bool { return strings.EqualFold(own, line.Name) }) ||
+			(named != "" && slices.ContainsFunc(strings.Split(named, ","), func(one string) bool { return strings.EqualFold(strings.TrimSpace(one), line.Name) })) ||
+			is(line.Name, n.ID) || is(line.Name, n.Deadline) || is(line.Name, n.ExpectWorker) || is(line.Name, n.Urgency) {
+			continue
+		}
+		lines = append(lines, base.HeaderLine{Name: line.Name, Value: line.Value})
+	}
+	if n.ID != "" {
+		lines = append(lines, base.HeaderLine{Name: n.ID, Value: call.ID})
+	}
+	if n.Urgency != "" {
+		lines = append(lines, base.HeaderLine{Name: n.Urgency, Value: strconv.Itoa(min(9, max(0, rt.Urgency)))})
+	}
+	return lines
+}
+
+func is(name, ours string) bool { return ours != "" && strings.EqualFold(name, ours) }
+
+// send carries the request to one worker. Without a reply, the error's verdict
+// says whether the worker may have run it.
+func (r *Relay) send(o *offer, chosen *state) (*Reply, error) {
+	sentAt := r.Clock.Now()
+	left := o.until - sentAt
+	request := &base.BackRequest{Method: o.call.Method, Path: o.call.Target, Host: o.call.Host, Body: o.body, Worker: chosen.ID,
+		Match: base.HeaderLine{Name: r.Names.ID, Value: o.call.ID}, MostConns: r.share(o.service), Connect: o.route.Target,
+		Stays: func() bool { return r.serves(chosen.ID) && o.until-r.Clock.Now() >= o.least() }}
+	request.Lines = append(o.lines[:len(o.lines):len(o.lines)], base.HeaderLine{Name: r.Names.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
+		base.HeaderLine{Name: r.Names.ExpectWorker, Value: chosen.ID})
+	// A worker ends by itself at the time it is given; its word on that is
+	// worth a little more waiting.
+	under, err := r.Backends.Call(o.ctx.Within(left+left/20), chosen.Addr, request)
+	if err != nil {
+		return nil, r.unsent(o, chosen, err)
+	}
+	o.sent++
+	reply := &Reply{Status: under.Status(), Worker: chosen.ID, relay: r, offer: o, state: chosen, under: under, sentAt: sentAt}
+	r.heard(chosen, under.Header(r.Names.Load))
+	switch notRun := under.Header(r.Names.NotRun) != ""; {
+	case notRun || reply.Status == 421:
+		return nil, r.turnedAway(reply)
+	case reply.Status == 408 || reply.Status == 429 || reply.Status == 503:
+		// To the client these would promise what this worker has not.
+		reply.end(failed)
+		return nil, base.Unsure(502, "worker_failed", "the worker failed with status %d", reply.Status)
+	case reply.Status/100 == 2 && (reply.Seal() == "" || under.Header("Content-Encoding") != ""):
+		reply.end(failed)
+		return nil, base.Unsure(502, "worker_garbled", "the worker's answer is not in protocol")
+	case reply.Status/100 == 2 && o.route.Kind == route.Stream:
+		return reply, nil
+	}
+	body, err := under.Body(o.until-r.Clock.Now()+left/20, r.AnswerLimit)
+	if err != nil {
+		reply.end(failed)
+		if r.Clock.Now() >= o.until {
+			return nil, base.Unsure(504, "timed_out", "the worker's answer did not come in time")
+		}
+		return nil, base.Unsure(502, "worker_cut", "the worker's answer was cut short")
+	}
+	reply.body, reply.whole = body, true
+	reply.end(served)
+	return reply, nil
+}
+
+// unsent judges a call that gave no reply.
+func (r *Relay) unsent(o *offer, chosen *state, err error) error {
+	switch {
+	case errors.Is(err, base.ErrLeaves):
+		r.release(o, chosen, turnedBack)
+		return base.Decline(503, "worker_leaving", "the worker is leaving")
+	case errors.Is(err, base.ErrNoConnection):
+		r.release(o, chosen, full)
+		return base.Decline(503, "worker_full", "the worker's connections are taken")
+	case base.WasNotSent(err):
+		r.release(o, chosen, unreached)
+		r.count("workers_unreached")
+		return base.Decline(503, "worker_unreachable", "the worker could not be reached")
+	}
+	o.sent++
+	r.release(o, chosen, failed)
+	r.count("workers_lost")
+	if r.Clock.Now() >= o.until {
+		return base.Unsure(504, "timed_out", "the worker's answer did not come in time")
+	}
+	return base.Unsure(502, "worker_lost", "the worker's answer was lost")
+}
+
+// turnedAway is for an answer that says the request did not run. The few
+// bytes of its body are read, so that the connection can be kept.
+func (r *Relay) turnedAway(reply *Reply) error {
+	_, _ = reply.under.Body(reply.offer.least(), r.AnswerLimit)
+	r.count("workers_turned_away")
+	if reply.Status == 421 {
+		reply.end(stranger)
+	} else {
+		reply.end(full)
+	}
+	return base.Decline(503, "worker_full", "the worker took no more")
+}
+
+func (r *Relay) share(service *route.Service) int {
+	if r.ConnShare == nil {
+		return 0
+	}
+	return r.ConnShare(service)
+}
