--- a/cmd/fordseam-controller/main.go
+++ b/cmd/fordseam-controller/main.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"fordseam/internal/node"
+	"fordseam/platform"
 
 	"github.com/urfave/cli/v3"
 )
@@ -18,7 +19,9 @@
 		Usage: "run the control plane, and operate it",
 		Description: "Exit codes: 0 done; 1 refused or failed; 2 wrong command line, settings file or document;\n" +
 			"3 the outcome is not known and can be asked for by its change id.",
-		Commands: append([]*cli.Command{runCommand()}, clientCommands()...),
+		Commands: append([]*cli.Command{runCommand(),
+			platform.Command("core", "core", "run a core on the users' platform"),
+			platform.Command("storage", "storage", "run a storage machine on the users' platform")}, clientCommands()...),
 	}
 	node.Main(command, os.Args)
 }
--- a/cmd/fordseam-gateway/main.go
+++ b/cmd/fordseam-gateway/main.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"fordseam/internal/node"
+	"fordseam/platform"
 
 	"github.com/urfave/cli/v3"
 )
@@ -15,8 +16,9 @@
 func main() {
 	command := &cli.Command{
 		Name: "fordseam-gateway", Version: node.Version,
-		Usage: "serve callers, own sessions, stand in for other gateways",
-		Flags: node.PlaceFlags(),
+		Usage:    "serve callers, own sessions, stand in for other gateways",
+		Flags:    node.PlaceFlags(),
+		Commands: []*cli.Command{platform.Command("platform", "edge", "serve the users' platform; the place comes from its settings file")},
 		Action: func(_ context.Context, command *cli.Command) error {
 			if command.Args().Len() > 0 {
 				return cli.Exit(fmt.Sprintf("unexpected argument %q", command.Args().First()), node.ExitUsage)
--- a/internal/line/carry.go
+++ b/internal/line/carry.go
@@ -71,9 +71,17 @@
 		stream.Leave()
 		return &PullReply{Done: true, Cut: true}, nil
 	}
-	return k.news(base.CtxOf(plain, k.Clock), stream, int(request.Place), time.Duration(request.HoldMs)*time.Millisecond)
+	hold := time.Duration(request.HoldMs) * time.Millisecond
+	if request.Place > 0 {
+		// After the first event a few that come together go together.
+		stream.Until(int(request.Place)+gatherMost, min(hold, k.Bounds.Load().Recover/400), k.Clock)
+	}
+	return k.news(base.CtxOf(plain, k.Clock), stream, int(request.Place), hold)
 }
 
+// gatherMost is how many events a pull waits for, for a short while.
+const gatherMost = 16
+
 // news is what a stream has from a place on, after at most hold.
 func (k *Keeper) news(ctx *base.Ctx, stream *Stream, place int, hold time.Duration) (*PullReply, error) {
 	pieces, done, cut := stream.From(place, min(hold, ctx.Left()/2), k.Clock)
--- a/internal/line/stream.go
+++ b/internal/line/stream.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// Until waits until the stream has come to a place or its end, or limit passed.
+func (s *Stream) Until(place int, limit time.Duration, clock base.Clock) {
+	for end := clock.Now() + limit; ; {
+		next := s.bell.Next()
+		s.mu.Lock()
+		there := len(s.pieces) >= place || s.done
+		s.mu.Unlock()
+		if there || !next.Wait(max(0, end-clock.Now())) {
+			return
+		}
+	}
+}
+
 // Reader is a stream's body for a server: a read returns what has come, and
 // an answer that was cut ends with an error, so that it never looks whole.
 type Reader struct {
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -16,6 +16,7 @@
 	"fordseam/internal/base"
 	"fordseam/internal/conn"
 	"fordseam/internal/disk"
+	"fordseam/internal/relay"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -103,7 +104,7 @@
 }
 
 // Open builds a place's process; Start begins it, Close ends it.
-func Open(place *Place) (*Running, error) {
+func Open(place *Place, names *relay.Names) (*Running, error) {
 	r := &Running{}
 	counters := base.NewCounters()
 	wire, err := conn.NewWire(func() { counters.Add("messages_sent", 1) })
@@ -111,7 +112,7 @@
 		return nil, errors.Trace(err)
 	}
 	r.cleanup.Push(wire.Close)
-	r.Env = Env{Clock: base.NewRealClock(), Wire: wire, Counters: counters, Backends: NewBackends(base.DefaultBounds().Recover / 12)}
+	r.Env = Env{Clock: base.NewRealClock(), Wire: wire, Counters: counters, Backends: NewBackends(base.DefaultBounds().Recover / 12), Names: names}
 	if r.private, err = conn.Listen(place.Addr); err != nil {
 		r.cleanup.Run()
 		return nil, err
@@ -147,7 +148,7 @@
 		return errors.Annotate(err, "public address")
 	}
 	defer public.Close()
-	opened, err := Open(place)
+	opened, err := Open(place, &relay.Names{})
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,10 @@
 package node
 
 import (
+	"fordseam/internal/ledger"
+	"fordseam/internal/line"
+	"fordseam/internal/relay"
+	"fordseam/internal/route"
 	"net/http"
 	"slices"
 	"strings"
@@ -30,6 +34,8 @@
 	Files    disk.Files
 	Backends base.Backends
 	Counters *base.Counters
+	// Names are what clients and workers of an operator's routes call things.
+	Names *relay.Names
 }
 
 // Place is where a process stands in the fleet.
@@ -115,6 +121,14 @@
 	Front    *front.Front
 	Keeper   *session.Keeper
 	Follower *feed.Follower
+	Routes   *base.Table[route.Table]
+	Relay    *relay.Relay
+	Lines    *line.Keeper
+	// Table reads the operator's document; it is set before Start where this
+	// gateway serves routes.
+	Table func(written []byte) (*route.Table, error)
+
+	disks base.Table[register.DiskSet]
 }
 
 func NewGateway(env Env, place Place) *Gateway {
@@ -127,6 +141,7 @@
 	client, follower := c.follow(tree, func(frame *feed.Frame) {
 		nominator.Swap(worker.RosterOf(frame.Values))
 		g.Keeper.Ended(endedIn(frame.Values))
+		g.learn(frame)
 	})
 	g.Follower = follower
 	g.Keeper = session.NewKeeper(session.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
@@ -135,6 +150,12 @@
 		Budget: &budget.Client{Register: client}, Keeper: g.Keeper, Tools: &toolcall.Client{Register: client},
 		Workers: &worker.Client{Register: client}, Book: book, Nominator: nominator, Backends: env.Backends}
 	c.mount(session.NewOwnerServer(g.Keeper))
+	g.Routes = &base.Table[route.Table]{}
+	g.Relay = relay.New(relay.Parts{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: place.Zone, ConnShare: g.connShare, AnswerLimit: answerLimit})
+	kept := ledger.NewClient(env.Clock, env.Wire, g.disks.Load, place.Zone, place.Tolerate, bounds, env.Counters, c.view.AliveAt)
+	g.Lines = line.NewKeeper(line.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
+		Routes: g.Routes, Ledger: keeping{kept}, Workers: offering{g}})
+	c.mount(line.NewOwnerServer(g.Lines))
 	return g
 }
 
@@ -164,6 +185,7 @@
 	g.env.Clock.Go(g.view.Run)
 	g.env.Clock.Go(g.Follower.Run)
 	g.env.Clock.Go(g.Keeper.Run)
+	g.env.Clock.Go(g.Lines.Run)
 	g.env.Clock.Go(func() {
 		for !g.Follower.Closed() {
 			g.env.Clock.Sleep(g.bounds.Load().Recover)
@@ -195,6 +217,7 @@
 // Leave hands over what this node owns.
 func (g *Gateway) Leave(limit time.Duration) {
 	g.view.Leave(g.bounds.Load().Beat() * 4)
+	g.Lines.Drain(limit)
 	g.Keeper.Drain(limit)
 }
 
@@ -211,6 +234,10 @@
 	Owner    *register.Owner
 	Follower *feed.Follower
 	Operate  *operate.Operate
+	Register *register.Client
+	// Lister asks for the list of workers; it is set before Start where this
+	// core keeps a roster.
+	Lister relay.Lister
 }
 
 func NewCore(env Env, place Place) *Core {
@@ -223,10 +250,12 @@
 	session.Serve(owner)
 	toolcall.Serve(owner)
 	worker.Serve(owner)
+	route.Serve(owner)
+	relay.Serve(owner)
 	client, follower := c.follow(tree, func(*feed.Frame) {})
 	c.mount(register.NewRegisterServer(owner))
 	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, owner)))
-	return &Core{common: c, Owner: owner, Follower: follower,
+	return &Core{common: c, Owner: owner, Follower: follower, Register: client,
 		Operate: &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}}
 }
 
@@ -235,8 +264,16 @@
 	c.env.Clock.Go(c.view.Run)
 	c.env.Clock.Go(c.Owner.Run)
 	c.env.Clock.Go(c.Follower.Run)
+	if c.Lister != nil {
+		duty := &relay.Duty{Clock: c.env.Clock, Bounds: c.bounds, Counters: c.env.Counters, Register: c.Register, Follower: c.Follower, Lister: c.Lister,
+			Holds: c.Owner.ServesFeed, Needed: func() bool { return route.DocumentOf(c.Follower.Frame().Values) != nil }}
+		c.env.Clock.Go(duty.Run)
+	}
 }
 
+// AnswerWithin is how long an operator's call may take before it is answered.
+func (c *Core) AnswerWithin() time.Duration { return c.bounds.Load().Call() / 2 }
+
 // Ready says whether this core can reach the control state.
 func (c *Core) Ready() error {
 	if !c.Follower.Permitted() {
--- a/internal/register/disks.go
+++ b/internal/register/disks.go
@@ -299,3 +299,14 @@
 	}
 	return reply, nil
 }
+
+// DisksOf reads the disk set from the feed's frame; nil while none is told.
+func DisksOf(values map[string][]byte) *DiskSet { return loadDisks(values[DisksKey]).GetCurrent() }
+
+// GetCurrent is the set that counts.
+func (d *Disks) GetCurrent() *DiskSet {
+	if d == nil {
+		return nil
+	}
+	return d.Current
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,16 +18,6 @@
 	"github.com/juju/errors"
 )
 
-// Worker is one life of a worker as the platform's list has it.
-type Worker struct {
-	ID       string
-	Addr     string
-	Service  string
-	Zone     string
-	Capacity int
-	Draining bool
-}
-
 // Workers is the list, swapped whole.
 type Workers []Worker
 
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -61,6 +61,13 @@
 	})
 }
 
+// Headers are the header lines that are passed on.
+func (p *Reply) Headers() []Header {
+	found := []Header{}
+	p.EachHeader(func(name, value []byte) { found = append(found, Header{Name: string(name), Value: string(value)}) })
+	return found
+}
+
 // Body is the whole body.
 func (p *Reply) Body(limit time.Duration) ([]byte, error) {
 	if p.whole {
--- a/internal/relay/roster.go
+++ b/internal/relay/roster.go
@@ -14,7 +14,7 @@
 // RosterPrefix is where the feed tells of workers.
 const RosterPrefix = "feed/roster/"
 
-// Worker is one worker of a service.
+// Worker is one life of a worker, as the list has it.
 type Worker struct {
 	ID       string `json:"-"`
 	Service  string `json:"s"`
@@ -25,8 +25,8 @@
 }
 
 // RosterOf reads the feed's frame.
-func RosterOf(values map[string][]byte) []Worker {
-	found := []Worker{}
+func RosterOf(values map[string][]byte) Workers {
+	found := Workers{}
 	for _, key := range base.SortedKeys(values) {
 		if id, ok := strings.CutPrefix(key, RosterPrefix); ok {
 			one := Worker{ID: id}
