Let the cores found the cluster, mend the disk set and retire machines by name

Cause: founding, replacing a lost disk and emptying a machine each needed an operator. A place may now say Found, Tolerate and Node; without them all is as before. Seeds vote on the first disk set; the owner of slot 0 looks at the storage machines and makes one change of votes at a time; a retirement is kept in the feed. Steps of a change follow each other at once instead of once a beat, and a step no longer waits for machines that do not answer when enough did. Learners are counted one by one.

--- a/internal/disk/service.go
+++ b/internal/disk/service.go
@@ -16,16 +16,26 @@
 type Service struct {
 	store *Store
 	limit time.Duration
+	// Node is the machine's name, told with the disk's state.
+	Node string
 }
 
 // NewService bounds every answer by limit.
-func NewService(store *Store, limit time.Duration) *Service { return &Service{store, limit} }
+func NewService(store *Store, limit time.Duration) *Service {
+	return &Service{store: store, limit: limit}
+}
 
 func (v *Service) Describe(context.Context, *register.DescribeRequest) (*register.DiskState, error) {
 	s := v.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.describe(), nil
+	return v.describe(), nil
+}
+
+func (v *Service) describe() *register.DiskState {
+	state := v.store.describe()
+	state.Node = v.Node
+	return state
 }
 
 func (s *Store) describe() *register.DiskState {
@@ -55,10 +65,10 @@
 		if request.Set.GetCluster() != "" && s.set != nil && s.set.Cluster != "" && s.set.Cluster != request.Set.Cluster {
 			return nil, base.ToWire(base.Decline(409, "other_cluster", "this disk belongs to another cluster"))
 		}
-		return s.describe(), nil
+		return v.describe(), nil
 	}
 	put, why := s.enqueue(kindFormat, &register.DiskState{Id: base.NewID(s.clock, "d"), Set: request.Set}, true)
-	state := s.describe()
+	state := v.describe()
 	s.mu.Unlock()
 	if why == "" {
 		why = s.wait(put, v.limit)
@@ -76,9 +86,9 @@
 	switch {
 	case s.broken != nil:
 		ack.Why = "broken"
-	case s.id == "" || s.set == nil || claim.Disk != s.id:
+	case s.id == "" || claim.Disk != s.id:
 		ack.Why = "blank"
-	case claim.SetStamp != s.set.Stamp:
+	case claim.SetStamp != s.set.GetStamp():
 		ack.Why, ack.Set = "set", s.set
 	case claim.Epoch < held.promised || (claim.Epoch == held.promised && held.owner != claim.Owner):
 		ack.Why = "epoch"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"fordseam/internal/budget"
 	"fordseam/internal/disk"
 	"fordseam/internal/feed"
+	"fordseam/internal/founding"
 	"fordseam/internal/front"
 	"fordseam/internal/membership"
 	"fordseam/internal/operate"
@@ -43,6 +44,14 @@
 	Limit  int64
 	// Cluster, when given, is the only one this process will be of.
 	Cluster string
+	// Node is the machine's name, by which it can be retired.
+	Node string
+	// Tolerate is how many machines may be lost with their disks at once;
+	// above 0 the cores mend the disk set by themselves.
+	Tolerate int
+	// Found tells a core that this is the very first start of the whole system,
+	// so that the seeds form the cluster. It holds for one life only.
+	Found bool
 }
 
 type common struct {
@@ -200,6 +209,7 @@
 	Owner    *register.Owner
 	Follower *feed.Follower
 	Operate  *operate.Operate
+	founder  *founding.Founder
 }
 
 func NewCore(env Env, place Place) *Core {
@@ -213,16 +223,27 @@
 	toolcall.Serve(owner)
 	worker.Serve(owner)
 	client, follower := c.follow(tree, func(*feed.Frame) {})
+	if place.Tolerate > 0 {
+		owner.Mend(place.Tolerate)
+	}
+	core := &Core{common: c, Owner: owner, Follower: follower}
+	if place.Found {
+		core.founder = founding.New(env.Clock, env.Wire, c.view, bounds, env.Counters, owner, place.Addr, place.Seeds, place.Tolerate)
+		c.mount(founding.NewFoundingServer(core.founder))
+	}
 	c.mount(register.NewRegisterServer(owner))
 	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, owner)))
-	return &Core{common: c, Owner: owner, Follower: follower,
-		Operate: &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}}
+	core.Operate = &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}
+	return core
 }
 
 func (c *Core) Start() {
 	c.view.Unwell, c.view.Cluster = unwell(c.Ready), c.Owner.Cluster
 	c.env.Clock.Go(c.view.Run)
 	c.env.Clock.Go(c.Owner.Run)
+	if c.founder != nil {
+		c.env.Clock.Go(c.founder.Run)
+	}
 	c.env.Clock.Go(c.Follower.Run)
 }
 
@@ -260,7 +281,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c.mount(register.NewDiskServer(disk.NewService(store, bounds.Load().DiskLimit())))
+	service := disk.NewService(store, bounds.Load().DiskLimit())
+	service.Node = place.Node
+	c.mount(register.NewDiskServer(service))
 	return &Storage{common: c, Store: store}, nil
 }
 
--- a/internal/register/disks.go
+++ b/internal/register/disks.go
@@ -10,6 +10,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"sync"
 
 	"fordseam/internal/base"
@@ -27,6 +29,12 @@
 	Next    *DiskSet `json:"next,omitempty"`
 	Settled bool     `json:"settled"`
 	Slots   int      `json:"settled_slots"`
+	// Wanted is how many voters there should be once all that is lost was
+	// replaced; only mending keeps it.
+	Wanted int `json:"wanted,omitempty"`
+	// Retired disks were taken out on purpose, so mending does not take them
+	// back.
+	Retired []string `json:"retired,omitempty"`
 }
 
 // Under reports whether a change is not yet over.
@@ -47,6 +55,9 @@
 	Next  *DiskSet `json:"next,omitempty"`
 	Stamp uint64   `json:"stamp,omitempty"`
 	Slots int      `json:"slots,omitempty"`
+	// Wanted and Retire go into the record with a proposal.
+	Wanted int    `json:"wanted,omitempty"`
+	Retire string `json:"retire,omitempty"`
 }
 
 func loadDisks(raw []byte) *Disks {
@@ -69,6 +80,20 @@
 		})
 	}
 	handle("disks.get", func(_ *Tx, _ *disksAsk, now *Disks) (*Disks, error) { return now, nil })
+	handle("disks.record", func(tx *Tx, asked *disksAsk, now *Disks) (*Disks, error) {
+		if now == nil {
+			now = &Disks{Current: asked.Base, Settled: true, Slots: Slots, Wanted: len(voters(asked.Base))}
+			tx.Put(DisksKey, base.Encode(now))
+		}
+		return now, nil
+	})
+	handle("disks.want", func(tx *Tx, asked *disksAsk, now *Disks) (*Disks, error) {
+		if now != nil && now.Next == nil && now.Current.Stamp == asked.Base.GetStamp() && now.Wanted != asked.Wanted {
+			now.Wanted = asked.Wanted
+			tx.Put(DisksKey, base.Encode(now))
+		}
+		return now, nil
+	})
 	handle("disks.propose", func(tx *Tx, asked *disksAsk, now *Disks) (*Disks, error) {
 		if now == nil {
 			now = &Disks{Current: asked.Base, Settled: true, Slots: Slots}
@@ -83,6 +108,15 @@
 			return nil, base.Decline(409, "stale_stamp", "the disk set stands at %d", now.Current.Stamp)
 		}
 		now.Next = asked.Next
+		if asked.Wanted > 0 {
+			now.Wanted = asked.Wanted
+		}
+		if asked.Retire != "" && !slices.Contains(now.Retired, asked.Retire) {
+			now.Retired = append(now.Retired, asked.Retire)
+		}
+		if left := len(voters(asked.Next)); asked.Retire != "" && now.Wanted > left {
+			now.Wanted = left
+		}
 		tx.Put(DisksKey, base.Encode(now))
 		return now, nil
 	})
@@ -111,7 +145,7 @@
 	}
 	entry.Learner = true
 	next := &DiskSet{Stamp: current.Stamp + 1, Cluster: current.Cluster, Disks: append(append([]*DiskEntry{}, current.Disks...), entry)}
-	return propose(ctx, client, current, next)
+	return propose(ctx, client, disksAsk{Base: current, Next: next})
 }
 
 // Retire takes a disk out of the set.
@@ -124,54 +158,94 @@
 	if left := len(voters(next)); left < leastVoters {
 		return nil, base.Decline(409, "too_few_disks", "%d disks would remain; at least %d must", left, leastVoters)
 	}
-	return propose(ctx, client, current, next)
+	return propose(ctx, client, disksAsk{Base: current, Next: next, Retire: id})
 }
 
-func propose(ctx *base.Ctx, client *Client, current, next *DiskSet) (*Disks, error) {
+func propose(ctx *base.Ctx, client *Client, asked disksAsk) (*Disks, error) {
 	var now Disks
-	return &now, client.Change(ctx, FeedGroup, "disks.propose", disksAsk{Base: current, Next: next}, &now)
+	return &now, client.Change(ctx, FeedGroup, "disks.propose", asked, &now)
 }
 
 // agreeOnSet settles a refusal for another disk set: a newer one is learnt, and
-// a disk that goes by an older one is given the set this core knows, which was
-// recorded as proposed before any disk adopted it.
-func (o *Owner) agreeOnSet(entry *DiskEntry, ack *Ack) {
+// a disk that goes by an older one, or by none yet, is given the set this core
+// knows, which was recorded as proposed before any disk adopted it. It tells
+// whether the disk may be asked again at once.
+func (o *Owner) agreeOnSet(entry *DiskEntry, ack *Ack) bool {
 	if ack.Why != "set" {
-		return
+		return false
+	}
+	before := o.knownSet().GetStamp()
+	o.Learn(ack.Set)
+	set := o.knownSet()
+	if ack.Set.GetStamp() < set.Stamp && inSet(set, entry.Id) {
+		took, err := o.disk(entry).Adopt(base.NewCtx(o.clock, o.bounds.Load().DiskLimit()), &AdoptRequest{Set: set})
+		return err == nil && took.Ok
 	}
-	o.learn(ack.Set)
-	if set := o.knownSet(); ack.Set.GetStamp() < set.Stamp {
-		_, _ = o.disk(entry).Adopt(base.NewCtx(o.clock, o.bounds.Load().DiskLimit()), &AdoptRequest{Set: set})
+	return set.Stamp > before
+}
+
+// recorded reads the record of the disk set and the machines being retired,
+// with the place up to which they must be settled before they are acted on.
+func (o *Owner) recorded(s *slot) (found *recorded) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase != serving {
+		return nil
+	}
+	found = &recorded{epoch: s.epoch, target: s.tail}
+	if raw, ok := s.held.Get(DisksKey); ok {
+		found.disks = loadDisks(raw.([]byte))
 	}
+	tx := &Tx{held: s.held}
+	tx.Walk(RetiringPrefix, "", func(_ string, value []byte) bool {
+		if retiring := loadRetiring(value); retiring != nil {
+			found.retiring = append(found.retiring, retiring)
+		}
+		return true
+	})
+	return found
+}
+
+type recorded struct {
+	epoch, target uint64
+	disks         *Disks
+	retiring      []*Retiring
 }
 
-// moveDisks carries a change on if this core owns slot 0.
+// moveDisks carries changes on while this core owns slot 0: one step after
+// another while they go on, then once a beat.
 func (o *Owner) moveDisks() {
 	s := o.slots[0]
-	s.mu.Lock()
-	var now *Disks
-	if s.phase == serving {
-		if raw, ok := s.held.Get(DisksKey); ok {
-			now = loadDisks(raw.([]byte))
-		}
+	now := o.recorded(s)
+	if now == nil && o.mending != nil {
+		o.mending.forget()
 	}
-	s.mu.Unlock()
 	o.mu.Lock()
-	begins := now != nil && now.Under() && !o.moving
+	begins := now != nil && !o.moving && (o.mending != nil || now.disks != nil && now.disks.Under())
 	o.moving = o.moving || begins
 	o.mu.Unlock()
 	if !begins {
 		return
 	}
 	o.clock.Go(func() {
-		o.step(s, now)
+		least := o.bounds.Load().Beat() / 16
+		for pause, reached := least, ""; ; {
+			mark, more := o.step(s)
+			if !more {
+				break
+			}
+			if pause = min(2*pause, o.bounds.Load().Beat()/2); mark != reached {
+				pause, reached = least, mark
+			}
+			o.clock.Sleep(pause)
+		}
 		o.mu.Lock()
 		o.moving = false
 		o.mu.Unlock()
 	})
 }
 
-func (o *Owner) own(op string, asked disksAsk) error {
+func (o *Owner) own(op string, asked any) error {
 	s := o.slots[0]
 	_, err := o.decide(base.NewCtx(o.clock, o.bounds.Load().Call()), s, FeedGroup, func(tx *Tx) (any, error) {
 		return o.ops[op](tx, base.Encode(asked))
@@ -180,38 +254,53 @@
 }
 
 // step does the next thing a change needs. A proposal that is read here may
-// not be on a majority yet, so it is settled first.
-func (o *Owner) step(s *slot, now *Disks) {
-	s.mu.Lock()
-	epoch, target := s.epoch, s.tail
-	s.mu.Unlock()
-	if o.settled(base.NewCtx(o.clock, o.bounds.Load().Call()), s, epoch, target) != nil {
-		return
+// not be on a majority yet, so it is settled first. It tells how far things
+// have come and whether more is to be done soon.
+func (o *Owner) step(s *slot) (reached string, more bool) {
+	found := o.recorded(s)
+	if found == nil || o.settled(base.NewCtx(o.clock, o.bounds.Load().Call()), s, found.epoch, found.target) != nil {
+		return "", false
+	}
+	now := found.disks
+	if now == nil {
+		if o.mending == nil || o.knownSet() == nil {
+			return "", false
+		}
+		return "recorded", o.own("disks.record", disksAsk{Base: o.knownSet()}) == nil
 	}
 	if now.Next != nil {
-		if o.adopted(now.Current, now.Next) {
-			o.learn(now.Next)
-			_ = o.own("disks.conclude", disksAsk{Stamp: now.Next.Stamp})
-			o.counters.Add("disk_sets_changed", 1)
+		if !o.adopted(now.Current, now.Next) {
+			return "", false
 		}
-		return
+		o.Learn(now.Next)
+		o.counters.Add("disk_sets_changed", 1)
+		return fmt.Sprint("adopted ", now.Next.Stamp), o.own("disks.conclude", disksAsk{Stamp: now.Next.Stamp}) == nil
 	}
-	settled, learned := o.census(now.Current)
-	if !now.Settled || now.Slots != Slots {
+	settled, filled := Slots, map[string]int{}
+	if now.Under() {
+		settled, filled = o.census(now.Current)
+	}
+	if !now.Settled {
 		_ = o.own("disks.settle", disksAsk{Stamp: now.Current.Stamp, Slots: settled})
-		return
+		return fmt.Sprint("settled ", now.Current.Stamp, settled), true
 	}
-	if learned < Slots {
-		return
+	if o.mending != nil {
+		return o.mendSet(found, filled)
 	}
-	next := &DiskSet{Stamp: now.Current.Stamp + 1, Cluster: now.Current.Cluster}
-	admitted := false
 	for _, entry := range now.Current.Disks {
-		grown := &DiskEntry{Id: entry.Id, Addr: entry.Addr, Zone: entry.Zone, Learner: entry.Learner && admitted}
-		admitted = admitted || entry.Learner
-		next.Disks = append(next.Disks, grown)
+		if entry.Learner && filled[entry.Id] == Slots {
+			err := o.own("disks.propose", disksAsk{Base: now.Current, Next: now.Current.promote(entry.Id)})
+			return fmt.Sprint("whole ", now.Current.Stamp), err == nil
+		}
 	}
-	_ = o.own("disks.propose", disksAsk{Base: now.Current, Next: next})
+	return fmt.Sprint(filled), now.Under()
+}
+
+// promote is the next set, in which a learner has a vote.
+func (s *DiskSet) promote(id string) *DiskSet {
+	return &DiskSet{Stamp: s.Stamp + 1, Cluster: s.Cluster, Disks: base.Map(s.Disks, func(entry *DiskEntry) *DiskEntry {
+		return &DiskEntry{Id: entry.Id, Addr: entry.Addr, Zone: entry.Zone, Node: entry.Node, Learner: entry.Learner && entry.Id != id}
+	})}
 }
 
 // adopted has a set taken by a majority of the disks before and after, and
@@ -223,62 +312,74 @@
 	}
 	var mu sync.Mutex
 	took := map[string]bool{}
+	enough := func(set *DiskSet) bool {
+		count := base.Filter(voters(set), func(entry *DiskEntry) bool { return took[entry.Id] })
+		return len(count) >= majority(set)
+	}
 	list := base.Map(base.SortedKeys(all), func(id string) *DiskEntry { return all[id] })
-	base.AskAll(o.clock, list, o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) {
+	return base.Ask(o.clock, list, 1, o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 		state, err := o.disk(entry).Describe(ctx, &DescribeRequest{})
 		if err != nil || state.Id != entry.Id {
-			return
+			return false
 		}
 		ack, err := o.disk(entry).Adopt(ctx, &AdoptRequest{Set: next})
 		mu.Lock()
+		defer mu.Unlock()
 		took[entry.Id] = err == nil && ack.Ok
-		mu.Unlock()
+		return enough(current) && enough(next)
 	})
-	mu.Lock()
-	defer mu.Unlock()
-	enough := func(set *DiskSet) bool {
-		count := 0
-		for _, entry := range voters(set) {
-			if took[entry.Id] {
-				count++
-			}
-		}
-		return count >= majority(set)
-	}
-	return enough(current) && enough(next)
 }
 
 // census asks all cores how many slots are whole on a majority of the set,
-// and how many on all its learners.
-func (o *Owner) census(set *DiskSet) (settled, learned int) {
+// and how many on each of its learners. It ends early once all are.
+func (o *Owner) census(set *DiskSet) (settled int, filled map[string]int) {
 	var mu sync.Mutex
-	whole, filled := map[uint32]bool{}, map[uint32]bool{}
-	cores := o.view.Present(membership.RoleCore)
-	base.AskAll(o.clock, cores, o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, member *membership.Member) {
+	whole, learned := map[uint32]bool{}, map[string]map[uint32]bool{}
+	for _, entry := range set.Disks {
+		if entry.Learner {
+			learned[entry.Id] = map[uint32]bool{}
+		}
+	}
+	base.Ask(o.clock, o.view.Present(membership.RoleCore), 1, o.bounds.Load().DiskLimit()*6/10, func(ctx *base.Ctx, member *membership.Member) bool {
 		reply, err := NewRegisterProtobufClient("http://"+member.Addr, o.wire).Census(ctx, &CensusRequest{Set: set})
 		if err != nil || reply.SetStamp != set.Stamp {
-			return
+			return false
 		}
 		mu.Lock()
 		defer mu.Unlock()
 		for _, num := range reply.Settled {
 			whole[num] = true
 		}
-		for _, num := range reply.Learned {
-			filled[num] = true
+		for _, disk := range reply.Filled {
+			for _, num := range disk.Slots {
+				if learned[disk.Disk] != nil {
+					learned[disk.Disk][num] = true
+				}
+			}
+		}
+		all := len(whole) == Slots
+		for _, slots := range learned {
+			all = all && len(slots) == Slots
 		}
+		return all
 	})
 	mu.Lock()
 	defer mu.Unlock()
-	return len(whole), len(filled)
+	filled = map[string]int{}
+	for id, slots := range learned {
+		filled[id] = len(slots)
+	}
+	return len(whole), filled
 }
 
 // Census tells which slots this core owns, which of them are whole on a
-// majority of the set, and which are whole on all its learners.
+// majority of the set, and which are whole on each of its learners.
 func (o *Owner) Census(_ context.Context, request *CensusRequest) (*CensusReply, error) {
-	o.learn(request.Set)
+	o.Learn(request.Set)
 	set := o.knownSet()
 	reply := &CensusReply{SetStamp: set.GetStamp()}
+	learners := base.Filter(set.GetDisks(), func(entry *DiskEntry) bool { return entry.Learner })
+	reply.Filled = base.Map(learners, func(entry *DiskEntry) *Filled { return &Filled{Disk: entry.Id} })
 	for _, s := range o.slots {
 		s.mu.Lock()
 		if s.phase == serving {
@@ -287,12 +388,13 @@
 				mark := s.progress[entry.Id]
 				return mark.has(s.commit) && mark.stamp == set.Stamp
 			}
-			learners := base.Filter(set.Disks, func(entry *DiskEntry) bool { return entry.Learner })
 			if len(base.Filter(voters(set), has)) >= majority(set) {
 				reply.Settled = append(reply.Settled, s.num)
 			}
-			if len(base.Filter(learners, has)) == len(learners) {
-				reply.Learned = append(reply.Learned, s.num)
+			for place, entry := range learners {
+				if has(entry) {
+					reply.Filled[place].Slots = append(reply.Filled[place].Slots, s.num)
+				}
 			}
 		}
 		s.mu.Unlock()
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -152,16 +152,22 @@
 	sweeps   []func(tx *Tx)
 	slots    [Slots]*slot
 
-	mu      sync.Mutex
-	set     *DiskSet
-	moving  bool
-	repairs int
-	closed  bool
+	// mending is set by Mend, before Run.
+	mending *mending
+
+	mu       sync.Mutex
+	set      *DiskSet
+	lookup   base.Signal
+	moving   bool
+	repairs  int
+	repaired base.Signal
+	closed   bool
 }
 
 func NewOwner(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds], counters *base.Counters) *Owner {
-	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}}
+	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}, repaired: clock.NewSignal()}
 	o.handleDisks()
+	o.handleRetiring()
 	for num := range o.slots {
 		o.slots[num] = &slot{num: uint32(num), bell: base.NewBell(clock)}
 	}
@@ -268,29 +274,49 @@
 	if known := o.knownSet(); known != nil {
 		return known
 	}
-	limit := o.bounds.Load().DiskLimit()
-	base.Ask(o.clock, o.view.Known(membership.RoleStorage), 2, limit, func(ctx *base.Ctx, member *membership.Member) bool {
+	o.mu.Lock()
+	lookup := o.lookup
+	if lookup == nil { // all who ask at once share one round
+		lookup = o.clock.NewSignal()
+		o.lookup = lookup
+		o.clock.Go(func() {
+			o.findSet()
+			o.mu.Lock()
+			o.lookup = nil
+			o.mu.Unlock()
+			lookup.Fire()
+		})
+	}
+	o.mu.Unlock()
+	lookup.Wait(o.bounds.Load().Call())
+	return o.knownSet()
+}
+
+func (o *Owner) findSet() {
+	base.Ask(o.clock, o.view.Known(membership.RoleStorage), 2, o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, member *membership.Member) bool {
 		state, err := NewDiskProtobufClient("http://"+member.Addr, o.wire).Describe(ctx, &DescribeRequest{})
 		if err != nil || state.Set == nil || len(state.Set.Disks) == 0 {
 			return false
 		}
-		o.learn(state.Set)
+		o.Learn(state.Set)
 		return true
 	})
-	return o.knownSet()
 }
 
 // Cluster is the cluster of the disk set this core goes by.
 func (o *Owner) Cluster() string { return o.knownSet().GetCluster() }
 
-// knownSet is the disk set as this core has learnt it, without asking.
+// Known is the disk set as this core has learnt it, without asking.
+func (o *Owner) Known() *DiskSet { return o.knownSet() }
+
 func (o *Owner) knownSet() *DiskSet {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.set
 }
 
-func (o *Owner) learn(set *DiskSet) {
+// Learn takes in a newer disk set of this cluster.
+func (o *Owner) Learn(set *DiskSet) {
 	o.mu.Lock()
 	newer := set != nil && len(set.Disks) > 0 && (o.set == nil || set.Stamp > o.set.Stamp && set.Cluster == o.set.Cluster)
 	if newer {
@@ -435,11 +461,12 @@
 			return
 		}
 		repair := s.based && s.needsFrame(entry.Id)
-		if repair && !o.beginRepair() {
-			s.mu.Unlock()
-			pause := o.bounds.Load().Beat() / 4
-			o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
-			continue
+		if repair {
+			if turn := o.beginRepair(); turn != nil {
+				s.mu.Unlock()
+				turn.Wait(o.bounds.Load().Beat() / 2)
+				continue
+			}
 		}
 		install, appended := s.outstanding(o.claim(s, epoch, set, entry), entry.Id)
 		s.mu.Unlock()
@@ -473,21 +500,25 @@
 // live traffic. A take-over's own frames are not held back.
 const repairsAtOnce = 2
 
-func (o *Owner) beginRepair() bool {
+// beginRepair takes a place, or gives what to wait for until one is free.
+func (o *Owner) beginRepair() base.Signal {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.repairs >= repairsAtOnce {
 		o.counters.Add("repairs_paced", 1)
-		return false
+		return o.repaired
 	}
 	o.repairs++
-	return true
+	return nil
 }
 
 func (o *Owner) endRepair() {
 	o.mu.Lock()
 	o.repairs--
+	freed := o.repaired
+	o.repaired = o.clock.NewSignal()
 	o.mu.Unlock()
+	freed.Fire()
 }
 
 func inSet(set *DiskSet, id string) bool {
@@ -550,7 +581,9 @@
 			o.stepDown(s, epoch, ack.Epoch)
 			return false
 		case "set":
-			o.agreeOnSet(entry, ack)
+			if o.agreeOnSet(entry, ack) {
+				return true
+			}
 		case "behind":
 			s.mu.Lock()
 			if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -34,6 +34,10 @@
 	Prefill  time.Duration
 	Cache    int
 	Settings string
+	// Tolerate is how many disks may be lost at once, 0 where operators mend the
+	// disk set; Found has the machines form the cluster by themselves.
+	Tolerate int
+	Found    bool
 	// ModelPool and ToolPool are "models" and "apps" unless set.
 	ModelPool string
 	ToolPool  string
@@ -78,6 +82,8 @@
 	closing bool
 	// gone machines never come back.
 	gone bool
+	// begun machines have had a life already.
+	begun bool
 }
 
 // Fleet is all machines.
@@ -175,11 +181,15 @@
 	if f.Seeds != nil {
 		place.Seeds = f.Seeds
 	}
-	place.Cluster = f.Pinned
+	if f.Shape.Found && f.Seeds == nil {
+		place.Seeds = base.Map(f.Cores[:min(3, len(f.Cores))], func(m *Machine) string { return m.Host.Name + ":1" })
+	}
+	place.Cluster, place.Node, place.Tolerate, place.Found = f.Pinned, h.Name, f.Shape.Tolerate, f.Shape.Found && !m.begun
 	if f.lost.seeds {
 		place.Seeds = []string{"nowhere:1"}
 	}
 	h.Go(func() {
+		m.begun = true
 		switch m.Role {
 		case "edge":
 			m.gateway = node.NewGateway(env, place)
@@ -288,13 +298,15 @@
 // Form makes the cluster, applies the settings and gives the worker list;
 // it runs as a task of the callers' host.
 func (f *Fleet) Form() {
-	addrs := base.Map(f.Storage, func(m *Machine) string { return m.Host.Name + ":1" })
-	f.insist("form", func() int {
-		status, _ := f.Operate(f.Cores[0], "POST", "/v1/operator/init", map[string]any{"disks": addrs})
-		return status
-	})
+	if !f.Shape.Found {
+		addrs := base.Map(f.Storage, func(m *Machine) string { return m.Host.Name + ":1" })
+		f.insist("form", func() int {
+			status, _ := f.Operate(f.Cores[0], "POST", "/v1/operator/init", map[string]any{"disks": addrs})
+			return status
+		})
+	}
 	f.insist("apply", func() int {
-		status, _ := f.Operate(f.Cores[0], "POST", "/v1/operator/settings/apply",
+		status, _ := f.Operate(f.living(), "POST", "/v1/operator/settings/apply",
 			map[string]any{"change": "first", "based_on": 0, "document": json.RawMessage(f.Shape.Settings)})
 		return status
 	})
@@ -308,6 +320,16 @@
 	})
 }
 
+// living is a core that is up.
+func (f *Fleet) living() *Machine {
+	for _, m := range f.Cores {
+		if m.Host.alive && !m.Host.frozen {
+			return m
+		}
+	}
+	return f.Cores[0]
+}
+
 func (f *Fleet) insist(what string, step func() int) {
 	for tries := 0; tries < 200; tries++ {
 		if step() == 200 {
