--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"fordseam/internal/budget"
 	"fordseam/internal/disk"
 	"fordseam/internal/feed"
+	"fordseam/internal/founding"
 	"fordseam/internal/front"
 	"fordseam/internal/membership"
 	"fordseam/internal/operate"
@@ -49,12 +50,14 @@
 	Limit  int64
 	// Cluster, when given, is the only one this process will be of.
 	Cluster string
-	// Node is the machine's name.
+	// Node is the machine's name, by which it can be retired.
 	Node string
-	// Found says that this is the very first start of the whole system.
-	Found bool
-	// Tolerate is how many machines with disks may be lost at once.
+	// Tolerate is how many machines may be lost with their disks at once;
+	// above 0 the cores mend the disk set by themselves.
 	Tolerate int
+	// Found tells a core that this is the very first start of the whole system,
+	// so that the seeds form the cluster. It holds for one life only.
+	Found bool
 	// Bounds, when given, hold until settings bring others.
 	Bounds *base.Bounds
 }
@@ -237,7 +240,8 @@
 	Register *register.Client
 	// Lister asks for the list of workers; it is set before Start where this
 	// core keeps a roster.
-	Lister relay.Lister
+	Lister  relay.Lister
+	founder *founding.Founder
 }
 
 func NewCore(env Env, place Place) *Core {
@@ -253,16 +257,27 @@
 	route.Serve(owner)
 	relay.Serve(owner)
 	client, follower := c.follow(tree, func(*feed.Frame) {})
+	if place.Tolerate > 0 {
+		owner.Mend(place.Tolerate)
+	}
+	core := &Core{common: c, Owner: owner, Follower: follower, Register: client}
+	if place.Found {
+		core.founder = founding.New(env.Clock, env.Wire, c.view, bounds, env.Counters, owner, place.Addr, place.Seeds, place.Tolerate)
+		c.mount(founding.NewFoundingServer(core.founder))
+	}
 	c.mount(register.NewRegisterServer(owner))
 	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, owner)))
-	return &Core{common: c, Owner: owner, Follower: follower, Register: client,
-		Operate: &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}}
+	core.Operate = &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}
+	return core
 }
 
 func (c *Core) Start() {
 	c.view.Unwell, c.view.Cluster = unwell(c.Ready), c.Owner.Cluster
 	c.env.Clock.Go(c.view.Run)
 	c.env.Clock.Go(c.Owner.Run)
+	if c.founder != nil {
+		c.env.Clock.Go(c.founder.Run)
+	}
 	c.env.Clock.Go(c.Follower.Run)
 	if c.Lister != nil {
 		duty := &relay.Duty{Clock: c.env.Clock, Bounds: c.bounds, Counters: c.env.Counters, Register: c.Register, Follower: c.Follower, Lister: c.Lister,
@@ -308,7 +323,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c.mount(register.NewDiskServer(disk.NewService(store, bounds.Load().DiskLimit())))
+	service := disk.NewService(store, bounds.Load().DiskLimit())
+	service.Node = place.Node
+	c.mount(register.NewDiskServer(service))
 	return &Storage{common: c, Store: store}, nil
 }
 
