--- a/cmd/fordseam-controller/client.go
+++ b/cmd/fordseam-controller/client.go
@@ -38,10 +38,14 @@
 		}},
 		client("status", "show the fleet as one core sees it", "", nil, status),
 		client("workers", "show the platform's worker list", "", nil, workers),
+		routeCommands(),
+		client("roster", "show the workers of the routes' services", "", nil, showRoster),
 		{Name: "storage", Usage: "see to the disks", Commands: []*cli.Command{
 			client("list", "show the disks and how far a change has come", "", nil, listStorage),
 			client("admit", "take a blank storage machine in", "STORAGE-ADDRESS", nil, admitStorage),
 			client("retire", "take a disk out and empty it", "DISK-ID", nil, retireStorage),
+			client("retire-node", "empty a machine by its name, so that it may be taken away with its disk", "MACHINE", nil, retireNode),
+			client("retiring", "tell how far a machine's retirement has come", "MACHINE", nil, retiringNode),
 		}},
 		client("terminate", "end a program", "PROGRAM", []cli.Flag{
 			&cli.StringFlag{Name: "mode", Value: "Drain", Usage: "`MODE`: Drain or Immediate; it only escalates"}}, terminate),
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -113,6 +113,11 @@
 	return fmt.Appendf(nil, "id: %s#%d\nevent: piece\ndata: %s\n\n", leg, piece.Place, base.Encode(map[string]string{"text": string(piece.Data)}))
 }
 
+// Answer serves one request by the product's own interface.
+func Answer(r *fasthttp.RequestCtx, handle Handler, ctx *base.Ctx) {
+	write(r, handle(ctx, read(r, string(r.Path()))))
+}
+
 // Serve listens until Shutdown.
 func (p *Public) Serve(listener net.Listener) error { return p.server.Serve(listener) }
 
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -14,6 +14,7 @@
 	"fordseam/internal/front"
 	"fordseam/internal/membership"
 	"fordseam/internal/register"
+	"fordseam/internal/route"
 	"fordseam/internal/settings"
 	"fordseam/internal/worker"
 
@@ -29,6 +30,8 @@
 	Register *register.Client
 	Owner    *register.Owner
 	Counters *base.Counters
+	// Table reads an operator's document of routes; nil where there are none.
+	Table func(written []byte) (*route.Table, error)
 }
 
 // Handle answers one request.
@@ -74,6 +77,18 @@
 		return o.admit(ctx, r)
 	case "POST /v1/operator/storage/retire":
 		return o.retire(ctx, r)
+	case "GET /v1/operator/routes":
+		return o.routes(ctx)
+	case "POST /v1/operator/routes/check":
+		return o.checkRoutes(r.Body)
+	case "POST /v1/operator/routes/apply":
+		return o.applyRoutes(ctx, r)
+	case "GET /v1/operator/roster":
+		return o.roster(ctx)
+	case "POST /v1/operator/storage/retire-node":
+		return o.retireNode(ctx, r, register.RetireNode)
+	case "POST /v1/operator/storage/retiring":
+		return o.retireNode(ctx, r, register.RetireState)
 	case "POST /v1/operator/terminate":
 		return o.terminate(ctx, r)
 	}
--- /dev/null
+++ b/internal/operate/routes.go
@@ -0,0 +1,102 @@
+// The operator's routes, the roster of workers and machines being retired, as
+// operators see and change them.
+package operate
+
+import (
+	"encoding/json"
+
+	"fordseam/internal/base"
+	"fordseam/internal/front"
+	"fordseam/internal/register"
+	"fordseam/internal/relay"
+	"fordseam/internal/route"
+)
+
+// RoutesView is the configuration of routes in force.
+type RoutesView struct {
+	Version  uint64          `json:"version"`
+	Document json.RawMessage `json:"document,omitempty"`
+	Taken    []route.Taken   `json:"taken"`
+}
+
+func (o *Operate) routes(ctx *base.Ctx) (any, error) {
+	found, err := route.Read(ctx, o.Register)
+	if err != nil {
+		return nil, err
+	}
+	shown := RoutesView{Version: found.Version, Taken: found.Taken}
+	if found.Version > 0 {
+		if shown.Document, err = found.Written(); err != nil {
+			return nil, err
+		}
+	}
+	return shown, nil
+}
+
+// readTable reads a document by the deployment's codec.
+func (o *Operate) readTable(document []byte) (*route.Table, error) {
+	if o.Table == nil {
+		return nil, base.Decline(404, "no_routes", "this deployment has no operator's routes")
+	}
+	return o.Table(document)
+}
+
+func (o *Operate) checkRoutes(document []byte) (any, error) {
+	table, err := o.readTable(document)
+	if err != nil {
+		return nil, err
+	}
+	return map[string]any{"valid": true, "version": table.Version, "routes": len(table.Routes), "services": len(table.Services)}, nil
+}
+
+func (o *Operate) applyRoutes(ctx *base.Ctx, r *front.Request) (any, error) {
+	var document json.RawMessage
+	based := -1.0
+	if err := base.ReadFields(r.Body, map[string]base.FieldReader{"based_on": base.Number(&based, 0, 1<<52, true), "document": raw(&document)}); err != nil {
+		return nil, err
+	}
+	switch {
+	case based < 0:
+		return nil, base.DeclineField("based_on", "must be given")
+	case document == nil:
+		return nil, base.DeclineField("document", "must be given")
+	}
+	table, err := o.readTable(document)
+	if err != nil {
+		return nil, err
+	}
+	if err := route.Put(ctx, o.Register, route.ChangeOf(uint64(based), table, document)); err != nil {
+		v := base.FromWire(err)
+		if v.Ran == base.MayHaveRun {
+			v = base.Unsure(504, "unknown", "the outcome is not known; ask again with the same document")
+		}
+		return nil, v
+	}
+	return map[string]any{"version": table.Version}, nil
+}
+
+func (o *Operate) roster(ctx *base.Ctx) (any, error) {
+	var found map[string]relay.Worker
+	return &found, o.Register.Change(ctx, register.FeedGroup, "roster.read", struct{}{}, &found)
+}
+
+// RetiringView is how far a machine's retirement has come.
+type RetiringView struct {
+	Node  string `json:"node"`
+	State string `json:"state"`
+}
+
+func (o *Operate) retireNode(ctx *base.Ctx, r *front.Request, act func(*base.Ctx, *register.Client, string) (*register.Retiring, error)) (any, error) {
+	var node string
+	if err := base.ReadFields(r.Body, map[string]base.FieldReader{"node": base.Text(&node, 128)}); err != nil {
+		return nil, err
+	}
+	if node == "" {
+		return nil, base.DeclineField("node", "must be a machine's name")
+	}
+	found, err := act(ctx, o.Register, node)
+	if err != nil {
+		return nil, err
+	}
+	return RetiringView{found.Node, found.State()}, nil
+}
--- a/internal/relay/roster.go
+++ b/internal/relay/roster.go
@@ -41,6 +41,17 @@
 // Serve adds the roster's op to a core: it puts what changed and takes out
 // what is gone.
 func Serve(owner *register.Owner) {
+	owner.Handle("roster.read", func(tx *register.Tx, _ []byte) (any, error) {
+		found := map[string]Worker{}
+		tx.Walk(RosterPrefix, "", func(key string, value []byte) bool {
+			var one Worker
+			if json.Unmarshal(value, &one) == nil {
+				found[strings.TrimPrefix(key, RosterPrefix)] = one
+			}
+			return true
+		})
+		return found, nil
+	})
 	owner.Handle("roster.replace", func(tx *register.Tx, args []byte) (any, error) {
 		var next map[string]Worker
 		if err := json.Unmarshal(args, &next); err != nil {
