Try the relay in virtual time: proofs, leaving, early refusals, choosing

Tests on a virtual clock with workers that have slots, a queue and faults. They found that a worker which had failed once was left for ever by requests coming one after another, since its failures stood against it after its pause as well; the pause alone counts now, and one request at a time tries it again.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -44,6 +44,7 @@
 	full     time.Duration // until then
 	silent   time.Duration // since then nothing was heard, with requests under way
 
+	mark   uint64 // of the id
 	held   *prefixes
 	read   time.Duration // when the prompts sent there will have been read
 	excess time.Duration // how much later than expected first events came of late
@@ -126,7 +127,7 @@
 	}
 	busy := s.load(p, now) / s.slots()
 	taken := float64(p.request.value) * s.pace() * (1 + busy*busy/4)
-	return s.waits(p, now) + time.Duration(taken) + r.far(o, s) + time.Duration(s.failures)*o.route.Target/8
+	return s.waits(p, now) + time.Duration(taken) + r.far(o, s)
 }
 
 func (r *Relay) modelCost(o *offer, p *pool, s *state, now time.Duration) time.Duration {
@@ -144,10 +145,10 @@
 	}
 	if len(o.call.Parts) > 0 {
 		// Where nobody holds the first part yet, all nodes think of the same few.
-		spread := base.Hash64(o.call.Parts[0].ID, s.ID) % 1024
+		spread := (o.shared ^ s.mark) * 0x9e3779b97f4a7c15 >> 54
 		cost += o.route.Target / 32 * time.Duration(spread) / 1024
 	}
-	return cost + r.far(o, s) + time.Duration(s.failures)*o.route.Target/8
+	return cost + r.far(o, s)
 }
 
 // unreadAt is how many tokens of the prompt the worker would have to read.
--- /dev/null
+++ b/internal/relay/choose_test.go
@@ -0,0 +1,198 @@
+// How requests spread over workers, with many nodes choosing at once from late
+// and partial news.
+package relay_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/relay"
+	"fordseam/internal/route"
+)
+
+// crowd runs nodes that each send requests at a steady rate, with a surge in
+// the middle, and gives the times of those served and how many were not.
+func crowd(t *testing.T, nodes, workers int, load float64) (times []time.Duration, refused, most int) {
+	f := newFleet(t, 7)
+	zones := []string{"z1", "z2", "z3", "z4"}
+	for place := range workers {
+		w := f.add(fmt.Sprintf("w%d", place), zones[place%4], 6)
+		w.work = func() time.Duration { return f.world.Between(20*time.Millisecond, 180*time.Millisecond) }
+	}
+	between := time.Duration(float64(100*time.Millisecond) * float64(nodes) / (load * 6 * float64(workers)))
+	f.run(func() {
+		left := nodes
+		for place := range nodes {
+			r := f.relay(zones[place%4])
+			f.clock.Go(func() {
+				under := 0
+				for end := f.clock.Now() + 20*time.Second; f.clock.Now() < end; {
+					under++
+					f.clock.Go(func() {
+						began := f.clock.Now()
+						if _, v := f.offer(r, plain(route.Once, 2), call()); v == nil {
+							times = append(times, f.clock.Now()-began)
+						} else {
+							refused++
+						}
+						under--
+					})
+					f.clock.Sleep(f.world.Between(0, 2*between))
+				}
+				for under > 0 {
+					f.clock.Sleep(100 * time.Millisecond)
+				}
+				left--
+			})
+		}
+		for left > 0 {
+			f.clock.Sleep(100 * time.Millisecond)
+		}
+	})
+	for _, w := range f.order {
+		most = max(most, w.most)
+	}
+	slices.Sort(times)
+	return times, refused, most
+}
+
+func TestManyChoosersDoNotHerd(t *testing.T) {
+	for _, row := range []struct {
+		nodes, workers int
+		load           float64
+		late           time.Duration // what 99 in 100 stay under
+	}{
+		{6, 8, 0.6, 330 * time.Millisecond},
+		{64, 40, 0.7, 330 * time.Millisecond},
+	} {
+		times, refused, most := crowd(t, row.nodes, row.workers, row.load)
+		t.Logf("%d nodes, %d workers, load %.1f: %d served, %d refused, p50 %v, p99 %v, most at a worker %d", row.nodes, row.workers, row.load, len(times), refused,
+			times[len(times)/2], times[len(times)*99/100], most)
+		if times[len(times)*99/100] > row.late || refused > 0 {
+			t.Error("requests herd")
+		}
+	}
+}
+
+func model(prompt int, parts ...relay.Part) *relay.Call {
+	c := call()
+	c.Parts, c.Most = parts, 34
+	value := ""
+	for place, part := range parts {
+		c.Prompt += part.Tokens
+		if place > 0 {
+			value += ","
+		}
+		value += fmt.Sprintf("%s:%d", part.ID, part.Tokens)
+	}
+	c.Headers = []relay.Header{{Name: "Parts", Value: value}, {Name: "Stream", Value: "data: x\n\n"}}
+	return c
+}
+
+var engine = &route.Service{Name: "s", Engine: &route.Engine{Slots: 96, CacheTokens: 250000, Stride: 2}}
+
+func (f *fleet) turn(r *relay.Relay, c *relay.Call) string {
+	reply, err := r.Offer(base.NewCtx(f.clock, time.Minute), plain(route.Stream, 2), engine, c, []byte("ask"))
+	f.NoErr(err)
+	defer reply.Close()
+	for err == nil {
+		_, err = reply.Event(time.Second)
+	}
+	return reply.Worker
+}
+
+// A session's next turn goes where its chain is kept; a new session goes where
+// the part that it shares is kept; a worker that is swamped is left.
+func TestSessionsStayWhereTheirPrefixIsKept(t *testing.T) {
+	f := newFleet(t, 3)
+	for place := range 9 {
+		w := f.add(fmt.Sprintf("w%d", place), []string{"z1", "z2", "z3"}[place%3], 96)
+		w.reading = time.Millisecond / 32
+		w.work = func() time.Duration { return 20 * time.Millisecond }
+	}
+	r := f.relay("z1")
+	f.run(func() {
+		shared := relay.Part{ID: "system", Tokens: 2560}
+		homes := map[string]int{}
+		for session := range 12 {
+			chain := []relay.Part{shared}
+			home := ""
+			for turn := range 4 {
+				chain = append(chain, relay.Part{ID: fmt.Sprintf("s%d-%d", session, turn), Tokens: 500})
+				on := f.turn(r, model(0, chain...))
+				if home == "" {
+					home = on
+				}
+				f.Equal(on, home)
+			}
+			homes[home]++
+		}
+		f.True(len(homes) <= 2) // one after another they need no more
+		read := 0
+		for _, w := range f.order {
+			read += w.read
+		}
+		f.True(read <= 12*4*500+2*2560)
+		// Another node, which knows only where the last turn ran.
+		other := f.relay("z3")
+		former := f.order[5]
+		c := model(0, shared, relay.Part{ID: "x-0", Tokens: 3000}, relay.Part{ID: "x-1", Tokens: 200})
+		c.Former = former.ID
+		f.Equal(f.turn(other, c), former.ID)
+		// Many sessions at once share one part: they spread.
+		on := map[string]int{}
+		left := 60
+		for session := range left {
+			f.clock.Go(func() {
+				on[f.turn(r, model(0, shared, relay.Part{ID: fmt.Sprintf("many%d", session), Tokens: 1000}))]++
+				left--
+			})
+		}
+		for left > 0 {
+			f.clock.Sleep(10 * time.Millisecond)
+		}
+		f.True(len(on) >= 6)
+	})
+}
+
+func BenchmarkChoosing(b *testing.B) {
+	for _, row := range []struct {
+		name    string
+		service *route.Service
+	}{{"plain", service}, {"model", engine}} {
+		b.Run(row.name, func(b *testing.B) {
+			f := &fleet{workers: map[string]*fakeWorker{}, clock: base.NewRealClock()}
+			for place := range 72 {
+				f.add(fmt.Sprintf("w%d", place), []string{"z1", "z2", "z3"}[place%3], 96)
+			}
+			r := f.relay("z1")
+			r.Backends = instant{}
+			c := call()
+			for place := range 8 {
+				c.Parts = append(c.Parts, relay.Part{ID: fmt.Sprint("p", place), Tokens: 400})
+			}
+			c.Prompt = 3200
+			rt := plain(route.Once, 1)
+			ctx := base.NewCtx(f.clock, time.Hour)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := r.Offer(ctx, rt, row.service, c, nil); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// instant is workers that answer at once.
+type instant struct{}
+
+var instantReply = &fakeReply{worker: &fakeWorker{slots: 96}, status: 200, header: map[string]string{"Seal": "x", "Load": "1,0,96"}}
+
+func (instant) Forget(string) {}
+func (instant) Call(*base.Ctx, string, *base.BackRequest) (base.BackReply, error) {
+	return instantReply, nil
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,7 +95,7 @@
 	for _, one := range workers {
 		s := r.known[one.ID]
 		if s == nil || s.Addr != one.Addr || s.Service != one.Service {
-			s = &state{Worker: one, held: newPrefixes()}
+			s = &state{Worker: one, held: newPrefixes(), mark: base.Hash64(one.ID)}
 			r.known[one.ID] = s
 		}
 		s.Worker = one
@@ -133,6 +133,7 @@
 
 	// At the model worker that was chosen: tokens to read, how long it has to
 	// read before, and the parts it did not hold.
+	shared  uint64 // mark of the first part
 	unread  int
 	backlog time.Duration
 	added   []partKey
@@ -151,6 +152,9 @@
 		o.rank = r.Rank(call)
 	}
 	o.lines = r.passed(call, rt)
+	if service.Engine != nil && len(call.Parts) > 0 {
+		o.shared = base.Hash64(call.Parts[0].ID)
+	}
 	for {
 		chosen, err := r.hold(o)
 		if err != nil {
