Replace lost disks within the time of the next loss, with runs that bring it about

Cause: a silent disk held both places for frames of repair, so a learner was not filled; a learner got its vote before the silence of the lost one was noticed. Places are now counted for each disk, a disk that gave no answer is first sent a small message, and votes are given only once every voter was asked since the set changed.

--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -559,6 +559,13 @@
 	return nil
 }
 
+// ID is the disk's id, "" while it is blank.
+func (s *Store) ID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id
+}
+
 // Cluster is the cluster the disk is of, or was.
 func (s *Store) Cluster() string {
 	s.mu.Lock()
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -74,6 +74,10 @@
 		return o.admit(ctx, r)
 	case "POST /v1/operator/storage/retire":
 		return o.retire(ctx, r)
+	case "POST /v1/operator/storage/empty":
+		return o.empty(ctx, r)
+	case "GET /v1/operator/storage/empty":
+		return emptying(register.RetireState(ctx, o.Register, r.Query["node"]))
 	case "POST /v1/operator/terminate":
 		return o.terminate(ctx, r)
 	}
@@ -169,11 +173,14 @@
 
 // StatusView is a core's view of the fleet.
 type StatusView struct {
-	Core     string           `json:"core"`
-	Slots    []uint32         `json:"slots_owned"`
-	SetStamp uint64           `json:"disk_set_stamp"`
-	Cluster  string           `json:"cluster"`
-	Members  []MemberView     `json:"members"`
+	Core     string       `json:"core"`
+	Slots    []uint32     `json:"slots_owned"`
+	SetStamp uint64       `json:"disk_set_stamp"`
+	Cluster  string       `json:"cluster"`
+	Members  []MemberView `json:"members"`
+	// Mending says what is being done about the disks; the core that owns slot 0
+	// knows, the others see only what is being filled.
+	Mending  []string         `json:"mending"`
 	Counters map[string]int64 `json:"counters"`
 	// Unwell names what needs an operator's eye; empty when all is well.
 	Unwell []string `json:"unwell"`
@@ -188,6 +195,14 @@
 			shown.Members = append(shown.Members, MemberView{member.Id, role, member.Zone, member.Addr, member.PublicAddr, alive, member.Leaving, member.Unwell})
 		}
 	}
+	shown.Mending = append([]string{}, o.Owner.Mending()...)
+	if len(shown.Mending) == 0 {
+		for _, entry := range set.GetDisks() {
+			if entry.Learner {
+				shown.Mending = append(shown.Mending, fmt.Sprintf("disk %s at %s is being filled", entry.Id, entry.Addr))
+			}
+		}
+	}
 	shown.Unwell = o.unwell(shown.Members, set)
 	return shown
 }
@@ -224,7 +239,7 @@
 			answering++
 		}
 		if !well {
-			found = append(found, fmt.Sprintf("disk %s at %s does not answer; if it is lost, retire it and admit another", entry.Id, entry.Addr))
+			found = append(found, fmt.Sprintf("disk %s at %s does not answer; %s", entry.Id, entry.Addr, o.advice()))
 		}
 	})
 	base.AskAll(o.Clock, o.View.Present(membership.RoleCore), o.Bounds.Load().DiskLimit(), func(ctx *base.Ctx, member *membership.Member) {
@@ -252,6 +267,14 @@
 	return found
 }
 
+// advice is what to do about a lost disk.
+func (o *Operate) advice() string {
+	if o.Owner.Mends() {
+		return "if it is lost, start an empty storage machine; it takes its place"
+	}
+	return "if it is lost, retire it and admit another"
+}
+
 // diff shows what a document would change, before it is applied.
 func (o *Operate) diff(ctx *base.Ctx, document []byte) (any, error) {
 	if _, err := o.check(document); err != nil {
--- a/internal/operate/storage.go
+++ b/internal/operate/storage.go
@@ -59,7 +59,7 @@
 			}
 			set.Cluster = state.Set.Cluster
 		}
-		set.Disks = append(set.Disks, &register.DiskEntry{Id: state.Id, Addr: addr, Zone: zones[addr]})
+		set.Disks = append(set.Disks, &register.DiskEntry{Id: state.Id, Addr: addr, Zone: zones[addr], Node: state.Node})
 	}
 	formed := 0
 	for _, addr := range addrs {
@@ -119,7 +119,7 @@
 			zone = member.Zone
 		}
 	}
-	return register.Admit(ctx, o.Register, now.Current, &register.DiskEntry{Id: state.Id, Addr: addr, Zone: zone})
+	return register.Admit(ctx, o.Register, now.Current, &register.DiskEntry{Id: state.Id, Addr: addr, Zone: zone, Node: state.Node})
 }
 
 func (o *Operate) retire(ctx *base.Ctx, r *front.Request) (any, error) {
@@ -137,11 +137,28 @@
 	return register.Retire(ctx, o.Register, now.Current, id)
 }
 
+// empty retires a machine by its name.
+func (o *Operate) empty(ctx *base.Ctx, r *front.Request) (any, error) {
+	var node string
+	if err := base.ReadFields(r.Body, map[string]base.FieldReader{"node": base.Text(&node, 128)}); err != nil {
+		return nil, err
+	}
+	return emptying(register.RetireNode(ctx, o.Register, node))
+}
+
+func emptying(found *register.Retiring, err error) (any, error) {
+	if err != nil {
+		return nil, err
+	}
+	return map[string]string{"node": found.Node, "state": found.State()}, nil
+}
+
 // DiskView is a disk in the listing.
 type DiskView struct {
 	ID     string            `json:"id"`
 	Addr   string            `json:"addr"`
 	Zone   string            `json:"zone"`
+	Node   string            `json:"node,omitempty"`
 	Voting bool              `json:"voting"`
 	Alive  bool              `json:"alive"`
 	Used   int64             `json:"used_bytes"`
@@ -184,7 +201,7 @@
 	shown := []DiskView{}
 	listed := map[string]bool{}
 	for _, entry := range set.Disks {
-		view := DiskView{ID: entry.Id, Addr: entry.Addr, Zone: zones[entry.Addr], Voting: !entry.Learner}
+		view := DiskView{ID: entry.Id, Addr: entry.Addr, Zone: zones[entry.Addr], Node: entry.Node, Voting: !entry.Learner}
 		if state := states[entry.Addr]; state != nil && state.Id == entry.Id {
 			view.Alive, view.Used, view.Behind = true, state.UsedBytes, behind(state, highest)
 		}
@@ -193,7 +210,7 @@
 	}
 	for _, addr := range base.SortedKeys(states) {
 		if state := states[addr]; !listed[state.Id] {
-			shown = append(shown, DiskView{ID: state.Id, Addr: addr, Zone: zones[addr], Alive: true, Used: state.UsedBytes})
+			shown = append(shown, DiskView{ID: state.Id, Addr: addr, Zone: zones[addr], Node: state.Node, Alive: true, Used: state.UsedBytes})
 		}
 	}
 	return StorageView{Cluster: set.Cluster, Stamp: set.Stamp, Moving: recorded.Under(), Slots: recorded.Slots, All: register.Slots, Disks: shown}, nil
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -26,6 +26,9 @@
 
 	mu   sync.Mutex
 	seen map[string]*sighting
+	// stamp is the set that was looked at, since when.
+	stamp uint64
+	since time.Duration
 	// told says in words what is under way.
 	told []string
 }
@@ -53,6 +56,9 @@
 	o.mending.emptied = emptied
 }
 
+// Mends tells whether the disk set mends itself.
+func (o *Owner) Mends() bool { return o.mending != nil }
+
 // Mending says in words what is under way; only the owner of slot 0 knows.
 func (o *Owner) Mending() []string {
 	if o.mending == nil {
@@ -70,7 +76,7 @@
 func (m *mending) forget() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.seen, m.told = map[string]*sighting{}, nil
+	m.seen, m.told, m.stamp = map[string]*sighting{}, nil, 0
 }
 
 // diskOf is the disk of a machine that was seen.
@@ -88,6 +94,7 @@
 // condition is how a disk of the set stands.
 type condition struct {
 	known  bool
+	fresh  bool // it was asked since the set last changed
 	gone   bool // another disk answers at its address
 	silent time.Duration
 	alive  bool // membership hears its machine
@@ -127,6 +134,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stamp != set.Stamp {
+		m.stamp, m.since = set.Stamp, now
+	}
 	for addr := range m.seen {
 		if !wanted[addr] {
 			delete(m.seen, addr)
@@ -145,8 +155,8 @@
 		switch {
 		case seen.state == nil || seen.silent || life == nil:
 			every = beat / 2
-		case len(m.told) > 0:
-			every = beat
+		case len(m.told) > 0 || seen.asked < m.since:
+			every = beat / 2
 		}
 		if !seen.busy && (seen.asked == 0 || now-seen.asked >= every) {
 			seen.busy, seen.asked = true, now
@@ -161,6 +171,7 @@
 	for _, entry := range set.Disks {
 		seen := m.seen[entry.Addr]
 		stands := condition{known: seen.state != nil, alive: lives[entry.Addr] != nil}
+		stands.fresh = seen.silent || seen.told > m.since
 		stands.gone = seen.state != nil && seen.state.Id != entry.Id
 		if seen.silent {
 			stands.silent = max(1, now-seen.silence)
@@ -283,13 +294,15 @@
 			}
 		}
 	}
+	fresh := func(entry *DiskEntry) bool { return view.conditions[entry.Id].fresh }
+	heard := len(base.Filter(voters(set), fresh)) == votes
 	spare := votes-1 >= need
 	choose(func(entry *DiskEntry, c condition) bool { return !entry.Learner && spare && c.gone })
 	choose(func(entry *DiskEntry, c condition) bool {
 		return !entry.Learner && spare && replaceable(c) && votes-1+whole >= wanted
 	})
 	choose(func(entry *DiskEntry, c condition) bool {
-		return entry.Learner && filled[entry.Id] == Slots && c.well() && !view.leaving[entry.Node]
+		return entry.Learner && heard && filled[entry.Id] == Slots && c.well() && !view.leaving[entry.Node]
 	})
 	if promote != "" {
 		wanted = max(wanted, votes+1-lost)
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -109,8 +109,11 @@
 // last said so.
 type progress struct {
 	installed bool
-	acked     uint64
-	stamp     uint64
+	// mute disks gave no answer to the last message; they are sent a small one
+	// next.
+	mute  bool
+	acked uint64
+	stamp uint64
 }
 
 // has reports whether the disk is known to hold the slot up to a number.
@@ -159,13 +162,13 @@
 	set      *DiskSet
 	lookup   base.Signal
 	moving   bool
-	repairs  int
+	repairs  map[string]int
 	repaired base.Signal
 	closed   bool
 }
 
 func NewOwner(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds], counters *base.Counters) *Owner {
-	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}, repaired: clock.NewSignal()}
+	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}, repairs: map[string]int{}, repaired: clock.NewSignal()}
 	o.handleDisks()
 	o.handleRetiring()
 	for num := range o.slots {
@@ -460,9 +463,9 @@
 			s.mu.Unlock()
 			return
 		}
-		repair := s.based && s.needsFrame(entry.Id)
+		repair := s.based && s.needsFrame(entry.Id) && !s.progress[entry.Id].mute
 		if repair {
-			if turn := o.beginRepair(); turn != nil {
+			if turn := o.beginRepair(entry.Id); turn != nil {
 				s.mu.Unlock()
 				turn.Wait(o.bounds.Load().Beat() / 2)
 				continue
@@ -476,7 +479,7 @@
 		}
 		ack, err := o.deliver(entry, install, appended)
 		if repair {
-			o.endRepair()
+			o.endRepair(entry.Id)
 		}
 		if err != nil || !ack.Ok {
 			if !o.mend(s, epoch, entry, ack) {
@@ -487,7 +490,7 @@
 		s.mu.Lock()
 		if s.epoch == epoch && s.progress[entry.Id] != nil {
 			mark := s.progress[entry.Id]
-			mark.installed, mark.acked, mark.stamp = true, max(mark.acked, ack.Seq), set.Stamp
+			mark.installed, mark.mute, mark.acked, mark.stamp = true, false, max(mark.acked, ack.Seq), set.Stamp
 			s.recount(set)
 		}
 		s.mu.Unlock()
@@ -495,26 +498,28 @@
 	}
 }
 
-// repairsAtOnce bounds the frames that one core sends to disks that are behind
-// while their slots are served without them, so that repair stays below the
-// live traffic. A take-over's own frames are not held back.
+// repairsAtOnce bounds the frames that one core sends to each disk that is
+// behind while its slots are served without it, so that repair stays below the
+// live traffic, and a disk that falls silent does not hold up another's. A take-over's own frames are not held back.
 const repairsAtOnce = 2
 
 // beginRepair takes a place, or gives what to wait for until one is free.
-func (o *Owner) beginRepair() base.Signal {
+func (o *Owner) beginRepair(disk string) base.Signal {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.repairs >= repairsAtOnce {
+	if o.repairs[disk] >= repairsAtOnce {
 		o.counters.Add("repairs_paced", 1)
 		return o.repaired
 	}
-	o.repairs++
+	o.repairs[disk]++
 	return nil
 }
 
-func (o *Owner) endRepair() {
+func (o *Owner) endRepair(disk string) {
 	o.mu.Lock()
-	o.repairs--
+	if o.repairs[disk]--; o.repairs[disk] == 0 {
+		delete(o.repairs, disk)
+	}
 	freed := o.repaired
 	o.repaired = o.clock.NewSignal()
 	o.mu.Unlock()
@@ -543,6 +548,9 @@
 // outstanding builds what a disk lacks; the caller holds the lock.
 func (s *slot) outstanding(claim *Claim, diskID string) (*InstallRequest, *AppendRequest) {
 	mark := s.progress[diskID]
+	if mark.mute {
+		return nil, &AppendRequest{Claim: claim}
+	}
 	if s.needsFrame(diskID) {
 		mark.installed = false
 		install := &InstallRequest{Claim: claim, Seq: s.tail}
@@ -587,7 +595,7 @@
 		case "behind":
 			s.mu.Lock()
 			if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
-				mark.installed = false
+				mark.installed, mark.mute = false, false
 			}
 			s.mu.Unlock()
 			return true
@@ -595,7 +603,7 @@
 	}
 	s.mu.Lock()
 	if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
-		mark.installed = mark.installed && ack != nil
+		mark.mute = ack == nil
 	}
 	s.mu.Unlock()
 	o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -274,13 +274,18 @@
 
 // Operate sends an operator's request to a core and gives status and body.
 func (f *Fleet) Operate(m *Machine, method, path string, body any) (status int, answer []byte) {
+	return f.OperateWith(m, method, path, map[string]string{}, body)
+}
+
+// OperateWith does so with a query.
+func (f *Fleet) OperateWith(m *Machine, method, path string, query map[string]string, body any) (status int, answer []byte) {
 	bell := base.NewBell(f.Callers.Clock())
 	if !m.Host.alive || m.core == nil {
 		return 0, nil
 	}
 	done := false
 	m.Host.Go(func() {
-		response := m.core.Operate.Handle(base.NewCtx(m.Host.Clock(), 30*time.Second), &front.Request{Method: method, Path: path, Query: map[string]string{}, Body: base.Encode(body)})
+		response := m.core.Operate.Handle(base.NewCtx(m.Host.Clock(), 30*time.Second), &front.Request{Method: method, Path: path, Query: query, Body: base.Encode(body)})
 		status, answer, done = response.Status, response.Body, true
 		bell.Ring()
 	})
--- /dev/null
+++ b/internal/simulate/mending_test.go
@@ -0,0 +1,490 @@
+// A fleet that forms and mends itself: founding, lost disks and their
+// replacements, machines retired by name.
+package simulate
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/register"
+	"fordseam/internal/standin"
+
+	"github.com/matryer/is"
+)
+
+// mendingSeeds is how many seeds each of these runs has at the least.
+const mendingSeeds = 4
+
+func mendingShape(storage, tolerate int) Shape {
+	shape := SmallShape()
+	shape.Cores, shape.Storage, shape.Tolerate, shape.Found = 4, storage, tolerate, true
+	return shape
+}
+
+// mending runs a script on several seeds.
+func mending(t *testing.T, shape Shape, steps func(is *is.I, f *Fleet, call *talker)) {
+	t.Helper()
+	bring(t, mendingSeeds**seeds, shape, func(t *testing.T, f *Fleet) {
+		is := is.New(t)
+		formed(t, f)
+		done := false
+		f.Callers.Go(func() {
+			defer func() { done = true }()
+			steps(is, f, &talker{f, f.Asker(f.Callers)})
+		})
+		is.True(f.World.Run(f.World.Now()+10*time.Minute, func() bool { return done })) // the script came to its end
+	})
+}
+
+// set is the newest disk set that a living core knows.
+func (f *Fleet) set() *register.DiskSet {
+	var newest *register.DiskSet
+	for _, m := range f.Cores {
+		if m.Host.alive && !m.Host.frozen && m.core != nil {
+			if known := m.core.Owner.Known(); known.GetStamp() > newest.GetStamp() {
+				newest = known
+			}
+		}
+	}
+	return newest
+}
+
+// whole tells whether each living storage machine's disk, and no other, has a
+// vote.
+func (f *Fleet) whole() bool {
+	voting := map[string]bool{}
+	for _, entry := range f.set().GetDisks() {
+		voting[entry.Addr+"/"+entry.Id] = true
+		if entry.Learner {
+			return false
+		}
+	}
+	count := 0
+	for _, m := range f.Storage {
+		if m.gone {
+			continue
+		}
+		if !m.Host.alive || m.Host.frozen || m.storage == nil || !voting[m.Host.Name+":1/"+m.storage.Store.ID()] {
+			return false
+		}
+		count++
+	}
+	return count == len(voting)
+}
+
+// explain logs what the cores and the disks say.
+func (f *Fleet) explain(t *testing.T) {
+	t.Helper()
+	t.Logf("seed %d at %v: %v", f.World.Seed, f.World.Now(), f.set())
+	for _, m := range f.Cores {
+		if m.Host.alive && !m.Host.frozen && m.core != nil {
+			slots, _ := m.core.Owner.Frame()
+			t.Logf("%s owns %v, mends %q, known %d", m.Host.Name, slots, m.core.Owner.Mending(), m.core.Owner.Known().GetStamp())
+		}
+	}
+	for _, m := range f.Storage {
+		t.Logf("%s alive %v frozen %v gone %v", m.Host.Name, m.Host.alive, m.Host.frozen, m.gone)
+	}
+}
+
+// lose takes a machine away with its disk; a silent one does not even refuse
+// connections.
+func (f *Fleet) lose(m *Machine, silent bool) {
+	if silent {
+		m.Host.Freeze()
+	} else {
+		f.PowerLoss(m)
+	}
+	m.gone = true
+}
+
+// wipe has a machine come back at its address with an empty disk.
+func (f *Fleet) wipe(m *Machine) {
+	f.PowerLoss(m)
+	m.Files.Wipe()
+}
+
+// retiring asks a core to retire a machine, or how far that has come.
+func (f *Fleet) retiring(method, node string) string {
+	for {
+		path, body := "/v1/operator/storage/empty", any(nil)
+		if method == "POST" {
+			body = map[string]string{"node": node}
+		}
+		status, answer := f.OperateWith(f.living(), method, path, map[string]string{"node": node}, body)
+		var told struct {
+			State string `json:"state"`
+		}
+		if status != 0 && status != 503 && json.Unmarshal(answer, &told) == nil {
+			return fmt.Sprint(status, told.State)
+		}
+		f.Callers.Clock().Sleep(50 * time.Millisecond)
+	}
+}
+
+// disks are the storage machines that are not gone.
+func (f *Fleet) disks() []*Machine {
+	return base.Filter(f.Storage, func(m *Machine) bool { return !m.gone })
+}
+
+// until waits for something and tells how long it took.
+func (f *Fleet) until(limit time.Duration, reached func() bool) time.Duration {
+	began := f.World.Now()
+	for !reached() && f.World.Now()-began < limit {
+		f.Callers.Clock().Sleep(5 * time.Millisecond)
+	}
+	return f.World.Now() - began
+}
+
+// Machines are lost with their disks one after another, each 4.1 s after the
+// last one's replacement began, in every way, and what was acknowledged stays.
+func TestReplacementsThenTheNextLoss(t *testing.T) {
+	ways := map[string]struct {
+		silent, back, core bool
+		wait               time.Duration
+	}{
+		"refusing, another address":         {wait: time.Second},
+		"silent, another address":           {silent: true, wait: time.Second},
+		"silent, at once":                   {silent: true},
+		"silent, late":                      {silent: true, wait: 5 * time.Second},
+		"same address, empty":               {back: true, wait: 300 * time.Millisecond},
+		"silent, the change's core as well": {silent: true, core: true, wait: time.Second},
+	}
+	for name, way := range ways {
+		for _, size := range []struct{ storage, tolerate int }{{4, 1}, {9, 2}, {3, 1}} {
+			t.Run(fmt.Sprint(name, "/", size.storage), func(t *testing.T) {
+				t.Parallel()
+				var longest time.Duration
+				mending(t, mendingShape(size.storage, size.tolerate), func(is *is.I, f *Fleet, call *talker) {
+					left := f.Converse(3, 10, true, func(c *standin.Caller) {
+						c.Between = func(int) { c.Clock.Sleep(f.World.Between(0, 2*time.Second)) }
+					})
+					is.True(f.until(10*time.Second, f.whole) < 10*time.Second)
+					for round := range 4 {
+						status, _ := f.Operate(f.living(), "POST", "/v1/operator/settings/apply",
+							map[string]any{"change": fmt.Sprint("round-", round), "based_on": round + 1, "document": f.marked(fmt.Sprint(round))})
+						is.Equal(status, 200)
+						var lost []*Machine
+						for len(lost) < size.tolerate {
+							if m := f.pick(f.disks()); !slices.Contains(lost, m) {
+								lost = append(lost, m)
+							}
+						}
+						for _, m := range lost {
+							if way.back {
+								f.wipe(m)
+							} else {
+								f.lose(m, way.silent)
+							}
+						}
+						call.sleep(way.wait)
+						if way.core {
+							for _, m := range f.Cores {
+								if slots, _ := m.core.Owner.Frame(); slices.Contains(slots, 0) && !m.Host.frozen {
+									f.freeze(m, 3*time.Second)
+									break
+								}
+							}
+						}
+						for _, m := range lost {
+							if way.back {
+								f.Start(m)
+							} else {
+								f.Add("storage")
+							}
+						}
+						began := f.World.Now()
+						took := f.until(4*time.Second, f.whole)
+						longest = max(longest, took)
+						if took >= 4*time.Second {
+							f.explain(t)
+						}
+						is.True(took < 4*time.Second)
+						call.sleep(began + 4100*time.Millisecond - f.World.Now())
+					}
+					for left() > 0 {
+						call.sleep(time.Second)
+					}
+					is.Equal(f.Tally.Counts["conversations_whole"], 3)
+					for _, m := range f.Edges {
+						is.Equal(m.gateway.Stamp(), uint64(5))
+					}
+				})
+				t.Logf("%s, %d disks: mended within %v", name, size.storage, longest)
+			})
+		}
+	}
+}
+
+// All that counts loses power at once, and as many machines as are tolerated
+// come back empty.
+func TestPowerCutWithDisksLost(t *testing.T) {
+	for _, size := range []struct{ storage, tolerate int }{{4, 1}, {9, 2}, {3, 1}} {
+		t.Run(fmt.Sprint(size.storage), func(t *testing.T) {
+			t.Parallel()
+			var longest, whole time.Duration
+			mending(t, mendingShape(size.storage, size.tolerate), func(is *is.I, f *Fleet, call *talker) {
+				is.True(f.until(10*time.Second, f.whole) < 10*time.Second)
+				program, secret := call.program(1000, nil)
+				path, key := call.session(0, program, secret, nil)
+				last := ""
+				for round := range 3 {
+					turn := fmt.Sprint("t", round)
+					verdict, _, _ := call.turn(1, path, key, program, turn, last).final()
+					is.Equal(verdict, "success")
+					last = turn
+					status, _ := f.Operate(f.living(), "POST", "/v1/operator/settings/apply",
+						map[string]any{"change": turn, "based_on": round + 1, "document": f.marked(turn)})
+					is.Equal(status, 200)
+					for _, m := range f.All() {
+						f.PowerLoss(m)
+					}
+					empty := map[*Machine]bool{}
+					for len(empty) < size.tolerate {
+						m := f.pick(f.Storage)
+						m.Files.Wipe()
+						empty[m] = true
+					}
+					call.sleep(time.Second)
+					for _, m := range f.All() {
+						f.Start(m)
+						call.sleep(f.World.Between(0, 50*time.Millisecond))
+					}
+					took := f.serving(time.Minute)
+					longest = max(longest, took)
+					is.True(took < 5*time.Second)
+					for _, m := range f.Edges {
+						is.Equal(m.gateway.Stamp(), uint64(round+2))
+					}
+					took += f.until(8*time.Second, f.whole)
+					if !f.whole() {
+						f.explain(t)
+					}
+					is.True(f.whole())
+					whole = max(whole, took)
+				}
+				verdict, _, _ := call.turn(2, path, key, program, "end", last).final()
+				is.Equal(verdict, "success")
+			})
+			t.Logf("%d disks: served within %v, whole within %v", size.storage, longest, whole)
+		})
+	}
+}
+
+// Machines frozen or cut off keep their votes while nobody can take their
+// place, and a stranger's or a retired disk is never taken in.
+func TestTroubledDisksKeepTheirVotes(t *testing.T) {
+	t.Parallel()
+	mending(t, mendingShape(4, 1), func(is *is.I, f *Fleet, call *talker) {
+		is.True(f.until(10*time.Second, f.whole) < 10*time.Second)
+		stamp := f.set().Stamp
+		for round := range 4 {
+			m := f.pick(f.Storage)
+			if round%2 == 0 {
+				m.Host.Freeze()
+				call.sleep(3 * time.Second)
+				m.Host.Thaw()
+			} else {
+				f.Net.CutOff(map[string]bool{m.Host.Name: true})
+				call.sleep(5 * time.Second)
+				f.Net.Heal()
+			}
+			call.sleep(4 * time.Second)
+		}
+		f.crash(f.pick(f.Storage), 2*time.Second, true)
+		call.sleep(6 * time.Second)
+		is.Equal(f.set().Stamp, stamp)
+		// One that is away for long is taken out, and back in when it returns.
+		away := f.pick(f.Storage)
+		f.PowerLoss(away)
+		call.sleep(16 * time.Second)
+		is.Equal(len(f.set().Disks), 3)
+		f.Start(away)
+		is.True(f.until(4*time.Second, f.whole) < 4*time.Second)
+	})
+}
+
+// founding runs a fleet that has to form one cluster by itself, on several
+// seeds, and checks that there is one.
+func founding(t *testing.T, storage int, trouble func(f *Fleet, call *talker)) (longest time.Duration) {
+	t.Helper()
+	for seed := uint64(1); seed <= uint64(8**seeds); seed++ {
+		is := is.New(t)
+		f := NewFleet(seed, mendingShape(storage, 1))
+		done := false
+		began := time.Duration(0)
+		f.Callers.Go(func() {
+			trouble(f, &talker{f, f.Asker(f.Callers)})
+			began = f.World.Now()
+			took := f.until(20*time.Second, f.whole)
+			longest = max(longest, took)
+			if !f.whole() {
+				f.explain(t)
+			}
+			done = true
+		})
+		is.True(f.World.Run(time.Minute, func() bool { return done }))
+		is.True(f.whole())
+		clusters := map[string]bool{}
+		for _, m := range f.Storage {
+			clusters[m.storage.Store.Cluster()] = true
+		}
+		is.Equal(len(clusters), 1)
+		f.Net.Heal()
+		f.Net.Faults = Faults{}
+		up := false
+		f.Callers.Go(func() { f.Form(); up = true })
+		is.True(f.World.Run(f.World.Now()+time.Minute, func() bool { return up }))
+		for _, breach := range f.Check() {
+			t.Errorf("seed %d: %s", seed, breach)
+		}
+		f.World.Close()
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	return longest
+}
+
+// The machines form one cluster by themselves, whatever happens meanwhile.
+func TestFounding(t *testing.T) {
+	ways := map[string]func(f *Fleet, call *talker){
+		"in quiet":                   func(*Fleet, *talker) {},
+		"the first seed never comes": func(f *Fleet, _ *talker) { f.Kill(f.Cores[0]) },
+		"the founder is killed": func(f *Fleet, call *talker) {
+			call.sleep(f.World.Between(550*time.Millisecond, 1200*time.Millisecond))
+			f.Kill(f.Cores[0])
+			f.later(time.Second, func() { f.Start(f.Cores[0]) })
+		},
+		"the founder freezes": func(f *Fleet, call *talker) {
+			call.sleep(f.World.Between(600*time.Millisecond, 1200*time.Millisecond))
+			f.freeze(f.Cores[0], 5*time.Second)
+		},
+		"storage comes late": func(f *Fleet, call *talker) {
+			for _, m := range f.Storage {
+				f.Kill(m)
+			}
+			for _, m := range f.Storage {
+				call.sleep(f.World.Between(0, 1500*time.Millisecond))
+				f.Start(m)
+			}
+		},
+		"messages lost and late": func(f *Fleet, call *talker) {
+			f.Net.Faults = Faults{Lost: 0.2, Late: 0.2, Twice: 0.2, LateLimit: 3 * time.Second}
+		},
+		"the founder is cut off": func(f *Fleet, call *talker) {
+			call.sleep(f.World.Between(600*time.Millisecond, 1000*time.Millisecond))
+			f.Net.CutOff(map[string]bool{f.Cores[0].Host.Name: true, f.Storage[0].Host.Name: true})
+			f.later(5*time.Second, f.Net.Heal)
+		},
+		"two halves": func(f *Fleet, call *talker) {
+			call.sleep(f.World.Between(500*time.Millisecond, 800*time.Millisecond))
+			f.Net.CutOff(map[string]bool{f.Cores[0].Host.Name: true, f.Storage[0].Host.Name: true, f.Storage[1].Host.Name: true, f.Storage[2].Host.Name: true})
+			f.later(5*time.Second, f.Net.Heal)
+		},
+	}
+	for name, trouble := range ways {
+		for _, storage := range []int{4, 9} {
+			t.Run(fmt.Sprint(name, "/", storage), func(t *testing.T) {
+				t.Parallel()
+				t.Logf("%s, %d disks: formed within %v", name, storage, founding(t, storage, trouble))
+			})
+		}
+	}
+}
+
+// Who was not told that this is the first start never forms a cluster.
+func TestNobodyFoundsUntold(t *testing.T) {
+	t.Parallel()
+	f := NewFleet(1, mendingShape(4, 1))
+	for _, m := range f.All() {
+		m.begun = true
+	}
+	is := is.New(t)
+	f.World.Run(30*time.Second, func() bool { return false })
+	is.True(f.set() == nil)
+	for _, m := range f.Storage {
+		is.Equal(m.storage.Store.Cluster(), "")
+	}
+	f.World.Close()
+}
+
+// A machine is retired by its name, removed with its disk the moment that is
+// complete, and then another loses its disk.
+func TestRetiringByName(t *testing.T) {
+	for _, size := range []struct{ storage, tolerate int }{{4, 1}, {9, 2}} {
+		for _, way := range []string{"in quiet", "its process disappears", "the change's core is lost", "its disk is lost"} {
+			t.Run(fmt.Sprint(way, "/", size.storage), func(t *testing.T) {
+				t.Parallel()
+				var longest time.Duration
+				mending(t, mendingShape(size.storage, size.tolerate), func(is *is.I, f *Fleet, call *talker) {
+					left := f.Converse(3, 8, true, func(c *standin.Caller) {
+						c.Between = func(int) { c.Clock.Sleep(f.World.Between(0, 2*time.Second)) }
+					})
+					is.True(f.until(10*time.Second, f.whole) < 10*time.Second)
+					held := map[string]bool{} // disks that something else keeps data on
+					for _, m := range f.Cores {
+						m.core.Owner.Emptied(func(_ *base.Ctx, disk string) (bool, error) { return !held[disk], nil })
+					}
+					out := f.pick(f.Storage)
+					id := out.storage.Store.ID()
+					held[id] = true
+					is.Equal(f.retiring("GET", "none"), "404")
+					is.Equal(f.retiring("GET", out.Host.Name), "404")
+					is.Equal(f.retiring("POST", "none"), "404")
+					began := f.World.Now()
+					is.Equal(f.retiring("POST", out.Host.Name), "200active")
+					is.Equal(f.retiring("POST", out.Host.Name), "200active")
+					switch way {
+					case "its process disappears":
+						f.Kill(out)
+					case "its disk is lost":
+						f.wipe(out)
+						f.Start(out)
+					case "the change's core is lost":
+						for _, m := range f.Cores {
+							if slots, _ := m.core.Owner.Frame(); slices.Contains(slots, 0) {
+								f.crash(m, 2*time.Second, false)
+							}
+						}
+					}
+					call.sleep(3 * time.Second)
+					is.Equal(f.retiring("GET", out.Host.Name), "200active") // data is there yet
+					for _, entry := range f.set().Disks {
+						is.True(entry.Id != id)
+					}
+					for _, m := range f.Cores {
+						m.core.Owner.Emptied(nil)
+					}
+					is.True(f.until(5*time.Second, func() bool { return f.retiring("GET", out.Host.Name) == "200complete" }) < 5*time.Second)
+					longest = max(longest, f.World.Now()-began)
+					f.lose(out, false)
+					next := f.pick(f.disks())
+					f.wipe(next)
+					call.sleep(time.Second)
+					f.Start(next)
+					is.True(f.until(4*time.Second, f.whole) < 4*time.Second)
+					is.Equal(f.retiring("POST", out.Host.Name), "200complete")
+					if size.storage == 4 {
+						is.Equal(f.retiring("POST", f.disks()[0].Host.Name), "409")
+					}
+					out.gone = false
+					out.Files.Wipe()
+					f.Start(out) // it is not taken back
+					call.sleep(4 * time.Second)
+					is.True(out.storage.Ready() != nil)
+					out.gone = true
+					is.Equal(f.retiring("GET", out.Host.Name), "200complete")
+					for left() > 0 {
+						call.sleep(time.Second)
+					}
+					is.Equal(f.Tally.Counts["conversations_whole"], 3)
+				})
+			})
+		}
+	}
+}
