--- a/cmd/fordseam-controller/client.go
+++ b/cmd/fordseam-controller/client.go
@@ -44,8 +44,8 @@
 			client("list", "show the disks and how far a change has come", "", nil, listStorage),
 			client("admit", "take a blank storage machine in", "STORAGE-ADDRESS", nil, admitStorage),
 			client("retire", "take a disk out and empty it", "DISK-ID", nil, retireStorage),
-			client("retire-node", "empty a machine by its name, so that it may be taken away with its disk", "MACHINE", nil, retireNode),
-			client("retiring", "tell how far a machine's retirement has come", "MACHINE", nil, retiringNode),
+			client("empty", "empty a machine by its name, so that it may be taken away with its disk", "MACHINE", nil, emptyMachine),
+			client("emptying", "tell how far that is: active or complete", "MACHINE", nil, emptyingMachine),
 		}},
 		client("terminate", "end a program", "PROGRAM", []cli.Flag{
 			&cli.StringFlag{Name: "mode", Value: "Drain", Usage: "`MODE`: Drain or Immediate; it only escalates"}}, terminate),
--- a/cmd/fordseam-controller/routes.go
+++ b/cmd/fordseam-controller/routes.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"os"
 
 	"fordseam/internal/base"
@@ -91,12 +92,20 @@
 	return nil
 }
 
-func retireNode(c *caller) error   { return retiring(c, "retire-node") }
-func retiringNode(c *caller) error { return retiring(c, "retiring") }
+func emptyMachine(c *caller) error {
+	return emptying(c, "POST", "/v1/operator/storage/empty", map[string]string{"node": c.command.Args().First()})
+}
+
+func emptyingMachine(c *caller) error {
+	return emptying(c, "GET", "/v1/operator/storage/empty?node="+url.QueryEscape(c.command.Args().First()), nil)
+}
 
-func retiring(c *caller, path string) error {
-	var shown operate.RetiringView
-	err := c.call("POST", "/v1/operator/storage/"+path, map[string]string{"node": c.command.Args().First()}, &shown)
+func emptying(c *caller, method, path string, body any) error {
+	var shown struct {
+		Node  string `json:"node"`
+		State string `json:"state"`
+	}
+	err := c.call(method, path, body, &shown)
 	if err == nil && !c.quiet() {
 		fmt.Printf("%s: %s\n", shown.Node, shown.State)
 	}
--- a/internal/operate/routes.go
+++ b/internal/operate/routes.go
@@ -1,4 +1,4 @@
-// The operator's routes, the roster of workers and machines being retired, as
+// The operator's routes and the roster of workers, as
 // operators see and change them.
 package operate
 
@@ -79,24 +79,3 @@
 	var found map[string]relay.Worker
 	return &found, o.Register.Change(ctx, register.FeedGroup, "roster.read", struct{}{}, &found)
 }
-
-// RetiringView is how far a machine's retirement has come.
-type RetiringView struct {
-	Node  string `json:"node"`
-	State string `json:"state"`
-}
-
-func (o *Operate) retireNode(ctx *base.Ctx, r *front.Request, act func(*base.Ctx, *register.Client, string) (*register.Retiring, error)) (any, error) {
-	var node string
-	if err := base.ReadFields(r.Body, map[string]base.FieldReader{"node": base.Text(&node, 128)}); err != nil {
-		return nil, err
-	}
-	if node == "" {
-		return nil, base.DeclineField("node", "must be a machine's name")
-	}
-	found, err := act(ctx, o.Register, node)
-	if err != nil {
-		return nil, err
-	}
-	return RetiringView{found.Node, found.State()}, nil
-}
