--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -74,6 +74,7 @@
 	stream *Stream
 	state  session.OperationState
 	marked bool // forwarded to here, so it goes no further
+	keep   time.Duration
 
 	mu        sync.Mutex
 	cancelled bool
@@ -291,6 +292,7 @@
 			chained.Fire()
 		})
 	}
+	op.keep = matched.Retain
 	claimed, err := k.claim(h, op, after)
 	if err != nil {
 		told(nil)
@@ -316,7 +318,7 @@
 		lost = base.Busy(503, "history_late", 1, "the conversation's history did not come in time")
 	}
 	if lost != nil {
-		k.settle(call, 0)
+		k.settle(h, op, 0)
 		op.stream.fail(base.FromWire(lost))
 		return false
 	}
@@ -330,9 +332,9 @@
 	assignment := h.assignment
 	h.mu.Unlock()
 	call := op.call
-	asked := &Claim{Program: call.Program, Session: call.Session, Turn: call.ID, Most: int64(call.Most), Budget: call.Budget, HasBudget: call.HasBudget, Owner: k.me(), After: after}
+	asked := &Claim{Program: call.Program, Session: call.Session, Turn: call.ID, Most: int64(call.Most), Budget: call.Budget, HasBudget: call.HasBudget, Owner: k.me(), Previous: call.Previous, Keep: op.keep, After: after}
 	if assignment != nil {
-		asked.Run, asked.Epoch, asked.After = assignment.Run, assignment.Epoch, nil
+		asked.Run, asked.Epoch, asked.Confirmed, asked.After = assignment.Run, assignment.Epoch, true, nil
 	} else {
 		asked.Run, asked.Epoch = base.NewID(k.Clock, "run-"), 1
 		if after != nil {
@@ -361,7 +363,7 @@
 			return claimed, nil
 		}
 		k.Counters.Add("runs_succeeded", 1)
-		asked.After, asked.Epoch, asked.Run = other, other.Epoch+1, base.NewID(k.Clock, "run-")
+		asked.After, asked.Epoch, asked.Run, asked.Confirmed = other, other.Epoch+1, base.NewID(k.Clock, "run-"), false
 	}
 }
 
@@ -384,11 +386,18 @@
 
 // settle tells the ledger in its own time what a turn that was not whole
 // handed out.
-func (k *Keeper) settle(call *relay.Call, tokens int64) {
+func (k *Keeper) settle(h *held, op *operation, tokens int64) {
+	h.mu.Lock()
+	assignment := h.assignment
+	h.mu.Unlock()
+	if !op.call.HasBudget || assignment == nil {
+		return
+	}
+	settled := &Settled{Program: op.call.Program, Run: assignment.Run, Turn: op.call.ID, Tokens: tokens, Keep: op.keep}
 	k.Clock.Go(func() {
 		recover := k.Bounds.Load().Recover
 		for end := k.Clock.Now() + recover; k.Clock.Now() < end; k.Clock.Sleep(recover / 48) {
-			if k.Ledger.Settle(base.NewCtx(k.Clock, recover/6), call.Program, call.Session, call.ID, tokens) == nil {
+			if k.Ledger.Settle(base.NewCtx(k.Clock, recover/6), settled) == nil {
 				return
 			}
 		}
@@ -409,19 +418,19 @@
 		v := base.FromWire(err)
 		handed := int64(0)
 		op.state = session.OpFailed
-		k.settle(call, handed)
+		k.settle(h, op, handed)
 		op.stream.fail(v)
 		return
 	}
 	defer reply.Close()
 	if !op.attach(reply) {
-		k.settle(call, 0)
+		k.settle(h, op, 0)
 		op.state = session.OpCancelled
 		op.stream.fail(base.Unsure(502, "cancelled", "the turn was given up"))
 		return
 	}
 	if !reply.Streams() {
-		k.settle(call, 0)
+		k.settle(h, op, 0)
 		op.state = session.OpFailed
 		k.answerPlain(op, reply)
 		return
@@ -432,7 +441,7 @@
 	}
 	output, events, whole := k.passOn(op, reply)
 	if !whole {
-		k.settle(call, events*stride)
+		k.settle(h, op, events*stride)
 		op.state = session.OpFailed
 		k.Counters.Add("turns_cut", 1)
 		op.stream.fail(base.Unsure(502, "cut", "the worker's answer was cut short"))
@@ -491,11 +500,11 @@
 	assignment := h.assignment
 	h.mu.Unlock()
 	kept := Kept{Turn: call.ID, Previous: call.Previous, Input: call.Body, Output: output}
-	ending := &Ending{Program: call.Program, Session: call.Session, Run: assignment.Run, Owner: assignment.Owner, Epoch: assignment.Epoch, Kept: kept, Tokens: tokens, Retain: matched.Retain}
+	ending := &Ending{Program: call.Program, Session: call.Session, Run: assignment.Run, Owner: assignment.Owner, Epoch: assignment.Epoch, Kept: kept, Budgeted: call.HasBudget, Tokens: tokens, Retain: matched.Retain}
 	ctx := base.NewCtx(k.Clock, min(max(op.ctx.Left(), k.Bounds.Load().Recover/12), k.Bounds.Load().Recover/4))
 	if err := k.Ledger.Finish(ctx, ending); err != nil {
 		k.Counters.Add("turns_not_kept", 1)
-		k.settle(call, tokens)
+		k.settle(h, op, tokens)
 		op.state = session.OpFailed
 		op.stream.fail(base.FromWire(err))
 		return
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -62,10 +62,10 @@
 	return nil
 }
 
-func (b *book) Settle(_ *base.Ctx, _, _, turn string, tokens int64) error {
+func (b *book) Settle(_ *base.Ctx, settled *Settled) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.settled[turn] = tokens
+	b.settled[settled.Turn] = settled.Tokens
 	return nil
 }
 
--- a/internal/line/ports.go
+++ b/internal/line/ports.go
@@ -22,6 +22,11 @@
 	Run       string
 	Owner     string
 	Epoch     uint64
+	Previous  string
+	// Confirmed tells that this claim held before.
+	Confirmed bool
+	// Keep is how long what is kept of the program may be needed.
+	Keep time.Duration
 	// After is the assignment that is to be succeeded, if any.
 	After *Assignment
 }
@@ -49,15 +54,25 @@
 	Owner   string
 	Epoch   uint64
 	Kept
-	Tokens int64
-	Retain time.Duration
+	Budgeted bool
+	Tokens   int64
+	Retain   time.Duration
+}
+
+// Settled is what a turn came to that was not answered whole.
+type Settled struct {
+	Program string
+	Run     string
+	Turn    string
+	Tokens  int64
+	Keep    time.Duration
 }
 
 // Ledger keeps assignments, reservations and turns.
 type Ledger interface {
 	Begin(ctx *base.Ctx, claim *Claim) (*Claimed, error)
 	Finish(ctx *base.Ctx, ending *Ending) error
-	Settle(ctx *base.Ctx, program, session, turn string, tokens int64) error
+	Settle(ctx *base.Ctx, settled *Settled) error
 	Chain(ctx *base.Ctx, program, turn string) ([]Kept, error)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,7 @@
 	c.mount(session.NewOwnerServer(g.Keeper))
 	g.Routes = &base.Table[route.Table]{}
 	g.Relay = relay.New(relay.Parts{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: place.Zone, ConnShare: g.connShare, AnswerLimit: answerLimit})
-	kept := ledger.NewClient(env.Clock, env.Wire, g.disks.Load, place.Zone, place.Tolerate, bounds, env.Counters, c.view.AliveAt)
+	kept := ledger.NewClient(env.Clock, env.Wire, g.disks.Load, place.Zone, place.Tolerate, bounds, env.Counters, nil)
 	g.Lines = line.NewKeeper(line.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
 		Routes: g.Routes, Ledger: keeping{kept}, Workers: offering{g}})
 	c.mount(line.NewOwnerServer(g.Lines))
