Keep programs and turns on the storage machines, written directly by gateways

Cause: each turn costs two changes through a core, and at the larger sites there are few and small cores. What is kept of programs (the Run a session is assigned to, what its turns have reserved and spent, the turns answered whole) can lie on the storage machines themselves.

New slice internal/ledger: a store with a log of its own over a ring of files beside the register's (internal/disk/segments.go), group-committed; a client that writes to f+1 of a program's 2f+1 replicas and turns to the others on failure or delay; pulls between stores at a change of the disk set and at each start. Storage machines open it and mount it.

Ruled out: changes through the cores (their processors); one leader per program among the stores (take-over and its pause). A budget that is decided in one round trip by what each replica saw alone: three reservations that each see one other can overrun it, so a round whose replicas saw different things is followed by a second.

Before: no such slice.

--- a/internal/base/bounds.go
+++ b/internal/base/bounds.go
@@ -40,6 +40,9 @@
 // DiskLimit bounds one answer of a disk.
 func (b *Bounds) DiskLimit() time.Duration { return b.Recover / 12 }
 
+// Hedge is how long a slow disk is waited for before another is asked too.
+func (b *Bounds) Hedge() time.Duration { return b.Recover / 150 }
+
 // Call bounds one message to a core and back, its wait for disks included.
 func (b *Bounds) Call() time.Duration { return b.Recover / 6 }
 
--- a/internal/disk/files.go
+++ b/internal/disk/files.go
@@ -39,7 +39,7 @@
 	sizes map[string]int64
 }
 
-var ownFiles = []string{slotName(0), slotName(1), logName(0), logName(1), neighboursName}
+var ownFiles = append(segmentNames(), slotName(0), slotName(1), logName(0), logName(1), neighboursName)
 
 // OpenFolder uses a data folder, making it when absent. A limit above zero
 // bounds what the folder may hold. A folder that holds other files and none
--- /dev/null
+++ b/internal/disk/segments.go
@@ -0,0 +1,263 @@
+// Segments is a log over a ring of files, for state that is kept as entries
+// and forgotten by age. A batch is one sealed record, begun only after the one
+// before it was synced, and numbers run on through all files, so a batch that
+// is missing in the middle shows. What cannot be read at the very end was
+// never answered, short of rot there, and is cut off. The keeper writes what
+// still counts of the oldest file again and then drops it.
+package disk
+
+import (
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// SegmentCount is how many files a ring has; SpareSegments are kept empty.
+const (
+	SegmentCount  = 16
+	SpareSegments = 2
+	ledgerPrefix  = "ledger-"
+)
+
+type segment struct {
+	generation uint64
+	size       int
+}
+
+// Segments is used by one task at a time.
+type Segments struct {
+	files  Files
+	floor  int
+	number uint64
+	held   []segment
+}
+
+func segmentName(generation uint64) string {
+	return ledgerPrefix + strconv.FormatUint(generation%SegmentCount, 10)
+}
+
+func segmentNames() []string {
+	names := []string{}
+	for generation := uint64(0); generation < SegmentCount; generation++ {
+		names = append(names, segmentName(generation))
+	}
+	return names
+}
+
+type segmentRead struct {
+	segment
+	batches []opened
+	whole   bool
+	length  int
+}
+
+// OpenSegments gives every batch that can be read to apply, oldest first. A
+// damaged log is told of, and is still read as far as it goes; floor is the
+// least size of a file before the next is begun.
+func OpenSegments(files Files, floor int, apply func(generation uint64, payload []byte) error) (log *Segments, damaged error, err error) {
+	s := &Segments{files: files, floor: floor}
+	read := []*segmentRead{}
+	for place := uint64(0); place < SegmentCount; place++ {
+		found, err := readSegment(files, place)
+		if err != nil {
+			return nil, nil, errors.Annotate(err, segmentName(place))
+		}
+		if found != nil {
+			at := 0
+			for at < len(read) && read[at].generation < found.generation {
+				at++
+			}
+			read = append(read[:at], append([]*segmentRead{found}, read[at:]...)...)
+		}
+	}
+	for place, found := range read {
+		for _, batch := range found.batches {
+			if s.number > 0 && batch.number != s.number+1 {
+				damaged = errors.Annotatef(errDamaged, "%s, batch %d follows %d", segmentName(found.generation), batch.number, s.number)
+			}
+			s.number = batch.number
+			if err := apply(found.generation, batch.payload); err != nil {
+				return nil, nil, errors.Annotatef(err, "%s, batch %d", segmentName(found.generation), batch.number)
+			}
+		}
+		found.batches = nil
+		last := place == len(read)-1
+		if !found.whole || !last && found.size < found.length {
+			damaged = errors.Annotatef(errDamaged, "%s", segmentName(found.generation))
+		}
+		if found.size < found.length && (last || !found.whole) {
+			if err := s.cut(found.generation, found.size); err != nil {
+				return nil, nil, err
+			}
+		}
+		s.held = append(s.held, found.segment)
+	}
+	return s, damaged, nil
+}
+
+// readSegment reads one file as far as it goes; whole tells that nothing that
+// can be read follows a part that cannot.
+func readSegment(files Files, place uint64) (*segmentRead, error) {
+	name := segmentName(place)
+	data, err := files.Read(name)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if blank(data) {
+		if len(data) == 0 {
+			return nil, nil
+		}
+		return nil, emptied(files, name)
+	}
+	found := &segmentRead{whole: true, length: len(data)}
+	for at := 0; at < len(data); {
+		batch, size, err := open(data[at:])
+		if err != nil && foreign(err) && errors.Cause(err) != errForeign {
+			return nil, err
+		}
+		if err == nil && len(found.batches) > 0 && batch.generation != found.generation {
+			err = errDamaged
+		}
+		if err != nil {
+			next, batch, _ := nextSealed(data, at+1, found.generation)
+			if next < 0 {
+				if at == 0 && string(data[:min(len(data), len(fileMark))]) != fileMark && !blank(data[:min(len(data), headerSize)]) {
+					return nil, errForeign
+				}
+				break
+			}
+			found.whole, at = false, next
+			found.generation = batch.generation
+			continue
+		}
+		found.generation = batch.generation
+		found.batches = append(found.batches, batch)
+		at += size
+		found.size = at
+	}
+	if len(found.batches) == 0 {
+		return nil, emptied(files, name)
+	}
+	if found.generation%SegmentCount != place {
+		return nil, errForeign
+	}
+	return found, nil
+}
+
+// nextSealed finds the first batch from a place on, of a generation unless that
+// is not known.
+func nextSealed(data []byte, place int, generation uint64) (int, opened, int) {
+	if generation > 0 {
+		return nextCopy(data, place, generation)
+	}
+	for at := place; at+headerSize <= len(data); at++ {
+		if data[at] != fileMark[0] {
+			continue
+		}
+		if found, size, err := open(data[at:]); err == nil {
+			return at, found, size
+		}
+	}
+	return -1, opened{}, 0
+}
+
+func emptied(files Files, name string) error {
+	if err := files.Trim(name, 0); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(files.Sync(name))
+}
+
+func (s *Segments) cut(generation uint64, size int) error {
+	if err := s.files.Trim(segmentName(generation), size); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(s.files.Sync(segmentName(generation)))
+}
+
+// Write has a batch synced and tells where it is. Where there is no room, what
+// was written of it is cut off again and the error is ErrFull.
+func (s *Segments) Write(payload []byte, live int) (generation uint64, err error) {
+	last := len(s.held) - 1
+	if last < 0 || s.held[last].size >= max(s.floor, live/(SegmentCount/2)) && len(s.held) < SegmentCount {
+		next := uint64(1)
+		if last >= 0 {
+			next = s.held[last].generation + 1
+		}
+		s.held = append(s.held, segment{generation: next})
+		last++
+	}
+	head := &s.held[last]
+	name := segmentName(head.generation)
+	data := seal(head.generation, s.number+1, 0, payload)
+	if err = s.files.Append(name, data); err == nil {
+		err = s.files.Sync(name)
+	}
+	if err != nil {
+		if isFull(err) {
+			if err := s.files.Trim(name, head.size); err != nil {
+				return 0, errors.Trace(err)
+			}
+		}
+		return 0, errors.Trace(err)
+	}
+	s.number++
+	head.size += len(data)
+	return head.generation, nil
+}
+
+// Tight tells the oldest file's generation where it should be dropped soon, to
+// keep spare ones.
+func (s *Segments) Tight() (oldest uint64, tight bool) {
+	if len(s.held) <= SegmentCount-SpareSegments {
+		return 0, false
+	}
+	return s.held[0].generation, true
+}
+
+// Last is the generation that is written to.
+func (s *Segments) Last() uint64 {
+	if len(s.held) == 0 {
+		return 0
+	}
+	return s.held[len(s.held)-1].generation
+}
+
+// Oldest is the generation of the oldest file.
+func (s *Segments) Oldest() uint64 {
+	if len(s.held) == 0 {
+		return 0
+	}
+	return s.held[0].generation
+}
+
+// Turn ends the file that is written to, so that it can be dropped later.
+func (s *Segments) Turn() {
+	if last := len(s.held) - 1; last >= 0 && s.held[last].size > 0 && len(s.held) < SegmentCount {
+		s.held = append(s.held, segment{generation: s.held[last].generation + 1})
+	}
+}
+
+// Drop empties the oldest file.
+func (s *Segments) Drop() error {
+	if len(s.held) < 2 {
+		return nil
+	}
+	if err := emptied(s.files, segmentName(s.held[0].generation)); err != nil {
+		return err
+	}
+	s.held = s.held[1:]
+	return nil
+}
+
+// Bytes is what the files hold.
+func (s *Segments) Bytes() int {
+	sum := 0
+	for _, held := range s.held {
+		sum += held.size
+	}
+	return sum
+}
+
+// IsFull tells whether an error is want of room.
+func IsFull(err error) bool { return isFull(err) }
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -559,6 +559,14 @@
 	return nil
 }
 
+// Identity is the disk's id and the newest set it goes by; both are empty on a
+// blank disk.
+func (s *Store) Identity() (id string, set *register.DiskSet) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id, s.set
+}
+
 // Cluster is the cluster the disk is of, or was.
 func (s *Store) Cluster() string {
 	s.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"fordseam/internal/disk"
 	"fordseam/internal/feed"
 	"fordseam/internal/front"
+	"fordseam/internal/ledger"
 	"fordseam/internal/membership"
 	"fordseam/internal/operate"
 	"fordseam/internal/register"
@@ -43,6 +44,9 @@
 	Limit  int64
 	// Cluster, when given, is the only one this process will be of.
 	Cluster string
+	// Tolerate is how many storage machines may be lost at once, disks and all;
+	// one where it is not given. It must be the same everywhere.
+	Tolerate int
 }
 
 type common struct {
@@ -249,7 +253,8 @@
 // Storage is the control plane's process that keeps a disk.
 type Storage struct {
 	*common
-	Store *disk.Store
+	Store  *disk.Store
+	Ledger *ledger.Store
 }
 
 func NewStorage(env Env, place Place) (*Storage, error) {
@@ -260,14 +265,22 @@
 	if err != nil {
 		return nil, err
 	}
+	kept, err := ledger.OpenStore(ledger.Parts{Clock: env.Clock, Wire: env.Wire, Files: env.Files, Bounds: bounds, Counters: env.Counters,
+		Tolerate: place.Tolerate, Local: store.Identity})
+	if err != nil {
+		store.Close()
+		return nil, err
+	}
 	c.mount(register.NewDiskServer(disk.NewService(store, bounds.Load().DiskLimit())))
-	return &Storage{common: c, Store: store}, nil
+	c.mount(ledger.NewLedgerServer(kept))
+	return &Storage{common: c, Store: store, Ledger: kept}, nil
 }
 
 func (s *Storage) Start() {
 	s.view.Unwell, s.view.Cluster = unwell(s.Ready), s.Store.Cluster
 	s.env.Clock.Go(s.view.Run)
 	s.env.Clock.Go(s.remember)
+	s.env.Clock.Go(s.Ledger.Run)
 }
 
 // remember keeps the addresses of the fleet in the data folder: when all seeds
@@ -284,10 +297,17 @@
 	}
 }
 
-func (s *Storage) Ready() error        { return s.Store.Ready() }
+func (s *Storage) Ready() error {
+	if err := s.Store.Ready(); err != nil {
+		return err
+	}
+	return s.Ledger.Ready()
+}
+
 func (s *Storage) Leave(time.Duration) { s.view.Leave(s.bounds.Load().Beat() * 4) }
 
 func (s *Storage) Stop() {
 	s.Store.Close()
+	s.Ledger.Close()
 	s.view.Close()
 }
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -21,10 +21,11 @@
 	if err != nil {
 		return errors.Annotate(err, "settings file")
 	}
-	limit := float64(place.Limit)
+	limit, tolerate := float64(place.Limit), float64(place.Tolerate)
 	err = base.ReadFields(document, map[string]base.FieldReader{
 		"role": base.Text(&place.Role, 16), "address": base.Text(&place.Addr, 64), "public_address": base.Text(&place.Public, 64),
 		"zone": base.Text(&place.Zone, 128), "cluster": base.Text(&place.Cluster, 128), "data": base.Text(&place.Data, 4096), "disk_limit_bytes": base.Number(&limit, 0, 1<<50, true),
+		"tolerate_lost_disks": base.Number(&tolerate, 1, 4, true),
 		"seeds": func(path string, d *jx.Decoder) error {
 			if d.Next() != jx.Array {
 				return base.DeclineField(path, "must be a list of addresses")
@@ -38,7 +39,7 @@
 			})
 		},
 	})
-	place.Limit = int64(limit)
+	place.Limit, place.Tolerate = int64(limit), int(tolerate)
 	if v := base.VerdictIn(err); v != nil {
 		return errors.Errorf("settings file %s: %s: %s", path, v.Field, v.Message)
 	}
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"runtime"
 	"time"
 
@@ -211,6 +212,9 @@
 // Revive brings a worker's machine back after Kill.
 func (h *Host) Revive() { h.alive = true }
 
+// Serve says what answers the messages to the host until it is killed.
+func (h *Host) Serve(handler http.Handler) { h.serve = handler }
+
 // Freeze stops the host's tasks; Thaw lets them go on where they were.
 func (h *Host) Freeze() { h.frozen = true }
 
