--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 package node
 
 import (
-	"fordseam/internal/ledger"
 	"fordseam/internal/line"
 	"fordseam/internal/relay"
 	"fordseam/internal/route"
@@ -19,6 +18,7 @@
 	"fordseam/internal/feed"
 	"fordseam/internal/founding"
 	"fordseam/internal/front"
+	"fordseam/internal/ledger"
 	"fordseam/internal/membership"
 	"fordseam/internal/operate"
 	"fordseam/internal/register"
@@ -259,6 +259,8 @@
 	client, follower := c.follow(tree, func(*feed.Frame) {})
 	if place.Tolerate > 0 {
 		owner.Mend(place.Tolerate)
+		kept := ledger.NewClient(env.Clock, env.Wire, func() *register.DiskSet { return register.DisksOf(follower.Frame().Values) }, place.Zone, place.Tolerate, bounds, env.Counters, nil)
+		owner.Emptied(func(ctx *base.Ctx, disk string) (bool, error) { return kept.Emptied(ctx, disk), nil })
 	}
 	core := &Core{common: c, Owner: owner, Follower: follower, Register: client}
 	if place.Found {
@@ -312,7 +314,8 @@
 // Storage is the control plane's process that keeps a disk.
 type Storage struct {
 	*common
-	Store *disk.Store
+	Store  *disk.Store
+	Ledger *ledger.Store
 }
 
 func NewStorage(env Env, place Place) (*Storage, error) {
@@ -323,16 +326,24 @@
 	if err != nil {
 		return nil, err
 	}
+	kept, err := ledger.OpenStore(ledger.Parts{Clock: env.Clock, Wire: env.Wire, Files: env.Files, Bounds: bounds, Counters: env.Counters,
+		Tolerate: place.Tolerate, Local: store.Identity})
+	if err != nil {
+		store.Close()
+		return nil, err
+	}
 	service := disk.NewService(store, bounds.Load().DiskLimit())
 	service.Node = place.Node
 	c.mount(register.NewDiskServer(service))
-	return &Storage{common: c, Store: store}, nil
+	c.mount(ledger.NewLedgerServer(kept))
+	return &Storage{common: c, Store: store, Ledger: kept}, nil
 }
 
 func (s *Storage) Start() {
 	s.view.Unwell, s.view.Cluster = unwell(s.Ready), s.Store.Cluster
 	s.env.Clock.Go(s.view.Run)
 	s.env.Clock.Go(s.remember)
+	s.env.Clock.Go(s.Ledger.Run)
 }
 
 // remember keeps the addresses of the fleet in the data folder: when all seeds
@@ -349,10 +360,17 @@
 	}
 }
 
-func (s *Storage) Ready() error        { return s.Store.Ready() }
+func (s *Storage) Ready() error {
+	if err := s.Store.Ready(); err != nil {
+		return err
+	}
+	return s.Ledger.Ready()
+}
+
 func (s *Storage) Leave(time.Duration) { s.view.Leave(s.bounds.Load().Beat() * 4) }
 
 func (s *Storage) Stop() {
 	s.Store.Close()
+	s.Ledger.Close()
 	s.view.Close()
 }
