--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -44,6 +44,7 @@
 				Flags: append(shared(),
 					&cli.IntFlag{Name: "callers", Value: 24, Usage: "`CALLERS` at once"},
 					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
+			platformCommand(),
 		},
 	}
 	node.Main(command, os.Args)
--- /dev/null
+++ b/internal/fleet/platform_run.go
@@ -0,0 +1,325 @@
+// One run on the platform from start to report: formation, traffic with
+// troubles at their times, probes, a closing fault, reading back, checking.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"fordseam/internal/standin/platform"
+	"fordseam/internal/standin/platform/sockets"
+
+	"github.com/juju/errors"
+)
+
+// configState is the operators' view of the configuration.
+type configState struct {
+	mu       sync.Mutex
+	operator *sockets.Operator
+	newest   *platform.Order
+	dropped  []platform.Route
+	added    []platform.Route
+	turn     sync.Mutex // one change at a time
+}
+
+func (c *configState) took(order *platform.Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.newest != nil {
+		c.added, c.dropped = nil, nil
+		for _, r := range order.Config.Routes {
+			if was := c.newest.Config.Match(r.Host, r.Prefix); was == nil || was.Prefix != r.Prefix {
+				c.added = append(c.added, r)
+			}
+		}
+		for _, r := range c.newest.Config.Routes {
+			if is := order.Config.Match(r.Host, r.Prefix); is == nil {
+				c.dropped = append(c.dropped, r)
+			}
+		}
+	}
+	c.newest = order
+}
+
+func (c *configState) base() *platform.Config {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newest.Config
+}
+
+// change sends one valid configuration on top of the newest.
+func (w *platformWorld) change() *platform.Order {
+	w.config.turn.Lock()
+	defer w.config.turn.Unlock()
+	return w.changeNow()
+}
+
+func (w *platformWorld) changeNow() *platform.Order {
+	base := w.config.base()
+	next := w.drafts.Next(base)
+	order := w.config.operator.Put(base.Generation, next, next.Encode(), "", 30*time.Second)
+	if order.Acked() {
+		w.config.took(order)
+	}
+	return order
+}
+
+// race has two operators build on the same version at once.
+func (w *platformWorld) race() {
+	w.config.turn.Lock()
+	defer w.config.turn.Unlock()
+	base := w.config.base()
+	orders := make([]*platform.Order, 2)
+	drafts := []*platform.Config{w.drafts.Next(base), w.drafts.Next(base)}
+	if drafts[0].Generation == drafts[1].Generation {
+		drafts[1].Generation++
+	}
+	var group sync.WaitGroup
+	for place := range orders {
+		operator := w.operator(fmt.Sprintf("racer-%d-%d", place, drafts[place].Generation))
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			orders[place] = operator.Put(base.Generation, drafts[place], drafts[place].Encode(), "", 30*time.Second)
+		}()
+	}
+	group.Wait()
+	for _, order := range orders {
+		if order.Acked() {
+			w.config.took(order)
+		}
+	}
+}
+
+func (w *platformWorld) badConfigs(count int, gap time.Duration) {
+	for place := range count {
+		w.config.turn.Lock()
+		base := w.config.base()
+		config, raw, fault := w.drafts.Invalid(base, platform.InvalidKinds[place%len(platform.InvalidKinds)])
+		order := w.config.operator.Put(base.Generation, config, raw, fault, 10*time.Second)
+		if order.Acked() && config != nil {
+			w.config.took(order)
+		}
+		w.config.turn.Unlock()
+		w.clock.Sleep(gap)
+	}
+}
+
+func (w *platformWorld) setRate(times float64) {
+	w.rngMu.Lock()
+	w.extra = times
+	w.rngMu.Unlock()
+}
+
+func (w *platformWorld) rate() float64 {
+	w.rngMu.Lock()
+	defer w.rngMu.Unlock()
+	return w.extra * w.plan.Rate
+}
+
+// traffic begins programs in every zone until its time is over.
+func (w *platformWorld) traffic(ctx context.Context, end time.Duration) {
+	var group sync.WaitGroup
+	for place := range w.plan.Site.Classes {
+		class := &w.plan.Site.Classes[place]
+		if class.PerS == 0 {
+			continue
+		}
+		for number, zone := range w.plan.Site.Zones {
+			rng := rand.New(rand.NewPCG(w.plan.Seed, uint64(100+100*place+number)))
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				for {
+					w.clock.Sleep(time.Duration(rng.ExpFloat64() / (class.PerS * w.rate()) * float64(time.Second)))
+					if ctx.Err() != nil || w.clock.Now() >= end {
+						return
+					}
+					w.begin(class, zone, rng.IntN(w.plan.Site.Clients), end, "")
+				}
+			}()
+		}
+	}
+	group.Wait()
+}
+
+// begin starts one program; one that ought to end too late does not begin.
+func (w *platformWorld) begin(class *platform.Class, zone string, client int, end time.Duration, previous string) {
+	var plan *platform.ProgramPlan
+	w.player.Draw(func(g *platform.Generator) { plan = g.Program(class, zone, client) })
+	if w.clock.Now()+plan.Aim > end+w.plan.Site.Bounds.Finish {
+		return
+	}
+	w.programs.Add(1)
+	go func() {
+		defer w.programs.Done()
+		w.player.Program(plan, previous)
+	}()
+}
+
+// probes asks every ready node directly, on routes that were just added or
+// removed and on one that never was.
+func (w *platformWorld) probes(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.config.mu.Lock()
+		routes := append(append([]platform.Route(nil), w.config.added...), w.config.dropped...)
+		w.config.mu.Unlock()
+		routes = append(routes, platform.Route{Host: "never.example", Prefix: fmt.Sprintf("/never%d/", w.draw(1000)), Kind: platform.Idempotent})
+		for _, node := range w.entry.In() {
+			route := routes[w.draw(len(routes))]
+			if route.Kind != platform.Idempotent {
+				continue
+			}
+			class := &platform.Class{Name: "probe", Kind: platform.Idempotent, Method: "GET", Aim: 250 * time.Millisecond, Deadline: 1500 * time.Millisecond}
+			w.programs.Add(1)
+			go func() {
+				defer w.programs.Done()
+				w.player.Request(class, 0, func(t *platform.Try) {
+					t.Probe, t.Node, t.Host, t.Target, t.Client = true, sockets.Probe(node), route.Host, route.Prefix+"probe", "probe"
+				})
+			}()
+		}
+		w.clock.Sleep(500 * time.Millisecond)
+	}
+}
+
+// closing brings the fault at the end of a day about, right after a
+// configuration was acknowledged, and has programs continue from before it.
+func (w *platformWorld) closing(ctx context.Context) error {
+	w.change()
+	before := w.endedTurns()
+	from := w.clock.Now()
+	// The span stands in the record from the first kill on.
+	closing := &platform.Closing{From: from, Back: 1 << 59}
+	w.ledger.Note(func(r *platform.Record) { r.Closing = closing })
+	if err := w.killAll(time.Second, w.plan.Closing == "wipe"); err != nil {
+		return err
+	}
+	back := w.clock.Now()
+	w.ledger.Note(func(*platform.Record) { closing.Back = back })
+	until := back + w.plan.Site.Bounds.Recovery
+	end := until + 6*time.Second
+	w.persist.Store(int64(until))
+	for _, t := range before {
+		w.begin(w.plan.Site.Class(t.Class), t.Zone, w.draw(w.plan.Site.Clients), end, t.ID)
+	}
+	w.traffic(ctx, end)
+	return nil
+}
+
+// endedTurns gives some turns that were answered whole and are still kept.
+func (w *platformWorld) endedTurns() (turns []*platform.Try) {
+	for _, o := range w.ledger.Record().Outcomes {
+		if o.Ending != platform.InTime && o.Ending != platform.Late {
+			continue
+		}
+		var last *platform.Try
+		for _, t := range w.ledger.Record().Tries {
+			if t.Program == o.Program && t.Retain > 0 && t.OK() {
+				last = t
+			}
+		}
+		if last != nil && w.clock.Now()-last.Ended < last.Retain/2 {
+			turns = append(turns, last)
+		}
+		if len(turns) >= 6 {
+			break
+		}
+	}
+	return turns
+}
+
+// RunPlatform plays a plan, writes its report and gives the rules broken.
+func RunPlatform(ctx context.Context, plan *PlatformPlan, out io.Writer) ([]platform.Breach, error) {
+	w := newPlatformWorld(plan)
+	stopped := false
+	stop := func() {
+		if !stopped {
+			stopped = true
+			w.stop()
+		}
+	}
+	defer stop()
+	if err := w.form(); err != nil {
+		return nil, w.withLog(err)
+	}
+	formed := w.clock.Now()
+	w.say("all %d nodes are ready", w.entry.Ready())
+	end := formed + plan.Traffic
+	during, calm := context.WithCancel(ctx)
+	defer calm()
+	var group sync.WaitGroup
+	failed := make(chan error, len(plan.Troubles)+1)
+	for _, t := range plan.Troubles {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			select {
+			case <-during.Done():
+				return
+			case <-time.After(t.At):
+			}
+			w.say("%s %s", t.Kind, t.On)
+			if err := w.bring(t); err != nil {
+				failed <- errors.Annotate(err, t.Kind)
+			}
+		}()
+	}
+	w.programs.Add(1)
+	go func() {
+		defer w.programs.Done()
+		w.probes(during)
+	}()
+	w.traffic(during, end)
+	group.Wait()
+	if plan.Closing != "" && during.Err() == nil {
+		w.say("closing fault: %s", plan.Closing)
+		if err := w.closing(during); err != nil {
+			failed <- errors.Annotate(err, "closing fault")
+		}
+	}
+	calm()
+	w.programs.Wait()
+	surplus := w.clients.Close()
+	w.config.operator.ReadBack(plan.Site.Bounds.Contact, plan.Site.Bounds.Contact+20*time.Second)
+	w.list.Settle()
+	w.ledger.Note(func(r *platform.Record) { r.Over = w.clock.Now() })
+	stop()
+	record := w.ledger.Record()
+	breaches := record.Check()
+	for _, word := range surplus {
+		breaches = append(breaches, platform.Breach{Rule: "MIXED", Word: word + " where no request was waiting"})
+	}
+	for _, word := range w.ownEnds {
+		breaches = append(breaches, platform.Breach{Rule: "FAULT", Word: word})
+	}
+	record.Print(out, breaches)
+	calls, refused := w.list.Calls()
+	opened := 0
+	for _, worker := range w.workers {
+		opened += worker.Opened()
+	}
+	_, _ = fmt.Fprintf(out, "%.1f s to form; list: %d calls, %d over the rate; %d connections to workers\n", formed.Seconds(), calls, refused, opened)
+	select {
+	case err := <-failed:
+		return breaches, w.withLog(err)
+	default:
+		return breaches, nil
+	}
+}
+
+// withLog adds the end of the logs to an error, for tests.
+func (w *platformWorld) withLog(err error) error {
+	word := ""
+	for _, m := range w.of("") {
+		written, _ := os.ReadFile(filepath.Join(w.plan.Folder, m.Name+".log"))
+		word += fmt.Sprintf("\n%s: %s", m.Name, written[max(0, len(written)-600):])
+	}
+	return errors.Errorf("%v%s", err, word)
+}
--- /dev/null
+++ b/internal/fleet/platform_workers.go
@@ -0,0 +1,161 @@
+// The platform's workers in a run: opened, put on the list, given troubles,
+// replaced one after the other, crashed.
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/standin/platform"
+	"fordseam/internal/standin/platform/sockets"
+)
+
+// workerFaults is what a service's workers do wrong just now.
+type workerFaults struct {
+	mu     sync.Mutex
+	faults []platform.Fault
+	share  float64
+	until  time.Duration
+}
+
+func (w *platformWorld) fault(service string) platform.Fault {
+	w.mu.Lock()
+	f := w.faults[service]
+	w.mu.Unlock()
+	if f == nil {
+		return platform.Fine
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.clock.Now() > f.until || w.chance() >= f.share {
+		return platform.Fine
+	}
+	return f.faults[w.draw(len(f.faults))]
+}
+
+func (w *platformWorld) setFault(service string, share float64, span time.Duration, faults ...platform.Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults[service] = &workerFaults{faults: faults, share: share, until: w.clock.Now() + span}
+}
+
+func (w *platformWorld) openWorkers() error {
+	for _, class := range w.plan.Site.Classes {
+		w.works[w.words.Prefixes[class.Name]] = class.Work
+	}
+	number := 0
+	for place := range w.plan.Site.Services {
+		shape := w.plan.Site.Services[place]
+		for one := range shape.Workers {
+			number++
+			if _, err := w.openWorker(shape, w.plan.Site.Zones[one%len(w.plan.Site.Zones)], w.nextHost()+":0", 0); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// openWorker starts one life of a worker and puts it on the list.
+func (w *platformWorld) openWorker(shape platform.ServiceShape, zone, address string, after time.Duration) (*sockets.WorkerServer, error) {
+	id := fmt.Sprintf("i-%08x", uint32(w.draw(1<<31)))
+	rng := rand.New(rand.NewPCG(w.plan.Seed, base.Hash64(id)))
+	var rngMu sync.Mutex
+	service := w.words.Services[shape.Name]
+	worker := &platform.Worker{ID: id, Service: service, Zone: zone, Clock: w.clock, Ledger: w.ledger, Shape: shape, KeepIdle: 5 * time.Second,
+		Speed: []float64{1, 1, 1.3}[w.draw(3)], Draws: rand.New(rand.NewPCG(w.plan.Seed, base.Hash64(id, "own"))), Next: func() platform.Fault { return w.fault(service) },
+		Work: func(target string) (time.Duration, int) {
+			rngMu.Lock()
+			defer rngMu.Unlock()
+			work := platform.Draw{Mean: 50, Spread: 1, Most: 200}
+			for prefix, one := range w.works {
+				if strings.HasPrefix(target, prefix) && one.Mean > 0 {
+					work = one
+				}
+			}
+			return time.Duration(work.Value(rng) * float64(time.Millisecond)), 800
+		}}
+	server, err := sockets.ListenWorker(worker, address, func(s *sockets.WorkerServer) {
+		s.CloseNow = func() bool { return w.draw(50) == 0 }
+	})
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	w.workers = append(w.workers, server)
+	w.mu.Unlock()
+	instance := w.instance(server, platform.StateReady)
+	w.list.Change(id, &instance, after)
+	return server, nil
+}
+
+func (w *platformWorld) instance(s *sockets.WorkerServer, state string) platform.Instance {
+	one := platform.Instance{ID: s.Worker.ID, Service: s.Worker.Service, Address: s.Worker.Address, Zone: s.Worker.Zone, Generation: "v1",
+		Capacity: s.Worker.Shape.Capacity, State: state}
+	if s.Worker.Shape.Engine != nil {
+		one.Model = w.words.Model
+	}
+	return one
+}
+
+// serving lists the workers of a service's shape, all for none.
+func (w *platformWorld) serving(shape string) []*sockets.WorkerServer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return base.Filter(w.workers, func(s *sockets.WorkerServer) bool {
+		return !s.Worker.Leaving() && (shape == "" || s.Worker.Shape.Name == shape)
+	})
+}
+
+// drainWorker takes a worker off in order: the list shows it as draining, it
+// serves for the drain's time and a little longer, then it ends.
+func (w *platformWorld) drainWorker(s *sockets.WorkerServer) {
+	draining := w.instance(s, platform.StateDraining)
+	w.list.Change(s.Worker.ID, &draining, 0)
+	w.clock.Sleep(w.list.Lag)
+	w.list.Settle()
+	s.Worker.Leave()
+	w.clock.Sleep(w.plan.Site.Bounds.Drain + 1500*time.Millisecond)
+	w.list.Change(s.Worker.ID, nil, 0)
+	s.Close()
+}
+
+// release replaces a share of a service's workers one after the other; an old
+// one's address may go to a worker of another service.
+func (w *platformWorld) release(shape string, share float64, gap time.Duration) {
+	old := w.serving(shape)
+	var ended sync.WaitGroup
+	for _, s := range old[:int(share*float64(len(old))+0.5)] {
+		if _, err := w.openWorker(s.Worker.Shape, s.Worker.Zone, w.nextHost()+":0", 0); err != nil {
+			continue
+		}
+		ended.Add(1)
+		go func() {
+			defer ended.Done()
+			w.drainWorker(s)
+		}()
+		w.clock.Sleep(gap)
+	}
+	ended.Wait()
+	// Another service takes one of the addresses.
+	if len(old) > 0 && share > 0 {
+		w.clock.Sleep(w.plan.Site.Bounds.ReuseAfter)
+		for _, other := range w.plan.Site.Services {
+			if other.Name != old[0].Worker.Shape.Name {
+				_, _ = w.openWorker(other, old[0].Worker.Zone, old[0].Worker.Address, 0)
+				return
+			}
+		}
+	}
+}
+
+// crashWorker ends a worker at once; the list shows it for some seconds more.
+func (w *platformWorld) crashWorker(s *sockets.WorkerServer) {
+	s.Worker.Leave()
+	s.Close()
+	w.list.Change(s.Worker.ID, nil, 3*time.Second)
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -131,11 +131,15 @@
 	if p.Data != "" {
 		args = append(args, "--data", p.Data)
 	}
-	logFile, err := os.OpenFile(filepath.Join(f.Folder, p.Name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	return p.launch(exec.Command(filepath.Join(f.Binaries, program), args...), filepath.Join(f.Folder, p.Name+".log"))
+}
+
+// launch runs a command as the process, its log kept in a file.
+func (p *Process) launch(command *exec.Cmd, log string) error {
+	logFile, err := os.OpenFile(log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	command := exec.Command(filepath.Join(f.Binaries, program), args...)
 	command.Stdout, command.Stderr = logFile, logFile
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- /dev/null
+++ b/internal/standin/platform/config.go
@@ -0,0 +1,307 @@
+// The operator's configuration: routes, services and limits under one
+// generation, as it is written, read, matched and judged. Routes and services
+// that a checker compares are always made from the document that was sent.
+package platform
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/jx"
+	"github.com/juju/errors"
+)
+
+// Share is a service's weight within a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route is one rule of a configuration.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string
+	Kind        Kind
+	DeadlineMs  float64
+	TargetMs    float64
+	Urgency     int
+	Service     string
+	Shares      []Share
+	MaxTries    int
+	Retained    bool
+	RetainS     float64
+	Pinned      bool
+	Resumable   bool
+	GapTargetMs float64
+}
+
+// Engine is what is published of a service's model workers.
+type Engine struct {
+	Capacity    int
+	CacheTokens int
+	Stride      int
+	Models      []string
+}
+
+// Service is a pool of workers that do the same.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int
+	Engine     *Engine
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes  int
+	MaxBodyBytes int
+	HeaderReadMs int
+	IdleMs       int
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Generation uint64
+	Routes     []Route
+	Services   []Service
+	Limits     Limits
+}
+
+// Clone copies a configuration, so that a change leaves its base alone.
+func (c *Config) Clone() *Config {
+	copied := *c
+	copied.Routes = slices.Clone(c.Routes)
+	for place := range copied.Routes {
+		copied.Routes[place].Shares = slices.Clone(copied.Routes[place].Shares)
+	}
+	copied.Services = slices.Clone(c.Services)
+	return &copied
+}
+
+// Services lists whom a route allows to run its requests.
+func (r *Route) Allows(service string) bool {
+	if len(r.Shares) == 0 {
+		return r.Service == service
+	}
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// Match finds the route of the host whose prefix is the longest that begins
+// the path.
+func (c *Config) Match(host, target string) *Route {
+	path, _, _ := strings.Cut(target, "?")
+	var best *Route
+	for place := range c.Routes {
+		r := &c.Routes[place]
+		if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Service gives a service by its name.
+func (c *Config) Service(name string) *Service {
+	for place := range c.Services {
+		if c.Services[place].Name == name {
+			return &c.Services[place]
+		}
+	}
+	return nil
+}
+
+// Fault tells why a configuration that could be read is invalid on top of the
+// current generation, or nothing.
+func (c *Config) Fault(current uint64) string {
+	if c.Generation <= current {
+		return "generation is not above the current one"
+	}
+	seen := map[string]bool{}
+	for _, r := range c.Routes {
+		key := strings.ToLower(r.Host) + " " + r.Prefix
+		if seen[key] {
+			return "two routes have the same host and prefix"
+		}
+		seen[key] = true
+		if r.DeadlineMs <= 0 {
+			return "a deadline_ms is 0"
+		}
+		shares, sum := r.Shares, 0
+		if len(shares) == 0 {
+			shares = []Share{{r.Service, 1}}
+		}
+		for _, share := range shares {
+			if c.Service(share.Service) == nil {
+				return "a route names an unknown service"
+			}
+			sum += share.Weight
+		}
+		if sum <= 0 {
+			return "a route's weights sum to 0"
+		}
+	}
+	return ""
+}
+
+// Encode writes the document that an operator sends.
+func (c *Config) Encode() []byte {
+	e := &jx.Encoder{}
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("generation", func(e *jx.Encoder) { e.UInt64(c.Generation) })
+		e.Field("route_table", func(e *jx.Encoder) {
+			e.Arr(func(e *jx.Encoder) {
+				for place := range c.Routes {
+					c.Routes[place].encode(e)
+				}
+			})
+		})
+		e.Field("backends", func(e *jx.Encoder) {
+			e.Arr(func(e *jx.Encoder) {
+				for place := range c.Services {
+					c.Services[place].encode(e)
+				}
+			})
+		})
+		e.Field("limits", func(e *jx.Encoder) {
+			e.Obj(func(e *jx.Encoder) {
+				e.Field("header_bytes", func(e *jx.Encoder) { e.Int(c.Limits.HeaderBytes) })
+				e.Field("max_body_bytes", func(e *jx.Encoder) { e.Int(c.Limits.MaxBodyBytes) })
+				e.Field("header_read_ms", func(e *jx.Encoder) { e.Int(c.Limits.HeaderReadMs) })
+				e.Field("idle_ms", func(e *jx.Encoder) { e.Int(c.Limits.IdleMs) })
+			})
+		})
+	})
+	return e.Bytes()
+}
+
+func (r *Route) encode(e *jx.Encoder) {
+	text := func(name, value string) { e.Field(name, func(e *jx.Encoder) { e.Str(value) }) }
+	number := func(name string, value float64) { e.Field(name, func(e *jx.Encoder) { e.Float64(value) }) }
+	truth := func(name string, value bool) { e.Field(name, func(e *jx.Encoder) { e.Bool(value) }) }
+	e.Obj(func(e *jx.Encoder) {
+		text("name", r.Name)
+		text("hostname", r.Host)
+		text("path_prefix", r.Prefix)
+		text("route_kind", string(r.Kind))
+		number("deadline_ms", r.DeadlineMs)
+		number("target_ms", r.TargetMs)
+		number("urgency", float64(r.Urgency))
+		if len(r.Shares) > 0 {
+			e.Field("shares", func(e *jx.Encoder) {
+				e.Arr(func(e *jx.Encoder) {
+					for _, share := range r.Shares {
+						e.Obj(func(e *jx.Encoder) {
+							e.Field("backend", func(e *jx.Encoder) { e.Str(share.Service) })
+							e.Field("share", func(e *jx.Encoder) { e.Int(share.Weight) })
+						})
+					}
+				})
+			})
+		} else {
+			text("backend", r.Service)
+		}
+		number("max_tries", float64(r.MaxTries))
+		if r.Retained {
+			truth("retained", true)
+			number("retain_s", r.RetainS)
+		}
+		if r.Kind == Streaming {
+			truth("pinned", r.Pinned)
+			truth("resumable", r.Resumable)
+			number("gap_target_ms", r.GapTargetMs)
+		}
+	})
+}
+
+func (s *Service) encode(e *jx.Encoder) {
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("name", func(e *jx.Encoder) { e.Str(s.Name) })
+		e.Field("health_path", func(e *jx.Encoder) { e.Str(s.HealthPath) })
+		e.Field("max_conns", func(e *jx.Encoder) { e.Int(s.MaxConns) })
+		e.Field("protocol", func(e *jx.Encoder) { e.Str("h1") })
+		e.Field("tls", func(e *jx.Encoder) { e.Bool(false) })
+		if s.Engine == nil {
+			return
+		}
+		e.Field("engine", func(e *jx.Encoder) {
+			e.Obj(func(e *jx.Encoder) {
+				e.Field("capacity", func(e *jx.Encoder) { e.Int(s.Engine.Capacity) })
+				e.Field("cache_tokens", func(e *jx.Encoder) { e.Int(s.Engine.CacheTokens) })
+				e.Field("token_kv_bytes", func(e *jx.Encoder) { e.Int(131072) })
+				e.Field("link_mbps", func(e *jx.Encoder) { e.Float64(550000) })
+				e.Field("stream_stride", func(e *jx.Encoder) { e.Int(s.Engine.Stride) })
+				e.Field("model_list", func(e *jx.Encoder) {
+					e.Arr(func(e *jx.Encoder) {
+						for _, model := range s.Engine.Models {
+							e.Obj(func(e *jx.Encoder) { e.Field("name", func(e *jx.Encoder) { e.Str(model) }) })
+						}
+					})
+				})
+			})
+		})
+	})
+}
+
+// readTree reads any JSON value, for comparing documents whatever order or
+// spelling of numbers they are written with.
+func readTree(d *jx.Decoder) (any, error) {
+	switch d.Next() {
+	case jx.Object:
+		object := map[string]any{}
+		err := d.Obj(func(d *jx.Decoder, key string) (err error) {
+			object[key], err = readTree(d)
+			return err
+		})
+		return object, err
+	case jx.Array:
+		list := []any{}
+		err := d.Arr(func(d *jx.Decoder) error {
+			item, err := readTree(d)
+			list = append(list, item)
+			return err
+		})
+		return list, err
+	case jx.String:
+		return d.Str()
+	case jx.Number:
+		return d.Float64()
+	case jx.Bool:
+		return d.Bool()
+	case jx.Null:
+		return nil, d.Null()
+	}
+	return nil, errors.New("not a JSON value")
+}
+
+// ParseTree reads a whole document into maps, lists and plain values.
+func ParseTree(raw []byte) (any, error) {
+	d := jx.DecodeBytes(raw)
+	tree, err := readTree(d)
+	if err != nil {
+		return nil, errors.Annotate(err, "document")
+	}
+	if d.Skip() == nil {
+		return nil, errors.New("document: more than one JSON value")
+	}
+	return tree, nil
+}
+
+// SameDocument tells whether two documents say the same.
+func SameDocument(a, b []byte) bool {
+	left, errA := ParseTree(a)
+	right, errB := ParseTree(b)
+	return errA == nil && errB == nil && reflect.DeepEqual(left, right)
+}
+
+// GenerationOf gives the generation that a document names, 0 when it names none.
+func GenerationOf(raw []byte) uint64 {
+	tree, err := ParseTree(raw)
+	if err != nil {
+		return 0
+	}
+	object, _ := tree.(map[string]any)
+	generation, _ := object["generation"].(float64)
+	return uint64(generation)
+}
--- /dev/null
+++ b/internal/standin/platform/instances.go
@@ -0,0 +1,177 @@
+// The platform's list of workers: it shows each change some time after it was
+// made, in pages, and answers only so many calls a second.
+package platform
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/go-faster/jx"
+)
+
+// PageSize is how many instances a page holds.
+const PageSize = 50
+
+// Instance is one entry of the list.
+type Instance struct {
+	ID, Service, Address, Zone, Generation, State string
+	Capacity                                      int
+	ColdLeft                                      time.Duration
+	Model                                         string // for model workers
+}
+
+// Instances is the list as it is shown.
+type Instances struct {
+	Clock  base.Clock
+	Ledger *Ledger
+	Lag    time.Duration
+	PerS   float64
+
+	mu      sync.Mutex
+	pending []pendingChange
+	shown   map[string]Instance
+	tokens  float64
+	filled  time.Duration
+	calls   int
+	refused int
+}
+
+type pendingChange struct {
+	at   time.Duration
+	id   string
+	next *Instance
+}
+
+// Change puts an instance on the list, or takes it off when next is nil; it
+// shows after the lag.
+func (l *Instances) Change(id string, next *Instance, after time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, pendingChange{l.Clock.Now() + after + l.Lag, id, next})
+	slices.SortStableFunc(l.pending, func(a, b pendingChange) int { return cmp.Compare(a.at, b.at) })
+}
+
+// settle shows what is due; the caller holds the lock.
+func (l *Instances) settle() {
+	if l.shown == nil {
+		l.shown = map[string]Instance{}
+	}
+	for len(l.pending) > 0 && l.pending[0].at <= l.Clock.Now() {
+		change := l.pending[0]
+		l.pending = l.pending[1:]
+		if change.next != nil {
+			l.shown[change.id] = *change.next
+		} else {
+			delete(l.shown, change.id)
+		}
+		if (change.next == nil || change.next.State == StateDraining) && l.Ledger != nil {
+			l.Ledger.Note(func(r *Record) { r.Notices = append(r.Notices, Notice{change.id, change.at}) })
+		}
+	}
+}
+
+// Settle shows what is due, also when nobody asks.
+func (l *Instances) Settle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle()
+}
+
+// Calls counts the calls answered, and those refused.
+func (l *Instances) Calls() (answered, refused int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls, l.refused
+}
+
+// Get answers one call: 200 with a page, 429 over the rate, 400 for a bad token.
+func (l *Instances) Get(zone, token string) (status int, body []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	if l.PerS > 0 {
+		l.tokens = min(l.PerS, l.tokens+(now-l.filled).Seconds()*l.PerS)
+		if l.filled == 0 && l.calls == 0 {
+			l.tokens = l.PerS
+		}
+		l.filled = now
+		if l.tokens < 1 {
+			l.refused++
+			return 429, []byte(`{"error":"too many calls"}`)
+		}
+		l.tokens--
+	}
+	l.calls++
+	l.settle()
+	from := 0
+	if token != "" {
+		number, found := strings.CutPrefix(token, "p-")
+		place, err := strconv.Atoi(number)
+		if !found || err != nil || place < 0 {
+			return 400, []byte(`{"error":"bad page_token"}`)
+		}
+		from = place
+	}
+	var list []Instance
+	for _, id := range base.SortedKeys(l.shown) {
+		if one := l.shown[id]; zone == "" || one.Zone == zone {
+			list = append(list, one)
+		}
+	}
+	from = min(from, len(list))
+	next := min(from+PageSize, len(list))
+	return 200, encodePage(list[from:next], next, next < len(list))
+}
+
+func encodePage(page []Instance, next int, more bool) []byte {
+	e := &jx.Encoder{}
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("instances", func(e *jx.Encoder) {
+			e.Arr(func(e *jx.Encoder) {
+				for _, one := range page {
+					one.encode(e)
+				}
+			})
+		})
+		e.Field("next_token", func(e *jx.Encoder) {
+			if more {
+				e.Str("p-" + strconv.Itoa(next))
+			} else {
+				e.Null()
+			}
+		})
+	})
+	return e.Bytes()
+}
+
+func (i *Instance) encode(e *jx.Encoder) {
+	e.Obj(func(e *jx.Encoder) {
+		text := func(name, value string) { e.Field(name, func(e *jx.Encoder) { e.Str(value) }) }
+		text("backend", i.Service)
+		text("address", i.Address)
+		text("zone", i.Zone)
+		text("generation", i.Generation)
+		e.Field("capacity", func(e *jx.Encoder) { e.Int(i.Capacity) })
+		text("state", i.State)
+		e.Field("cold_left_ms", func(e *jx.Encoder) { e.Int64(i.ColdLeft.Milliseconds()) })
+		if i.Model != "" {
+			text("phase", "both")
+			e.Field("model_list", func(e *jx.Encoder) {
+				e.Arr(func(e *jx.Encoder) {
+					e.Obj(func(e *jx.Encoder) {
+						text("name", i.Model)
+						e.Field("generation", func(e *jx.Encoder) { e.Int(1) })
+						e.Field("loaded_adapters", func(e *jx.Encoder) { e.Arr(func(*jx.Encoder) {}) })
+					})
+				})
+			})
+		}
+		text("id", i.ID)
+	})
+}
--- /dev/null
+++ b/internal/standin/platform/retry.go
@@ -0,0 +1,94 @@
+// When clients and operators try again, exactly as the protocol says. Nothing
+// here waits or sends.
+package platform
+
+import "time"
+
+// Promise says that a status promises that the request has not run and never
+// will.
+func Promise(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
+func final(status int) bool {
+	switch status {
+	case 400, 401, 404, 413, 431:
+		return true
+	}
+	return status >= 200 && status < 300
+}
+
+// EndsProgram says that a turn's answer ends its program at once.
+func EndsProgram(status int) bool {
+	switch status {
+	case 400, 401, 402, 403, 404, 413:
+		return true
+	}
+	return false
+}
+
+// TryAgain tells whether a client makes one more try of a request, and after
+// what pause; further is how many tries it still has, left the time to its
+// deadline.
+func TryAgain(t *Try, further int, left time.Duration) (again bool, pause time.Duration) {
+	answered := t.Status != 0 && t.Complete && t.Garbage == ""
+	if further <= 0 || left <= 0 || answered && final(t.Status) || answered && t.Program != "" && EndsProgram(t.Status) {
+		return false, 0
+	}
+	promised := answered && Promise(t.Status) || t.Unread
+	if t.Kind != Idempotent && !promised {
+		return false, 0
+	}
+	if answered && t.RetryAfter > 0 {
+		pause = min(t.RetryAfter, left/3)
+	}
+	return true, pause
+}
+
+// Silence is how long a client bears a stream without a word.
+func Silence(aim, pause time.Duration) time.Duration {
+	return max(2*time.Second, 4*aim, 8*pause)
+}
+
+// ReadPatience is how long a client waits for a node to read a repeatable request.
+func ReadPatience(left time.Duration) time.Duration { return min(time.Second, left/3) }
+
+// ConnectPatience is what a new connection is given to come up.
+const ConnectPatience = time.Second
+
+// RedirectsMost is how many 307s callers of control follow.
+const RedirectsMost = 2
+
+// OrderStep is what an operator does after one answer to an order: 0 stands
+// for no clear answer.
+type OrderStep int
+
+const (
+	OrderDone OrderStep = iota
+	OrderElsewhere
+)
+
+// NextOrderStep decides after a call; tries counts the calls made.
+func NextOrderStep(status, tries int) OrderStep {
+	switch {
+	case status >= 200 && status < 300:
+		return OrderDone
+	case status == 400 || status == 409 || status == 412 || status == 413 || status == 422:
+		return OrderDone
+	case status == 408 || status == 429:
+		return OrderElsewhere
+	case status >= 400 && status < 500 && tries >= 3:
+		return OrderDone
+	}
+	return OrderElsewhere
+}
+
+// OrderPause grows with each call that failed.
+func OrderPause(tries int) time.Duration {
+	return min(time.Duration(50<<min(tries, 5))*time.Millisecond, time.Second)
+}
+
+// OrderPatience is the silence an operator bears, more for large bodies.
+func OrderPatience(bytes int) time.Duration {
+	return time.Second + time.Duration(bytes/1024)*time.Millisecond
+}
--- /dev/null
+++ b/internal/standin/platform/rules_test.go
@@ -0,0 +1,289 @@
+// The pure parts: retry rules, documents, the list's pages and rate, plans,
+// the engine.
+package platform
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/matryer/is"
+)
+
+func TestTriesOfEachKind(t *testing.T) {
+	is := is.New(t)
+	answered := func(kind Kind, status int) *Try { return &Try{Kind: kind, Status: status, Complete: true} }
+	again := func(try *Try) bool {
+		yes, _ := TryAgain(try, 1, time.Second)
+		return yes
+	}
+	for _, status := range []int{429, 503, 408, 421} {
+		for _, kind := range []Kind{Idempotent, NonIdempotent, Streaming} {
+			is.True(again(answered(kind, status)))
+		}
+	}
+	for _, status := range []int{500, 502, 504} {
+		is.True(again(answered(Idempotent, status)))
+		is.True(!again(answered(NonIdempotent, status)))
+		is.True(!again(answered(Streaming, status)))
+	}
+	for _, status := range []int{200, 400, 401, 404, 413, 431} {
+		is.True(!again(answered(Idempotent, status)))
+		is.True(!again(answered(NonIdempotent, status)))
+	}
+	is.True(again(&Try{Kind: Idempotent}))                           // a closed connection
+	is.True(!again(&Try{Kind: NonIdempotent}))                       // it may have run
+	is.True(again(&Try{Kind: NonIdempotent, Unread: true}))          // it was not read
+	is.True(!again(&Try{Kind: NonIdempotent, Status: 503}))          // cut: no promise
+	is.True(again(&Try{Kind: Idempotent, Status: 200}))              // cut
+	is.True(!again(&Try{Kind: Streaming, Status: 200, Program: ""})) // cut stream
+	is.True(!again(&Try{Kind: Idempotent, Status: 402, Complete: true, Program: "p"}))
+	none, _ := TryAgain(answered(Idempotent, 503), 0, time.Second)
+	is.True(!none)
+	none, _ = TryAgain(answered(Idempotent, 503), 1, 0)
+	is.True(!none)
+}
+
+func TestRetryAfterIsObeyedForAThirdOfTheTimeLeft(t *testing.T) {
+	is := is.New(t)
+	try := &Try{Kind: Idempotent, Status: 503, Complete: true, RetryAfter: 300 * time.Millisecond}
+	_, pause := TryAgain(try, 1, 3*time.Second)
+	is.Equal(pause, 300*time.Millisecond)
+	_, pause = TryAgain(try, 1, 600*time.Millisecond)
+	is.Equal(pause, 200*time.Millisecond)
+	is.Equal(Silence(250*time.Millisecond, 400*time.Millisecond), 3200*time.Millisecond)
+	is.Equal(Silence(time.Second, 100*time.Millisecond), 4*time.Second)
+	is.Equal(Silence(0, 0), 2*time.Second)
+}
+
+func TestOrdersEndAndMoveOn(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []int{200, 400, 409, 412, 413, 422} {
+		is.Equal(NextOrderStep(status, 1), OrderDone)
+	}
+	for _, status := range []int{0, 500, 503, 408, 429, 307} {
+		is.Equal(NextOrderStep(status, 9), OrderElsewhere)
+	}
+	is.Equal(NextOrderStep(404, 2), OrderElsewhere)
+	is.Equal(NextOrderStep(404, 3), OrderDone)
+	is.True(OrderPause(1) < OrderPause(3))
+	is.True(OrderPause(100) <= time.Second)
+	is.True(OrderPatience(1<<20) > OrderPatience(10))
+}
+
+func TestDocuments(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		site := Sites()["small"]
+		drafts := &Drafts{Site: site, Words: site.DrawWords(rng), Rng: rng}
+		c := drafts.First()
+		is.Equal(c.Fault(0), "")
+		for range 30 {
+			next := drafts.Next(c)
+			is.Equal(next.Fault(c.Generation), "")
+			is.True(!SameDocument(next.Encode(), c.Encode()))
+			is.Equal(GenerationOf(next.Encode()), next.Generation)
+			for _, class := range site.Classes {
+				route := next.Match(drafts.Words.Hosts[class.Name], drafts.Words.Prefixes[class.Name]+"x")
+				is.True(route != nil && route.Allows(drafts.Words.Services[class.Service])) // programs' routes stay
+			}
+			c = next
+		}
+		for _, kind := range InvalidKinds {
+			before := string(c.Encode())
+			bad, raw, fault := drafts.Invalid(c, kind)
+			is.Equal(fault, kind)
+			is.Equal(string(c.Encode()), before)
+			switch kind {
+			case Unreadable:
+				_, err := ParseTree(raw)
+				is.True(err != nil)
+			case WrongType:
+				is.True(bad == nil)
+			default:
+				is.True(bad.Fault(c.Generation) != "")
+				is.True(SameDocument(raw, bad.Encode()))
+			}
+		}
+	}
+}
+
+func TestTheLongestPrefixWins(t *testing.T) {
+	is := is.New(t)
+	c := &Config{Routes: []Route{{Name: "a", Host: "h", Prefix: "/a/"}, {Name: "ab", Host: "h", Prefix: "/a/b/"}, {Name: "other", Host: "o", Prefix: "/"}}}
+	is.Equal(c.Match("h", "/a/x").Name, "a")
+	is.Equal(c.Match("H", "/a/b/x?q=/z/").Name, "ab")
+	is.True(c.Match("h", "/a") == nil)
+	is.Equal(c.Match("o", "/a/b/").Name, "other")
+}
+
+// fakeClock is a clock that a test moves by hand.
+type fakeClock struct {
+	base.Clock
+	now time.Duration
+}
+
+func (c *fakeClock) Now() time.Duration { return c.now }
+
+func pageOf(is *is.I, body []byte) (ids []string, next any) {
+	tree, err := ParseTree(body)
+	is.NoErr(err)
+	for _, one := range tree.(map[string]any)["instances"].([]any) {
+		ids = append(ids, one.(map[string]any)["id"].(string))
+	}
+	return ids, tree.(map[string]any)["next_token"]
+}
+
+func TestTheListComesInPagesAndLate(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{Clock: base.NewRealClock(), now: time.Second}
+	ledger := NewLedger(DefaultBounds(), 2, 3)
+	list := &Instances{Clock: clock, Ledger: ledger, Lag: 800 * time.Millisecond}
+	for place := range 120 {
+		list.Change(fmt.Sprintf("i-%03d", place), &Instance{ID: fmt.Sprintf("i-%03d", place), Zone: fmt.Sprint("z", place%2), State: StateReady}, 0)
+	}
+	_, body := list.Get("", "")
+	ids, next := pageOf(is, body)
+	is.Equal(len(ids), 0) // the lag is not over
+	is.Equal(next, nil)
+	clock.now = 2 * time.Second
+	var all []string
+	for token, pages := "", 0; ; pages++ {
+		is.True(pages < 3)
+		status, body := list.Get("", token)
+		is.Equal(status, 200)
+		ids, next := pageOf(is, body)
+		all = append(all, ids...)
+		if next == nil {
+			break
+		}
+		is.Equal(len(ids), PageSize)
+		token = next.(string)
+	}
+	is.Equal(len(all), 120)
+	_, body = list.Get("z1", "p-50")
+	ids, next = pageOf(is, body)
+	is.Equal(len(ids), 10)
+	is.Equal(next, nil)
+	status, _ := list.Get("", "x")
+	is.Equal(status, 400)
+	list.Change("i-003", &Instance{ID: "i-003", State: StateDraining}, 0)
+	list.Change("i-004", nil, 3*time.Second)
+	clock.now = 2700 * time.Millisecond
+	list.Settle()
+	is.Equal(len(ledger.Record().Notices), 0)
+	clock.now = 2900 * time.Millisecond
+	list.Settle()
+	is.Equal(ledger.Record().Notices, []Notice{{"i-003", 2800 * time.Millisecond}}) // the moment the list showed it
+	clock.now = 6 * time.Second
+	list.Settle()
+	is.Equal(len(ledger.Record().Notices), 2)
+}
+
+func TestTheListHasARate(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{Clock: base.NewRealClock(), now: time.Second}
+	list := &Instances{Clock: clock, PerS: 10}
+	taken := 0
+	for range 15 {
+		if status, _ := list.Get("", ""); status == 200 {
+			taken++
+		} else {
+			is.Equal(status, 429)
+		}
+	}
+	is.Equal(taken, 10)
+	clock.now += 500 * time.Millisecond
+	for range 15 {
+		if status, _ := list.Get("", ""); status == 200 {
+			taken++
+		}
+	}
+	is.Equal(taken, 15)
+}
+
+func TestProgramsAreDrawnFromTheirSeed(t *testing.T) {
+	is := is.New(t)
+	site := Sites()["kiondo"]
+	draw := func(seed uint64) (all []*ProgramPlan) {
+		g := &Generator{Site: site, Words: site.DrawWords(rand.New(rand.NewPCG(seed, 0))), Rng: rand.New(rand.NewPCG(seed, 1))}
+		for place := range 200 {
+			all = append(all, g.Program(&site.Classes[place%2], site.Zones[0], place))
+		}
+		return all
+	}
+	helpers, tools, runaways := 0, 0, 0
+	again := draw(7)
+	for place, plan := range draw(7) {
+		is.Equal(plan.Describe(), again[place].Describe())
+		is.True(plan.Aim > plan.Ideal)
+		total := int64(0)
+		var walk func(line *LinePlan, tokens int, parts string)
+		walk = func(line *LinePlan, tokens int, parts string) {
+			for _, turn := range line.Turns {
+				is.True(turn.Prompt > tokens)                                    // the prompt has all that came before
+				is.True(strings.HasPrefix(turn.Parts, parts+",") || parts == "") // and so have its parts
+				tokens, parts, total = turn.Prompt, turn.Parts, total+turn.Most
+				tools += len(turn.Tools)
+				for _, helper := range turn.Helpers {
+					helpers++
+					is.Equal(len(helper.Turns), 2)
+					walk(helper, tokens, parts)
+				}
+			}
+		}
+		walk(plan.Line, 0, "")
+		is.True(plan.Budget >= total) // it holds every turn once
+		if plan.Runaway {
+			runaways++
+		}
+	}
+	is.True(helpers > 20 && tools > 200 && runaways > 0)
+	is.True(draw(8)[0].Describe() != again[0].Describe())
+}
+
+func TestTheEngineKeepsPartsAndPutsBack(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(&fakeClock{Clock: base.NewRealClock()}, ServiceShape{Capacity: 4, Engine: &EngineShape{Step: time.Millisecond, PromptPerMs: 10, Chunk: 100, CacheTokens: 300, Stride: 2}}, 1)
+	e.active = true // the test makes the steps
+	step := func() (span time.Duration) {
+		span, ok := e.begin()
+		is.True(ok)
+		e.finish()
+		return span
+	}
+	job := func(urgency, prompt, want int, parts ...part) *job {
+		j := &job{urgency: urgency, prompt: prompt, want: want, until: time.Hour, gone: base.NewRealClock().NewSignal(), parts: parts}
+		is.True(e.submit(j, 10))
+		return j
+	}
+	first := job(5, 100, 1, part{"a", 60}, part{"b", 40})
+	is.Equal(step(), 11*time.Millisecond) // the whole prompt is read
+	is.Equal(first.ended, jobWhole)
+	second := job(5, 120, 1, part{"a", 60}, part{"b", 40}, part{"c", 20})
+	is.Equal(step(), 3*time.Millisecond) // only what is new
+	is.Equal(second.ended, jobWhole)
+	third := job(5, 120, 1, part{"x", 60}, part{"b", 60})
+	is.Equal(step(), 11*time.Millisecond) // a part counts only after those before it
+	step()
+	is.Equal(third.ended, jobWhole)
+	is.True(!e.submit(&oversize{prompt: 290, want: 20}, 10)) // larger than the memory
+
+	calm, urgent := job(5, 130, 30), job(1, 130, 30)
+	for range 5 {
+		step()
+	}
+	is.True(urgent.out > 0)
+	is.Equal(len(e.running)+len(e.waiting), 2)
+	for urgent.ended == jobRuns {
+		step()
+	}
+	is.True(calm.out < urgent.out) // the less urgent gave way
+}
+
+type oversize = job
--- /dev/null
+++ b/internal/standin/platform/sockets/sockets_test.go
@@ -0,0 +1,484 @@
+// Workers, list, clients and operators over real sockets. A client may speak
+// to a worker as to a node, since both speak the same protocol.
+package sockets
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/standin/platform"
+
+	"github.com/matryer/is"
+)
+
+type oneNode string
+
+func (n oneNode) Pick(string, string, bool) (node, address string) { return "w", string(n) }
+
+type bench struct {
+	is      *is.I
+	clock   base.Clock
+	ledger  *platform.Ledger
+	server  *WorkerServer
+	clients *Clients
+	tries   int
+}
+
+var (
+	plainShape = platform.ServiceShape{Name: "app", Capacity: 2, Queue: 2, MaxConns: 8}
+	modelShape = platform.ServiceShape{Name: "model", Capacity: 8, Queue: 8, MaxConns: 20, Engine: &platform.EngineShape{Step: time.Millisecond,
+		PromptPerMs: 100, Chunk: 4096, CacheTokens: 1000, Stride: 2, EventBytes: 30}}
+)
+
+func newBench(t *testing.T, shape platform.ServiceShape, change func(w *platform.Worker), more ...func(s *WorkerServer)) *bench {
+	clock := base.NewRealClock()
+	b := &bench{is: is.New(t), clock: clock, ledger: platform.NewLedger(platform.DefaultBounds(), 2, 3)}
+	worker := &platform.Worker{ID: "i-1", Service: "svc", Clock: clock, Ledger: b.ledger, Shape: shape, KeepIdle: 5 * time.Second, Draws: rand.New(rand.NewPCG(1, 1)),
+		Work: func(string) (time.Duration, int) { return 2 * time.Millisecond, 100 }}
+	if change != nil {
+		change(worker)
+	}
+	server, err := ListenWorker(worker, "127.0.0.1:0", func(s *WorkerServer) {
+		for _, one := range more {
+			one(s)
+		}
+	})
+	b.is.NoErr(err)
+	t.Cleanup(server.Close)
+	b.server, b.clients = server, &Clients{Clock: clock, Entry: oneNode(worker.Address), KeepShare: 10}
+	return b
+}
+
+func (b *bench) try(kind platform.Kind, target string, header ...[2]string) *platform.Try {
+	b.tries++
+	id := fmt.Sprintf("%016x", b.tries)
+	t := &platform.Try{ID: id, Kind: kind, Host: "h", Method: "POST", Target: target, Body: []byte("what is asked"), Client: "c", Deadline: 3 * time.Second,
+		Aim: 100 * time.Millisecond, Header: append([][2]string{{platform.HeaderID, id}, {platform.HeaderDeadline, "3000"}}, header...)}
+	b.ledger.Note(func(r *platform.Record) { r.Tries = append(r.Tries, t) })
+	b.clients.Carry(t)
+	return t
+}
+
+// last is what the worker knows of a try; it waits for the worker's own end.
+func (b *bench) last(t *platform.Try, met func(a *platform.Arrival) bool) *platform.Arrival {
+	for end := b.clock.Now() + 5*time.Second; b.clock.Now() < end; b.clock.Sleep(time.Millisecond) {
+		for _, a := range b.ledger.Record().Arrivals {
+			if a.ID == t.ID && met(a) {
+				return a
+			}
+		}
+	}
+	b.is.Fail()
+	return nil
+}
+
+func TestAPlainWorkerAnswersAndKeepsItsConnection(t *testing.T) {
+	b := newBench(t, plainShape, nil)
+	for place := range 5 {
+		try := b.try(platform.NonIdempotent, fmt.Sprintf("/x/%d?a=b", place))
+		b.is.True(try.OK())
+		b.is.Equal(try.Echo, try.ID)
+		a := b.last(try, func(a *platform.Arrival) bool { return a.Whole })
+		b.is.Equal(a.Answer, try.Answer)
+		b.is.Equal(a.Seal, try.Seal)
+		b.is.Equal(a.Target, try.Target)
+		b.is.Equal(a.Body, base.Digest(try.Body))
+	}
+	b.is.Equal(b.server.Opened(), 1)
+	b.is.Equal(len(b.clients.Close()), 0)
+}
+
+func TestAWorkerSaysWhatItDidNotRun(t *testing.T) {
+	b := newBench(t, plainShape, nil)
+	other := b.try(platform.NonIdempotent, "/x", [2]string{platform.HeaderExpectInstance, "i-2"})
+	b.is.Equal(other.Status, 421)
+	mine := b.try(platform.NonIdempotent, "/x", [2]string{platform.HeaderExpectInstance, "i-1"})
+	b.is.True(mine.OK())
+	nameless := &platform.Try{ID: "", Kind: platform.Idempotent, Host: "h", Method: "GET", Target: "/x", Client: "c", Deadline: time.Second}
+	b.clients.Carry(nameless)
+	b.is.Equal(nameless.Status, 400)
+	for _, a := range b.ledger.Record().Arrivals {
+		b.is.Equal(a.Ran, a.ID == mine.ID)
+	}
+}
+
+func TestAFullWorkerRefusesWithoutRunning(t *testing.T) {
+	b := newBench(t, plainShape, func(w *platform.Worker) {
+		w.Work = func(string) (time.Duration, int) { return 300 * time.Millisecond, 10 }
+	})
+	var group sync.WaitGroup
+	tries := make([]*platform.Try, 7)
+	for place := range tries {
+		tries[place] = &platform.Try{ID: fmt.Sprintf("%016x", place+1), Kind: platform.NonIdempotent, Host: "h", Method: "POST", Target: "/x", Client: fmt.Sprint(place),
+			Deadline: 3 * time.Second, Header: [][2]string{{platform.HeaderID, fmt.Sprintf("%016x", place+1)}}}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			b.clients.Carry(tries[place])
+		}()
+	}
+	group.Wait()
+	served, refused := 0, 0
+	for _, try := range tries {
+		switch {
+		case try.OK():
+			served++
+		case try.Status == 503 && try.Complete:
+			refused++
+		}
+	}
+	b.is.Equal([]int{served, refused}, []int{4, 3}) // two at work, two in line
+	ran := 0
+	for _, a := range b.ledger.Record().Arrivals {
+		if a.Ran {
+			ran++
+		}
+	}
+	b.is.Equal(ran, 4)
+	b.clients.Close()
+}
+
+func TestAWorkerResetsConnectionsBeyondItsMost(t *testing.T) {
+	shape := plainShape
+	shape.MaxConns = 2
+	b := newBench(t, shape, nil)
+	var held []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", b.server.Worker.Address)
+		b.is.NoErr(err)
+		held = append(held, conn)
+	}
+	for end := b.clock.Now() + 5*time.Second; b.server.Opened() < 2 && b.clock.Now() < end; b.clock.Sleep(time.Millisecond) {
+	}
+	try := b.try(platform.NonIdempotent, "/x")
+	b.is.Equal(try.Status, 0)
+	b.is.True(try.Unread)
+	for _, conn := range held {
+		_ = conn.Close()
+	}
+}
+
+func TestHealthTellsTheInstance(t *testing.T) {
+	b := newBench(t, plainShape, nil)
+	ask := func() *http.Response {
+		response, err := http.Get("http://" + b.server.Worker.Address + platform.PathHealth)
+		b.is.NoErr(err)
+		_ = response.Body.Close()
+		return response
+	}
+	well := ask()
+	b.is.Equal(well.StatusCode, 200)
+	b.is.Equal(well.Header.Get(platform.HeaderInstance), "i-1")
+	b.is.Equal(well.Header.Get(platform.HeaderLoad), "0,0,2")
+	b.server.Worker.SetWell(false)
+	b.is.Equal(ask().StatusCode, 503)
+	b.server.Worker.LyingHealth = true
+	b.is.Equal(ask().StatusCode, 200)
+	b.server.Worker.Leave()
+	leaving := ask()
+	b.is.Equal(leaving.StatusCode, 503)
+	b.is.True(leaving.Close)
+}
+
+func TestALeavingWorkerClosesAfterItsAnswer(t *testing.T) {
+	b := newBench(t, plainShape, nil)
+	b.server.Worker.Leave()
+	b.is.True(b.try(platform.NonIdempotent, "/x").OK())
+	b.is.True(b.try(platform.NonIdempotent, "/x").OK())
+	b.is.Equal(b.server.Opened(), 2)
+}
+
+func TestTroublesOfAPlainWorker(t *testing.T) {
+	for _, row := range []struct {
+		fault platform.Fault
+		check func(b *bench, try *platform.Try)
+	}{
+		{platform.LostReset, func(b *bench, try *platform.Try) { b.is.Equal(try.Status, 0) }},
+		{platform.LostSilent, func(b *bench, try *platform.Try) { b.is.Equal(try.Status, 0); b.is.True(try.GaveUp) }},
+		{platform.Garbled, func(b *bench, try *platform.Try) { b.is.True(try.Garbage != "") }},
+		{platform.Cut, func(b *bench, try *platform.Try) { b.is.Equal(try.Status, 200); b.is.True(!try.Complete) }},
+		{platform.Fail, func(b *bench, try *platform.Try) { b.is.Equal(try.Status, 500); b.is.True(try.Seal != "") }},
+		{platform.Extra, func(b *bench, try *platform.Try) { b.is.True(try.OK()) }},
+	} {
+		t.Run(string(row.fault), func(t *testing.T) {
+			b := newBench(t, plainShape, func(w *platform.Worker) { w.Next = func() platform.Fault { return row.fault } })
+			try := b.try(platform.NonIdempotent, "/x", [2]string{"X", "y"})
+			row.check(b, try)
+			b.last(try, func(a *platform.Arrival) bool { return a.Ran })
+			b.clients.Close()
+		})
+	}
+}
+
+func TestSurplusAnswersAreNoticed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, plainShape, func(w *platform.Worker) { w.Next = func() platform.Fault { return platform.Extra } })
+	first := b.try(platform.NonIdempotent, "/x")
+	surplus := b.clients.Close()
+	is.True(first.Surplus != "" || len(surplus) == 1) // with its answer, or while the connection was idle
+
+	b = newBench(t, plainShape, func(w *platform.Worker) { w.Next = func() platform.Fault { return platform.LateExtra } })
+	is.True(b.try(platform.NonIdempotent, "/x").OK())
+	second := b.try(platform.NonIdempotent, "/x")
+	is.True(second.Echo != "" && second.Echo != second.ID) // a stale answer stands in its place
+	is.True(second.Surplus != "" || len(b.clients.Close()) == 1)
+	found := false
+	for _, breach := range b.ledger.Record().Check() {
+		found = found || breach.Rule == "MIXED" && strings.Contains(breach.Word, "got the answer of")
+	}
+	is.True(found) // a client that is handed such an answer makes it a breach
+}
+
+func TestAForgottenConnectionIsReset(t *testing.T) {
+	b := newBench(t, plainShape, nil, func(s *WorkerServer) { s.DropIdle = 1 }) // any time is too long
+	b.is.True(b.try(platform.NonIdempotent, "/x").OK())
+	try := b.try(platform.NonIdempotent, "/x")
+	b.is.Equal(try.Status, 0)
+	b.is.True(try.Unread)
+}
+
+func turnHeader(prompt, most int) [][2]string {
+	return [][2]string{{platform.HeaderModel, "m"}, {platform.HeaderTokens, fmt.Sprintf("%d,%d", prompt, most)}, {platform.HeaderPrompt, fmt.Sprintf("aa:%d", prompt)}}
+}
+
+func TestAModelWorkerStreamsItsEvents(t *testing.T) {
+	b := newBench(t, modelShape, nil)
+	try := b.try(platform.Streaming, "/x", turnHeader(100, 9)...)
+	b.is.True(try.OK())
+	a := b.last(try, func(a *platform.Arrival) bool { return a.Whole })
+	b.is.Equal(len(try.Events), 5) // nine tokens, two an event
+	for place, event := range try.Events {
+		b.is.Equal(event.ID, int64(place+1))
+		b.is.Equal(event.Data, a.Events[place].Data)
+		b.is.True(event.At >= a.Events[place].At)
+	}
+	large := b.try(platform.Streaming, "/x", turnHeader(2000, 9)...)
+	b.is.Equal(large.Status, 503) // larger than its memory
+	response, err := http.Get("http://" + b.server.Worker.Address + platform.PathReport)
+	b.is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	b.is.NoErr(err)
+	_ = response.Body.Close()
+	tree, err := platform.ParseTree(body)
+	b.is.NoErr(err)
+	b.is.Equal(tree.(map[string]any)["cache_total"], 1000.0)
+	b.clients.Close()
+	for _, breach := range b.ledger.Record().Check() {
+		b.is.Equal(breach.Rule, "ROUTE") // there is no configuration here
+	}
+}
+
+func TestAModelWorkerDropsWhatItsAskerLeft(t *testing.T) {
+	b := newBench(t, modelShape, nil)
+	conn, err := net.Dial("tcp", b.server.Worker.Address)
+	b.is.NoErr(err)
+	_, _ = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: h\r\n%s: left\r\n%s: 10,900\r\nContent-Length: 0\r\n\r\n", platform.HeaderID, platform.HeaderTokens)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	b.is.NoErr(err)
+	b.is.Equal(line, "HTTP/1.1 200 OK\r\n")
+	_ = conn.Close()
+	a := b.last(&platform.Try{ID: "left"}, func(a *platform.Arrival) bool { return a.Left })
+	b.is.True(a.Ran && !a.Whole && len(a.Events) < 450)
+}
+
+func TestTroublesOfAModelWorker(t *testing.T) {
+	for _, fault := range []platform.Fault{platform.LostReset, platform.Cut, platform.Garbled} {
+		t.Run(string(fault), func(t *testing.T) {
+			b := newBench(t, modelShape, func(w *platform.Worker) { w.Next = func() platform.Fault { return fault } })
+			try := b.try(platform.Streaming, "/x", turnHeader(10, 20)...)
+			b.is.True(!try.OK())
+			a := b.last(try, func(a *platform.Arrival) bool { return a.Broke })
+			b.is.True(a.Ran && !a.Whole)
+			b.is.True(len(try.Events) <= len(a.Events))
+		})
+	}
+}
+
+func TestTheListIsServed(t *testing.T) {
+	is := is.New(t)
+	list := &platform.Instances{Clock: base.NewRealClock(), PerS: 1000}
+	list.Change("i-1", &platform.Instance{ID: "i-1", Service: "svc", Address: "127.0.0.1:1", Zone: "z", State: platform.StateReady, Capacity: 6, Model: "m"}, 0)
+	server, err := ListenInstances(list, "127.0.0.1:0")
+	is.NoErr(err)
+	defer server.Close()
+	response, err := http.Get("http://" + server.Address + platform.PathInstances + "?zone=z")
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	_ = response.Body.Close()
+	tree, err := platform.ParseTree(body)
+	is.NoErr(err)
+	one := tree.(map[string]any)["instances"].([]any)[0].(map[string]any)
+	for name, value := range map[string]any{"id": "i-1", "backend": "svc", "address": "127.0.0.1:1", "zone": "z", "state": "ready", "capacity": 6.0, "phase": "both"} {
+		is.Equal(one[name], value)
+	}
+}
+
+// controlNodes are nodes of control that answer as a test says.
+func controlNodes(t *testing.T, handlers ...http.HandlerFunc) (addresses []string) {
+	for _, handler := range handlers {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return addresses
+}
+
+func newOperator(addresses []string) *Operator {
+	return &Operator{Name: "op", Clock: base.NewRealClock(), Ledger: platform.NewLedger(platform.DefaultBounds(), 2, 3),
+		Control: func() []string { return addresses }, Rng: rand.New(rand.NewPCG(1, 1))}
+}
+
+func TestAnOperatorMovesOnAndFollowsTwice(t *testing.T) {
+	is := is.New(t)
+	var leader, hop string
+	var mu sync.Mutex
+	calls := map[string]int{}
+	count := func(name string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		calls[name]++
+		return calls[name]
+	}
+	redirect := func(name string, to *string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			count(name)
+			w.Header().Set("Location", "http://"+*to+r.URL.Path)
+			w.WriteHeader(307)
+		}
+	}
+	addresses := controlNodes(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if count("leader") == 1 {
+			w.WriteHeader(503)
+			return
+		}
+		if r.Method != "PUT" || r.URL.Path != platform.PathConfig || r.Header.Get(platform.HeaderIfMatch) != "5" || !strings.Contains(string(body), "generation") {
+			w.WriteHeader(400)
+		}
+	}, redirect("hop", &leader), redirect("first", &hop))
+	leader, hop = addresses[0], addresses[1]
+	o := newOperator(addresses[2:])
+	config := &platform.Config{Generation: 7}
+	order := o.Put(5, config, config.Encode(), "", 5*time.Second)
+	is.Equal(order.Status, 200)
+	is.True(!order.Unclear) // a 503 promises that it was not taken
+	is.Equal(calls["leader"], 2)
+	is.Equal(calls["hop"], 2)
+	is.Equal(len(o.Ledger.Record().Orders), 1)
+}
+
+func TestAnOperatorNotesWhatIsUnclear(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	calls := 0
+	addresses := controlNodes(t, func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if calls++; calls == 1 {
+			w.WriteHeader(500)
+			return
+		}
+		w.WriteHeader(412)
+	})
+	config := &platform.Config{Generation: 7}
+	order := newOperator(addresses).Put(5, config, config.Encode(), "", 5*time.Second)
+	is.Equal(order.Status, 412)
+	is.True(order.Unclear && !order.Refused())
+	order = newOperator(addresses).Put(5, config, config.Encode(), "", 5*time.Second)
+	is.True(order.Refused())
+	order = newOperator([]string{"127.0.0.1:1"}).Put(5, config, config.Encode(), "", 300*time.Millisecond)
+	is.True(order.Unclear && order.Status == 0)
+}
+
+func TestRetiringAMachine(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	calls := 0
+	addresses := controlNodes(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls++
+		switch {
+		case r.URL.Path == platform.PathRetire+"nobody":
+			w.WriteHeader(404)
+		case r.URL.Path == platform.PathRetire+"few":
+			w.WriteHeader(409)
+		case r.Method == "GET" && calls > 3:
+			_, _ = w.Write([]byte(`{"left":0,"state":"complete"}`))
+		default:
+			_, _ = w.Write([]byte(`{"state":"active"}`))
+		}
+	})
+	o := newOperator(addresses)
+	is.NoErr(o.Retire("storage-1", time.Second, 5*time.Second))
+	is.Equal(calls, 4)
+	is.True(o.Retire("nobody", time.Second, 5*time.Second) != nil)
+	is.True(o.Retire("few", time.Second, 5*time.Second) != nil)
+}
+
+func TestTheEntryHandsClientsToReadyNodesOfTheirZone(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	down := map[string]bool{}
+	node := func(name, zone string) *EntryNode {
+		address := controlNodes(t, func(w http.ResponseWriter, _ *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			if down[name] {
+				w.WriteHeader(503)
+			}
+		})[0]
+		return &EntryNode{Name: name, Zone: zone, Front: name, Readiness: address}
+	}
+	e := &VirtualEntry{}
+	e.Open([]*EntryNode{node("a1", "a"), node("a2", "a"), node("a3", "a"), node("b1", "b")})
+	defer e.Close()
+	clock := base.NewRealClock()
+	until := func(ready int) {
+		for end := clock.Now() + 10*time.Second; e.Ready() != ready && clock.Now() < end; clock.Sleep(10 * time.Millisecond) {
+		}
+		is.Equal(e.Ready(), ready)
+	}
+	set := func(is bool, names ...string) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, name := range names {
+			down[name] = is
+		}
+	}
+	picked := func(zone string, again bool) map[string]bool {
+		names := map[string]bool{}
+		for client := range 50 {
+			name, _ := e.Pick(zone, fmt.Sprint("c", client), again)
+			names[name] = true
+		}
+		return names
+	}
+	until(4)
+	first, _ := e.Pick("a", "c", false)
+	same, _ := e.Pick("a", "c", false)
+	is.Equal(first, same) // by a hash of the client
+	other, _ := e.Pick("a", "c", true)
+	is.True(other != first) // a further try reaches another
+	is.Equal(len(picked("a", false)), 3)
+	set(true, "a1")
+	until(3)
+	is.Equal(len(picked("a", true)), 2)
+	set(true, "a2")
+	until(2)
+	is.Equal(len(picked("a", true)), 3) // under half are in: all are used
+	set(true, "a3")
+	until(1)
+	is.Equal(picked("a", true), map[string]bool{"b1": true}) // none is: another zone's
+}
--- /dev/null
+++ b/internal/standin/platform/summary.go
@@ -0,0 +1,166 @@
+// What a record comes to in numbers: how programs and requests ended, and how
+// long callers waited.
+package platform
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"fordseam/internal/base"
+)
+
+// Spread is a list of times as half and nearly all of them went.
+type Spread struct {
+	Count    int
+	P50, P95 time.Duration
+	Most     time.Duration
+}
+
+// SpreadOf sums up a list.
+func SpreadOf(list []time.Duration) Spread {
+	if len(list) == 0 {
+		return Spread{}
+	}
+	sorted := slices.Sorted(slices.Values(list))
+	at := func(share float64) time.Duration { return sorted[int(share*float64(len(sorted)-1))] }
+	return Spread{len(sorted), at(0.5), at(0.95), sorted[len(sorted)-1]}
+}
+
+func (s Spread) String() string {
+	return fmt.Sprintf("p50 %.1f ms  p95 %.1f ms  most %.1f ms  (%d)", ms(s.P50), ms(s.P95), ms(s.Most), s.Count)
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// ClassSummary is one kind of request's.
+type ClassSummary struct {
+	Programs map[Ending]int
+	Runaways int
+	Tries    int
+	Statuses map[string]int
+	First    Spread
+	Gaps     Spread
+	Whole    Spread
+	Passing  Spread // from a worker's event to the client's
+}
+
+// Summarize counts a record by kind of request.
+func (r *Record) Summarize() map[string]*ClassSummary {
+	type lists struct{ first, gaps, whole, passing []time.Duration }
+	all, times := map[string]*ClassSummary{}, map[string]*lists{}
+	of := func(class string) (*ClassSummary, *lists) {
+		if all[class] == nil {
+			all[class], times[class] = &ClassSummary{Programs: map[Ending]int{}, Statuses: map[string]int{}}, &lists{}
+		}
+		return all[class], times[class]
+	}
+	for _, o := range r.Outcomes {
+		s, _ := of(o.Class)
+		if o.Runaway {
+			s.Runaways++
+			continue
+		}
+		s.Programs[o.Ending]++
+	}
+	runs := map[string]*Arrival{}
+	for _, a := range r.Arrivals {
+		if a.Ran {
+			runs[a.ID] = a
+		}
+	}
+	for _, t := range r.Tries {
+		s, l := of(t.Class)
+		s.Tries++
+		s.Statuses[t.Said()]++
+		if !t.OK() {
+			continue
+		}
+		l.whole = append(l.whole, t.Ended-t.Sent)
+		l.first = append(l.first, t.First-t.Sent)
+		for place, event := range t.Events {
+			if place > 0 {
+				l.gaps = append(l.gaps, event.At-t.Events[place-1].At)
+			}
+			if run := runs[t.ID]; run != nil && place < len(run.Events) {
+				l.passing = append(l.passing, event.At-run.Events[place].At)
+			}
+		}
+	}
+	for class, s := range all {
+		l := times[class]
+		s.First, s.Gaps, s.Whole, s.Passing = SpreadOf(l.first), SpreadOf(l.gaps), SpreadOf(l.whole), SpreadOf(l.passing)
+	}
+	return all
+}
+
+// Said is a try's end in a word.
+func (t *Try) Said() string {
+	word := fmt.Sprint(t.Status)
+	switch {
+	case t.Status == 0 && t.GaveUp:
+		return "given up"
+	case t.Status == 0 && t.Unread:
+		return "closed unread"
+	case t.Status == 0:
+		return "closed"
+	case !t.Complete:
+		word += " cut"
+	}
+	if t.Own() {
+		word += " own"
+	}
+	return word
+}
+
+// Print writes a record's summary for people.
+func (r *Record) Print(out io.Writer, breaches []Breach) {
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) }
+	classes := r.Summarize()
+	for _, name := range base.SortedKeys(classes) {
+		s := classes[name]
+		line("%s: %d tries", name, s.Tries)
+		for _, ending := range []Ending{InTime, Late, TooLate, Failed, Spent} {
+			if s.Programs[ending] > 0 {
+				line("  programs %-14s %d", ending, s.Programs[ending])
+			}
+		}
+		if s.Runaways > 0 {
+			line("  programs that ran away  %d", s.Runaways)
+		}
+		for _, status := range base.SortedKeys(s.Statuses) {
+			line("  answered %-14s %d", status, s.Statuses[status])
+		}
+		for _, spread := range []struct {
+			what string
+			is   Spread
+		}{{"to the first event", s.First}, {"between events", s.Gaps}, {"a whole answer", s.Whole}, {"an event's passing", s.Passing}} {
+			if spread.is.Count > 0 {
+				line("  %-20s %s", spread.what, spread.is)
+			}
+		}
+	}
+	reasons := map[string]int{}
+	for _, o := range r.Outcomes {
+		if o.Ending == Failed && !o.Runaway {
+			reasons[o.Class]++
+			if reasons[o.Class] <= 3 {
+				line("failed: %s %s at %.1fs: %s", o.Class, o.Program, o.Ended.Seconds(), o.Why)
+			}
+		}
+	}
+	acked := 0
+	for _, o := range r.Orders {
+		if o.Acked() {
+			acked++
+		}
+	}
+	line("configurations: %d sent, %d acknowledged; %d troubles", len(r.Orders), acked, len(r.Troubles))
+	for _, b := range breaches {
+		line("BROKEN %s", b)
+	}
+	if len(breaches) == 0 {
+		line("no rule broken")
+	}
+}
