--- a/internal/base/ask.go
+++ b/internal/base/ask.go
@@ -39,6 +39,49 @@
 	}
 }
 
+// AskFew calls only as many as must say yes. One more is called for each that
+// says no, and all the others once patience is over.
+func AskFew[T any](clock Clock, all []T, enough int, patience, limit time.Duration, call func(*Ctx, T) bool) bool {
+	var mu sync.Mutex
+	bell := NewBell(clock)
+	begun, no, yes := 0, 0, 0
+	begin := func(upTo int) {
+		for ; begun < min(upTo, len(all)); begun++ {
+			one := all[begun]
+			clock.Go(func() {
+				ok := call(NewCtx(clock, limit), one)
+				mu.Lock()
+				if ok {
+					yes++
+				} else {
+					no++
+				}
+				mu.Unlock()
+				bell.Ring()
+			})
+		}
+	}
+	end, late := clock.Now()+limit, clock.Now()+patience
+	for {
+		next := bell.Next()
+		mu.Lock()
+		enoughYes, over := yes >= enough, len(all)-no < enough
+		need := enough + no
+		mu.Unlock()
+		if enoughYes || over {
+			return enoughYes
+		}
+		until := late
+		if clock.Now() >= late {
+			need, until = len(all), end
+		}
+		begin(need)
+		if !next.Wait(max(0, until-clock.Now())) && clock.Now() >= end {
+			return false
+		}
+	}
+}
+
 // AskAll calls all and returns once each has ended, or the limit passed.
 func AskAll[T any](clock Clock, all []T, limit time.Duration, call func(*Ctx, T)) {
 	Ask(clock, all, len(all)+1, limit, func(ctx *Ctx, one T) bool {
--- a/internal/base/bounds.go
+++ b/internal/base/bounds.go
@@ -26,15 +26,21 @@
 func (b *Bounds) Hold() time.Duration { return b.Settings * 3 / 10 }
 
 // FeedHold is how long the feed keeps a quiet follower waiting.
-func (b *Bounds) FeedHold() time.Duration { return b.Settings / 10 }
+func (b *Bounds) FeedHold() time.Duration { return b.Settings / 6 }
 
-// Follow bounds one try at following the feed, its hold included.
-func (b *Bounds) Follow() time.Duration { return b.FeedHold()*3/2 + b.Beat()*3/2 }
+// Follow bounds one try at following the feed, its hold included: an answer, a
+// try that is lost and another answer fit into one permit.
+func (b *Bounds) Follow() time.Duration { return b.FeedHold()*5/4 + b.Beat() }
 
-// Beat is the period of shuffles between neighbours.
+// Beat is what the times between neighbours are counted in: they exchange every
+// two beats, and a neighbour has one and a half to answer.
 func (b *Bounds) Beat() time.Duration { return b.Leave / 12 }
 
-// Suspect is how long a silent node is still taken for alive.
+// Confirm is how long an owner waits for the disks that it asked first before
+// it asks the others.
+func (b *Bounds) Confirm() time.Duration { return b.DiskLimit() / 16 }
+
+// Suspect is about how long a silent node is still taken for alive.
 func (b *Bounds) Suspect() time.Duration { return b.Recover / 5 }
 
 // DiskLimit bounds one answer of a disk.
--- a/internal/base/ctx.go
+++ b/internal/base/ctx.go
@@ -44,7 +44,11 @@
 	return c.Context.Value(key)
 }
 
-const withinHeader = "Fordseam-Within-Ms"
+const (
+	withinHeader = "Fordseam-Within-Ms"
+	contentType  = "Content-Type"
+	messageType  = "application/protobuf"
+)
 
 // CtxOf finds our context inside a plain one, or makes a short one.
 func CtxOf(plain context.Context, clock Clock) *Ctx {
@@ -54,20 +58,43 @@
 	return &Ctx{Context: plain, Clock: clock, Until: clock.Now() + 10*time.Second}
 }
 
-// StampRequest writes the time left on a message to a partner.
+// StampRequest writes the time left on a message to a partner, and takes off
+// the headers that say the same on every message.
 func StampRequest(r *http.Request, left time.Duration) {
+	for _, name := range []string{"Accept", "Twirp-Version"} {
+		r.Header.Del(name)
+	}
+	if r.Header.Get(contentType) == messageType {
+		r.Header.Del(contentType)
+	}
+	r.Header.Set("User-Agent", "")
 	r.Header.Set(withinHeader, strconv.FormatInt(left.Milliseconds(), 10))
 }
 
-// Receive wraps a handler so that its context is ours again.
+// lean is a reply that goes out without the headers every good one would have.
+type lean struct{ http.ResponseWriter }
+
+func (w lean) WriteHeader(status int) {
+	w.Header()["Date"] = nil
+	if status == http.StatusOK && w.Header().Get(contentType) == messageType {
+		w.Header()[contentType] = nil
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Receive wraps a handler so that its context is ours again, and its messages
+// have the type that partners leave out.
 func Receive(clock Clock, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		limit := 10 * time.Second
 		if ms, err := strconv.ParseInt(r.Header.Get(withinHeader), 10, 64); err == nil && ms > 0 {
 			limit = time.Duration(ms) * time.Millisecond
 		}
+		if r.Header.Get(contentType) == "" {
+			r.Header.Set(contentType, messageType)
+		}
 		received := &Ctx{Context: r.Context(), Clock: clock, Until: clock.Now() + limit}
-		next.ServeHTTP(w, r.WithContext(received))
+		next.ServeHTTP(lean{w}, r.WithContext(received))
 	})
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -32,7 +32,7 @@
 func (v *Service) Follow(plain context.Context, request *FollowRequest) (*FollowReply, error) {
 	ctx := base.CtxOf(plain, v.clock)
 	hold := min(time.Duration(request.HoldMs)*time.Millisecond, ctx.Left()/2)
-	place, frame, puts, hint, err := v.owner.News(ctx, request.Place, hold)
+	place, frame, puts, hint, err := v.owner.News(ctx, request.Place, request.Begun, hold)
 	if err != nil {
 		return nil, base.ToWire(err)
 	}
@@ -40,8 +40,10 @@
 	return &FollowReply{Place: place, Frame: frame, Puts: told, Owner: hint}, nil
 }
 
-// Frame is what a follower knows, swapped whole at each change.
+// Frame is what a follower knows, swapped whole at each change. Begun tells it
+// from the frame of a follower that was told nothing yet.
 type Frame struct {
+	Begun  bool
 	Place  uint64
 	Values map[string][]byte
 }
@@ -53,7 +55,6 @@
 	client   *register.Client
 	bounds   *base.Table[base.Bounds]
 	counters *base.Counters
-	node     string
 	frame    base.Table[Frame]
 	changed  func(*Frame)
 	bell     *base.Bell
@@ -66,8 +67,8 @@
 
 // NewFollower calls changed with each new frame, before the permit that
 // came with it counts.
-func NewFollower(clock base.Clock, wire base.Wire, client *register.Client, bounds *base.Table[base.Bounds], counters *base.Counters, node string, changed func(*Frame)) *Follower {
-	f := &Follower{clock: clock, wire: wire, client: client, bounds: bounds, counters: counters, node: node, changed: changed, bell: base.NewBell(clock)}
+func NewFollower(clock base.Clock, wire base.Wire, client *register.Client, bounds *base.Table[base.Bounds], counters *base.Counters, changed func(*Frame)) *Follower {
+	f := &Follower{clock: clock, wire: wire, client: client, bounds: bounds, counters: counters, changed: changed, bell: base.NewBell(clock)}
 	f.frame.Swap(&Frame{Values: map[string][]byte{}})
 	return f
 }
@@ -81,10 +82,12 @@
 		bounds := f.bounds.Load()
 		asked := f.clock.Now()
 		var reply *FollowReply
-		request := &FollowRequest{Node: f.node, Place: f.Frame().Place, HoldMs: bounds.FeedHold().Milliseconds()}
+		frame := f.Frame()
+		request := &FollowRequest{Begun: frame.Begun, Place: frame.Place, HoldMs: bounds.FeedHold().Milliseconds()}
 		err := f.client.Reach(base.NewCtx(f.clock, bounds.Permit()), 0, bounds.Follow(), func(ctx *base.Ctx, addr string) (string, error) {
 			asked = f.clock.Now()
 			answered, err := NewFeedProtobufClient("http://"+addr, f.wire).Follow(ctx, request)
+			request.HoldMs = 0 // another try must not wait: the permit runs out
 			if err != nil {
 				return "", err
 			}
@@ -119,7 +122,7 @@
 		f.counters.Add("feed_older_dropped", 1)
 		return
 	}
-	if reply.Place > current.Place {
+	if reply.Place > current.Place || !current.Begun {
 		values := map[string][]byte{}
 		if !reply.Frame {
 			values = maps.Clone(current.Values)
@@ -131,7 +134,7 @@
 				values[put.Key] = put.Value
 			}
 		}
-		next := &Frame{Place: reply.Place, Values: values}
+		next := &Frame{Begun: true, Place: reply.Place, Values: values}
 		f.changed(next)
 		f.frame.Swap(next)
 		f.counters.Add("feed_changes", 1)
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -31,7 +31,7 @@
 			bounds.Swap(base.DefaultBounds())
 			v := NewView(base.NewRealClock(), nil, bounds, base.NewCounters(), &Member{Id: "me", Addr: "me:1", Role: RoleEdge}, nil, nil)
 			v.Pin(row.mine)
-			message := &ShuffleMessage{Cluster: row.theirs, Members: []*Member{{Id: "other", Addr: "other:1", Role: RoleCore, Beat: 1}}}
+			message := &ShuffleMessage{Cluster: row.theirs, Members: []*Member{{Id: "other", Addr: "other:1", Role: RoleCore, Incarnation: 1}}}
 			if row.asked {
 				v.merge(message, "other:1")
 			} else {
@@ -41,7 +41,7 @@
 			}
 			_, alive := v.Find("other")
 			is.Equal(alive, row.known)
-			is.Equal(v.message().Cluster, row.after)
+			is.Equal(v.message("", false, nil).Cluster, row.after)
 		})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,7 @@
 // follow makes a follower that keeps the settings and the bounds.
 func (c *common) follow(tree *base.Table[settings.Tree], also func(*feed.Frame)) (*register.Client, *feed.Follower) {
 	client := register.NewClient(c.env.Clock, c.env.Wire, c.view, c.bounds)
-	follower := feed.NewFollower(c.env.Clock, c.env.Wire, client, c.bounds, c.env.Counters, c.view.Me(), func(frame *feed.Frame) {
+	follower := feed.NewFollower(c.env.Clock, c.env.Wire, client, c.bounds, c.env.Counters, func(frame *feed.Frame) {
 		if _, next := settings.FromFrame(frame.Values); next != nil {
 			bounds := next.Bounds()
 			c.bounds.Swap(&bounds)
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -13,6 +13,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -154,13 +155,15 @@
 
 	mu      sync.Mutex
 	set     *DiskSet
+	slow    map[string]time.Duration
+	lookup  base.Signal
 	moving  bool
 	repairs int
 	closed  bool
 }
 
 func NewOwner(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds], counters *base.Counters) *Owner {
-	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}}
+	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}, slow: map[string]time.Duration{}}
 	o.handleDisks()
 	for num := range o.slots {
 		o.slots[num] = &slot{num: uint32(num), bell: base.NewBell(clock)}
@@ -269,6 +272,23 @@
 		return known
 	}
 	limit := o.bounds.Load().DiskLimit()
+	o.mu.Lock()
+	under := o.lookup
+	if under == nil {
+		o.lookup = o.clock.NewSignal()
+	}
+	o.mu.Unlock()
+	if under != nil {
+		under.Wait(limit)
+		return o.knownSet()
+	}
+	defer func() {
+		o.mu.Lock()
+		over := o.lookup
+		o.lookup = nil
+		o.mu.Unlock()
+		over.Fire()
+	}()
 	base.Ask(o.clock, o.view.Known(membership.RoleStorage), 2, limit, func(ctx *base.Ctx, member *membership.Member) bool {
 		state, err := NewDiskProtobufClient("http://"+member.Addr, o.wire).Describe(ctx, &DescribeRequest{})
 		if err != nil || state.Set == nil || len(state.Set.Disks) == 0 {
@@ -645,6 +665,16 @@
 }
 
 func (o *Owner) decide(ctx *base.Ctx, s *slot, group string, decide func(tx *Tx) (any, error)) (any, error) {
+	return o.decideSaid(ctx, s, group, decide, true)
+}
+
+// decideUnsaid is a change of the owner's own: where nothing changes, nobody is
+// told so, and the epoch need not be confirmed.
+func (o *Owner) decideUnsaid(ctx *base.Ctx, s *slot, decide func(tx *Tx) (any, error)) (any, error) {
+	return o.decideSaid(ctx, s, "", decide, false)
+}
+
+func (o *Owner) decideSaid(ctx *base.Ctx, s *slot, group string, decide func(tx *Tx) (any, error), said bool) (any, error) {
 	s.mu.Lock()
 	if s.phase != serving {
 		s.mu.Unlock()
@@ -675,7 +705,7 @@
 	if err := o.settled(ctx, s, epoch, target); err != nil {
 		return nil, err
 	}
-	if !changed {
+	if !changed && said {
 		if err := o.confirm(ctx, s, epoch); err != nil {
 			return nil, err
 		}
@@ -740,8 +770,11 @@
 		s.mu.Unlock()
 		set := o.knownSet()
 		o.counters.Add("register_confirms", 1)
-		confirmed := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+		bounds := o.bounds.Load()
+		confirmed := base.AskFew(o.clock, o.promptFirst(voters(set)), majority(set), bounds.Confirm(), bounds.DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
+			began := o.clock.Now()
 			ack, err := o.disk(entry).Confirm(ctx, &ConfirmRequest{Claim: o.claim(s, epoch, set, entry)})
+			o.timed(entry, err == nil && o.clock.Now()-began < bounds.Confirm())
 			if err == nil && ack.Why == "epoch" {
 				o.stepDown(s, epoch, ack.Epoch)
 			}
@@ -757,6 +790,37 @@
 	}
 }
 
+// timed notes whether a disk was prompt; promptFirst puts those that were not
+// last, and among the others those of this core's zone first.
+func (o *Owner) timed(entry *DiskEntry, prompt bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if prompt {
+		delete(o.slow, entry.Id)
+	} else {
+		o.slow[entry.Id] = o.clock.Now()
+	}
+}
+
+func (o *Owner) promptFirst(entries []*DiskEntry) []*DiskEntry {
+	zone := o.view.Self().Zone
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	rank := func(entry *DiskEntry) int {
+		at, slow := o.slow[entry.Id]
+		switch {
+		case slow && o.clock.Now()-at < o.bounds.Load().Recover:
+			return 2
+		case entry.Zone != zone:
+			return 1
+		}
+		return 0
+	}
+	ordered := slices.Clone(entries)
+	slices.SortStableFunc(ordered, func(a, b *DiskEntry) int { return rank(a) - rank(b) })
+	return ordered
+}
+
 func (o *Owner) sweepAll() {
 	for _, s := range o.slots {
 		s.mu.Lock()
@@ -765,12 +829,12 @@
 		if !serves {
 			continue
 		}
-		_, _ = o.decide(base.NewCtx(o.clock, o.bounds.Load().Call()), s, "", func(tx *Tx) (any, error) {
+		_, _ = o.decideUnsaid(base.NewCtx(o.clock, o.bounds.Load().Call()), s, func(tx *Tx) (any, error) {
 			for _, clean := range o.sweeps {
 				clean(tx)
 			}
 			// The time that passed is kept even where nothing else happens.
-			if tx.Get(TimeKey) != nil && len(tx.puts) == 0 {
+			if len(tx.puts) == 0 && tx.held.Size() > 1 {
 				tx.Put(TimeKey, nil)
 			}
 			return nil, nil
@@ -780,9 +844,9 @@
 
 // News gives a follower of the feed what is committed after a place: the
 // changes if they are still at hand, else the whole frame. It waits up to
-// hold for news, and confirms its epoch last, so that the answer is as fresh
+// hold for news if the follower has begun, and confirms its epoch last, so that the answer is as fresh
 // as the moment it was asked for.
-func (o *Owner) News(ctx *base.Ctx, place uint64, hold time.Duration) (now uint64, frame bool, puts []*Put, hint string, err error) {
+func (o *Owner) News(ctx *base.Ctx, place uint64, begun bool, hold time.Duration) (now uint64, frame bool, puts []*Put, hint string, err error) {
 	s := o.slots[0]
 	if hint, err = o.await(ctx, s); hint != "" || err != nil {
 		return 0, false, nil, hint, err
@@ -791,12 +855,12 @@
 	// serves them all.
 	end := o.clock.Now() + hold
 	if hold > 0 {
-		end = (o.clock.Now() + hold*3/2) / hold * hold
+		end = (o.clock.Now() + hold*5/4) / hold * hold
 	}
 	for {
 		next := s.bell.Next()
 		s.mu.Lock()
-		quiet := s.phase == serving && s.commit == place && place > 0
+		quiet := s.phase == serving && begun && s.commit == place
 		s.mu.Unlock()
 		if !quiet || !next.Wait(max(0, end-o.clock.Now())) {
 			break
@@ -809,7 +873,7 @@
 	}
 	epoch, target := s.epoch, s.tail
 	first := s.first()
-	frame = place == 0 || place+1 < first || place > target
+	frame = !begun || place+1 < first || place > target
 	if frame {
 		s.held.Each(func(key, value any) { puts = append(puts, &Put{Key: key.(string), Value: value.([]byte)}) })
 	} else {
--- a/internal/simulate/net.go
+++ b/internal/simulate/net.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"time"
 
 	"fordseam/internal/base"
@@ -34,11 +35,38 @@
 	cuts     map[[2]string]bool
 	Messages int
 	Lost     int
+	// Talk counts the exchanges between machines by path, with their bytes as
+	// HTTP carries them, both ways.
+	Talk map[string]*Talk
 	// Meddle, set by tests only, stands between the machines and takes a
 	// mechanism away: it may answer a message itself, or change what passes.
 	Meddle func(m *Message) *http.Response
 }
 
+// Talk is what was said on one path.
+type Talk struct{ Calls, Bytes int }
+
+// weigh is the size of a message's head and body on the wire.
+func weigh(line int, header http.Header, body int) int {
+	size := line + len("Content-Length: ") + len(strconv.Itoa(body)) + 4 + body
+	for name, values := range header {
+		for _, value := range values {
+			if value != "" && name != "Content-Length" {
+				size += len(name) + len(value) + 4
+			}
+		}
+	}
+	return size
+}
+
+func (n *Net) note(path string, calls, bytes int) {
+	if n.Talk[path] == nil {
+		n.Talk[path] = &Talk{}
+	}
+	n.Talk[path].Calls += calls
+	n.Talk[path].Bytes += bytes
+}
+
 // Message is one exchange between machines; Pass carries it to its end.
 type Message struct {
 	From, To *Host
@@ -48,7 +76,7 @@
 }
 
 func NewNet(world *World) *Net {
-	return &Net{World: world, Quick: 200 * time.Microsecond, Slow: 1500 * time.Microsecond, cuts: map[[2]string]bool{}}
+	return &Net{World: world, Quick: 200 * time.Microsecond, Slow: 1500 * time.Microsecond, cuts: map[[2]string]bool{}, Talk: map[string]*Talk{}}
 }
 
 // Cut stops messages from one host to another; Heal lets all through again.
@@ -122,6 +150,8 @@
 func (x *wire) carry(request *http.Request, body []byte, left time.Duration) (*http.Response, error) {
 	n, w := x.net, x.net.World
 	n.Messages++
+	path := request.URL.Path
+	n.note(path, 1, weigh(len("POST  HTTP/1.1\r\nHost: \r\n")+len(path)+len(request.URL.Host), request.Header, len(body)))
 	target := w.Hosts[hostOf(request.URL.Host)]
 	if target == nil || !target.alive {
 		x.host.Clock().Sleep(n.delay())
@@ -154,6 +184,7 @@
 			}
 			target.Clock().Sleep(n.delay() + x.host.Lag + target.Lag)
 			response = recorder.Result()
+			n.note(path, 0, weigh(len("HTTP/1.1 200 OK\r\n"), response.Header, recorder.Body.Len()))
 			done.Fire()
 		})
 	}
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -226,6 +227,7 @@
 type heardUsage struct {
 	usage *membership.Usage
 	at    time.Duration
+	given int
 }
 
 func NewBook(clock base.Clock, bounds *base.Table[base.Bounds]) *Book {
@@ -238,7 +240,7 @@
 	defer b.mu.Unlock()
 	for _, usage := range usages {
 		if held, ok := b.newest[usage.Worker]; !ok || usage.Number > held.usage.Number {
-			b.newest[usage.Worker] = &heardUsage{usage, b.clock.Now()}
+			b.newest[usage.Worker] = &heardUsage{usage: usage, at: b.clock.Now()}
 		}
 	}
 }
@@ -257,21 +259,38 @@
 	return b.clock.Now()-held.at <= 2*b.bounds.Load().Leave
 }
 
-// Sample is what a shuffle carries on: fresh reports only.
-func (b *Book) Sample(limit int) []*membership.Usage {
+// Sample gives fresh reports that were given fewer than times before, the least
+// given first.
+func (b *Book) Sample(limit, times int) []*membership.Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	found := []*membership.Usage{}
-	for _, id := range base.SortedKeys(b.newest) {
-		held := b.newest[id]
-		if b.fresh(held) && len(found) < limit {
-			found = append(found, &membership.Usage{Worker: id, Incarnation: held.usage.Incarnation,
-				Number: held.usage.Number, Load: held.usage.Load, Leaving: held.usage.Leaving})
-		} else if b.clock.Now()-held.at > 20*b.bounds.Load().Leave {
+	for id, held := range b.newest {
+		if b.clock.Now()-held.at > 20*b.bounds.Load().Leave {
 			delete(b.newest, id)
 		}
 	}
-	return found
+	ids := base.Filter(base.SortedKeys(b.newest), func(id string) bool { return b.unsaid(b.newest[id], times) })
+	slices.SortStableFunc(ids, func(x, y string) int { return b.newest[x].given - b.newest[y].given })
+	return base.Map(ids[:min(limit, len(ids))], func(id string) *membership.Usage {
+		held := b.newest[id]
+		held.given++
+		return &membership.Usage{Worker: id, Incarnation: held.usage.Incarnation,
+			Number: held.usage.Number, Load: held.usage.Load, Leaving: held.usage.Leaving}
+	})
+}
+
+func (b *Book) unsaid(held *heardUsage, times int) bool { return b.fresh(held) && held.given < times }
+
+// Unsaid tells whether Sample would give any.
+func (b *Book) Unsaid(times int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, held := range b.newest {
+		if b.unsaid(held, times) {
+			return true
+		}
+	}
+	return false
 }
 
 // Load gives a worker's reported load while it is fresh.
