--- a/internal/simulate/talk_test.go
+++ b/internal/simulate/talk_test.go
@@ -3,10 +3,12 @@
 package simulate
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/membership"
 
 	"github.com/matryer/is"
 )
@@ -109,3 +111,103 @@
 		is.True(m.gateway.Follower.Permitted())
 	}
 }
+
+// views gives what each living node makes of a machine in its present life:
+// whether it takes it for alive.
+func (m *Machine) view() *membership.View {
+	switch {
+	case m.gateway != nil:
+		return m.gateway.View()
+	case m.core != nil:
+		return m.core.View()
+	case m.storage != nil:
+		return m.storage.View()
+	}
+	return nil
+}
+
+// believers counts the machines outside a set that take one for alive.
+func (f *Fleet) believers(id string, apart map[string]bool) int {
+	count := 0
+	for _, m := range f.All() {
+		if view := m.view(); view != nil && m.Host.alive && !m.Host.frozen && !apart[m.Host.Name] {
+			if _, alive := view.Find(id); alive {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// until tells how long it takes until something holds.
+func (f *Fleet) until(limit time.Duration, holds func() bool) time.Duration {
+	began := f.World.now
+	for f.World.now < began+limit && !holds() {
+		f.World.Run(f.World.now+20*time.Millisecond, nil)
+	}
+	return f.World.now - began
+}
+
+// TestSilentNodesAreFound measures how long it takes until no other node takes
+// a lost one for alive, and until all do again once it is back.
+func TestSilentNodesAreFound(t *testing.T) {
+	t.Parallel()
+	for _, row := range []struct {
+		name  string
+		lose  func(f *Fleet, m *Machine) map[string]bool
+		back  func(f *Fleet, m *Machine)
+		mean  time.Duration
+		limit time.Duration
+	}{
+		{"killed", func(f *Fleet, m *Machine) map[string]bool { f.Kill(m); return nil }, func(f *Fleet, m *Machine) { f.Start(m) }, 1200 * time.Millisecond, 3 * time.Second},
+		{"frozen", func(f *Fleet, m *Machine) map[string]bool { m.Host.Freeze(); return nil }, func(f *Fleet, m *Machine) { m.Host.Thaw() }, 2400 * time.Millisecond, 4 * time.Second},
+		{"cut off", func(f *Fleet, m *Machine) map[string]bool {
+			apart := map[string]bool{m.Host.Name: true}
+			f.Net.CutOff(apart)
+			return apart
+		}, func(f *Fleet, m *Machine) { f.Net.Heal() }, 2400 * time.Millisecond, 4 * time.Second},
+		{"a zone cut off", func(f *Fleet, m *Machine) map[string]bool {
+			apart := map[string]bool{}
+			for _, other := range f.All() {
+				apart[other.Host.Name] = other.Host.Zone == m.Host.Zone
+			}
+			f.Net.CutOff(apart)
+			return apart
+		}, func(f *Fleet, m *Machine) { f.Net.Heal() }, 2400 * time.Millisecond, 4 * time.Second},
+	} {
+		for _, nodes := range []int{14, 78} {
+			is := is.NewRelaxed(t)
+			f := rested(t, nodes, applied)
+			lost, back := []time.Duration{}, []time.Duration{}
+			for round := 0; round < 8; round++ {
+				m := f.All()[round%len(f.All())]
+				id := m.view().Me()
+				apart := row.lose(f, m)
+				took := f.until(20*time.Second, func() bool { return f.believers(id, apart) == 0 })
+				lost = append(lost, took)
+				f.World.Run(f.World.now+3*time.Second, nil)
+				row.back(f, m)
+				took = f.until(20*time.Second, func() bool {
+					if m.view() == nil {
+						return false
+					}
+					return f.believers(m.view().Me(), nil) == len(f.All())
+				})
+				back = append(back, took)
+				f.World.Run(f.World.now+5*time.Second, nil)
+			}
+			mean := func(all []time.Duration) time.Duration {
+				sum := time.Duration(0)
+				for _, one := range all {
+					sum += one
+				}
+				return sum / time.Duration(len(all))
+			}
+			t.Logf("%s, %d nodes: found mean %v most %v %v, back mean %v most %v", row.name, nodes, mean(lost), slices.Max(lost), lost, mean(back), slices.Max(back))
+			is.True(mean(lost) < row.mean)
+			is.True(slices.Max(lost) < row.limit)
+			is.True(slices.Max(back) < 4*time.Second)
+			f.World.Close()
+		}
+	}
+}
