--- /dev/null
+++ b/internal/simulate/talk_test.go
@@ -0,0 +1,213 @@
+// What an idle fleet says, counted on the wire by kind, and that it does not
+// grow with the fleet.
+package simulate
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/membership"
+
+	"github.com/matryer/is"
+)
+
+// sized is a fleet of a size, a fifth of it cores and storage machines up to
+// seven each.
+func sized(nodes int) Shape {
+	shape := KiondoShape()
+	shape.Cores = min(4+nodes/30, 7)
+	shape.Storage = shape.Cores
+	shape.Edges = nodes - shape.Cores - shape.Storage
+	shape.Models, shape.Tools = 2, 2
+	return shape
+}
+
+// stage is how far a fleet was brought up.
+type stage string
+
+const (
+	bare    stage = "no cluster"
+	empty   stage = "no settings"
+	applied stage = "settings applied"
+)
+
+// rested is a fleet of a size that came to rest, with nothing counted yet.
+func rested(t *testing.T, nodes int, reach stage) *Fleet {
+	t.Helper()
+	f := NewFleet(1, sized(nodes))
+	switch reach {
+	case applied:
+		formed(t, f)
+	case empty:
+		begun := false
+		f.Callers.Go(func() {
+			addrs := base.Map(f.Storage, func(m *Machine) string { return m.Host.Name + ":1" })
+			f.insist("form", func() int {
+				status, _ := f.Operate(f.Cores[0], "POST", "/v1/operator/init", map[string]any{"disks": addrs})
+				return status
+			})
+			begun = true
+		})
+		if !f.World.Run(60*time.Second, func() bool { return begun }) {
+			t.Fatal("the cluster was not made")
+		}
+	}
+	f.World.Run(f.World.Now()+10*time.Second, nil)
+	f.Net.Talk = map[string]*Talk{}
+	return f
+}
+
+// idle gives the calls and bytes a node and second while nothing happens.
+func idle(t *testing.T, nodes int, reach stage) (calls, bytes float64) {
+	t.Helper()
+	f := rested(t, nodes, reach)
+	defer f.World.Close()
+	const span = 60
+	f.World.Run(f.World.Now()+span*time.Second, nil)
+	share := float64(span * nodes)
+	for _, path := range base.SortedKeys(f.Net.Talk) {
+		talk := f.Net.Talk[path]
+		t.Logf("%d nodes, %s: %-45s %6.2f calls %7.0f bytes, %5.0f a call", nodes, reach, path,
+			float64(talk.Calls)/share, float64(talk.Bytes)/share, float64(talk.Bytes)/float64(talk.Calls))
+		calls += float64(talk.Calls) / share
+		bytes += float64(talk.Bytes) / share
+	}
+	t.Logf("%d nodes, %s: %.2f calls, %.0f bytes", nodes, reach, calls, bytes)
+	return calls, bytes
+}
+
+// TestIdleTalkStaysSmall bounds what an idle fleet says, and its growth with
+// the fleet.
+func TestIdleTalkStaysSmall(t *testing.T) {
+	t.Parallel()
+	for _, reach := range []stage{empty, applied} {
+		is := is.New(t)
+		calls, small := idle(t, 14, reach)
+		is.True(small < 1300)
+		is.True(calls < 6)
+		calls, large := idle(t, 78, reach)
+		is.True(large < 1300)
+		is.True(large < small*1.2)
+		is.True(calls < 6)
+	}
+}
+
+// TestEmptyFeedIsAPlaceLikeAnyOther: followers of a feed that tells nothing are
+// held as others are.
+func TestEmptyFeedIsAPlaceLikeAnyOther(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := rested(t, 14, empty)
+	defer f.World.Close()
+	f.World.Run(f.World.Now()+10*time.Second, nil)
+	followers := len(f.Edges) + len(f.Cores)
+	perSecond := float64(f.Net.Talk["/twirp/fordseam.feed.Feed/Follow"].Calls) / 10 / float64(followers)
+	t.Logf("%.1f calls a follower and second", perSecond)
+	is.True(perSecond > 1)
+	is.True(perSecond < 6)
+	for _, m := range f.Edges {
+		is.True(m.gateway.Follower.Permitted())
+	}
+}
+
+// views gives what each living node makes of a machine in its present life:
+// whether it takes it for alive.
+func (m *Machine) view() *membership.View {
+	switch {
+	case m.gateway != nil:
+		return m.gateway.View()
+	case m.core != nil:
+		return m.core.View()
+	case m.storage != nil:
+		return m.storage.View()
+	}
+	return nil
+}
+
+// believers counts the machines outside a set that take one for alive.
+func (f *Fleet) believers(id string, apart map[string]bool) int {
+	count := 0
+	for _, m := range f.All() {
+		if view := m.view(); view != nil && m.Host.alive && !m.Host.frozen && !apart[m.Host.Name] {
+			if _, alive := view.Find(id); alive {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// until tells how long it takes until something holds.
+func (f *Fleet) until(limit time.Duration, holds func() bool) time.Duration {
+	began := f.World.now
+	for f.World.now < began+limit && !holds() {
+		f.World.Run(f.World.now+20*time.Millisecond, nil)
+	}
+	return f.World.now - began
+}
+
+// TestSilentNodesAreFound measures how long it takes until no other node takes
+// a lost one for alive, and until all do again once it is back.
+func TestSilentNodesAreFound(t *testing.T) {
+	t.Parallel()
+	for _, row := range []struct {
+		name  string
+		lose  func(f *Fleet, m *Machine) map[string]bool
+		back  func(f *Fleet, m *Machine)
+		mean  time.Duration
+		limit time.Duration
+	}{
+		{"killed", func(f *Fleet, m *Machine) map[string]bool { f.Kill(m); return nil }, func(f *Fleet, m *Machine) { f.Start(m) }, 1200 * time.Millisecond, 3 * time.Second},
+		{"frozen", func(f *Fleet, m *Machine) map[string]bool { m.Host.Freeze(); return nil }, func(f *Fleet, m *Machine) { m.Host.Thaw() }, 2400 * time.Millisecond, 4 * time.Second},
+		{"cut off", func(f *Fleet, m *Machine) map[string]bool {
+			apart := map[string]bool{m.Host.Name: true}
+			f.Net.CutOff(apart)
+			return apart
+		}, func(f *Fleet, m *Machine) { f.Net.Heal() }, 2400 * time.Millisecond, 4 * time.Second},
+		{"a zone cut off", func(f *Fleet, m *Machine) map[string]bool {
+			apart := map[string]bool{}
+			for _, other := range f.All() {
+				apart[other.Host.Name] = other.Host.Zone == m.Host.Zone
+			}
+			f.Net.CutOff(apart)
+			return apart
+		}, func(f *Fleet, m *Machine) { f.Net.Heal() }, 2400 * time.Millisecond, 4 * time.Second},
+	} {
+		for _, nodes := range []int{14, 78} {
+			is := is.NewRelaxed(t)
+			f := rested(t, nodes, applied)
+			lost, back := []time.Duration{}, []time.Duration{}
+			for round := 0; round < 8; round++ {
+				m := f.All()[round%len(f.All())]
+				id := m.view().Me()
+				apart := row.lose(f, m)
+				took := f.until(20*time.Second, func() bool { return f.believers(id, apart) == 0 })
+				lost = append(lost, took)
+				f.World.Run(f.World.now+3*time.Second, nil)
+				row.back(f, m)
+				took = f.until(20*time.Second, func() bool {
+					if m.view() == nil {
+						return false
+					}
+					return f.believers(m.view().Me(), nil) == len(f.All())
+				})
+				back = append(back, took)
+				f.World.Run(f.World.now+5*time.Second, nil)
+			}
+			mean := func(all []time.Duration) time.Duration {
+				sum := time.Duration(0)
+				for _, one := range all {
+					sum += one
+				}
+				return sum / time.Duration(len(all))
+			}
+			t.Logf("%s, %d nodes: found mean %v most %v %v, back mean %v most %v", row.name, nodes, mean(lost), slices.Max(lost), lost, mean(back), slices.Max(back))
+			is.True(mean(lost) < row.mean)
+			is.True(slices.Max(lost) < row.limit)
+			is.True(slices.Max(back) < 4*time.Second)
+			f.World.Close()
+		}
+	}
+}
