--- a/cmd/fordseam-controller/client.go
+++ b/cmd/fordseam-controller/client.go
@@ -42,6 +42,7 @@
 			client("list", "show the disks and how far a change has come", "", nil, listStorage),
 			client("admit", "take a blank storage machine in", "STORAGE-ADDRESS", nil, admitStorage),
 			client("retire", "take a disk out and empty it", "DISK-ID", nil, retireStorage),
+			client("empty", "empty a machine, where the disk set mends itself; asked again, tells its state", "NODE-NAME", nil, emptyStorage),
 		}},
 		client("terminate", "end a program", "PROGRAM", []cli.Flag{
 			&cli.StringFlag{Name: "mode", Value: "Drain", Usage: "`MODE`: Drain or Immediate; it only escalates"}}, terminate),
@@ -299,6 +300,9 @@
 		rows = append(rows, []string{member.Role, member.Zone, member.Addr, member.Public, state})
 	}
 	table(rows)
+	for _, word := range shown.Mending {
+		fmt.Println("mending:", word)
+	}
 	if len(shown.Unwell) == 0 {
 		fmt.Println("all is well")
 	}
@@ -350,6 +354,18 @@
 	return changeStorage(c, "retire", "disk", "is being taken out; once no change is under way it may be switched off")
 }
 
+func emptyStorage(c *caller) error {
+	named := c.command.Args().First()
+	var shown struct {
+		State string `json:"state"`
+	}
+	err := c.call("POST", "/v1/operator/storage/empty", map[string]string{"node": named}, &shown)
+	if err == nil && !c.quiet() {
+		fmt.Printf("%s: %s\n", named, shown.State)
+	}
+	return err
+}
+
 func changeStorage(c *caller, what, field, words string) error {
 	named := c.command.Args().First()
 	var shown register.Disks
