--- a/internal/simulate/talk_test.go
+++ b/internal/simulate/talk_test.go
@@ -139,8 +139,8 @@
 	return count
 }
 
-// until tells how long it takes until something holds.
-func (f *Fleet) until(limit time.Duration, holds func() bool) time.Duration {
+// runUntil tells how long it takes until something holds.
+func (f *Fleet) runUntil(limit time.Duration, holds func() bool) time.Duration {
 	began := f.World.now
 	for f.World.now < began+limit && !holds() {
 		f.World.Run(f.World.now+20*time.Millisecond, nil)
@@ -183,11 +183,11 @@
 				m := f.All()[round%len(f.All())]
 				id := m.view().Me()
 				apart := row.lose(f, m)
-				took := f.until(20*time.Second, func() bool { return f.believers(id, apart) == 0 })
+				took := f.runUntil(20*time.Second, func() bool { return f.believers(id, apart) == 0 })
 				lost = append(lost, took)
 				f.World.Run(f.World.now+3*time.Second, nil)
 				row.back(f, m)
-				took = f.until(20*time.Second, func() bool {
+				took = f.runUntil(20*time.Second, func() bool {
 					if m.view() == nil {
 						return false
 					}
