Choose the least of all workers by news that fades; find the own answer behind another's

Cause: drawing two workers was thought to guard against herds. The way to another zone now weighs by the body's bytes as well. A surplus answer that comes first is read past: the id tells which is which, and closing would break off a request at work; the connection carries nothing more.

--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -28,10 +28,11 @@
 )
 
 const (
-	headLimit  = 8 << 10 // of an answer's head
-	lineLimit  = 1 << 20 // of one line of a stream
-	joinLimit  = 64 << 10
-	linesFirst = 4 << 10
+	headLimit   = 8 << 10 // of an answer's head
+	lineLimit   = 1 << 20 // of one line of a stream
+	joinLimit   = 64 << 10
+	linesFirst  = 4 << 10
+	foreignMost = 2 // answers to others that are read past
 )
 
 var (
@@ -332,11 +333,16 @@
 	response := &reply.response
 	response.StreamBody = true
 	response.SkipBody = request.Method == fasthttp.MethodHead
-	if err := response.ReadLimitBody(one.reader, 0); err != nil {
-		return nil, err
-	}
-	if request.Match.Name != "" && string(response.Header.Peek(request.Match.Name)) != request.Match.Value {
-		return nil, errForeign
+	for {
+		if err := response.ReadLimitBody(one.reader, 0); err != nil {
+			return nil, err
+		}
+		if request.Match.Name == "" || string(response.Header.Peek(request.Match.Name)) == request.Match.Value {
+			break
+		}
+		if err := reply.setAside(); err != nil {
+			return nil, err
+		}
 	}
 	reply.body = response.BodyStream()
 	reply.length = response.Header.ContentLength()
@@ -346,6 +352,21 @@
 	return reply, nil
 }
 
+// setAside reads past an answer that belongs to an earlier request: the one
+// that is due may come behind it. The connection carries no other request.
+func (r *keptReply) setAside() error {
+	body := r.response.BodyStream()
+	if r.foreign++; r.foreign > foreignMost || r.Closes() || body == nil {
+		return errForeign
+	}
+	if read, err := io.Copy(io.Discard, io.LimitReader(body, joinLimit)); err != nil || read == joinLimit {
+		return errForeign
+	}
+	r.response.Reset()
+	r.response.StreamBody = true
+	return nil
+}
+
 // keptReply is the answer under way on a kept connection.
 type keptReply struct {
 	kept     *kept
@@ -354,6 +375,7 @@
 	body     io.Reader
 	length   int
 	lined    bool
+	foreign  int
 	over     error // set once the end was reached
 	state    atomic.Int32
 }
@@ -385,7 +407,7 @@
 		return
 	}
 	one := r.link
-	if r.over != io.EOF || r.Closes() || one.reader.Buffered() > 0 || r.Status() == fasthttp.StatusSwitchingProtocols {
+	if r.over != io.EOF || r.Closes() || r.foreign > 0 || one.reader.Buffered() > 0 || r.Status() == fasthttp.StatusSwitchingProtocols {
 		r.kept.drop(one)
 		return
 	}
--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -277,6 +277,45 @@
 	b.Equal(b.connections(), 2)
 }
 
+// The answer that is due may come behind another's; the id tells which is
+// which, and the connection carries nothing more.
+func TestTheOwnAnswerIsFoundBehindAnothers(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		before string
+		served bool
+	}{
+		{"one", whole("r0", "", "other"), true},
+		{"one in chunks", "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n", true},
+		{"one without an id", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", true},
+		{"two", whole("r0", "", "other") + whole("r9", "", ""), true},
+		{"too many", whole("r0", "", "other") + whole("r9", "", "other") + whole("r0", "", "other"), false},
+		{"too long", whole("r0", "", strings.Repeat("x", 100<<10)), false},
+		{"one that ends at the close", "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n", false},
+		{"bytes that form no answer", "\r\nother\r\n\r\n", false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := newBench(t, func(c net.Conn, request *http.Request, made int) bool {
+				if made == 1 {
+					_, _ = io.WriteString(c, row.before)
+				}
+				ordinary(c, request, made)
+				return row.served
+			})
+			body, err := b.ask()
+			b.Equal(err == nil, row.served)
+			if row.served {
+				b.Equal(body, "hello")
+			}
+			_, open := b.idle()
+			b.Equal(open, 0)
+			<-b.worker.ended
+			b.served()
+			b.Equal(b.connections(), 2)
+		})
+	}
+}
+
 func TestIdleConnectionsAreDroppedInTime(t *testing.T) {
 	for _, row := range []struct {
 		name, head string
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -1,7 +1,6 @@
-// Choosing a worker. Plain workers: the least expected time among two drawn in
-// the own zone and two drawn elsewhere; what answers tell of a worker's load
-// counts less the older it is, so that many nodes with late news do not all run
-// to the same worker. Model workers: the least of the time until the prompt's
+// Choosing a worker. Plain workers: the least expected time, the way to another
+// zone included; what answers tell of a worker's load counts less the older it
+// is, so that many nodes with late news do not all run to the same worker. Model workers: the least of the time until the prompt's
 // unread part is read and of what the batch slows, so that a session stays
 // where its chain is kept as long as that pays. A worker that fails is avoided
 // for a while that doubles, then tried by one request at a time; when all are
@@ -11,6 +10,7 @@
 import (
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
@@ -42,13 +42,13 @@
 	avoided  time.Duration // until then
 	probing  bool
 	full     time.Duration // until then
-	silent   time.Duration // since then nothing was heard, with requests under way
+	heardAt  atomic.Int64  // the last word of it, or the first request since it had none
 
 	mark   uint64 // of the id
 	held   *prefixes
 	read   time.Duration // when the prompts sent there will have been read
-	excess time.Duration // how much later than expected first events came of late
-	tokens int           // of our requests under way
+	late   time.Duration // how much later than expected first events came
+	lateAt time.Duration
 }
 
 // pool is what this node knows of a service.
@@ -80,19 +80,22 @@
 	if !s.told {
 		return p.others + float64(s.under)
 	}
-	fades := 4 * p.request.value
-	fresh := 1.0
-	if fades > 0 {
-		fresh = float64(fades) / float64(fades+now-s.toldAt)
+	return p.others + (s.others-p.others)*fresh(now-s.toldAt, 2*p.request.value) + float64(s.under)
+}
+
+// fresh is how much news of that age still counts.
+func fresh(age, halved time.Duration) float64 {
+	if halved <= 0 {
+		return 1
 	}
-	return p.others + (s.others-p.others)*fresh + float64(s.under)
+	return float64(halved) / float64(halved+age)
 }
 
 // spared tells that a worker gets nothing now because it failed or is full.
 func (s *state) spared(o *offer, p *pool, now time.Duration) (avoided, noRoom bool) {
-	quiet := o.route.Target + 8*p.request.value
-	avoided = now < s.avoided || (s.failures > 0 && s.probing) || (s.under > 0 && s.silent > 0 && now-s.silent > quiet && s.failures == 0 && o.service.Engine == nil)
-	return avoided, now < s.full
+	quiet := 2*o.route.Target + 4*p.request.value + max(0, s.read-now)
+	silent := s.under > 0 && now-time.Duration(s.heardAt.Load()) > quiet
+	return now < s.avoided || (s.failures > 0 && s.probing) || silent, now < s.full
 }
 
 // waits is how long a request would wait for a slot there.
@@ -111,12 +114,16 @@
 	return s.speed
 }
 
-// far is what another zone costs, in time.
+// farBody is the length of a body whose way to another zone weighs as much as
+// the aim.
+const farBody = 128 << 10
+
+// far is what another zone costs, in time: the way, and the bytes.
 func (r *Relay) far(o *offer, s *state) time.Duration {
 	if r.Zone == "" || s.Zone == r.Zone {
 		return 0
 	}
-	return o.route.Target / 16
+	return o.route.Target/12 + time.Duration(float64(o.route.Target)*float64(len(o.body))/farBody)
 }
 
 // cost is the time that a request is expected to take there, with what speaks
@@ -134,7 +141,8 @@
 	_, perToken := p.reading.line()
 	unread := o.unreadAt(s)
 	load := s.load(p, now)
-	cost := max(0, s.read-now) + time.Duration(unread)*perToken + s.waits(p, now) + s.excess
+	cost := max(0, s.read-now) + time.Duration(unread)*perToken + s.waits(p, now)
+	cost += time.Duration(float64(s.late) * fresh(now-s.lateAt, 4*o.route.Target))
 	cost += time.Duration(float64(o.call.Most) * load * float64(publishedCrowd))
 	engine := o.service.Engine
 	if engine.CacheTokens > 0 { // what does not fit puts others back
@@ -217,8 +225,8 @@
 }
 
 func (r *Relay) pick(o *offer, p *pool, open []*state, now time.Duration) *state {
-	if o.service.Engine == nil && len(open) > 4 {
-		open = r.draw(open)
+	if r.narrow != nil {
+		open = r.narrow(open)
 	}
 	var best *state
 	var least time.Duration
@@ -231,31 +239,11 @@
 	return best
 }
 
-// draw takes two in the own zone and two elsewhere, as far as there are any.
-func (r *Relay) draw(open []*state) []*state {
-	near := 0
-	for place, s := range open {
-		if s.Zone == r.Zone {
-			open[near], open[place] = open[place], open[near]
-			near++
-		}
-	}
-	drawn := make([]*state, 0, 4)
-	for _, group := range [][]*state{open[:near], open[near:]} {
-		for place := 0; place < 2 && place < len(group); place++ {
-			other := place + int(r.Clock.Int64N(int64(len(group)-place)))
-			group[place], group[other] = group[other], group[place]
-			drawn = append(drawn, group[place])
-		}
-	}
-	return drawn
-}
-
 // take books the request on the worker.
 func (r *Relay) take(o *offer, p *pool, s *state) {
 	now := r.Clock.Now()
-	if s.under == 0 || s.silent == 0 {
-		s.silent = now
+	if s.under == 0 {
+		s.heardAt.Store(int64(now))
 	}
 	s.under++
 	s.probing = s.failures > 0
@@ -264,7 +252,6 @@
 	}
 	_, perToken := p.reading.line()
 	o.unread = o.unreadAt(s)
-	s.tokens += o.call.Prompt + o.call.Most
 	o.backlog = max(0, s.read-now)
 	s.read = max(now, s.read) + time.Duration(o.unread)*perToken
 	o.added = s.held.use(o.call.Model, o.call.Parts, o.service.Engine.CacheTokens)
@@ -275,7 +262,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	s.silent = now
+	s.heardAt.Store(int64(now))
 	running, rest, ok := strings.Cut(told, ",")
 	waiting, slots, _ := strings.Cut(rest, ",")
 	if !ok {
@@ -300,7 +287,6 @@
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
 	o, s := reply.offer, reply.state
-	s.silent = now
 	if o.service.Engine == nil {
 		return
 	}
@@ -310,8 +296,9 @@
 		p.reading.add(float64(o.unread), float64(took))
 	}
 	first, perToken := p.reading.line()
-	late := took - (o.backlog + first + time.Duration(o.unread)*perToken)
-	s.excess += (max(0, late) - s.excess) / 4
+	late := max(0, took-(o.backlog+first+time.Duration(o.unread)*perToken))
+	before := time.Duration(float64(s.late) * fresh(now-s.lateAt, 4*o.route.Target))
+	s.late, s.lateAt = before+(late-before)/4, now
 }
 
 // finish ends a reply's stay at its worker.
@@ -340,13 +327,12 @@
 	now := r.Clock.Now()
 	bounds := r.Bounds.Load()
 	p := r.pool(s.Service)
+	if how == abandoned && s.under > 0 && now-time.Duration(s.heardAt.Load()) > 4*o.route.Target {
+		how = failed // nobody would wait for it any longer
+	}
 	s.under--
 	s.probing = false
-	if s.under == 0 {
-		s.silent = 0
-	}
 	if o.service.Engine != nil {
-		s.tokens -= o.call.Prompt + o.call.Most
 		if how != served && how != abandoned && how != failed {
 			for _, key := range o.added {
 				s.held.remove(key)
--- /dev/null
+++ b/internal/relay/export_test.go
@@ -0,0 +1,25 @@
+// Another way of choosing, to compare: the best of a few that are drawn.
+package relay
+
+// Draw lets the relay choose among so many workers drawn in the own zone, and
+// as many drawn elsewhere.
+func (r *Relay) Draw(draws int) {
+	r.narrow = func(open []*state) []*state {
+		near := 0
+		for place, s := range open {
+			if s.Zone == r.Zone {
+				open[near], open[place] = open[place], open[near]
+				near++
+			}
+		}
+		var drawn []*state
+		for _, group := range [][]*state{open[:near], open[near:]} {
+			for place := 0; place < draws && place < len(group); place++ {
+				other := place + int(r.Clock.Int64N(int64(len(group)-place)))
+				group[place], group[other] = group[other], group[place]
+				drawn = append(drawn, group[place])
+			}
+		}
+		return drawn
+	}
+}
--- a/internal/relay/line.go
+++ b/internal/relay/line.go
@@ -97,9 +97,15 @@
 }
 
 func (r *Relay) wait(o *offer, p *pool, self *waiter, until time.Duration) (*state, error) {
-	look := max(o.route.Target/32, time.Millisecond) // workers come back by time alone
+	// Workers come back by time alone as well; the first in the line looks.
+	look := max(o.route.Target/32, time.Millisecond)
+	first := true
 	for {
-		self.signal.Wait(min(look, max(0, until-r.Clock.Now())))
+		pause := until - r.Clock.Now()
+		if first {
+			pause = min(pause, look)
+		}
+		self.signal.Wait(max(0, min(pause, 4*look)))
 		r.mu.Lock()
 		over := r.Clock.Now() >= until
 		if self.granted == nil && !self.refused && !over {
@@ -115,6 +121,7 @@
 			r.mu.Unlock()
 			return nil, err
 		}
+		first = p.waiting[0] == self
 		r.mu.Unlock()
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,9 +54,13 @@
 	Parts
 	roster base.Table[roster]
 
+	// narrow, in tests, leaves only some of the workers to choose from.
+	narrow func([]*state) []*state
+
 	mu    sync.Mutex
 	pools map[string]*pool
 	known map[string]*state
+	list  Workers
 }
 
 // roster is who may get requests now, by id.
@@ -82,6 +86,11 @@
 	}
 	r.roster.Swap(next)
 	r.mu.Lock()
+	if slices.Equal(r.list, workers) {
+		r.mu.Unlock()
+		return
+	}
+	r.list = slices.Clone(workers)
 	var gone []string
 	for _, id := range base.SortedKeys(r.known) {
 		if !listed[id] {
@@ -236,7 +245,7 @@
 	sentAt := r.Clock.Now()
 	left := o.until - sentAt
 	request := &base.BackRequest{Method: o.call.Method, Path: o.call.Target, Host: o.call.Host, Body: o.body, Worker: chosen.ID,
-		Match: base.HeaderLine{Name: r.Names.ID, Value: o.call.ID}, MostConns: r.share(o.service), Connect: o.route.Target,
+		Match: base.HeaderLine{Name: r.Names.ID, Value: o.call.ID}, MostConns: r.share(o.service), Connect: o.route.Target / 3,
 		Stays: func() bool { return r.serves(chosen.ID) && o.until-r.Clock.Now() >= o.least() }}
 	request.Lines = append(o.lines[:len(o.lines):len(o.lines)], base.HeaderLine{Name: r.Names.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
 		base.HeaderLine{Name: r.Names.ExpectWorker, Value: chosen.ID})
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -94,13 +94,11 @@
 			p.end(failed)
 			return nil, base.Unsure(502, "worker_cut", "the worker's stream was cut short")
 		}
+		p.state.heardAt.Store(int64(clock.Now()))
 		event.Raw = append(event.Raw, line...)
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			if len(event.Raw) == len(line) {
-				return event, nil
-			}
-			if !p.begun {
+			if !p.begun && len(event.Raw) > len(line) {
 				p.begun = true
 				p.relay.firstEvent(p)
 			}
