--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,9 @@
 package node
 
 import (
+	"fordseam/internal/line"
+	"fordseam/internal/relay"
+	"fordseam/internal/route"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,7 +16,9 @@
 	"fordseam/internal/budget"
 	"fordseam/internal/disk"
 	"fordseam/internal/feed"
+	"fordseam/internal/founding"
 	"fordseam/internal/front"
+	"fordseam/internal/ledger"
 	"fordseam/internal/membership"
 	"fordseam/internal/operate"
 	"fordseam/internal/register"
@@ -30,6 +35,8 @@
 	Files    disk.Files
 	Backends base.Backends
 	Counters *base.Counters
+	// Names are what clients and workers of an operator's routes call things.
+	Names *relay.Names
 }
 
 // Place is where a process stands in the fleet.
@@ -43,6 +50,16 @@
 	Limit  int64
 	// Cluster, when given, is the only one this process will be of.
 	Cluster string
+	// Node is the machine's name, by which it can be retired.
+	Node string
+	// Tolerate is how many machines may be lost with their disks at once;
+	// above 0 the cores mend the disk set by themselves.
+	Tolerate int
+	// Found tells a core that this is the very first start of the whole system,
+	// so that the seeds form the cluster. It holds for one life only.
+	Found bool
+	// Bounds, when given, hold until settings bring others.
+	Bounds *base.Bounds
 }
 
 type common struct {
@@ -78,9 +95,12 @@
 // View is the node's partial view of the fleet.
 func (c *common) View() *membership.View { return c.view }
 
-func newBounds() *base.Table[base.Bounds] {
+func newBounds(place Place) *base.Table[base.Bounds] {
 	table := &base.Table[base.Bounds]{}
 	table.Swap(base.DefaultBounds())
+	if place.Bounds != nil {
+		table.Swap(place.Bounds)
+	}
 	return table
 }
 
@@ -104,11 +124,19 @@
 	Front    *front.Front
 	Keeper   *session.Keeper
 	Follower *feed.Follower
+	Routes   *base.Table[route.Table]
+	Relay    *relay.Relay
+	Lines    *line.Keeper
+	// Table reads the operator's document; it is set before Start where this
+	// gateway serves routes.
+	Table func(written []byte) (*route.Table, error)
+
+	disks base.Table[register.DiskSet]
 }
 
 func NewGateway(env Env, place Place) *Gateway {
 	place.Role = membership.RoleEdge
-	bounds, tree := newBounds(), &base.Table[settings.Tree]{}
+	bounds, tree := newBounds(place), &base.Table[settings.Tree]{}
 	book := worker.NewBook(env.Clock, bounds)
 	nominator := worker.NewNominator(env.Clock, bounds, env.Counters, book, place.Zone)
 	c := newCommon(env, place, book, bounds)
@@ -116,6 +144,7 @@
 	client, follower := c.follow(tree, func(frame *feed.Frame) {
 		nominator.Swap(worker.RosterOf(frame.Values))
 		g.Keeper.Ended(endedIn(frame.Values))
+		g.learn(frame)
 	})
 	g.Follower = follower
 	g.Keeper = session.NewKeeper(session.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
@@ -124,6 +153,12 @@
 		Budget: &budget.Client{Register: client}, Keeper: g.Keeper, Tools: &toolcall.Client{Register: client},
 		Workers: &worker.Client{Register: client}, Book: book, Nominator: nominator, Backends: env.Backends}
 	c.mount(session.NewOwnerServer(g.Keeper))
+	g.Routes = &base.Table[route.Table]{}
+	g.Relay = relay.New(relay.Parts{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: place.Zone, ConnShare: g.connShare, AnswerLimit: answerLimit})
+	kept := ledger.NewClient(env.Clock, env.Wire, g.disks.Load, place.Zone, place.Tolerate, bounds, env.Counters, nil)
+	g.Lines = line.NewKeeper(line.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
+		Routes: g.Routes, Ledger: keeping{kept}, Workers: offering{g}})
+	c.mount(line.NewOwnerServer(g.Lines))
 	return g
 }
 
@@ -153,6 +188,7 @@
 	g.env.Clock.Go(g.view.Run)
 	g.env.Clock.Go(g.Follower.Run)
 	g.env.Clock.Go(g.Keeper.Run)
+	g.env.Clock.Go(g.Lines.Run)
 	g.env.Clock.Go(func() {
 		for !g.Follower.Closed() {
 			g.env.Clock.Sleep(g.bounds.Load().Recover)
@@ -184,6 +220,7 @@
 // Leave hands over what this node owns.
 func (g *Gateway) Leave(limit time.Duration) {
 	g.view.Leave(g.bounds.Load().Beat() * 4)
+	g.Lines.Drain(limit)
 	g.Keeper.Drain(limit)
 }
 
@@ -200,11 +237,16 @@
 	Owner    *register.Owner
 	Follower *feed.Follower
 	Operate  *operate.Operate
+	Register *register.Client
+	// Lister asks for the list of workers; it is set before Start where this
+	// core keeps a roster.
+	Lister  relay.Lister
+	founder *founding.Founder
 }
 
 func NewCore(env Env, place Place) *Core {
 	place.Role = membership.RoleCore
-	bounds, tree := newBounds(), &base.Table[settings.Tree]{}
+	bounds, tree := newBounds(place), &base.Table[settings.Tree]{}
 	c := newCommon(env, place, nil, bounds)
 	owner := register.NewOwner(env.Clock, env.Wire, c.view, bounds, env.Counters)
 	settings.Serve(owner)
@@ -212,20 +254,43 @@
 	session.Serve(owner)
 	toolcall.Serve(owner)
 	worker.Serve(owner)
+	route.Serve(owner)
+	relay.Serve(owner)
 	client, follower := c.follow(tree, func(*feed.Frame) {})
+	if place.Tolerate > 0 {
+		owner.Mend(place.Tolerate)
+		kept := ledger.NewClient(env.Clock, env.Wire, func() *register.DiskSet { return register.DisksOf(follower.Frame().Values) }, place.Zone, place.Tolerate, bounds, env.Counters, nil)
+		owner.Emptied(func(ctx *base.Ctx, disk string) (bool, error) { return kept.Emptied(ctx, disk), nil })
+	}
+	core := &Core{common: c, Owner: owner, Follower: follower, Register: client}
+	if place.Found {
+		core.founder = founding.New(env.Clock, env.Wire, c.view, bounds, env.Counters, owner, place.Addr, place.Seeds, place.Tolerate)
+		c.mount(founding.NewFoundingServer(core.founder))
+	}
 	c.mount(register.NewRegisterServer(owner))
 	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, owner)))
-	return &Core{common: c, Owner: owner, Follower: follower,
-		Operate: &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}}
+	core.Operate = &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}
+	return core
 }
 
 func (c *Core) Start() {
 	c.view.Unwell, c.view.Cluster = unwell(c.Ready), c.Owner.Cluster
 	c.env.Clock.Go(c.view.Run)
 	c.env.Clock.Go(c.Owner.Run)
+	if c.founder != nil {
+		c.env.Clock.Go(c.founder.Run)
+	}
 	c.env.Clock.Go(c.Follower.Run)
+	if c.Lister != nil {
+		duty := &relay.Duty{Clock: c.env.Clock, Bounds: c.bounds, Counters: c.env.Counters, Register: c.Register, Follower: c.Follower, Lister: c.Lister,
+			Holds: c.Owner.ServesFeed, Needed: func() bool { return route.DocumentOf(c.Follower.Frame().Values) != nil }}
+		c.env.Clock.Go(duty.Run)
+	}
 }
 
+// AnswerWithin is how long an operator's call may take before it is answered.
+func (c *Core) AnswerWithin() time.Duration { return c.bounds.Load().Call() / 2 }
+
 // Ready says whether this core can reach the control state.
 func (c *Core) Ready() error {
 	if !c.Follower.Permitted() {
@@ -249,25 +314,36 @@
 // Storage is the control plane's process that keeps a disk.
 type Storage struct {
 	*common
-	Store *disk.Store
+	Store  *disk.Store
+	Ledger *ledger.Store
 }
 
 func NewStorage(env Env, place Place) (*Storage, error) {
 	place.Role = membership.RoleStorage
-	bounds := newBounds()
+	bounds := newBounds(place)
 	c := newCommon(env, place, nil, bounds)
 	store, err := disk.Open(env.Clock, env.Files, env.Counters)
 	if err != nil {
 		return nil, err
 	}
-	c.mount(register.NewDiskServer(disk.NewService(store, bounds.Load().DiskLimit())))
-	return &Storage{common: c, Store: store}, nil
+	kept, err := ledger.OpenStore(ledger.Parts{Clock: env.Clock, Wire: env.Wire, Files: env.Files, Bounds: bounds, Counters: env.Counters,
+		Tolerate: place.Tolerate, Local: store.Identity})
+	if err != nil {
+		store.Close()
+		return nil, err
+	}
+	service := disk.NewService(store, bounds.Load().DiskLimit())
+	service.Node = place.Node
+	c.mount(register.NewDiskServer(service))
+	c.mount(ledger.NewLedgerServer(kept))
+	return &Storage{common: c, Store: store, Ledger: kept}, nil
 }
 
 func (s *Storage) Start() {
 	s.view.Unwell, s.view.Cluster = unwell(s.Ready), s.Store.Cluster
 	s.env.Clock.Go(s.view.Run)
 	s.env.Clock.Go(s.remember)
+	s.env.Clock.Go(s.Ledger.Run)
 }
 
 // remember keeps the addresses of the fleet in the data folder: when all seeds
@@ -284,10 +360,17 @@
 	}
 }
 
-func (s *Storage) Ready() error        { return s.Store.Ready() }
+func (s *Storage) Ready() error {
+	if err := s.Store.Ready(); err != nil {
+		return err
+	}
+	return s.Ledger.Ready()
+}
+
 func (s *Storage) Leave(time.Duration) { s.view.Leave(s.bounds.Load().Beat() * 4) }
 
 func (s *Storage) Stop() {
 	s.Store.Close()
+	s.Ledger.Close()
 	s.view.Close()
 }
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -109,8 +109,11 @@
 // last said so.
 type progress struct {
 	installed bool
-	acked     uint64
-	stamp     uint64
+	// mute disks gave no answer to the last message; they are sent a small one
+	// next.
+	mute  bool
+	acked uint64
+	stamp uint64
 }
 
 // has reports whether the disk is known to hold the slot up to a number.
@@ -152,16 +155,22 @@
 	sweeps   []func(tx *Tx)
 	slots    [Slots]*slot
 
-	mu      sync.Mutex
-	set     *DiskSet
-	moving  bool
-	repairs int
-	closed  bool
+	// mending is set by Mend, before Run.
+	mending *mending
+
+	mu       sync.Mutex
+	set      *DiskSet
+	lookup   base.Signal
+	moving   bool
+	repairs  map[string]int
+	repaired base.Signal
+	closed   bool
 }
 
 func NewOwner(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds], counters *base.Counters) *Owner {
-	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}}
+	o := &Owner{clock: clock, wire: wire, view: view, bounds: bounds, counters: counters, ops: map[string]Op{}, repairs: map[string]int{}, repaired: clock.NewSignal()}
 	o.handleDisks()
+	o.handleRetiring()
 	for num := range o.slots {
 		o.slots[num] = &slot{num: uint32(num), bell: base.NewBell(clock)}
 	}
@@ -268,29 +277,49 @@
 	if known := o.knownSet(); known != nil {
 		return known
 	}
-	limit := o.bounds.Load().DiskLimit()
-	base.Ask(o.clock, o.view.Known(membership.RoleStorage), 2, limit, func(ctx *base.Ctx, member *membership.Member) bool {
+	o.mu.Lock()
+	lookup := o.lookup
+	if lookup == nil { // all who ask at once share one round
+		lookup = o.clock.NewSignal()
+		o.lookup = lookup
+		o.clock.Go(func() {
+			o.findSet()
+			o.mu.Lock()
+			o.lookup = nil
+			o.mu.Unlock()
+			lookup.Fire()
+		})
+	}
+	o.mu.Unlock()
+	lookup.Wait(o.bounds.Load().Call())
+	return o.knownSet()
+}
+
+func (o *Owner) findSet() {
+	base.Ask(o.clock, o.view.Known(membership.RoleStorage), 2, o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, member *membership.Member) bool {
 		state, err := NewDiskProtobufClient("http://"+member.Addr, o.wire).Describe(ctx, &DescribeRequest{})
 		if err != nil || state.Set == nil || len(state.Set.Disks) == 0 {
 			return false
 		}
-		o.learn(state.Set)
+		o.Learn(state.Set)
 		return true
 	})
-	return o.knownSet()
 }
 
 // Cluster is the cluster of the disk set this core goes by.
 func (o *Owner) Cluster() string { return o.knownSet().GetCluster() }
 
-// knownSet is the disk set as this core has learnt it, without asking.
+// Known is the disk set as this core has learnt it, without asking.
+func (o *Owner) Known() *DiskSet { return o.knownSet() }
+
 func (o *Owner) knownSet() *DiskSet {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.set
 }
 
-func (o *Owner) learn(set *DiskSet) {
+// Learn takes in a newer disk set of this cluster.
+func (o *Owner) Learn(set *DiskSet) {
 	o.mu.Lock()
 	newer := set != nil && len(set.Disks) > 0 && (o.set == nil || set.Stamp > o.set.Stamp && set.Cluster == o.set.Cluster)
 	if newer {
@@ -434,12 +463,13 @@
 			s.mu.Unlock()
 			return
 		}
-		repair := s.based && s.needsFrame(entry.Id)
-		if repair && !o.beginRepair() {
-			s.mu.Unlock()
-			pause := o.bounds.Load().Beat() / 4
-			o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
-			continue
+		repair := s.based && s.needsFrame(entry.Id) && !s.progress[entry.Id].mute
+		if repair {
+			if turn := o.beginRepair(entry.Id); turn != nil {
+				s.mu.Unlock()
+				turn.Wait(o.bounds.Load().Beat() / 2)
+				continue
+			}
 		}
 		install, appended := s.outstanding(o.claim(s, epoch, set, entry), entry.Id)
 		s.mu.Unlock()
@@ -449,7 +479,7 @@
 		}
 		ack, err := o.deliver(entry, install, appended)
 		if repair {
-			o.endRepair()
+			o.endRepair(entry.Id)
 		}
 		if err != nil || !ack.Ok {
 			if !o.mend(s, epoch, entry, ack) {
@@ -460,7 +490,7 @@
 		s.mu.Lock()
 		if s.epoch == epoch && s.progress[entry.Id] != nil {
 			mark := s.progress[entry.Id]
-			mark.installed, mark.acked, mark.stamp = true, max(mark.acked, ack.Seq), set.Stamp
+			mark.installed, mark.mute, mark.acked, mark.stamp = true, false, max(mark.acked, ack.Seq), set.Stamp
 			s.recount(set)
 		}
 		s.mu.Unlock()
@@ -468,26 +498,32 @@
 	}
 }
 
-// repairsAtOnce bounds the frames that one core sends to disks that are behind
-// while their slots are served without them, so that repair stays below the
-// live traffic. A take-over's own frames are not held back.
+// repairsAtOnce bounds the frames that one core sends to each disk that is
+// behind while its slots are served without it, so that repair stays below the
+// live traffic, and a disk that falls silent does not hold up another's. A take-over's own frames are not held back.
 const repairsAtOnce = 2
 
-func (o *Owner) beginRepair() bool {
+// beginRepair takes a place, or gives what to wait for until one is free.
+func (o *Owner) beginRepair(disk string) base.Signal {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.repairs >= repairsAtOnce {
+	if o.repairs[disk] >= repairsAtOnce {
 		o.counters.Add("repairs_paced", 1)
-		return false
+		return o.repaired
 	}
-	o.repairs++
-	return true
+	o.repairs[disk]++
+	return nil
 }
 
-func (o *Owner) endRepair() {
+func (o *Owner) endRepair(disk string) {
 	o.mu.Lock()
-	o.repairs--
+	if o.repairs[disk]--; o.repairs[disk] == 0 {
+		delete(o.repairs, disk)
+	}
+	freed := o.repaired
+	o.repaired = o.clock.NewSignal()
 	o.mu.Unlock()
+	freed.Fire()
 }
 
 func inSet(set *DiskSet, id string) bool {
@@ -512,6 +548,9 @@
 // outstanding builds what a disk lacks; the caller holds the lock.
 func (s *slot) outstanding(claim *Claim, diskID string) (*InstallRequest, *AppendRequest) {
 	mark := s.progress[diskID]
+	if mark.mute {
+		return nil, &AppendRequest{Claim: claim}
+	}
 	if s.needsFrame(diskID) {
 		mark.installed = false
 		install := &InstallRequest{Claim: claim, Seq: s.tail}
@@ -550,11 +589,13 @@
 			o.stepDown(s, epoch, ack.Epoch)
 			return false
 		case "set":
-			o.agreeOnSet(entry, ack)
+			if o.agreeOnSet(entry, ack) {
+				return true
+			}
 		case "behind":
 			s.mu.Lock()
 			if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
-				mark.installed = false
+				mark.installed, mark.mute = false, false
 			}
 			s.mu.Unlock()
 			return true
@@ -562,7 +603,7 @@
 	}
 	s.mu.Lock()
 	if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
-		mark.installed = mark.installed && ack != nil
+		mark.mute = ack == nil
 	}
 	s.mu.Unlock()
 	o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
@@ -835,3 +876,11 @@
 	}
 	return owned, o.Set()
 }
+
+// ServesFeed tells whether this core owns the feed's slot.
+func (o *Owner) ServesFeed() bool {
+	s := o.slots[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.phase == serving
+}
