Put a small system of real processes to the platform's stand-ins

Cause: the run from process to checker had no test that needs no finished gateway. Breaches are listed ten to a rule, so that one rule does not hide the others.

--- /dev/null
+++ b/internal/fleet/platform_test.go
@@ -0,0 +1,96 @@
+// Whole runs on the platform: real processes under troubles, checked from the
+// outside.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/standin/platform"
+
+	"github.com/matryer/is"
+)
+
+// platformRun plays a run with given commands; the tests of any system can call it.
+func platformRun(t *testing.T, commands map[string]string, change func(plan *PlatformPlan)) (breaches []platform.Breach, report string) {
+	is := is.New(t)
+	root, err := os.Getwd()
+	is.NoErr(err)
+	plan := &PlatformPlan{Site: platform.Sites()["small"], Root: root, Folder: t.TempDir(), Commands: commands, Traffic: 6 * time.Second, Rate: 1, Seed: 1, Formation: time.Minute}
+	if change != nil {
+		change(plan)
+	}
+	var out bytes.Buffer
+	breaches, err = RunPlatform(context.Background(), plan, &out)
+	t.Log(out.String())
+	is.NoErr(err)
+	return breaches, out.String()
+}
+
+func stubCommands(sins string) map[string]string {
+	commands := map[string]string{}
+	for _, class := range []string{platform.ClassEdge, platform.ClassCore, platform.ClassStorage} {
+		commands[class] = os.Args[0] + " stub " + class + " " + sins
+	}
+	return commands
+}
+
+func troubles(t *testing.T, written ...string) []Trouble {
+	return base.Map(written, func(one string) Trouble {
+		trouble, err := ParseTrouble(one)
+		is.New(t).NoErr(err)
+		return trouble
+	})
+}
+
+func TestASystemThatKeepsTheRulesBreaksNone(t *testing.T) {
+	is := is.New(t)
+	breaches, report := platformRun(t, stubCommands(""), func(plan *PlatformPlan) {
+		plan.Traffic, plan.Closing, plan.Site.Bounds.Recovery = 9*time.Second, "kill_all", 5*time.Second
+		plan.Troubles = troubles(t, "config_change@0.5", "config_race@1,count=2,gap=0.3", "bad_config@2,gap=0.1", "release:app@0.5,gap=0.3", "answer_lost@2+3,share=0.1",
+			"garble@3+2,share=0.1", "answer_lost:model@2+3,share=0.05", "roll_term@3,share=0.5,gap=0.3", "node_kill@6+0.5", "node_freeze:core@5+0.5", "settings_hup@4", "burst@4+2,share=1.5",
+			"retire@7+1", "worker_crash:app@7", "worker_slow@4+1")
+	})
+	is.Equal(fmt.Sprint(breaches), "[]")
+	is.True(strings.Contains(report, "programs in time"))
+	is.True(strings.Contains(report, "no rule broken"))
+}
+
+func TestASystemThatBreaksTheRulesIsNamed(t *testing.T) {
+	is := is.New(t)
+	breaches, _ := platformRun(t, stubCommands("sinful"), func(plan *PlatformPlan) {
+		plan.Rate = 2
+		for place := range plan.Site.Classes {
+			plan.Site.Classes[place].Runaway = 0.3
+		}
+		plan.Troubles = troubles(t, "config_change@0.2", "release:app@0.2,gap=0.1,share=1", "bad_config@5,gap=0.1")
+	})
+	found := map[string]int{}
+	for _, b := range breaches {
+		found[b.Rule]++
+	}
+	for _, rule := range []string{"MIXED", "ORDER", "UNASKED", "TWICE", "REFUSED", "LOST", "BUDGET", "CONFIG", "DRAIN"} {
+		if found[rule] == 0 {
+			t.Errorf("%s was not found in %v", rule, found)
+		}
+	}
+	is.True(len(breaches) > 0)
+}
+
+func TestTroublesAreReadFromTheCommandLine(t *testing.T) {
+	is := is.New(t)
+	one, err := ParseTrouble("node_kill:store@5.5+3,wipe,count=2")
+	is.NoErr(err)
+	is.Equal(one, Trouble{Kind: "node_kill", On: "store", At: 5500 * time.Millisecond, For: 3 * time.Second, Count: 2, Gap: time.Second, Wipe: true})
+	is.Equal(one.class("edge"), platform.ClassStorage)
+	for _, bad := range []string{"", "node_kill", "node_kill@x", "flood@3", "node_kill@3,wide", "node_kill@3+-1", "node_kill@3,count=0"} {
+		_, err := ParseTrouble(bad)
+		is.True(err != nil)
+	}
+}
--- a/internal/standin/platform/check.go
+++ b/internal/standin/platform/check.go
@@ -20,7 +20,8 @@
 
 func (b Breach) String() string { return b.Rule + ": " + b.Word }
 
-const breachesShown = 100
+// shownOfRule is how many breaches of one rule are listed.
+const shownOfRule = 10
 
 type view struct {
 	*Record
@@ -30,14 +31,16 @@
 	// newest first
 	orders   []*Order
 	breaches []Breach
-	seen     map[string]bool
+	counts   map[string]int
 }
 
 func (v *view) breach(rule, format string, args ...any) {
-	word := fmt.Sprintf(format, args...)
-	if len(v.breaches) < breachesShown && !v.seen[rule+word] {
-		v.seen[rule+word] = true
-		v.breaches = append(v.breaches, Breach{rule, word})
+	one := Breach{rule, fmt.Sprintf(format, args...)}
+	if slices.Contains(v.breaches, one) {
+		return
+	}
+	if v.counts[rule]++; v.counts[rule] <= shownOfRule {
+		v.breaches = append(v.breaches, one)
 	}
 }
 
@@ -48,11 +51,16 @@
 		v.configOrders, v.configInForce, v.configBack, v.configNewRoutes, v.configRead, v.budget, v.recover, v.acks} {
 		rule()
 	}
+	for _, rule := range base.SortedKeys(v.counts) {
+		if more := v.counts[rule] - shownOfRule; more > 0 {
+			v.breaches = append(v.breaches, Breach{rule, fmt.Sprintf("%d more times", more)})
+		}
+	}
 	return v.breaches
 }
 
 func (r *Record) view() *view {
-	v := &view{Record: r, byID: map[string]*Try{}, arrivals: map[string][]*Arrival{}, turns: map[string]*Try{}, seen: map[string]bool{}}
+	v := &view{Record: r, byID: map[string]*Try{}, arrivals: map[string][]*Arrival{}, turns: map[string]*Try{}, counts: map[string]int{}}
 	v.Tries = slices.Clone(r.Tries)
 	slices.SortStableFunc(v.Tries, func(a, b *Try) int { return cmp.Compare(a.Sent, b.Sent) })
 	for _, t := range v.Tries {
