--- a/cmd/fordseam-fleet/platform.go
+++ b/cmd/fordseam-fleet/platform.go
@@ -22,7 +22,7 @@
 
 func platformCommand() *cli.Command {
 	return &cli.Command{
-		Name: "platform", Usage: "run a fleet as the platform does, with its workers, list, operators and programs, and name the rules broken",
+		Name: "platform", DisableSliceFlagSeparator: true, Usage: "run a fleet as the platform does, with its workers, list, operators and programs, and name the rules broken",
 		Description: "A trouble is KIND[:CLASS]@SECONDS[+FOR][,wipe][,count=N][,share=N][,gap=SECONDS], SECONDS after traffic began.\n" +
 			"Kinds: " + strings.Join(fleet.TroubleKinds, ", ") + ".\nThe exit code is 1 when a rule was broken.",
 		Flags: []cli.Flag{
@@ -37,6 +37,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of names, programs and troubles' places"},
 			&cli.StringSliceFlag{Name: "trouble", Usage: "a `TROUBLE` at its time; may be given several times"},
 			&cli.StringFlag{Name: "closing", Usage: "closing `FAULT`: kill_all, or wipe (one disk is lost too)"},
+			&cli.StringFlag{Name: "record", Usage: "write everything that was seen to a `FILE`, as JSON"},
 			&cli.DurationFlag{Name: "formation", Value: 30 * time.Second, Usage: "how long the fleet may take until it serves"},
 		},
 		Action: runPlatform,
@@ -45,7 +46,7 @@
 
 func runPlatform(ctx context.Context, command *cli.Command) error {
 	plan := &fleet.PlatformPlan{Site: platform.Sites()[command.String("site")], Traffic: command.Duration("traffic"), Rate: command.Float("rate"),
-		Seed: command.Uint64("seed"), Closing: command.String("closing"), Formation: command.Duration("formation"),
+		Seed: command.Uint64("seed"), RecordFile: command.String("record"), Closing: command.String("closing"), Formation: command.Duration("formation"),
 		Commands: map[string]string{platform.ClassEdge: command.String("edge"), platform.ClassCore: command.String("core"), platform.ClassStorage: command.String("storage")}}
 	if plan.Site == nil {
 		return cli.Exit("site: must be one of "+strings.Join(base.SortedKeys(platform.Sites()), ", "), node.ExitUsage)
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -36,6 +36,8 @@
 	Troubles []Trouble
 	// Closing, when set, ends the day: kill_all, wipe.
 	Closing string
+	// RecordFile, when set, gets everything that was seen, as JSON.
+	RecordFile string
 	// Formation is how long a fleet may take until it serves.
 	Formation time.Duration
 }
--- a/internal/fleet/platform_run.go
+++ b/internal/fleet/platform_run.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"fordseam/internal/base"
 	"fordseam/internal/standin/platform"
 	"fordseam/internal/standin/platform/sockets"
 
@@ -47,7 +48,7 @@
 	c.newest = order
 }
 
-func (c *configState) base() *platform.Config {
+func (c *configState) current() *platform.Config {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.newest.Config
@@ -61,9 +62,9 @@
 }
 
 func (w *platformWorld) changeNow() *platform.Order {
-	base := w.config.base()
-	next := w.drafts.Next(base)
-	order := w.config.operator.Put(base.Generation, next, next.Encode(), "", 30*time.Second)
+	newest := w.config.current()
+	next := w.drafts.Next(newest)
+	order := w.config.operator.Put(newest.Generation, next, next.Encode(), "", 30*time.Second)
 	if order.Acked() {
 		w.config.took(order)
 	}
@@ -74,9 +75,9 @@
 func (w *platformWorld) race() {
 	w.config.turn.Lock()
 	defer w.config.turn.Unlock()
-	base := w.config.base()
+	newest := w.config.current()
 	orders := make([]*platform.Order, 2)
-	drafts := []*platform.Config{w.drafts.Next(base), w.drafts.Next(base)}
+	drafts := []*platform.Config{w.drafts.Next(newest), w.drafts.Next(newest)}
 	if drafts[0].Generation == drafts[1].Generation {
 		drafts[1].Generation++
 	}
@@ -86,7 +87,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			orders[place] = operator.Put(base.Generation, drafts[place], drafts[place].Encode(), "", 30*time.Second)
+			orders[place] = operator.Put(newest.Generation, drafts[place], drafts[place].Encode(), "", 30*time.Second)
 		}()
 	}
 	group.Wait()
@@ -100,9 +101,9 @@
 func (w *platformWorld) badConfigs(count int, gap time.Duration) {
 	for place := range count {
 		w.config.turn.Lock()
-		base := w.config.base()
-		config, raw, fault := w.drafts.Invalid(base, platform.InvalidKinds[place%len(platform.InvalidKinds)])
-		order := w.config.operator.Put(base.Generation, config, raw, fault, 10*time.Second)
+		newest := w.config.current()
+		config, raw, fault := w.drafts.Invalid(newest, platform.InvalidKinds[place%len(platform.InvalidKinds)])
+		order := w.config.operator.Put(newest.Generation, config, raw, fault, 10*time.Second)
 		if order.Acked() && config != nil {
 			w.config.took(order)
 		}
@@ -300,6 +301,11 @@
 		breaches = append(breaches, platform.Breach{Rule: "FAULT", Word: word})
 	}
 	record.Print(out, breaches)
+	if plan.RecordFile != "" {
+		if err := os.WriteFile(plan.RecordFile, base.Encode(record), 0o644); err != nil {
+			return breaches, errors.Trace(err)
+		}
+	}
 	for _, class := range []string{platform.ClassEdge, platform.ClassCore, platform.ClassStorage} {
 		used, peak, count := time.Duration(0), int64(0), 0
 		for _, m := range w.of(class) {
--- a/internal/fleet/stub_test.go
+++ b/internal/fleet/stub_test.go
@@ -81,32 +81,31 @@
 	}
 }
 
-type stubState struct {
-	Config  []byte
-	Turns   map[string][]byte
-	Budgets map[string]int64
-}
-
-// stubCore keeps the configuration, the chains and the budgets.
+// stubCore keeps the configuration, the chains and the budgets, each in a file
+// of its own.
 type stubCore struct {
 	sinful bool
 	mu     sync.Mutex
-	state  stubState
-	path   string
+	kept   map[string][]byte
+	folder string
 }
 
-func (c *stubCore) save() {
-	_ = os.WriteFile(c.path+".new", base.Encode(c.state), 0o600)
-	_ = os.Rename(c.path+".new", c.path)
+func (c *stubCore) keep(name string, value []byte) {
+	c.kept[name] = value
+	path := filepath.Join(c.folder, name)
+	_ = os.WriteFile(path+".new", value, 0o600)
+	_ = os.Rename(path+".new", path)
 }
 
+const stubConfigFile = "config"
+
 func (c *stubCore) run(settings map[string]string, seeds []string, term chan os.Signal) {
-	c.path = filepath.Join(settings["data_dir"], "state")
-	if raw, err := os.ReadFile(c.path); err == nil {
-		_ = json.Unmarshal(raw, &c.state)
-	}
-	if c.state.Turns == nil {
-		c.state.Turns, c.state.Budgets = map[string][]byte{}, map[string]int64{}
+	c.folder, c.kept = settings["data_dir"], map[string][]byte{}
+	entries, _ := os.ReadDir(c.folder)
+	for _, entry := range entries {
+		if value, err := os.ReadFile(filepath.Join(c.folder, entry.Name())); err == nil && !strings.HasSuffix(entry.Name(), ".new") {
+			c.kept[entry.Name()] = value
+		}
 	}
 	own := settings["control"]
 	server := &http.Server{Addr: own, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -138,28 +137,27 @@
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "GET " + platform.PathConfig:
-		if c.state.Config == nil {
+		if c.kept[stubConfigFile] == nil {
 			return 503, nil
 		}
-		return 200, c.state.Config
+		return 200, c.kept[stubConfigFile]
 	case "PUT " + platform.PathConfig:
 		return c.put(r.Header.Get(platform.HeaderIfMatch), body), nil
 	case "GET /stub/turn":
-		if turn, ok := c.state.Turns[query.Get("id")]; ok {
+		if turn, ok := c.kept["turn-"+query.Get("id")]; ok {
 			return 200, turn
 		}
 		return 404, nil
 	case "POST /stub/turn":
-		c.state.Turns[query.Get("id")] = body
-		c.save()
+		c.keep("turn-"+query.Get("id"), body)
 		return 200, nil
 	case "POST /stub/reserve":
-		spent := c.state.Budgets[query.Get("program")]
+		name := "program-" + query.Get("program")
+		spent, _ := strconv.ParseInt(string(c.kept[name]), 10, 64)
 		if spent+number("most") > number("budget") && !c.sinful {
 			return 402, nil
 		}
-		c.state.Budgets[query.Get("program")] = spent + number("most")
-		c.save()
+		c.keep(name, strconv.AppendInt(nil, spent+number("most"), 10))
 		return 200, nil
 	}
 	if strings.HasPrefix(r.URL.Path, platform.PathRetire) {
@@ -170,13 +168,13 @@
 
 func (c *stubCore) put(match string, body []byte) int {
 	config, err := stubConfig(body)
-	current := platform.GenerationOf(c.state.Config)
+	current := platform.GenerationOf(c.kept[stubConfigFile])
 	switch {
-	case err == nil && platform.SameDocument(body, c.state.Config):
+	case err == nil && platform.SameDocument(body, c.kept[stubConfigFile]):
 		return 200
 	case err != nil || config.Fault(0) != "":
 		if c.sinful && config != nil {
-			c.state.Config = body
+			c.keep(stubConfigFile, body)
 			return 200
 		}
 		return 400
@@ -185,8 +183,7 @@
 	case config.Fault(current) != "":
 		return 400
 	}
-	c.state.Config = body
-	c.save()
+	c.keep(stubConfigFile, body)
 	return 200
 }
 
--- a/internal/standin/platform/record.go
+++ b/internal/standin/platform/record.go
@@ -25,7 +25,7 @@
 	Method   string
 	Target   string
 	Header   [][2]string
-	Body     []byte
+	Body     []byte `json:"-"`
 	Chunked  bool
 	Zone     string
 	Client   string
@@ -115,8 +115,8 @@
 	Operator string
 	Base     uint64
 	Config   *Config // nil when it cannot be read whole
-	Raw      []byte
-	Fault    string // why it is invalid, or nothing
+	Raw      []byte  `json:"-"`
+	Fault    string  // why it is invalid, or nothing
 	Sent     time.Duration
 	Ended    time.Duration
 	Status   int
--- a/internal/standin/platform/summary.go
+++ b/internal/standin/platform/summary.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"io"
+	"regexp"
 	"slices"
+	"strings"
 	"time"
 
 	"fordseam/internal/base"
@@ -114,6 +116,27 @@
 	return word
 }
 
+var tryNamed = regexp.MustCompile(`\b[0-9a-f]{16}\b`)
+
+// Story tells what became of a try: what its client saw, and each worker that
+// it came to.
+func (r *Record) Story(id string) string {
+	var told []string
+	for _, t := range r.Tries {
+		if t.ID == id {
+			told = append(told, fmt.Sprintf("%.3fs %s %s %s%s to %s, previous %q: %s, %d events, until %.3fs", t.Sent.Seconds(), t.Class, t.Method, t.Host, t.Target, t.Node,
+				t.Previous, t.Said(), len(t.Events), t.Ended.Seconds()))
+		}
+	}
+	for _, a := range r.Arrivals {
+		if a.ID == id {
+			told = append(told, fmt.Sprintf("%.3fs at %s of %s: ran %v, status %d, %d events, whole %v, broke off %v, left %v, until %.3fs", a.At.Seconds(), a.Worker, a.Service, a.Ran,
+				a.Status, len(a.Events), a.Whole, a.Broke, a.Left, a.Ended.Seconds()))
+		}
+	}
+	return strings.Join(told, "; ")
+}
+
 // Print writes a record's summary for people.
 func (r *Record) Print(out io.Writer, breaches []Breach) {
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) }
@@ -157,8 +180,13 @@
 		}
 	}
 	line("configurations: %d sent, %d acknowledged; %d troubles", len(r.Orders), acked, len(r.Troubles))
+	told := map[string]bool{}
 	for _, b := range breaches {
 		line("BROKEN %s", b)
+		if id := tryNamed.FindString(b.Word); id != "" && !told[b.Rule] {
+			told[b.Rule] = true
+			line("  %s", r.Story(id))
+		}
 	}
 	if len(breaches) == 0 {
 		line("no rule broken")
