--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -16,6 +16,7 @@
 	"fordseam/internal/base"
 	"fordseam/internal/conn"
 	"fordseam/internal/disk"
+	"fordseam/internal/relay"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -39,6 +40,9 @@
 		&cli.StringFlag{Name: "zone", Usage: "`ZONE` the machine stands in"},
 		&cli.StringSliceFlag{Name: "seed", Usage: "`IP:PORT` of another process; up to three"},
 		&cli.StringFlag{Name: "cluster", Usage: "`NAME` of the cluster, as init printed it; the process then joins no other"},
+		&cli.StringFlag{Name: "node", Usage: "`NAME` of the machine, by which it can be retired"},
+		&cli.IntFlag{Name: "tolerate", Usage: "`COUNT` of machines that may be lost with their disks at once, 1 or 2; the disk set then mends itself"},
+		&cli.BoolFlag{Name: "found", Usage: "this is the very first start of the whole system: the seeds form the cluster"},
 		&cli.StringFlag{Name: "log", Value: "text", Usage: "log `FORM`: text or json"},
 		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "`LEVEL`: debug, info, warn or error"},
 	}
@@ -51,11 +55,17 @@
 			return nil, cli.Exit(err.Error(), ExitUsage)
 		}
 	}
-	for name, into := range map[string]*string{"address": &place.Addr, "public-address": &place.Public, "zone": &place.Zone, "data": &place.Data, "role": &place.Role, "cluster": &place.Cluster} {
+	for name, into := range map[string]*string{"address": &place.Addr, "public-address": &place.Public, "zone": &place.Zone, "data": &place.Data, "role": &place.Role, "cluster": &place.Cluster, "node": &place.Node} {
 		if command.IsSet(name) {
 			*into = command.String(name)
 		}
 	}
+	if command.IsSet("tolerate") {
+		place.Tolerate = command.Int("tolerate")
+	}
+	if command.IsSet("found") {
+		place.Found = command.Bool("found")
+	}
 	if command.IsSet("seed") {
 		place.Seeds = command.StringSlice("seed")
 	}
@@ -103,7 +113,7 @@
 }
 
 // Open builds a place's process; Start begins it, Close ends it.
-func Open(place *Place) (*Running, error) {
+func Open(place *Place, names *relay.Names) (*Running, error) {
 	r := &Running{}
 	counters := base.NewCounters()
 	wire, err := conn.NewWire(func() { counters.Add("messages_sent", 1) })
@@ -111,7 +121,7 @@
 		return nil, errors.Trace(err)
 	}
 	r.cleanup.Push(wire.Close)
-	r.Env = Env{Clock: base.NewRealClock(), Wire: wire, Counters: counters, Backends: NewBackends(base.DefaultBounds().Recover / 12)}
+	r.Env = Env{Clock: base.NewRealClock(), Wire: wire, Counters: counters, Backends: NewBackends(base.DefaultBounds().Recover / 12), Names: names}
 	if r.private, err = conn.Listen(place.Addr); err != nil {
 		r.cleanup.Run()
 		return nil, err
@@ -147,7 +157,7 @@
 		return errors.Annotate(err, "public address")
 	}
 	defer public.Close()
-	opened, err := Open(place)
+	opened, err := Open(place, &relay.Names{})
 	if err != nil {
 		return err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,16 +18,6 @@
 	"github.com/juju/errors"
 )
 
-// Worker is one life of a worker as the platform's list has it.
-type Worker struct {
-	ID       string
-	Addr     string
-	Service  string
-	Zone     string
-	Capacity int
-	Draining bool
-}
-
 // Workers is the list, swapped whole.
 type Workers []Worker
 
@@ -95,7 +85,7 @@
 	for _, one := range workers {
 		s := r.known[one.ID]
 		if s == nil || s.Addr != one.Addr || s.Service != one.Service {
-			s = &state{Worker: one, held: newPrefixes()}
+			s = &state{Worker: one, held: newPrefixes(), mark: base.Hash64(one.ID)}
 			r.known[one.ID] = s
 		}
 		s.Worker = one
@@ -133,6 +123,7 @@
 
 	// At the model worker that was chosen: tokens to read, how long it has to
 	// read before, and the parts it did not hold.
+	shared  uint64 // mark of the first part
 	unread  int
 	backlog time.Duration
 	added   []partKey
@@ -151,6 +142,9 @@
 		o.rank = r.Rank(call)
 	}
 	o.lines = r.passed(call, rt)
+	if service.Engine != nil && len(call.Parts) > 0 {
+		o.shared = base.Hash64(call.Parts[0].ID)
+	}
 	for {
 		chosen, err := r.hold(o)
 		if err != nil {
--- a/internal/relay/roster.go
+++ b/internal/relay/roster.go
@@ -14,7 +14,7 @@
 // RosterPrefix is where the feed tells of workers.
 const RosterPrefix = "feed/roster/"
 
-// Worker is one worker of a service.
+// Worker is one life of a worker, as the list has it.
 type Worker struct {
 	ID       string `json:"-"`
 	Service  string `json:"s"`
@@ -25,8 +25,8 @@
 }
 
 // RosterOf reads the feed's frame.
-func RosterOf(values map[string][]byte) []Worker {
-	found := []Worker{}
+func RosterOf(values map[string][]byte) Workers {
+	found := Workers{}
 	for _, key := range base.SortedKeys(values) {
 		if id, ok := strings.CutPrefix(key, RosterPrefix); ok {
 			one := Worker{ID: id}
@@ -41,6 +41,17 @@
 // Serve adds the roster's op to a core: it puts what changed and takes out
 // what is gone.
 func Serve(owner *register.Owner) {
+	owner.Handle("roster.read", func(tx *register.Tx, _ []byte) (any, error) {
+		found := map[string]Worker{}
+		tx.Walk(RosterPrefix, "", func(key string, value []byte) bool {
+			var one Worker
+			if json.Unmarshal(value, &one) == nil {
+				found[strings.TrimPrefix(key, RosterPrefix)] = one
+			}
+			return true
+		})
+		return found, nil
+	})
 	owner.Handle("roster.replace", func(tx *register.Tx, args []byte) (any, error) {
 		var next map[string]Worker
 		if err := json.Unmarshal(args, &next); err != nil {
