--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -36,6 +36,8 @@
 	Troubles []Trouble
 	// Closing, when set, ends the day: kill_all, wipe.
 	Closing string
+	// RecordFile, when set, gets everything that was seen, as JSON.
+	RecordFile string
 	// Formation is how long a fleet may take until it serves.
 	Formation time.Duration
 }
@@ -76,7 +78,7 @@
 	mu       sync.Mutex
 	machines []*machine
 	workers  []*sockets.WorkerServer
-	faults   map[string]*workerFaults // by service
+	faults   map[string]*workerFaults // by worker or service
 	works    map[string]platform.Draw // by route prefix
 	ownEnds  []string
 	over     chan struct{}
