--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -26,6 +26,7 @@
 				var table *route.Table
 				if table, err = g.Table(written); err == nil {
 					g.Routes.Swap(table)
+					log.WithField("version", table.Version).Info("routes in force")
 					g.env.Counters.Add("routes_changed", 1)
 				}
 			}
