Keep a turn in the chain once when it is read anew while its finish is confirmed

The permit of the session's owner had lapsed, so the chain was read anew from the register, with the turn in it; then the late answer to session.finish appended it again. Ruled out: the register, whose record held each turn once.

--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -583,7 +583,9 @@
 	h.take(answer.Record)
 	h.mu.Lock()
 	turn.At = answer.Record.LastAt
-	h.turns = append(h.turns, *turn)
+	if h.whole(turn.ID) == nil { // the chain may have been read anew meanwhile
+		h.turns = append(h.turns, *turn)
+	}
 	op.state, op.ended = OpSucceeded, k.clock.Now()
 	h.mu.Unlock()
 	k.counters.Add("turns_succeeded", 1)
--- a/internal/simulate/outage_test.go
+++ b/internal/simulate/outage_test.go
@@ -2,7 +2,10 @@
 package simulate
 
 import (
+	"bytes"
+	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -341,3 +344,42 @@
 		is.True(got.Header["Retry-After"] != "")
 	})
 }
+
+// The owner's permit lapses and its chain is read anew while the answer to the
+// change that finished a turn is still on its way: the turn is in it once.
+func TestATurnFinishedAndReadAnewIsInTheChainOnce(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		program, secret := call.program(1000, nil)
+		path, key := call.session(0, program, secret, nil)
+		owner, held, silent, read := f.Edges[0].Host, false, false, false
+		f.Net.Meddle = func(m *Message) *http.Response {
+			for m.From == owner && silent && strings.HasSuffix(m.Path, "/Follow") {
+				owner.Clock().Sleep(20 * time.Millisecond)
+			}
+			response, _ := m.Pass(m.Body)
+			if m.From == owner && !held && bytes.Contains(m.Body, []byte("session.finish")) {
+				held, silent = true, true
+				owner.Clock().Sleep(1500 * time.Millisecond)
+				for silent = false; !read; {
+					owner.Clock().Sleep(20 * time.Millisecond)
+				}
+			}
+			return response
+		}
+		f.Callers.Go(func() { call.turn(0, path, key, program, "a", "") })
+		for !held || silent {
+			call.sleep(10 * time.Millisecond)
+		}
+		for call.send(0, "GET", path, key, nil).text("turns") != "1" {
+			call.sleep(50 * time.Millisecond)
+		}
+		read = true
+		is.True(f.Edges[0].gateway.Follower.Lapses() > 0)
+		call.sleep(200 * time.Millisecond)
+		f.Net.Meddle = nil
+		next := call.turn(0, path, key, program, "b", "a")
+		verdict, _, _ := next.final()
+		is.Equal(verdict, "success")
+		is.True(strings.Contains(string(next.Events[0].Data), "3 messages")) // a's two and b's own
+	})
+}
