Decide over budget in one round, and claim again by the same Run

Cause: a runaway's refused turn asked two more rounds with pauses, and forgot the claim its first round had put into the ledger, so the next turn succeeded it. Ruled out: views that flap (every succeeded Run was the node's own).

--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -460,30 +460,25 @@
 // at some replica, where the later sees the earlier. When all replicas of a
 // round saw the same ones, those that did so stand in one order and the last
 // of them sees all; otherwise a second round, begun after the first was on a
-// quorum, sees whatever was granted before it.
+// quorum, sees whatever was granted before it. What is still open counts whole,
+// and is not waited for: a turn that is declined may be asked for again.
 func (c *Client) afford(ctx *base.Ctx, b *Beginning, epoch *uint64, came claimed) error {
-	for tries := 0; ; tries++ {
-		if !came.alike || tries > 0 {
-			c.counters.Add("ledger_second_rounds", 1)
-			again, err := c.settleClaim(ctx, b, epoch)
-			if err != nil {
-				return err
-			}
-			if again.best != nil {
-				return base.Decline(409, "stale_assignment", "the session is assigned to another Run")
-			}
-			again.merge(came)
-			came = again
-		}
-		settled, open := came.sums()
-		if settled+open < b.Budget {
-			return nil
+	if !came.alike {
+		c.counters.Add("ledger_second_rounds", 1)
+		again, err := c.settleClaim(ctx, b, epoch)
+		if err != nil {
+			return err
 		}
-		if settled >= b.Budget || tries == 2 || ctx.Over() {
-			return base.Decline(402, "over_budget", "the program's budget is spent")
+		if again.best != nil {
+			return base.Decline(409, "stale_assignment", "the session is assigned to another Run")
 		}
-		c.clock.Sleep(min(ctx.Left(), time.Duration(1+c.clock.Int64N(int64(c.bounds.Load().Beat()/2)))))
+		again.merge(came)
+		came = again
+	}
+	if settled, open := came.sums(); settled+open >= b.Budget {
+		return base.Decline(402, "over_budget", "the program's budget is spent")
 	}
+	return nil
 }
 
 // cancel takes back what a turn reserved that will not run.
--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -60,6 +60,7 @@
 
 	mu          sync.Mutex
 	assignment  *Assignment
+	confirmed   bool // the ledger gave the session to the assignment
 	phase       session.Phase
 	termination budget.Termination
 	queue       []*operation
@@ -329,12 +330,12 @@
 // claim asks the ledger for the assignment and the turn's tokens.
 func (k *Keeper) claim(h *held, op *operation, after *Assignment) (*Claimed, error) {
 	h.mu.Lock()
-	assignment := h.assignment
+	assignment, confirmed := h.assignment, h.confirmed
 	h.mu.Unlock()
 	call := op.call
 	asked := &Claim{Program: call.Program, Session: call.Session, Turn: call.ID, Most: int64(call.Most), Budget: call.Budget, HasBudget: call.HasBudget, Owner: k.me(), Previous: call.Previous, Keep: op.keep, After: after}
 	if assignment != nil {
-		asked.Run, asked.Epoch, asked.Confirmed, asked.After = assignment.Run, assignment.Epoch, true, nil
+		asked.Run, asked.Epoch, asked.Confirmed, asked.After = assignment.Run, assignment.Epoch, confirmed, nil
 	} else {
 		asked.Run, asked.Epoch = base.NewID(k.Clock, "run-"), 1
 		if after != nil {
@@ -344,14 +345,18 @@
 	for tries := 0; ; tries++ {
 		claimed, err := k.Ledger.Begin(op.ctx, asked)
 		if err != nil || claimed.Mine {
-			if err == nil {
-				h.mu.Lock()
-				h.assignment = claimed.Assignment
+			h.mu.Lock()
+			switch {
+			case err == nil:
+				h.assignment, h.confirmed = claimed.Assignment, true
 				if h.phase == session.Pending {
 					h.phase = session.Ready
 				}
-				h.mu.Unlock()
+			case h.assignment == nil:
+				// The claim may be in the ledger; the next turn claims by the same.
+				h.assignment = &Assignment{Run: asked.Run, Owner: asked.Owner, Epoch: asked.Epoch}
 			}
+			h.mu.Unlock()
 			return claimed, err
 		}
 		// Another has it: it is succeeded when it is gone, or was a former life
