--- a/internal/line/carry.go
+++ b/internal/line/carry.go
@@ -49,7 +49,7 @@
 	if k.streams == nil {
 		k.streams = map[string]*Stream{}
 	}
-	id := call.Session + " " + call.ID
+	id := lineOf(call) + " " + call.ID
 	k.streams[id] = stream
 	k.Clock.Go(func() {
 		k.Clock.Sleep(call.Deadline + k.Bounds.Load().Recover/4)
@@ -62,7 +62,7 @@
 // Pull gives a forwarded turn's answer from a place on.
 func (k *Keeper) Pull(plain context.Context, request *PullRequest) (*PullReply, error) {
 	k.mu.Lock()
-	stream := k.streams[request.Session+" "+request.Turn]
+	stream := k.streams[request.Program+" "+request.Session+" "+request.Turn]
 	k.mu.Unlock()
 	if stream == nil {
 		return nil, base.ToWire(base.Unsure(502, "owner_lost", "this node does not have the answer"))
--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -53,8 +53,12 @@
 
 func (k *Keeper) me() string { return k.View.Me() }
 
+// lineOf is what a line goes by: programs may use each other's session names.
+func lineOf(call *relay.Call) string { return call.Program + " " + call.Session }
+
 // held is the owner's memory of one Run.
 type held struct {
+	line    string
 	session string
 	program string
 
@@ -112,7 +116,7 @@
 	k.Counters.Add("turns", 1)
 	for hops := 0; ; hops++ {
 		k.mu.Lock()
-		found, other := k.held[call.Session], k.elsewhere[call.Session]
+		found, other := k.held[lineOf(call)], k.elsewhere[lineOf(call)]
 		k.mu.Unlock()
 		if found == nil && other != nil {
 			stream, err := k.forward(ctx, other, call)
@@ -125,12 +129,12 @@
 				if hops > 2 {
 					return nil, base.Busy(503, "owner_unreachable", 1, "the session's owner could not be reached")
 				}
-				k.forgetAssignment(call.Session, other)
+				k.forgetAssignment(lineOf(call), other)
 				if v.Code == "stale_assignment" {
 					other = nil // looked up anew
 				}
 			default:
-				k.forgetAssignment(call.Session, other)
+				k.forgetAssignment(lineOf(call), other)
 				return nil, err
 			}
 		}
@@ -163,12 +167,12 @@
 			if k.isDraining() {
 				return nil, nil, base.Busy(503, "draining", 1, "this node is leaving")
 			}
-			found = &held{session: call.Session, program: call.Program, phase: session.Pending, used: k.Clock.Now()}
+			found = &held{line: lineOf(call), session: call.Session, program: call.Program, phase: session.Pending, used: k.Clock.Now()}
 			k.mu.Lock()
-			if other := k.held[call.Session]; other != nil {
+			if other := k.held[lineOf(call)]; other != nil {
 				found = other
 			} else {
-				k.held[call.Session] = found
+				k.held[lineOf(call)] = found
 			}
 			k.mu.Unlock()
 		}
@@ -231,8 +235,8 @@
 func (k *Keeper) drop(h *held) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.held[h.session] == h {
-		delete(k.held, h.session)
+	if k.held[h.line] == h {
+		delete(k.held, h.line)
 	}
 }
 
@@ -307,7 +311,7 @@
 			return true
 		}
 		k.mu.Lock()
-		k.elsewhere[call.Session] = claimed.Assignment
+		k.elsewhere[lineOf(call)] = claimed.Assignment
 		k.mu.Unlock()
 		k.drop(h)
 		told(claimed.Assignment)
@@ -590,9 +594,9 @@
 }
 
 // Terminate ends a session's Run here; it only escalates.
-func (k *Keeper) Terminate(id string, mode budget.Termination) bool {
+func (k *Keeper) Terminate(program, id string, mode budget.Termination) bool {
 	k.mu.Lock()
-	found := k.held[id]
+	found := k.held[program+" "+id]
 	k.mu.Unlock()
 	if found == nil {
 		return false
@@ -646,7 +650,7 @@
 		}
 		h := k.held[id]
 		h.mu.Lock()
-		one := Status{Session: id, Program: h.program, Phase: h.phase, Termination: h.termination, Waiting: len(h.queue)}
+		one := Status{Session: h.session, Program: h.program, Phase: h.phase, Termination: h.termination, Waiting: len(h.queue)}
 		if h.assignment != nil {
 			one.Run, one.Epoch = h.assignment.Run, h.assignment.Epoch
 		}
@@ -677,7 +681,7 @@
 		return nil, v
 	}
 	asked := func(leave bool, place uint64, limit time.Duration) (*PullReply, error) {
-		return owner.Pull(base.NewCtx(k.Clock, limit), &PullRequest{Session: call.Session, Turn: call.ID, Place: place, HoldMs: hold.Milliseconds(), Leave: leave, Assignment: to})
+		return owner.Pull(base.NewCtx(k.Clock, limit), &PullRequest{Program: call.Program, Session: call.Session, Turn: call.ID, Place: place, HoldMs: hold.Milliseconds(), Leave: leave, Assignment: to})
 	}
 	stream := newStream(k.Clock, func() {
 		k.Clock.Go(func() { _, _ = asked(true, 0, hold) })
@@ -725,7 +729,7 @@
 		return nil, base.ToWire(base.Busy(503, "owner_lost", 1, "the owner's life at this address is over"))
 	}
 	k.mu.Lock()
-	found := k.held[call.Session]
+	found := k.held[lineOf(call)]
 	k.mu.Unlock()
 	if found == nil {
 		return nil, base.ToWire(base.Decline(409, "stale_assignment", "this node has let the session go"))
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -41,11 +41,11 @@
 	if b.refuse != nil {
 		return nil, b.refuse
 	}
-	now := b.sessions[c.Session]
+	now := b.sessions[c.Program+c.Session]
 	mine := &Assignment{Run: c.Run, Owner: c.Owner, Epoch: c.Epoch}
 	switch {
 	case now == nil, now.Run == c.Run, c.After != nil && c.After.Run == now.Run && c.Epoch > now.Epoch:
-		b.sessions[c.Session] = mine
+		b.sessions[c.Program+c.Session] = mine
 		return &Claimed{mine, true}, nil
 	}
 	return &Claimed{now, false}, nil
@@ -54,7 +54,7 @@
 func (b *book) Finish(_ *base.Ctx, e *Ending) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now := b.sessions[e.Session]; now == nil || now.Run != e.Run {
+	if now := b.sessions[e.Program+e.Session]; now == nil || now.Run != e.Run {
 		return base.Decline(409, "stale_assignment", "succeeded")
 	}
 	b.kept[e.Turn] = e.Kept
@@ -259,7 +259,7 @@
 	_, err = stream.Head(5*time.Second, w.clock)
 	w.is.NoErr(err)
 	w.book.mu.Lock()
-	w.book.sessions["s1"] = &Assignment{Run: "other", Owner: "b/1", Epoch: 2}
+	w.book.sessions["ps1"] = &Assignment{Run: "other", Owner: "b/1", Epoch: 2}
 	w.book.mu.Unlock()
 	close(w.bench.gate["t1"])
 	_, err = io.ReadAll(NewReader(stream, w.clock, 5*time.Second))
@@ -313,6 +313,29 @@
 	w.is.Equal(err, io.ErrUnexpectedEOF)
 }
 
+// After an outage programs go on from others' turns under the session's old
+// name: each is a line of its own.
+func TestProgramsThatShareASessionsNameDoNotMeet(t *testing.T) {
+	w := newWorld(t)
+	k := w.node("a")
+	_, err := w.take(k, w.call("s1", "t1", ""))
+	w.is.NoErr(err)
+	w.bench.gate["t2"] = make(chan struct{})
+	first := w.call("s1", "t2", "t1")
+	stream, err := k.Turn(base.NewCtx(w.clock, 10*time.Second), first)
+	w.is.NoErr(err)
+	_, err = stream.Head(5*time.Second, w.clock)
+	w.is.NoErr(err)
+	second := w.call("s1", "t3", "t1")
+	second.Program = "q"
+	_, err = w.take(k, second)
+	w.is.NoErr(err)
+	close(w.bench.gate["t2"])
+	_, err = io.ReadAll(NewReader(stream, w.clock, 5*time.Second))
+	w.is.NoErr(err)
+	w.is.Equal(len(k.List(10)), 2)
+}
+
 func TestAReaderThatLeavesEndsTheWork(t *testing.T) {
 	w := newWorld(t)
 	k := w.node("a")
@@ -357,11 +380,11 @@
 	got, err := w.take(b, w.call("s1", "t2", "t1"))
 	w.is.NoErr(err)
 	w.is.Equal(got, "data: xt2\n\ndata: yt2\n\n")
-	w.is.Equal(w.book.sessions["s1"].Owner, a.me()) // the owner stays
+	w.is.Equal(w.book.sessions["ps1"].Owner, a.me()) // the owner stays
 	w.is.Equal(b.Counters.Frame()["turns_forwarded"], int64(1))
 	owner := NewOwnerProtobufClient("http://a:1", w.wire)
 	for _, bad := range []*ForwardRequest{
-		{From: "x", Assignment: w.book.sessions["s1"], Call: &Call{Session: "s1"}},                                                             // no marker
+		{From: "x", Assignment: w.book.sessions["ps1"], Call: &Call{Session: "s1"}},                                                             // no marker
 		{From: "x", Forwarded: true, Assignment: &Assignment{Run: "r", Owner: a.me(), Epoch: 1}, Call: &Call{Session: "s1", DeadlineMs: 1000}}, // another Run
 		{From: "x", Forwarded: true, Assignment: &Assignment{Run: "r", Owner: "a:1/0", Epoch: 1}, Call: &Call{Session: "s1"}},                  // a former life
 	} {
@@ -385,13 +408,13 @@
 	w.is.Equal(base.FromWire(err).Ran, base.NotRun)
 	_, err = w.take(b, w.call("s1", "t3", "t1")) // a is leaving: b goes on
 	w.is.NoErr(err)
-	w.is.Equal(w.book.sessions["s1"].Owner, b.me())
-	w.is.Equal(w.book.sessions["s1"].Epoch, uint64(2))
+	w.is.Equal(w.book.sessions["ps1"].Owner, b.me())
+	w.is.Equal(w.book.sessions["ps1"].Epoch, uint64(2))
 	a.View.Close()
 	delete(w.wire.nodes, "a:1")
 	_, err = w.take(b, w.call("s2", "u2", "u1"))
 	w.is.NoErr(err)
-	w.is.Equal(w.book.sessions["s2"].Owner, b.me())
+	w.is.Equal(w.book.sessions["ps2"].Owner, b.me())
 	w.is.True(strings.HasPrefix(w.bench.bodies["u2"], "in-u1"))
 }
 
@@ -403,8 +426,8 @@
 	w.is.NoErr(err)
 	_, err = stream.Head(5*time.Second, w.clock)
 	w.is.NoErr(err)
-	w.is.True(k.Terminate("s1", budget.Immediate))
-	w.is.True(k.Terminate("s1", budget.Drain))
+	w.is.True(k.Terminate("p", "s1", budget.Immediate))
+	w.is.True(k.Terminate("p", "s1", budget.Drain))
 	w.is.Equal(k.List(1)[0].Termination, budget.Immediate)
 	_, err = io.ReadAll(NewReader(stream, w.clock, 5*time.Second))
 	w.is.Equal(err, io.ErrUnexpectedEOF)
