--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -384,7 +384,7 @@
 	w.is.Equal(b.Counters.Frame()["turns_forwarded"], int64(1))
 	owner := NewOwnerProtobufClient("http://a:1", w.wire)
 	for _, bad := range []*ForwardRequest{
-		{From: "x", Assignment: w.book.sessions["ps1"], Call: &Call{Session: "s1"}},                                                             // no marker
+		{From: "x", Assignment: w.book.sessions["ps1"], Call: &Call{Session: "s1"}},                                                            // no marker
 		{From: "x", Forwarded: true, Assignment: &Assignment{Run: "r", Owner: a.me(), Epoch: 1}, Call: &Call{Session: "s1", DeadlineMs: 1000}}, // another Run
 		{From: "x", Forwarded: true, Assignment: &Assignment{Run: "r", Owner: "a:1/0", Epoch: 1}, Call: &Call{Session: "s1"}},                  // a former life
 	} {
