--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -713,11 +713,9 @@
 		return nil
 	case member.Incarnation == held.member.Incarnation:
 		if !v.alive(held) {
-			if held.doubted = 0; held.accused >= member.Incarnation {
-				return []string{member.Id}
-			}
+			look = append(look, member.Id)
 		}
-		return nil
+		return look
 	}
 	held.member, held.hash = member, entryHash(member)
 	delete(v.graves, member.Id)
