Try what changes to the relay's code left unseen

Changing single conditions of the relay and of kept connections showed seven that no test noticed: a forgotten worker's connection in use, a stream that only the close ends, one request at a time for a worker that failed, silent workers, parts of a prompt turned away, the bound of Retry-After, and room that time alone makes. Each has a test now.

--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -509,16 +509,43 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+request.Header.Get("Request-Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n"+tail)
 			return false
 		})
-		reply, err := b.send(b.request())
-		b.NoErr(err)
-		for err == nil {
-			_, err = reply.Line(20 * time.Second)
-		}
-		b.True(err != io.EOF)
-		reply.Close()
-		_, open := b.idle()
-		b.Equal(open, 0)
+		b.cutStream()
 	}
+	b := newBench(t, func(c net.Conn, request *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+request.Header.Get("Request-Id")+"\r\n\r\ndata: 1\n\n")
+		return false // an end that only the close tells
+	})
+	b.cutStream()
+}
+
+func (b *bench) cutStream() {
+	b.Helper()
+	reply, err := b.send(b.request())
+	b.NoErr(err)
+	for err == nil {
+		_, err = reply.Line(20 * time.Second)
+	}
+	b.True(err != io.EOF)
+	reply.Close()
+	_, open := b.idle()
+	b.Equal(open, 0)
+}
+
+// A worker that is forgotten while it answers keeps no connection afterwards.
+func TestAForgottenWorkersConnectionIsNotKept(t *testing.T) {
+	b := newBench(t, ordinary)
+	reply, err := b.send(b.request())
+	b.NoErr(err)
+	held := b.pool.kept.stocks["w1"]
+	b.pool.Forget("w1")
+	_, err = reply.Body(20*time.Second, 1000)
+	b.NoErr(err)
+	reply.Close()
+	b.Equal(len(held.idle), 0)
+	b.Equal(held.open, 0)
+	<-b.worker.ended
+	b.served()
+	b.Equal(b.connections(), 2)
 }
 
 // Many callers at once; under -race this also shows that nothing is shared.
--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -171,6 +171,32 @@
 	})
 }
 
+// A worker that turned a prompt away is not believed to keep its parts.
+func TestAPromptTurnedAwayIsNotKept(t *testing.T) {
+	f := newFleet(t, 3)
+	for place := range 4 {
+		w := f.add(fmt.Sprintf("w%d", place), "z1", 96)
+		w.reading = time.Millisecond / 32
+		w.work = func() time.Duration { return 20 * time.Millisecond }
+	}
+	r := f.relay("z1")
+	f.run(func() {
+		prompt := []relay.Part{{ID: "system", Tokens: 2560}, {ID: "own", Tokens: 1000}}
+		turned := ""
+		f.before = func(w *fakeWorker) {
+			f.before = nil
+			turned, w.fault = w.ID, refuses
+		}
+		home := f.turn(r, model(0, prompt...))
+		f.True(home != turned)
+		f.workers["addr-"+turned].fault = well
+		f.clock.Sleep(10 * time.Second)
+		for range 4 {
+			f.Equal(f.turn(r, model(0, prompt...)), home)
+		}
+	})
+}
+
 func BenchmarkChoosing(b *testing.B) {
 	for _, row := range []struct {
 		name    string
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -247,6 +247,11 @@
 			f.Equal(v.Ran, base.NotRun)
 			f.True(v.RetryAfterMs >= 1 && v.RetryAfterMs <= 5000/3)
 		}
+		c := call()
+		c.Deadline = 90 * time.Millisecond
+		w.slots = 0
+		_, v := f.offer(r, plain(route.Once, 1), c)
+		f.True(v.RetryAfterMs >= 1 && v.RetryAfterMs <= 30)
 	})
 }
 
@@ -321,6 +326,68 @@
 	})
 }
 
+// After its pause one request tries the worker; others go elsewhere until that
+// one has come back.
+func TestOneRequestTriesAWorkerAgain(t *testing.T) {
+	f := newFleet(t, 1)
+	bad, good := f.add("bad", "z1", 6), f.add("good", "z1", 6)
+	bad.fault, good.fault = loses, refuses
+	r := f.relay("z1")
+	f.run(func() {
+		_, _ = f.offer(r, plain(route.Once, 2), call())
+		if len(bad.got) == 0 {
+			_, _ = f.offer(r, plain(route.Once, 2), call())
+		}
+		f.True(len(bad.got) > 0)
+		bad.fault, good.fault = well, well
+		f.clock.Sleep(10 * time.Second)
+		before := len(bad.got)
+		for range 12 {
+			f.clock.Go(func() { _, _ = f.offer(r, plain(route.Once, 1), call()) })
+			f.clock.Sleep(time.Millisecond)
+		}
+		f.True(len(bad.got)-before <= 1)
+		f.clock.Sleep(time.Second)
+		for range 12 {
+			f.clock.Go(func() { _, _ = f.offer(r, plain(route.Once, 1), call()) })
+			f.clock.Sleep(time.Millisecond)
+		}
+		f.True(len(bad.got)-before > 3)
+	})
+}
+
+// A worker that owes answers and says nothing gets no more for the time being.
+func TestASilentWorkerGetsNoMore(t *testing.T) {
+	f := newFleet(t, 1)
+	mute, _ := f.add("mute", "z1", 6), f.add("well", "z1", 6)
+	mute.fault = silent
+	r := f.relay("z1")
+	f.run(func() {
+		for range 400 {
+			f.clock.Go(func() { _, _ = f.offer(r, plain(route.Once, 1), call()) })
+			f.clock.Sleep(10 * time.Millisecond)
+		}
+		f.True(len(mute.got) > 0)
+		f.True(len(mute.got) < 60)
+	})
+}
+
+// Who waits is served when a worker that was full has room again, though
+// nothing on this node has ended meanwhile.
+func TestWhoWaitsIsServedWhenTimeAloneMakesRoom(t *testing.T) {
+	f := newFleet(t, 1)
+	w := f.add("a", "z1", 6)
+	w.fault = refuses
+	r := f.relay("z1")
+	f.run(func() {
+		_, v := f.offer(r, plain(route.Once, 1), call())
+		f.Equal(v.Status, 503)
+		w.fault = well
+		_, v = f.offer(r, plain(route.Once, 1), call())
+		f.True(v == nil)
+	})
+}
+
 func TestStreamsComeEventByEvent(t *testing.T) {
 	f := newFleet(t, 1)
 	w := f.add("a", "z1", 6)
