Keep a connection past the deadline of the request it carried

Cause: the look at an idle connection went by the runtime's reader, which fails once the last request's deadline is over, so a connection was dropped after one request's time instead of the worker's. It goes by the bare descriptor now. A test that failed before passes. Found by reading; ruled out as a cause of stale use: the connection was dropped too early, never too late.

--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -68,7 +68,7 @@
 	lines  *bufio.Reader
 	since  time.Duration
 	until  time.Duration
-	peek   func(fd uintptr) bool
+	peek   func(fd uintptr)
 	raw    syscall.RawConn
 	quiet  bool
 }
@@ -225,10 +225,9 @@
 		one.raw, _ = raw.SyscallConn()
 	}
 	var byteAhead [1]byte
-	one.peek = func(fd uintptr) bool {
+	one.peek = func(fd uintptr) {
 		_, _, err := unix.Recvfrom(int(fd), byteAhead[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		one.quiet = err == unix.EAGAIN || err == unix.EINTR
-		return true
 	}
 	return one, nil
 }
@@ -237,7 +236,8 @@
 // anything since the last answer.
 func (l *link) isQuiet() bool {
 	l.quiet = false
-	return l.raw != nil && l.reader.Buffered() == 0 && l.raw.Read(l.peek) == nil && l.quiet
+	// Control, since the deadline of the last request may be over.
+	return l.raw != nil && l.reader.Buffered() == 0 && l.raw.Control(l.peek) == nil && l.quiet
 }
 
 func (k *kept) call(ctx *base.Ctx, addr string, request *base.BackRequest) (base.BackReply, error) {
--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -154,6 +154,15 @@
 	b.Equal(open, 1)
 }
 
+// The time that one request had does not bound the next one's connection.
+func TestAConnectionOutlivesARequestsDeadline(t *testing.T) {
+	b := newBench(t, ordinary)
+	b.served()
+	b.NoErr(b.pool.kept.stocks["w1"].idle[0].SetDeadline(time.Now().Add(-time.Second)))
+	b.served()
+	b.Equal(b.connections(), 1)
+}
+
 func TestAConnectionBelongsToOneLifeOfAWorker(t *testing.T) {
 	b := newBench(t, ordinary)
 	b.served()
