--- a/cmd/fordseam-controller/routes.go
+++ b/cmd/fordseam-controller/routes.go
@@ -92,20 +92,12 @@
 	return nil
 }
 
-func emptyMachine(c *caller) error {
-	return emptying(c, "POST", "/v1/operator/storage/empty", map[string]string{"node": c.command.Args().First()})
-}
-
 func emptyingMachine(c *caller) error {
-	return emptying(c, "GET", "/v1/operator/storage/empty?node="+url.QueryEscape(c.command.Args().First()), nil)
-}
-
-func emptying(c *caller, method, path string, body any) error {
 	var shown struct {
 		Node  string `json:"node"`
 		State string `json:"state"`
 	}
-	err := c.call(method, path, body, &shown)
+	err := c.call("GET", "/v1/operator/storage/empty?node="+url.QueryEscape(c.command.Args().First()), nil, &shown)
 	if err == nil && !c.quiet() {
 		fmt.Printf("%s: %s\n", shown.Node, shown.State)
 	}
