--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -31,6 +31,9 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	code    int
+	// used is the processor time of ended lives, peak the most memory of any.
+	used time.Duration
+	peak int64
 }
 
 // Fleet is all of them.
@@ -131,11 +134,15 @@
 	if p.Data != "" {
 		args = append(args, "--data", p.Data)
 	}
-	logFile, err := os.OpenFile(filepath.Join(f.Folder, p.Name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	return p.launch(exec.Command(filepath.Join(f.Binaries, program), args...), filepath.Join(f.Folder, p.Name+".log"))
+}
+
+// launch runs a command as the process, its log kept in a file.
+func (p *Process) launch(command *exec.Cmd, log string) error {
+	logFile, err := os.OpenFile(log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	command := exec.Command(filepath.Join(f.Binaries, program), args...)
 	command.Stdout, command.Stderr = logFile, logFile
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
@@ -151,6 +158,10 @@
 		_ = logFile.Close()
 		p.mu.Lock()
 		p.code = command.ProcessState.ExitCode()
+		p.used += command.ProcessState.UserTime() + command.ProcessState.SystemTime()
+		if usage, ok := command.ProcessState.SysUsage().(*syscall.Rusage); ok {
+			p.peak = max(p.peak, usage.Maxrss<<10)
+		}
 		p.mu.Unlock()
 		close(exited)
 	}()
