--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -332,6 +332,7 @@
 		store.Close()
 		return nil, err
 	}
+	store.Tell(kept.News)
 	service := disk.NewService(store, bounds.Load().DiskLimit())
 	service.Node = place.Node
 	c.mount(register.NewDiskServer(service))
