--- a/internal/fleet/platform_run.go
+++ b/internal/fleet/platform_run.go
@@ -314,10 +314,13 @@
 		_, _ = fmt.Fprintf(out, "%d %s: %.2f s of processor time, at most %d MB each\n", count, class, used.Seconds(), peak>>20)
 	}
 	calls, refused := w.list.Calls()
-	opened := 0
+	opened, asked, found := 0, 0, 0
 	for _, worker := range w.workers {
 		opened += worker.Opened()
+		prompt, kept := worker.Worker.Prompts()
+		asked, found = asked+prompt, found+kept
 	}
+	_, _ = fmt.Fprintf(out, "%d prompt tokens asked of model workers, %d of them kept there (%.0f%%)\n", asked, found, 100*float64(found)/float64(max(1, asked)))
 	_, _ = fmt.Fprintf(out, "%.1f s to form; list: %d calls, %d over the rate; %d connections to workers\n", formed.Seconds(), calls, refused, opened)
 	select {
 	case err := <-failed:
--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -94,3 +94,30 @@
 		is.True(err != nil)
 	}
 }
+
+// builtCommands are the project's own daemons, under the race detector.
+func builtCommands(t *testing.T) map[string]string {
+	folder, err := built()
+	is.New(t).NoErr(err)
+	return map[string]string{platform.ClassEdge: folder + "/fordseam-gateway platform", platform.ClassCore: folder + "/fordseam-controller core",
+		platform.ClassStorage: folder + "/fordseam-controller storage"}
+}
+
+func TestTheFleetOnThePlatformBreaksNoRule(t *testing.T) {
+	for _, row := range []struct {
+		name     string
+		closing  string
+		troubles []string
+	}{
+		{"planned work and workers in trouble", "", []string{"config_change@0.5", "config_race@1,count=2,gap=0.3", "bad_config@2,gap=0.1", "release:app@0.5,gap=0.3", "roll_term@2,gap=0.3",
+			"settings_hup@5", "answer_lost@1+3,share=0.1", "garble@2+3,share=0.1", "answer_lost:model@2+2,share=0.05", "worker_forget@1+4,gap=0.2", "worker_crash:app@4"}},
+		{"machines lost", "wipe", []string{"config_change@0.5", "node_kill@1+0.5", "node_freeze:core@2+2", "node_kill:storage@4.5+0.5,wipe", "after_ack_kill@8+0.5", "add_nodes@1"}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			breaches, _ := platformRun(t, builtCommands(t), func(plan *PlatformPlan) {
+				plan.Traffic, plan.Closing, plan.Troubles = 10*time.Second, row.closing, troubles(t, row.troubles...)
+			})
+			is.New(t).Equal(fmt.Sprint(breaches), "[]")
+		})
+	}
+}
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -80,6 +80,8 @@
 	kept    map[string]int // tokens by part
 	used    map[string]int // when each part was last used
 	steps   int
+	asked   int // prompt tokens of all jobs let in
+	found   int // and those of them that were kept
 	shown   string
 	shownAt time.Duration
 }
@@ -159,7 +161,9 @@
 	for len(e.waiting) > 0 && len(e.running) < e.capacity && (len(e.running) == 0 || e.memory()+e.waiting[0].prompt+e.waiting[0].want <= e.shape.CacheTokens) {
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		j.unread = max(0, j.prompt+j.out-e.cached(j))
+		cached := e.cached(j)
+		j.unread = max(0, j.prompt+j.out-cached)
+		e.asked, e.found = e.asked+j.prompt, e.found+cached
 		e.running = append(e.running, j)
 	}
 	if len(e.running) == 0 {
@@ -262,6 +266,17 @@
 	}
 }
 
+// Prompts counts the prompt tokens of all that a model worker let in, and
+// those of them that it did not have to read.
+func (w *Worker) Prompts() (asked, found int) {
+	if w.engine == nil {
+		return 0, 0
+	}
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	return w.engine.asked, w.engine.found
+}
+
 // report is the engine's state, as it stood a little before.
 func (e *engine) report() string {
 	e.mu.Lock()
--- a/internal/standin/platform/rules_test.go
+++ b/internal/standin/platform/rules_test.go
@@ -272,6 +272,7 @@
 	second := job(5, 120, 1, part{"a", 60}, part{"b", 40}, part{"c", 20})
 	is.Equal(step(), 3*time.Millisecond) // only what is new
 	is.Equal(second.ended, jobWhole)
+	is.Equal([]int{e.asked, e.found}, []int{220, 100})
 	third := job(5, 120, 1, part{"x", 60}, part{"b", 60})
 	is.Equal(step(), 11*time.Millisecond) // a part counts only after those before it
 	step()
