Come back sooner after an outage: ask disks again, wait briefly for routes

Cause: after a power cut the core took the feed's slot 0.25 s after the third disk was there, since one that could not be reached ended the whole round; gateways refused what came before their first configuration and told it to come back in a second.

--- a/internal/conn/wire.go
+++ b/internal/conn/wire.go
@@ -85,6 +85,10 @@
 
 func (l *listener) Addr() net.Addr { return l.addr }
 
+// connectLimit bounds the making of a connection: a machine without power says
+// nothing, and whoever waits for it is better told so soon.
+var connectLimit = base.DefaultBounds().Recover / 48
+
 // Wire is the HTTP client that twirp's clients use between nodes.
 type Wire struct {
 	client *gnet.Client
@@ -114,7 +118,7 @@
 }
 
 func (w *Wire) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{Timeout: connectLimit}
 	plain, err := dialer.DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, &base.NotSent{Cause: err}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -275,8 +275,8 @@
 	c.clock.Sleep(min(ctx.Left(), time.Duration(hedge/4+c.clock.Int64N(hedge/2))))
 }
 
-func unreached(what string) error {
-	return base.Busy(503, "ledger_unreachable", 1, "too few storage machines answered for %s", what)
+func (c *Client) unreached(what string) error {
+	return base.BusyFor(503, "ledger_unreachable", c.bounds.Load().Recover/40, "too few storage machines answered for %s", what)
 }
 
 // claimed is what one round of a claim came to.
@@ -457,7 +457,7 @@
 			return came, nil
 		}
 	}
-	return claimed{}, unreached("the program's state")
+	return claimed{}, c.unreached("the program's state")
 }
 
 // afford decides whether the budget holds the turn. Any two reservations meet
@@ -609,7 +609,7 @@
 			c.pause(ctx)
 		}
 	}
-	return nil, unreached("the turn's chain")
+	return nil, c.unreached("the turn's chain")
 }
 
 // Whole tells whether every store of the newest set lacks nothing.
--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -127,7 +127,7 @@
 			switch v.Code {
 			case "stale_assignment", "unreachable", "owner_lost", "handing_over":
 				if hops > 2 {
-					return nil, base.Busy(503, "owner_unreachable", 1, "the session's owner could not be reached")
+					return nil, k.soon("owner_unreachable", "the session's owner could not be reached")
 				}
 				k.forgetAssignment(lineOf(call), other)
 				if v.Code == "stale_assignment" {
@@ -143,11 +143,21 @@
 			return stream, err
 		}
 		if hops > 2 {
-			return nil, base.Busy(503, "assignment_moves", 1, "the session is changing hands")
+			return nil, k.soon("assignment_moves", "the session is changing hands")
 		}
 	}
 }
 
+// soon refuses what will be possible again in a moment.
+func (k *Keeper) soon(code, format string, args ...any) *base.Verdict {
+	return base.BusyFor(503, code, k.Bounds.Load().Recover/60, format, args...)
+}
+
+// elsewhereNow refuses what another node takes at once.
+func (k *Keeper) elsewhereNow(code, format string, args ...any) *base.Verdict {
+	return base.BusyFor(503, code, k.Bounds.Load().Recover/400, format, args...)
+}
+
 // forgetAssignment lets an assignment be looked up anew.
 func (k *Keeper) forgetAssignment(id string, was *Assignment) {
 	k.mu.Lock()
@@ -165,7 +175,7 @@
 	for {
 		if found == nil {
 			if k.isDraining() {
-				return nil, nil, base.Busy(503, "draining", 1, "this node is leaving")
+				return nil, nil, k.elsewhereNow("draining", "this node is leaving")
 			}
 			found = &held{line: lineOf(call), session: call.Session, program: call.Program, phase: session.Pending, used: k.Clock.Now()}
 			k.mu.Lock()
@@ -185,7 +195,7 @@
 			continue
 		case found.phase == session.Finalizing:
 			found.mu.Unlock()
-			return nil, nil, base.Busy(503, "session_draining", 1, "the session takes no more turns here")
+			return nil, nil, k.elsewhereNow("session_draining", "the session takes no more turns here")
 		case len(found.queue) >= queueMost:
 			found.mu.Unlock()
 			return nil, nil, base.Busy(429, "queue_full", 1, "%d turns wait in this session", queueMost)
@@ -261,7 +271,7 @@
 		if moved {
 			k.drop(h)
 			for _, left := range waiting {
-				left.stream.fail(base.Busy(503, "session_moved", 1, "the session is owned elsewhere now"))
+				left.stream.fail(k.soon("session_moved", "the session is owned elsewhere now"))
 			}
 		}
 	}
@@ -320,7 +330,7 @@
 	told(nil)
 	chained.Wait(max(0, ctx.Left()))
 	if lost == nil && !chained.Fired() {
-		lost = base.Busy(503, "history_late", 1, "the conversation's history did not come in time")
+		lost = k.soon("history_late", "the conversation's history did not come in time")
 	}
 	if lost != nil {
 		k.settle(h, op, 0)
@@ -388,7 +398,7 @@
 	}
 	body, ok := k.history.chain(turn)
 	if !ok {
-		return nil, base.Busy(503, "history_broken", 1, "the conversation's history is not whole here")
+		return nil, k.soon("history_broken", "the conversation's history is not whole here")
 	}
 	return body, nil
 }
@@ -620,7 +630,7 @@
 		return
 	}
 	for _, op := range waiting {
-		op.stream.fail(base.Busy(503, "session_terminating", 1, "the session is ending; the turn has not run"))
+		op.stream.fail(k.elsewhereNow("session_terminating", "the session is ending; the turn has not run"))
 	}
 	if running != nil {
 		running.cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,7 +131,8 @@
 	// gateway serves routes.
 	Table func(written []byte) (*route.Table, error)
 
-	disks base.Table[register.DiskSet]
+	disks  base.Table[register.DiskSet]
+	routed *base.Bell
 }
 
 func NewGateway(env Env, place Place) *Gateway {
@@ -153,7 +154,7 @@
 		Budget: &budget.Client{Register: client}, Keeper: g.Keeper, Tools: &toolcall.Client{Register: client},
 		Workers: &worker.Client{Register: client}, Book: book, Nominator: nominator, Backends: env.Backends}
 	c.mount(session.NewOwnerServer(g.Keeper))
-	g.Routes = &base.Table[route.Table]{}
+	g.Routes, g.routed = &base.Table[route.Table]{}, base.NewBell(env.Clock)
 	g.Relay = relay.New(relay.Parts{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: place.Zone, ConnShare: g.connShare, AnswerLimit: answerLimit})
 	kept := ledger.NewClient(env.Clock, env.Wire, g.disks.Load, place.Zone, place.Tolerate, bounds, env.Counters, nil)
 	g.Lines = line.NewKeeper(line.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -26,6 +26,7 @@
 				var table *route.Table
 				if table, err = g.Table(written); err == nil {
 					g.Routes.Swap(table)
+					g.routed.Ring()
 					log.WithField("version", table.Version).Info("routes in force")
 					g.env.Counters.Add("routes_changed", 1)
 				}
@@ -38,6 +39,19 @@
 	g.Relay.Swap(relay.RosterOf(frame.Values))
 }
 
+// TableFor gives the routes in force. A gateway that has just started waits a
+// little for them: to be told to come back costs a client more.
+func (g *Gateway) TableFor(ctx *base.Ctx) *route.Table {
+	end := g.env.Clock.Now() + min(ctx.Left(), g.bounds.Load().Hold())
+	for {
+		next := g.routed.Next()
+		table := g.Routes.Load()
+		if table != nil || !next.Wait(max(0, end-g.env.Clock.Now())) {
+			return table
+		}
+	}
+}
+
 // Serves says whether clients of the operator's routes may be sent here.
 func (g *Gateway) Serves() error {
 	switch {
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -355,7 +355,7 @@
 	var mu sync.Mutex
 	var newest *PromiseReply
 	promised := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
-		reply, err := o.disk(entry).Promise(ctx, &PromiseRequest{Claim: o.claim(s, epoch, set, entry)})
+		reply, err := o.promise(ctx, entry, &PromiseRequest{Claim: o.claim(s, epoch, set, entry)})
 		if err != nil {
 			return false
 		}
@@ -419,6 +419,19 @@
 	}
 }
 
+// promise asks a disk again while it cannot be reached: after an outage disks
+// come back one by one, and the last that a majority needs is not to be missed.
+func (o *Owner) promise(ctx *base.Ctx, entry *DiskEntry, request *PromiseRequest) (*PromiseReply, error) {
+	for {
+		reply, err := o.disk(entry).Promise(ctx, request)
+		pause := o.bounds.Load().Beat() / 12
+		if err == nil || !base.WasNotSent(err) || ctx.Left() < pause || o.isClosed() {
+			return reply, err
+		}
+		o.clock.Sleep(pause/2 + time.Duration(o.clock.Int64N(int64(pause))))
+	}
+}
+
 // refit starts a sender to each disk of the set that has none.
 func (o *Owner) refit(s *slot) {
 	set := o.knownSet()
