--- a/internal/base/ask.go
+++ b/internal/base/ask.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Ask calls all and returns once enough said yes, all have answered, or the
-// limit passed; it tells whether enough said yes.
+// Ask calls all and returns once enough said yes, too many said no for that,
+// all have answered, or the limit passed; it tells whether enough said yes.
 func Ask[T any](clock Clock, all []T, enough int, limit time.Duration, call func(*Ctx, T) bool) bool {
 	var mu sync.Mutex
 	bell := NewBell(clock)
@@ -28,7 +28,7 @@
 	for {
 		next := bell.Next()
 		mu.Lock()
-		over, enoughYes := said == len(all), yes >= enough
+		over, enoughYes := said == len(all) || enough <= len(all) && said-yes > len(all)-enough, yes >= enough
 		mu.Unlock()
 		if over || enoughYes {
 			return enoughYes
--- a/internal/register/disks.go
+++ b/internal/register/disks.go
@@ -340,13 +340,17 @@
 			learned[entry.Id] = map[uint32]bool{}
 		}
 	}
-	base.Ask(o.clock, o.view.Present(membership.RoleCore), 1, o.bounds.Load().DiskLimit()*6/10, func(ctx *base.Ctx, member *membership.Member) bool {
-		reply, err := NewRegisterProtobufClient("http://"+member.Addr, o.wire).Census(ctx, &CensusRequest{Set: set})
+	present := o.view.Present(membership.RoleCore)
+	suspects := o.suspects(present)
+	answered := map[string]bool{}
+	base.Ask(o.clock, present, 1, o.bounds.Load().DiskLimit()*6/10, func(ctx *base.Ctx, member *membership.Member) bool {
+		reply, err := NewRegisterProtobufClient("http://"+member.Addr, o.wire).Census(ctx, &CensusRequest{Set: set, Suspects: suspects})
+		mu.Lock()
+		defer mu.Unlock()
+		answered[member.Id] = err == nil
 		if err != nil || reply.SetStamp != set.Stamp {
 			return false
 		}
-		mu.Lock()
-		defer mu.Unlock()
 		for _, num := range reply.Settled {
 			whole[num] = true
 		}
@@ -365,6 +369,9 @@
 	})
 	mu.Lock()
 	defer mu.Unlock()
+	o.mu.Lock()
+	o.mute = base.Filter(base.Map(present, func(member *membership.Member) string { return member.Id }), func(id string) bool { return !answered[id] })
+	o.mu.Unlock()
 	filled = map[string]int{}
 	for id, slots := range learned {
 		filled[id] = len(slots)
@@ -372,10 +379,30 @@
 	return len(whole), filled
 }
 
+// suspects are the cores that are not heard or gave the last census no answer.
+// The others are told, so that they look for themselves and take over their
+// slots sooner.
+func (o *Owner) suspects(present []*membership.Member) []string {
+	o.mu.Lock()
+	found := slices.Clone(o.mute)
+	o.mu.Unlock()
+	for _, member := range o.view.Known(membership.RoleCore) {
+		if !slices.ContainsFunc(present, func(one *membership.Member) bool { return one.Id == member.Id }) {
+			found = append(found, member.Id)
+		}
+	}
+	return found
+}
+
 // Census tells which slots this core owns, which of them are whole on a
 // majority of the set, and which are whole on each of its learners.
 func (o *Owner) Census(_ context.Context, request *CensusRequest) (*CensusReply, error) {
 	o.Learn(request.Set)
+	for _, id := range request.Suspects {
+		if id != o.view.Me() {
+			o.view.Probe(id)
+		}
+	}
 	set := o.knownSet()
 	reply := &CensusReply{SetStamp: set.GetStamp()}
 	learners := base.Filter(set.GetDisks(), func(entry *DiskEntry) bool { return entry.Learner })
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -159,11 +159,13 @@
 	// mending is set by Mend, before Run.
 	mending *mending
 
-	mu       sync.Mutex
-	set      *DiskSet
-	slow     map[string]time.Duration
-	lookup   base.Signal
-	moving   bool
+	mu     sync.Mutex
+	set    *DiskSet
+	slow   map[string]time.Duration
+	lookup base.Signal
+	moving bool
+	// mute are the cores that gave the last census no answer.
+	mute     []string
 	repairs  map[string]int
 	repaired base.Signal
 	closed   bool
@@ -262,7 +264,11 @@
 	}
 	s.phase = taking
 	o.clock.Go(func() {
-		if err := o.take(s); err != nil {
+		err := o.take(s)
+		if base.IsCode(err, "older_epoch") {
+			err = o.take(s) // the disks told which epoch they are at
+		}
+		if err != nil {
 			o.counters.Add("slot_takes_failed", 1)
 			pause := o.bounds.Load().Beat() / 4
 			o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
@@ -377,6 +383,12 @@
 		return true
 	})
 	if !promised {
+		s.mu.Lock()
+		learnt := s.highest > epoch
+		s.mu.Unlock()
+		if learnt {
+			return base.Busy(503, "older_epoch", 1, "the disks have promised a higher epoch")
+		}
 		return base.Busy(503, "no_majority", 1, "no majority of disks")
 	}
 	mu.Lock()
--- a/internal/simulate/mending_test.go
+++ b/internal/simulate/mending_test.go
@@ -308,12 +308,12 @@
 		"in quiet":                   func(*Fleet, *talker) {},
 		"the first seed never comes": func(f *Fleet, _ *talker) { f.Kill(f.Cores[0]) },
 		"the founder is killed": func(f *Fleet, call *talker) {
-			call.sleep(f.World.Between(550*time.Millisecond, 1200*time.Millisecond))
+			call.sleep(f.World.Between(200*time.Millisecond, 800*time.Millisecond))
 			f.Kill(f.Cores[0])
 			f.later(time.Second, func() { f.Start(f.Cores[0]) })
 		},
 		"the founder freezes": func(f *Fleet, call *talker) {
-			call.sleep(f.World.Between(600*time.Millisecond, 1200*time.Millisecond))
+			call.sleep(f.World.Between(200*time.Millisecond, 800*time.Millisecond))
 			f.freeze(f.Cores[0], 5*time.Second)
 		},
 		"storage comes late": func(f *Fleet, call *talker) {
@@ -331,12 +331,12 @@
 			f.Net.Faults = Faults{}
 		},
 		"the founder is cut off": func(f *Fleet, call *talker) {
-			call.sleep(f.World.Between(600*time.Millisecond, 1000*time.Millisecond))
+			call.sleep(f.World.Between(200*time.Millisecond, 800*time.Millisecond))
 			f.Net.CutOff(map[string]bool{f.Cores[0].Host.Name: true, f.Storage[0].Host.Name: true})
 			f.later(5*time.Second, f.Net.Heal)
 		},
 		"two halves": func(f *Fleet, call *talker) {
-			call.sleep(f.World.Between(500*time.Millisecond, 800*time.Millisecond))
+			call.sleep(f.World.Between(200*time.Millisecond, 700*time.Millisecond))
 			f.Net.CutOff(map[string]bool{f.Cores[0].Host.Name: true, f.Storage[0].Host.Name: true, f.Storage[1].Host.Name: true, f.Storage[2].Host.Name: true})
 			f.later(5*time.Second, f.Net.Heal)
 		},
