Believe a session's part kept only as far as it was sent

Parts now carry their length, and what was put out after a prompt is added to it. Ruled out: asking workers, a probe is priced.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -254,7 +254,7 @@
 	o.unread = o.unreadAt(s)
 	o.backlog = max(0, s.read-now)
 	s.read = max(now, s.read) + time.Duration(o.unread)*perToken
-	o.added = s.held.use(o.call.Model, o.call.Parts, o.service.Engine.CacheTokens)
+	o.changes = s.held.use(o.call.Model, o.call.Parts, o.service.Engine.CacheTokens)
 }
 
 // heard takes in the load that an answer tells.
@@ -307,6 +307,9 @@
 	if how == served {
 		r.mu.Lock()
 		p := r.pool(s.Service)
+		if engine := o.service.Engine; engine != nil {
+			s.held.grow(o.call.Model, o.call.Parts, reply.events*max(1, engine.Stride))
+		}
 		took := r.Clock.Now() - reply.sentAt
 		if !s.told || s.load(p, r.Clock.Now()) <= s.slots() {
 			p.request.add(took)
@@ -334,8 +337,8 @@
 	s.probing = false
 	if o.service.Engine != nil {
 		if how != served && how != abandoned && how != failed {
-			for _, key := range o.added {
-				s.held.remove(key)
+			for _, one := range o.changes {
+				s.held.set(one.key, one.before)
 			}
 			_, perToken := p.reading.line()
 			s.read = max(now, s.read-time.Duration(o.unread)*perToken)
--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -171,6 +171,27 @@
 	})
 }
 
+// A session's own part keeps its id and grows; only what is new of it is read,
+// and what was put out after it counts as kept.
+func TestAGrowingPartIsReadOnlyWhereItGrew(t *testing.T) {
+	f := newFleet(t, 3)
+	for place := range 4 {
+		w := f.add(fmt.Sprintf("w%d", place), "z1", 96)
+		w.reading = time.Millisecond / 32
+		w.work = func() time.Duration { return 20 * time.Millisecond }
+	}
+	r := f.relay("z1")
+	f.run(func() {
+		shared := relay.Part{ID: "system", Tokens: 2000}
+		home := f.turn(r, model(0, shared, relay.Part{ID: "own", Tokens: 500}))
+		f.Equal(f.turn(r, model(0, shared, relay.Part{ID: "own", Tokens: 900})), home)
+		f.Equal(f.workers["addr-"+home].read, 2900)
+		f.Equal(r.Unread(home, model(0, shared, relay.Part{ID: "own", Tokens: 1300})), 400-2) // one event of two tokens
+		f.Equal(r.Unread(home, model(0, shared, relay.Part{ID: "own", Tokens: 600})), 0)
+		f.Equal(r.Unread(home, model(0, shared, relay.Part{ID: "other", Tokens: 600}, relay.Part{ID: "own", Tokens: 600})), 1200)
+	})
+}
+
 // A worker that turned a prompt away is not believed to keep its parts.
 func TestAPromptTurnedAwayIsNotKept(t *testing.T) {
 	f := newFleet(t, 3)
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -1,4 +1,5 @@
-// Another way of choosing, to compare: the best of a few that are drawn.
+// Another way of choosing, to compare: the best of a few that are drawn. And
+// what is believed of a worker.
 package relay
 
 // Draw lets the relay choose among so many workers drawn in the own zone, and
@@ -23,3 +24,8 @@
 		return drawn
 	}
 }
+
+// Unread is how many tokens a worker would have to read of a prompt.
+func (r *Relay) Unread(worker string, call *Call) int {
+	return (&offer{call: call}).unreadAt(r.known[worker])
+}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -51,7 +51,7 @@
 	ran              []string // ids of requests it ran
 	got              []string // ids of requests it was sent
 	last             *base.BackRequest
-	kept             map[string]bool // parts, for model workers
+	kept             map[string]int // tokens of parts, for model workers
 	reading          time.Duration
 	read             int
 }
@@ -77,7 +77,7 @@
 
 func (f *fleet) add(id, zone string, slots int) *fakeWorker {
 	w := &fakeWorker{Worker: relay.Worker{ID: id, Addr: "addr-" + id, Service: "s", Zone: zone, Capacity: slots}, slots: slots, queue: 4 * slots,
-		work: func() time.Duration { return 100 * time.Millisecond }, bell: base.NewBell(f.clock), kept: map[string]bool{}}
+		work: func() time.Duration { return 100 * time.Millisecond }, bell: base.NewBell(f.clock), kept: map[string]int{}}
 	f.workers[w.Addr] = w
 	f.order = append(f.order, w)
 	return w
@@ -187,10 +187,13 @@
 	for _, part := range strings.Split(valueOf(request, "Parts"), ",") {
 		id, tokens, _ := strings.Cut(part, ":")
 		count, _ := strconv.Atoi(tokens)
-		if broken = broken || !w.kept[id]; broken {
-			unread += count
+		have := min(w.kept[id], count)
+		if broken {
+			have = 0
 		}
-		w.kept[id] = true
+		unread += count - have
+		broken = have < count
+		w.kept[id] = max(w.kept[id], count)
 	}
 	w.read += unread
 	f.clock.Sleep(time.Duration(unread) * w.reading)
--- a/internal/relay/prefix.go
+++ b/internal/relay/prefix.go
@@ -1,6 +1,8 @@
 // What this node believes a model worker keeps of prompts: the parts it was
 // sent, those longest unused giving way when its memory is full. A part counts
-// only if every part before it is kept as well.
+// only if every part before it is kept whole as well. A session's own part keeps
+// its id while it grows, turn by turn; what was kept of it need not be read
+// again.
 package relay
 
 import "container/list"
@@ -12,6 +14,12 @@
 	tokens int
 }
 
+// change is what a part was before it was used, so that it can be taken back.
+type change struct {
+	key    partKey
+	before int
+}
+
 type prefixes struct {
 	parts  map[partKey]*list.Element
 	recent *list.List // the most recent first
@@ -26,38 +34,67 @@
 func (p *prefixes) kept(model string, parts []Part) int {
 	tokens := 0
 	for _, part := range parts {
-		if p.parts[partKey{model, part.ID}] == nil {
+		held := p.parts[partKey{model, part.ID}]
+		if held == nil {
+			break
+		}
+		have := held.Value.(*keptPart).tokens
+		tokens += min(have, part.Tokens)
+		if have < part.Tokens {
 			break
 		}
-		tokens += part.Tokens
 	}
 	return tokens
 }
 
-// use notes that the parts are being read or used there, and gives those that
-// are new. The first part is the most recent, so that the last give way first.
-func (p *prefixes) use(model string, parts []Part, most int) []partKey {
-	var added []partKey
+// use notes that the parts are being read or used there, and gives what
+// changed. The first part is the most recent, so that the last give way first.
+func (p *prefixes) use(model string, parts []Part, most int) []change {
+	var changes []change
 	for place := len(parts) - 1; place >= 0; place-- {
 		key := partKey{model, parts[place].ID}
+		before := 0
 		if held := p.parts[key]; held != nil {
+			before = held.Value.(*keptPart).tokens
 			p.recent.MoveToFront(held)
-			continue
+		} else {
+			p.parts[key] = p.recent.PushFront(&keptPart{key: key})
+		}
+		if before < parts[place].Tokens {
+			changes = append(changes, change{key, before})
+			p.set(key, parts[place].Tokens)
 		}
-		p.parts[key] = p.recent.PushFront(keptPart{key, parts[place].Tokens})
-		p.tokens += parts[place].Tokens
-		added = append(added, key)
 	}
 	for p.tokens > most && p.recent.Len() > len(parts) {
-		p.remove(p.recent.Back().Value.(keptPart).key)
+		p.set(p.recent.Back().Value.(*keptPart).key, 0)
 	}
-	return added
+	return changes
 }
 
-func (p *prefixes) remove(key partKey) {
-	if held := p.parts[key]; held != nil {
-		p.tokens -= held.Value.(keptPart).tokens
+// set makes a part that long; one without a token is not kept.
+func (p *prefixes) set(key partKey, tokens int) {
+	held := p.parts[key]
+	if held == nil {
+		return
+	}
+	part := held.Value.(*keptPart)
+	p.tokens += tokens - part.tokens
+	part.tokens = tokens
+	if tokens <= 0 {
 		p.recent.Remove(held)
 		delete(p.parts, key)
 	}
 }
+
+// grow adds what was put out after a prompt to its last part.
+func (p *prefixes) grow(model string, parts []Part, tokens int) {
+	if len(parts) == 0 {
+		return
+	}
+	last := parts[len(parts)-1]
+	if held := p.parts[partKey{model, last.ID}]; held != nil {
+		if part := held.Value.(*keptPart); part.tokens == last.Tokens {
+			p.set(part.key, last.Tokens+tokens)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -131,11 +131,11 @@
 	maybe   bool // a worker may have run it
 
 	// At the model worker that was chosen: tokens to read, how long it has to
-	// read before, and the parts it did not hold.
+	// read before, and what that changes of the parts it holds.
 	shared  uint64 // mark of the first part
 	unread  int
 	backlog time.Duration
-	added   []partKey
+	changes []change
 }
 
 // Offer sends the request to a worker of the service and gives its answer:
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -37,6 +37,7 @@
 	whole  bool
 	sentAt time.Duration
 	begun  bool
+	events int
 	once   sync.Once
 }
 
@@ -105,6 +106,9 @@
 		event.Raw = append(event.Raw, line...)
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
+			if event.Data != nil {
+				p.events++
+			}
 			if !p.begun && len(event.Raw) > len(line) {
 				p.begun = true
 				p.relay.firstEvent(p)
