Prefer a worker to which a connection is kept

Cause: with many workers a node joins each of them anew now and then. Where no connection is kept a worker costs a forty-eighth of the aim more. Ruled out: making connections ahead of need, which is priced whether used or not. A worker that failed is left out of it, or it would not be tried again while others idle.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -8,6 +8,7 @@
 package relay
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -44,6 +45,9 @@
 	full     time.Duration // until then
 	heardAt  atomic.Int64  // the last word of it, or the first request since it had none
 
+	idle   int           // connections that are probably kept to it
+	idleAt time.Duration // when one was last left
+
 	mark   uint64 // of the id
 	held   *prefixes
 	read   time.Duration // when the prompts sent there will have been read
@@ -126,6 +130,18 @@
 	return o.route.Target/12 + time.Duration(float64(o.route.Target)*float64(len(o.body))/farBody)
 }
 
+// joining is what a new connection costs, in time, where none is kept. A worker
+// that failed is to be tried again all the same.
+func (r *Relay) joining(o *offer, s *state, now time.Duration) time.Duration {
+	if s.failures > 0 {
+		return 0
+	}
+	if s.idle > 0 && now-s.idleAt < 2*r.Bounds.Load().Leave {
+		return 0
+	}
+	return o.route.Target / 48
+}
+
 // cost is the time that a request is expected to take there, with what speaks
 // against the worker expressed in time.
 func (r *Relay) cost(o *offer, p *pool, s *state, now time.Duration) time.Duration {
@@ -134,7 +150,7 @@
 	}
 	busy := s.load(p, now) / s.slots()
 	taken := float64(p.request.value) * s.pace() * (1 + busy*busy/4)
-	return s.waits(p, now) + time.Duration(taken) + r.far(o, s)
+	return s.waits(p, now) + time.Duration(taken) + r.far(o, s) + r.joining(o, s, now)
 }
 
 func (r *Relay) modelCost(o *offer, p *pool, s *state, now time.Duration) time.Duration {
@@ -156,7 +172,7 @@
 		spread := (o.shared ^ s.mark) * 0x9e3779b97f4a7c15 >> 54
 		cost += o.route.Target / 32 * time.Duration(spread) / 1024
 	}
-	return cost + r.far(o, s)
+	return cost + r.far(o, s) + r.joining(o, s, now)
 }
 
 // unreadAt is how many tokens of the prompt the worker would have to read.
@@ -246,6 +262,7 @@
 		s.heardAt.Store(int64(now))
 	}
 	s.under++
+	s.idle = max(0, s.idle-1)
 	s.probing = s.failures > 0
 	if o.service.Engine == nil {
 		return
@@ -254,7 +271,11 @@
 	o.unread = o.unreadAt(s)
 	o.backlog = max(0, s.read-now)
 	s.read = max(now, s.read) + time.Duration(o.unread)*perToken
-	o.changes = s.held.use(o.call.Model, o.call.Parts, o.service.Engine.CacheTokens)
+	room := o.service.Engine.CacheTokens
+	if room <= 0 {
+		room = math.MaxInt
+	}
+	o.changes = s.held.use(o.call.Model, o.call.Parts, room)
 }
 
 // heard takes in the load that an answer tells.
@@ -347,7 +368,9 @@
 	switch how {
 	case served:
 		s.failures = 0
+		s.idle, s.idleAt = s.idle+1, now
 	case full:
+		s.idle, s.idleAt = s.idle+1, now
 		s.full = now + r.jitter(max(p.request.value/2, o.route.Target/16))
 	case stranger:
 		s.failures += 3
