--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -466,25 +466,42 @@
 // reservations. Otherwise a second, begun after the first was on a quorum, sees
 // whatever was granted before it, and tells each replica what it missed. Of any
 // reservations granted so, one sees all the others; docs/duties/ledger.md says
-// why. What is still open counts whole, and is not waited for: a turn that is
-// declined may be asked for again.
+// why.
 func (c *Client) afford(ctx *base.Ctx, b *Beginning, epoch *uint64, came claimed) error {
-	if !came.alike {
-		c.counters.Add("ledger_second_rounds", 1)
-		again, err := c.settleClaim(ctx, b, epoch, came.known())
-		if err != nil {
-			return err
+	for tries := 0; ; tries++ {
+		if !came.alike || tries > 0 {
+			c.counters.Add("ledger_second_rounds", 1)
+			again, err := c.settleClaim(ctx, b, epoch, came.known())
+			if err != nil {
+				return err
+			}
+			if again.best != nil {
+				return base.Decline(409, "stale_assignment", "the session is assigned to another Run")
+			}
+			again.merge(came)
+			came = again
 		}
-		if again.best != nil {
-			return base.Decline(409, "stale_assignment", "the session is assigned to another Run")
+		settled, open := came.sums()
+		if settled+open < b.Budget {
+			return nil
+		}
+		if settled+came.ahead(b.Turn+"/"+b.Run) >= b.Budget || tries == 3 || ctx.Over() {
+			return base.Decline(402, "over_budget", "the program's budget is spent")
 		}
-		again.merge(came)
-		came = again
+		c.clock.Sleep(min(ctx.Left(), c.bounds.Load().Hedge()/8<<tries))
 	}
-	if settled, open := came.sums(); settled+open >= b.Budget {
-		return base.Decline(402, "over_budget", "the program's budget is spent")
+}
+
+// ahead is what reservations came to that are before one by name. Where too
+// many want what is left, those behind give way at once.
+func (r *claimed) ahead(name string) int64 {
+	sum := int64(0)
+	for key, held := range r.spends {
+		if !held.Settled && key < name {
+			sum += held.Tokens
+		}
 	}
-	return nil
+	return sum
 }
 
 // cancel takes back what a turn reserved that will not run.
