--- a/internal/simulate/net.go
+++ b/internal/simulate/net.go
@@ -38,6 +38,8 @@
 	// Talk counts the exchanges between machines by path, with their bytes as
 	// HTTP carries them, both ways.
 	Talk map[string]*Talk
+	// By is each machine's share of it, sent and received.
+	By map[string]*Share
 	// Meddle, set by tests only, stands between the machines and takes a
 	// mechanism away: it may answer a message itself, or change what passes.
 	Meddle func(m *Message) *http.Response
@@ -46,6 +48,16 @@
 // Talk is what was said on one path.
 type Talk struct{ Calls, Bytes int }
 
+// Share is one machine's part in the talk.
+type Share struct{ Asked, Served, Bytes int }
+
+func (n *Net) share(host string) *Share {
+	if n.By[host] == nil {
+		n.By[host] = &Share{}
+	}
+	return n.By[host]
+}
+
 // weigh is the size of a message's head and body on the wire.
 func weigh(line int, header http.Header, body int) int {
 	size := line + len("Content-Length: ") + len(strconv.Itoa(body)) + 4 + body
@@ -59,7 +71,12 @@
 	return size
 }
 
-func (n *Net) note(path string, calls, bytes int) {
+func (n *Net) note(from, to, path string, calls, bytes int) {
+	asker, server := n.share(from), n.share(to)
+	asker.Asked += calls
+	server.Served += calls
+	asker.Bytes += bytes
+	server.Bytes += bytes
 	if n.Talk[path] == nil {
 		n.Talk[path] = &Talk{}
 	}
@@ -76,7 +93,7 @@
 }
 
 func NewNet(world *World) *Net {
-	return &Net{World: world, Quick: 200 * time.Microsecond, Slow: 1500 * time.Microsecond, cuts: map[[2]string]bool{}, Talk: map[string]*Talk{}}
+	return &Net{World: world, Quick: 200 * time.Microsecond, Slow: 1500 * time.Microsecond, cuts: map[[2]string]bool{}, Talk: map[string]*Talk{}, By: map[string]*Share{}}
 }
 
 // Cut stops messages from one host to another; Heal lets all through again.
@@ -151,7 +168,7 @@
 	n, w := x.net, x.net.World
 	n.Messages++
 	path := request.URL.Path
-	n.note(path, 1, weigh(len("POST  HTTP/1.1\r\nHost: \r\n")+len(path)+len(request.URL.Host), request.Header, len(body)))
+	n.note(x.host.Name, hostOf(request.URL.Host), path, 1, weigh(len("POST  HTTP/1.1\r\nHost: \r\n")+len(path)+len(request.URL.Host), request.Header, len(body)))
 	target := w.Hosts[hostOf(request.URL.Host)]
 	if target == nil || !target.alive {
 		x.host.Clock().Sleep(n.delay())
@@ -184,7 +201,7 @@
 			}
 			target.Clock().Sleep(n.delay() + x.host.Lag + target.Lag)
 			response = recorder.Result()
-			n.note(path, 0, weigh(len("HTTP/1.1 200 OK\r\n"), response.Header, recorder.Body.Len()))
+			n.note(x.host.Name, target.Name, path, 0, weigh(len("HTTP/1.1 200 OK\r\n"), response.Header, recorder.Body.Len()))
 			done.Fire()
 		})
 	}
--- a/internal/simulate/talk_test.go
+++ b/internal/simulate/talk_test.go
@@ -13,16 +13,7 @@
 	"github.com/matryer/is"
 )
 
-// sized is a fleet of a size, a fifth of it cores and storage machines up to
-// seven each.
-func sized(nodes int) Shape {
-	shape := KiondoShape()
-	shape.Cores = min(4+nodes/30, 7)
-	shape.Storage = shape.Cores
-	shape.Edges = nodes - shape.Cores - shape.Storage
-	shape.Models, shape.Tools = 2, 2
-	return shape
-}
+func sized(nodes int) Shape { return Sized(nodes, 7) }
 
 // stage is how far a fleet was brought up.
 type stage string
