Meeting a gateway again in a partial view is no news

Cause: above 96 members a view drops gateways by chance. Whoever was dropped came back as the sender of the next exchange, was taken in as new and passed on to the whole fleet, for ever. Ruled out: samples of the view, which are not passed on once a view is full; the marks of news passed on, which last 24 s, much longer than a round.

Now a sender that a full view does not know is taken in and not passed on; cores and storage machines, which are never dropped, still are news.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -663,7 +663,7 @@
 			}
 		default:
 			first := place == 0 && (asked == "" || asked == member.Addr)
-			look = append(look, v.admit(member, first, true)...)
+			look = append(look, v.admit(member, first, place > 0 || v.newsOfItself(member))...)
 			if held, ok := v.known[member.Id]; ok && place == 0 {
 				held.holds = message.Holds
 			}
@@ -690,6 +690,14 @@
 	return differs
 }
 
+// newsOfItself tells whether a sender's own entry is worth passing on. A
+// partial view drops gateways by chance, and one that is met again is no news.
+// The caller holds the lock.
+func (v *View) newsOfItself(member *Member) bool {
+	_, known := v.known[member.Id]
+	return known || member.Role != RoleEdge || len(v.known) < viewLimit
+}
+
 // admit takes an entry of one who lives in, and gives back whom to look at:
 // one that others take for alive and that was suspected here. The caller holds
 // the lock.
--- a/internal/simulate/talk_test.go
+++ b/internal/simulate/talk_test.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// TestPartialViewsStayQuiet: where views hold only part of the fleet, meeting
+// a gateway again is not passed on as news.
+func TestPartialViewsStayQuiet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	calls, bytes := idle(t, 150, applied)
+	is.True(bytes < 1600)
+	is.True(calls < 6)
+}
+
 // TestEmptyFeedIsAPlaceLikeAnyOther: followers of a feed that tells nothing are
 // held as others are.
 func TestEmptyFeedIsAPlaceLikeAnyOther(t *testing.T) {
