--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -12,11 +12,13 @@
 
 import (
 	"context"
+	"math"
 	"math/bits"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
@@ -56,6 +58,19 @@
 	probing   bool
 }
 
+// shown is the view as readers have it, made anew after a change. It holds
+// until a suspicion that stands unrefuted takes effect by itself.
+type shown struct {
+	until time.Duration
+	all   []*Member
+	alive map[string]bool
+	byID  map[string]*Member
+	roles map[string]*shownRole
+}
+
+// shownRole is a role's members: all, those alive, and those not leaving.
+type shownRole struct{ known, present, staying []*Member }
+
 // told is an item of news and how often it is still passed on.
 type told struct {
 	member *Member
@@ -84,6 +99,8 @@
 	// is set before Run.
 	Unwell func() string
 
+	shown atomic.Pointer[shown]
+
 	mu      sync.Mutex
 	self    *Member
 	cluster string
@@ -111,11 +128,7 @@
 }
 
 // Self is this node's own entry.
-func (v *View) Self() *Member {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return copyMember(v.self)
-}
+func (v *View) Self() *Member { return v.look().byID[v.self.Id] }
 
 // Me is this node's id, which never changes within a life.
 func (v *View) Me() string { return v.self.Id }
@@ -189,6 +202,7 @@
 // announce makes this node's own entry news; the caller holds the lock.
 func (v *View) announce() {
 	v.self.Incarnation++
+	v.changed()
 	v.spread(v.self, false)
 }
 
@@ -457,6 +471,7 @@
 	defer v.mu.Unlock()
 	if held, ok := v.known[id]; ok {
 		held.doubted = 0
+		v.changed()
 	}
 }
 
@@ -495,6 +510,7 @@
 		v.counters.Add("members_suspected", 1)
 	}
 	held.accused, held.accusedAt, held.lost = incarnation, v.clock.Now(), v.clock.Now()
+	v.changed()
 }
 
 // message builds what is said to a neighbour, "" when it is not known who that
@@ -721,13 +737,16 @@
 		return nil
 	case member.Incarnation == held.member.Incarnation:
 		if !v.alive(held) {
-			if held.doubted = 0; held.accused >= member.Incarnation {
+			held.doubted = 0
+			v.changed()
+			if held.accused >= member.Incarnation {
 				return []string{member.Id}
 			}
 		}
 		return nil
 	}
 	held.member, held.hash = member, entryHash(member)
+	v.changed()
 	delete(v.graves, member.Id)
 	if news {
 		v.spread(member, false)
@@ -760,6 +779,7 @@
 		return
 	}
 	delete(v.known, id)
+	v.changed()
 	v.graves[id] = grave{incarnation, v.clock.Now()}
 	v.spread(&Member{Id: id, Incarnation: incarnation, State: State_GONE}, false)
 }
@@ -800,6 +820,7 @@
 	for id, held := range v.known {
 		if !v.alive(held) && now-held.lost > long {
 			delete(v.known, id)
+			v.changed()
 		}
 	}
 	for _, marks := range []map[string]grave{v.graves, v.passed} {
@@ -814,6 +835,7 @@
 	}
 	edges := base.Filter(base.SortedKeys(v.known), func(id string) bool { return v.known[id].member.Role == RoleEdge })
 	v.mix(edges)
+	v.changed()
 	for _, id := range edges[:min(len(edges), len(v.known)-viewLimit)] {
 		delete(v.known, id)
 	}
@@ -822,59 +844,77 @@
 // alive tells whether a neighbour is taken for alive: this node does not doubt
 // it, and nobody's suspicion has stood unrefuted for two beats.
 func (v *View) alive(held *neighbour) bool {
-	accused := held.accused >= held.member.Incarnation && v.clock.Now()-held.accusedAt > 2*v.bounds.Load().Beat()
+	accused := held.accused >= held.member.Incarnation && v.clock.Now()-held.accusedAt > v.ripens()
 	return held.doubted < held.member.Incarnation && !accused
 }
 
-// Alive lists the members of a role that are not suspected and not leaving,
-// this node included, by id.
-func (v *View) Alive(role string) []*Member {
-	return v.list(func(m *Member, alive bool) bool { return m.Role == role && alive && !m.Leaving })
-}
+// changed has readers look anew; the caller holds the lock.
+func (v *View) changed() { v.shown.Store(nil) }
 
-// Present lists all of a role that are not suspected, leaving or not.
-func (v *View) Present(role string) []*Member {
-	return v.list(func(m *Member, alive bool) bool { return m.Role == role && alive })
-}
-
-// Known lists every member of a role, suspected or not.
-func (v *View) Known(role string) []*Member {
-	return v.list(func(m *Member, _ bool) bool { return m.Role == role })
-}
+// ripens is how long a suspicion stands before it counts.
+func (v *View) ripens() time.Duration { return 2 * v.bounds.Load().Beat() }
 
-func (v *View) list(keep func(*Member, bool) bool) []*Member {
+// look gives the view to read. What it holds is shared and never changed.
+func (v *View) look() *shown {
+	if now := v.shown.Load(); now != nil && v.clock.Now() < now.until {
+		return now
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	found := []*Member{}
+	now := v.clock.Now()
+	next := &shown{until: math.MaxInt64, alive: make(map[string]bool, len(v.known)+1), byID: make(map[string]*Member, len(v.known)+1), roles: map[string]*shownRole{}}
+	add := func(m *Member, alive bool) {
+		next.byID[m.Id], next.alive[m.Id] = m, alive
+		next.all = append(next.all, m)
+	}
 	for _, held := range v.known {
-		if keep(held.member, v.alive(held)) {
-			found = append(found, copyMember(held.member))
+		add(held.member, v.alive(held))
+		if ripe := held.accusedAt + v.ripens(); held.accused >= held.member.Incarnation && now <= ripe {
+			next.until = min(next.until, ripe+1)
+		}
+	}
+	add(copyMember(v.self), true)
+	slices.SortFunc(next.all, func(a, b *Member) int { return strings.Compare(a.Id, b.Id) })
+	for _, m := range next.all {
+		role := next.roles[m.Role]
+		if role == nil {
+			role = &shownRole{}
+			next.roles[m.Role] = role
+		}
+		role.known = append(role.known, m)
+		if next.alive[m.Id] {
+			role.present = append(role.present, m)
+			if !m.Leaving {
+				role.staying = append(role.staying, m)
+			}
 		}
 	}
-	if keep(v.self, true) {
-		found = append(found, copyMember(v.self))
+	v.shown.Store(next)
+	return next
+}
+
+func (s *shown) role(name string) shownRole {
+	if found := s.roles[name]; found != nil {
+		return *found
 	}
-	slices.SortFunc(found, func(a, b *Member) int {
-		if a.Id < b.Id {
-			return -1
-		}
-		return 1
-	})
-	return found
+	return shownRole{}
 }
 
+// Alive lists the members of a role that are not suspected and not leaving,
+// this node included, by id. What the lists hold is shared: readers leave it
+// as it is.
+func (v *View) Alive(role string) []*Member { return slices.Clip(v.look().role(role).staying) }
+
+// Present lists all of a role that are not suspected, leaving or not.
+func (v *View) Present(role string) []*Member { return slices.Clip(v.look().role(role).present) }
+
+// Known lists every member of a role, suspected or not.
+func (v *View) Known(role string) []*Member { return slices.Clip(v.look().role(role).known) }
+
 // Find gives a member by id.
 func (v *View) Find(id string) (member *Member, alive bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if id == v.self.Id {
-		return copyMember(v.self), true
-	}
-	held, ok := v.known[id]
-	if !ok {
-		return nil, false
-	}
-	return copyMember(held.member), v.alive(held)
+	now := v.look()
+	return now.byID[id], now.alive[id]
 }
 
 // Suspect doubts a member until it or another gives a sign of its life.
@@ -897,6 +937,7 @@
 		held.lost = v.clock.Now()
 	}
 	held.doubted = held.member.Incarnation
+	v.changed()
 	return true
 }
 
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -45,3 +45,32 @@
 		})
 	}
 }
+
+// TestReadersSeeEachChange: what readers are shown follows every change at
+// once, and a suspicion that nobody refutes counts by itself after a while.
+func TestReadersSeeEachChange(t *testing.T) {
+	is := is.New(t)
+	v := viewOf(40)
+	id := "10.0.0.5:1/one"
+	count := func() int { return len(v.Present(RoleEdge)) }
+	all := count()
+	v.doubt(id)
+	_, alive := v.Find(id)
+	is.Equal(alive, false)
+	is.Equal(count(), all-1)
+	is.Equal(len(v.Known(RoleEdge)), all)
+	v.trust(id)
+	is.Equal(count(), all)
+	v.mu.Lock()
+	v.accuse(v.known[id], 1)
+	v.mu.Unlock()
+	is.Equal(count(), all)
+	v.clock.Sleep(v.ripens() + v.ripens()/10)
+	is.Equal(count(), all-1)
+	v.mu.Lock()
+	v.bury(id, 1)
+	v.mu.Unlock()
+	is.Equal(len(v.Known(RoleEdge)), all-1)
+	v.mend("busy")
+	is.Equal(v.Self().Unwell, "busy")
+}
