Match a route by the cuts of its path

Cause: a host's routes were tried one after another, the longest first. TestTheLongestPrefixMatches compares with the definition over 8000 drawn paths.

--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -5,7 +5,6 @@
 package route
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -77,13 +76,14 @@
 	Services map[string]*Service
 	Limits   Limits
 
-	hosts map[string][]*Route
+	// hosts are a host's routes by prefix.
+	hosts map[string]map[string]*Route
 }
 
 // Index prepares matching and lists the faults of a table: the first field
 // at fault as an error, or nil.
 func (t *Table) Index() error {
-	t.hosts = map[string][]*Route{}
+	t.hosts = map[string]map[string]*Route{}
 	seen := map[string]bool{}
 	for place := range t.Routes {
 		r := &t.Routes[place]
@@ -115,10 +115,10 @@
 		}
 		host := strings.ToLower(r.Host)
 		seen[host+" "+r.Prefix] = true
-		t.hosts[host] = append(t.hosts[host], r)
-	}
-	for _, routes := range t.hosts {
-		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		if t.hosts[host] == nil {
+			t.hosts[host] = map[string]*Route{}
+		}
+		t.hosts[host][r.Prefix] = r
 	}
 	return nil
 }
@@ -130,8 +130,9 @@
 		host = name
 	}
 	path, _, _ = strings.Cut(path, "?")
-	for _, r := range t.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
+	routes := t.hosts[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := routes[path[:end+1]]; r != nil {
 			return r
 		}
 	}
