Read of the roster and of the configuration only what changed

Cause: every change of the feed, whatever its key, had each gateway parse every worker's entry and the configuration's document again and build all services' workers anew; the duty holder parsed every entry at each asking, once a second. Choosing looked each worker up by id.

Now a reader keeps what it read and parses entries whose bytes are others; a list goes through the services that something changed for; whether a worker may get requests is kept with its state. The duty holder compares lists in order.

A worker's capacity that its answers told is no longer forgotten when another worker changes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,6 +132,9 @@
 	Table func(written []byte) (*route.Table, error)
 
 	disks base.Table[register.DiskSet]
+	// roster and written are what the feed told last; only learn has them.
+	roster  relay.Roster
+	written []byte
 }
 
 func NewGateway(env Env, place Place) *Gateway {
@@ -283,7 +286,7 @@
 	c.env.Clock.Go(c.Follower.Run)
 	if c.Lister != nil {
 		duty := &relay.Duty{Clock: c.env.Clock, Bounds: c.bounds, Counters: c.env.Counters, Register: c.Register, Follower: c.Follower, Lister: c.Lister,
-			Holds: c.Owner.ServesFeed, Needed: func() bool { return route.DocumentOf(c.Follower.Frame().Values) != nil }}
+			Holds: c.Owner.ServesFeed, Needed: func() bool { return len(c.Follower.Frame().Values[route.DocumentKey]) > 0 }}
 		c.env.Clock.Go(duty.Run)
 	}
 }
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -19,7 +19,11 @@
 	if disks := register.DisksOf(frame.Values); disks != nil {
 		g.disks.Swap(disks)
 	}
-	if document := route.DocumentOf(frame.Values); document != nil && g.Table != nil {
+	written := frame.Values[route.DocumentKey]
+	if len(written) == len(g.written) && (len(written) == 0 || &written[0] == &g.written[0]) {
+		// the very same as in the frame before
+	} else if document := route.DocumentOf(frame.Values); document != nil && g.Table != nil {
+		g.written = written
 		if now := g.Routes.Load(); now == nil || now.Version != document.Version {
 			written, err := document.Written()
 			if err == nil {
@@ -34,7 +38,9 @@
 			}
 		}
 	}
-	g.Relay.Swap(relay.RosterOf(frame.Values))
+	if workers, changed := g.roster.Read(frame.Values); changed {
+		g.Relay.Swap(workers)
+	}
 }
 
 // Serves says whether clients of the operator's routes may be sent here.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -32,7 +32,10 @@
 // state is what this node knows of one life of a worker.
 type state struct {
 	Worker
-	under int // our requests under way
+	listed  Worker // as the list has it
+	list    uint64 // the last list that it was in
+	serving atomic.Bool
+	under   int // our requests under way
 
 	others   float64 // requests of others there, when last told
 	told     bool
@@ -188,7 +191,7 @@
 	open := make([]*state, 0, len(p.workers))
 	var avoided []*state
 	for _, s := range p.workers {
-		if o.triedAlready(s) || !r.serves(s.ID) {
+		if o.triedAlready(s) || !s.serving.Load() {
 			continue
 		}
 		possible = true
--- a/internal/relay/duty.go
+++ b/internal/relay/duty.go
@@ -5,7 +5,8 @@
 package relay
 
 import (
-	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"fordseam/internal/base"
@@ -30,6 +31,8 @@
 	Holds func() bool
 	// Needed tells whether anyone uses the roster yet.
 	Needed func() bool
+
+	roster Roster
 }
 
 // Run asks at a third of the leave bound while the duty is held.
@@ -56,14 +59,8 @@
 }
 
 func (d *Duty) tell(list []Worker) {
-	next, now := map[string]Worker{}, map[string]Worker{}
-	for _, one := range list {
-		next[one.ID] = one
-	}
-	for _, one := range RosterOf(d.Follower.Frame().Values) {
-		now[one.ID] = one
-	}
-	if maps.Equal(next, now) {
+	now, _ := d.roster.Read(d.Follower.Frame().Values)
+	if sameWorkers(now, list) {
 		return
 	}
 	if err := Replace(base.NewCtx(d.Clock, d.Bounds.Load().Call()), d.Register, list); err != nil {
@@ -72,3 +69,29 @@
 	}
 	d.Counters.Add("roster_changes", 1)
 }
+
+// sameWorkers tells whether a list, in any order, is the roster; where it names
+// a worker twice, the last counts.
+func sameWorkers(roster Workers, list []Worker) bool {
+	if len(list) < len(roster) {
+		return false
+	}
+	next := Workers(list)
+	if !slices.IsSortedFunc(next, inOrder) {
+		next = slices.Clone(next)
+		slices.SortStableFunc(next, inOrder)
+	}
+	place := 0
+	for at, one := range next {
+		if at+1 < len(next) && next[at+1].ID == one.ID {
+			continue
+		}
+		if place == len(roster) || roster[place] != one {
+			return false
+		}
+		place++
+	}
+	return place == len(roster)
+}
+
+func inOrder(a, b Worker) int { return strings.Compare(a.ID, b.ID) }
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -23,3 +23,17 @@
 		return drawn
 	}
 }
+
+// Serving are the workers of a service that may be chosen, with their
+// addresses, in the list's order.
+func (r *Relay) Serving(service string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []string
+	for _, s := range r.pool(service).workers {
+		if s.serving.Load() {
+			all = append(all, s.ID+"@"+s.Addr)
+		}
+	}
+	return all
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,7 +42,6 @@
 // Relay offers requests to workers on one node.
 type Relay struct {
 	Parts
-	roster base.Table[roster]
 
 	// narrow, in tests, leaves only some of the workers to choose from.
 	narrow func([]*state) []*state
@@ -50,60 +49,62 @@
 	mu    sync.Mutex
 	pools map[string]*pool
 	known map[string]*state
-	list  Workers
+	lists uint64
 }
 
-// roster is who may get requests now, by id.
-type roster struct{ serving map[string]bool }
-
 // New makes a relay that knows no workers yet.
 func New(parts Parts) *Relay {
-	r := &Relay{Parts: parts, pools: map[string]*pool{}, known: map[string]*state{}}
-	r.roster.Swap(&roster{})
-	return r
+	return &Relay{Parts: parts, pools: map[string]*pool{}, known: map[string]*state{}}
 }
 
 // Swap takes a new list. Workers that have gone or are leaving get nothing
-// from now on; idle connections to those that have gone are dropped.
+// from now on; idle connections to those that have gone are dropped. Only the
+// services that something changed for are gone through anew.
 func (r *Relay) Swap(workers Workers) {
-	next := &roster{serving: make(map[string]bool, len(workers))}
-	listed := make(map[string]bool, len(workers))
+	r.mu.Lock()
+	r.lists++
+	touched := map[string]bool{}
 	for _, one := range workers {
-		listed[one.ID] = true
-		if !one.Draining {
-			next.serving[one.ID] = true
+		s := r.known[one.ID]
+		switch {
+		case s == nil || s.Addr != one.Addr || s.Service != one.Service:
+			if s != nil {
+				s.serving.Store(false)
+				touched[s.Service] = true
+			}
+			s = &state{held: newPrefixes(), mark: base.Hash64(one.ID)}
+			r.known[one.ID] = s
+		case s.listed == one:
+			s.list = r.lists
+			continue
 		}
+		s.Worker, s.listed, s.list = one, one, r.lists
+		s.serving.Store(!one.Draining)
+		touched[one.Service] = true
 	}
-	r.roster.Swap(next)
-	r.mu.Lock()
-	if slices.Equal(r.list, workers) {
-		r.mu.Unlock()
-		return
-	}
-	r.list = slices.Clone(workers)
 	var gone []string
-	for _, id := range base.SortedKeys(r.known) {
-		if !listed[id] {
-			gone = append(gone, id)
-			delete(r.known, id)
+	if len(r.known) > len(workers) {
+		for _, id := range base.SortedKeys(r.known) {
+			if s := r.known[id]; s.list != r.lists {
+				s.serving.Store(false)
+				touched[s.Service] = true
+				gone = append(gone, id)
+				delete(r.known, id)
+			}
 		}
 	}
-	for _, p := range r.pools {
-		p.workers = nil
+	for name := range touched {
+		r.pool(name).workers = nil
 	}
-	for _, one := range workers {
-		s := r.known[one.ID]
-		if s == nil || s.Addr != one.Addr || s.Service != one.Service {
-			s = &state{Worker: one, held: newPrefixes(), mark: base.Hash64(one.ID)}
-			r.known[one.ID] = s
-		}
-		s.Worker = one
-		if !one.Draining {
-			p := r.pool(one.Service)
-			p.workers = append(p.workers, s)
+	if len(touched) > 0 {
+		for _, one := range workers {
+			if s := r.known[one.ID]; touched[one.Service] && !one.Draining {
+				p := r.pools[one.Service]
+				p.workers = append(p.workers, s)
+			}
 		}
 	}
-	for _, name := range base.SortedKeys(r.pools) {
+	for _, name := range base.SortedKeys(touched) {
 		r.pump(r.pools[name])
 	}
 	r.mu.Unlock()
@@ -112,9 +113,6 @@
 	}
 }
 
-// serves tells whether a worker may get requests at this moment.
-func (r *Relay) serves(id string) bool { return r.roster.Load().serving[id] }
-
 // offer is one request on its way to a worker.
 type offer struct {
 	route   *route.Route
@@ -236,7 +234,7 @@
 	left := o.until - sentAt
 	request := &base.BackRequest{Method: o.call.Method, Path: o.call.Target, Host: o.call.Host, Body: o.body, Worker: chosen.ID,
 		Match: base.HeaderLine{Name: r.Names.ID, Value: o.call.ID}, MostConns: r.share(o.service), Connect: o.route.Target / 3,
-		Stays: func() bool { return r.serves(chosen.ID) && o.until-r.Clock.Now() >= o.least() }}
+		Stays: func() bool { return chosen.serving.Load() && o.until-r.Clock.Now() >= o.least() }}
 	request.Lines = append(o.lines[:len(o.lines):len(o.lines)], base.HeaderLine{Name: r.Names.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
 		base.HeaderLine{Name: r.Names.ExpectWorker, Value: chosen.ID})
 	// A worker ends by itself at the time it is given; its word on that is
--- a/internal/relay/roster.go
+++ b/internal/relay/roster.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"fordseam/internal/base"
@@ -26,16 +27,86 @@
 
 // RosterOf reads the feed's frame.
 func RosterOf(values map[string][]byte) Workers {
-	found := Workers{}
-	for _, key := range base.SortedKeys(values) {
-		if id, ok := strings.CutPrefix(key, RosterPrefix); ok {
-			one := Worker{ID: id}
-			if json.Unmarshal(values[key], &one) == nil {
-				found = append(found, one)
+	found, _ := (&Roster{}).Read(values)
+	return found
+}
+
+// Roster reads one frame after another, and only what changed between them.
+type Roster struct {
+	read map[string]entry
+	list Workers
+}
+
+// entry is a worker's key as it was last read; ok tells that it could be.
+type entry struct {
+	raw    []byte
+	worker Worker
+	ok     bool
+}
+
+// Read gives the workers by id, and tells whether they are others than last
+// time. The list is never changed afterwards.
+func (r *Roster) Read(values map[string][]byte) (list Workers, changed bool) {
+	if r.read == nil {
+		r.read, r.list = map[string]entry{}, Workers{}
+	}
+	count, touched := 0, 0
+	for key, raw := range values {
+		id, ok := strings.CutPrefix(key, RosterPrefix)
+		if !ok {
+			continue
+		}
+		count++
+		before, known := r.read[id]
+		if known && sameBytes(before.raw, raw) {
+			continue
+		}
+		now := entry{raw: raw, worker: Worker{ID: id}}
+		now.ok = json.Unmarshal(raw, &now.worker) == nil
+		r.read[id] = now
+		if now.ok != before.ok || now.ok && now.worker != before.worker {
+			touched++
+		}
+	}
+	if count < len(r.read) {
+		for id, before := range r.read {
+			if _, stays := values[RosterPrefix+id]; !stays {
+				delete(r.read, id)
+				if before.ok {
+					touched++
+				}
 			}
 		}
 	}
-	return found
+	if touched == 0 {
+		return r.list, false
+	}
+	next := make(Workers, 0, len(r.read))
+	for _, one := range r.list { // in order already
+		if now, stays := r.read[one.ID]; stays && now.ok {
+			next = append(next, now.worker)
+		}
+	}
+	kept := len(next)
+	if kept < len(r.read) {
+		for id, now := range r.read {
+			if _, ok := slices.BinarySearchFunc(next[:kept], id, byID); !ok && now.ok {
+				next = append(next, now.worker)
+			}
+		}
+		if len(next) > kept {
+			slices.SortFunc(next, func(a, b Worker) int { return strings.Compare(a.ID, b.ID) })
+		}
+	}
+	r.list = next
+	return next, true
+}
+
+func byID(one Worker, id string) int { return strings.Compare(one.ID, id) }
+
+// sameBytes looks at the bytes only where they are not the very same.
+func sameBytes(a, b []byte) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0] || string(a) == string(b))
 }
 
 // Serve adds the roster's op to a core: it puts what changed and takes out
