--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,6 +133,9 @@
 
 	disks  base.Table[register.DiskSet]
 	routed *base.Bell
+	// roster and written are what the feed told last; only learn has them.
+	roster  relay.Roster
+	written []byte
 }
 
 func NewGateway(env Env, place Place) *Gateway {
@@ -284,7 +287,7 @@
 	c.env.Clock.Go(c.Follower.Run)
 	if c.Lister != nil {
 		duty := &relay.Duty{Clock: c.env.Clock, Bounds: c.bounds, Counters: c.env.Counters, Register: c.Register, Follower: c.Follower, Lister: c.Lister,
-			Holds: c.Owner.ServesFeed, Needed: func() bool { return route.DocumentOf(c.Follower.Frame().Values) != nil }}
+			Holds: c.Owner.ServesFeed, Needed: func() bool { return len(c.Follower.Frame().Values[route.DocumentKey]) > 0 }}
 		c.env.Clock.Go(duty.Run)
 	}
 }
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -29,3 +29,17 @@
 func (r *Relay) Unread(worker string, call *Call) int {
 	return (&offer{call: call}).unreadAt(r.known[worker])
 }
+
+// Serving are the workers of a service that may be chosen, with their
+// addresses, in the list's order.
+func (r *Relay) Serving(service string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []string
+	for _, s := range r.pool(service).workers {
+		if s.serving.Load() {
+			all = append(all, s.ID+"@"+s.Addr)
+		}
+	}
+	return all
+}
