--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -159,11 +159,13 @@
 	// mending is set by Mend, before Run.
 	mending *mending
 
-	mu       sync.Mutex
-	set      *DiskSet
-	slow     map[string]time.Duration
-	lookup   base.Signal
-	moving   bool
+	mu     sync.Mutex
+	set    *DiskSet
+	slow   map[string]time.Duration
+	lookup base.Signal
+	moving bool
+	// mute are the cores that gave the last census no answer.
+	mute     []string
 	repairs  map[string]int
 	repaired base.Signal
 	closed   bool
@@ -262,7 +264,11 @@
 	}
 	s.phase = taking
 	o.clock.Go(func() {
-		if err := o.take(s); err != nil {
+		err := o.take(s)
+		if base.IsCode(err, "older_epoch") {
+			err = o.take(s) // the disks told which epoch they are at
+		}
+		if err != nil {
 			o.counters.Add("slot_takes_failed", 1)
 			pause := o.bounds.Load().Beat() / 4
 			o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
@@ -355,7 +361,7 @@
 	var mu sync.Mutex
 	var newest *PromiseReply
 	promised := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
-		reply, err := o.disk(entry).Promise(ctx, &PromiseRequest{Claim: o.claim(s, epoch, set, entry)})
+		reply, err := o.promise(ctx, entry, &PromiseRequest{Claim: o.claim(s, epoch, set, entry)})
 		if err != nil {
 			return false
 		}
@@ -377,6 +383,12 @@
 		return true
 	})
 	if !promised {
+		s.mu.Lock()
+		learnt := s.highest > epoch
+		s.mu.Unlock()
+		if learnt {
+			return base.Busy(503, "older_epoch", 1, "the disks have promised a higher epoch")
+		}
 		return base.Busy(503, "no_majority", 1, "no majority of disks")
 	}
 	mu.Lock()
@@ -419,6 +431,19 @@
 	}
 }
 
+// promise asks a disk again while it cannot be reached: after an outage disks
+// come back one by one, and the last that a majority needs is not to be missed.
+func (o *Owner) promise(ctx *base.Ctx, entry *DiskEntry, request *PromiseRequest) (*PromiseReply, error) {
+	for {
+		reply, err := o.disk(entry).Promise(ctx, request)
+		pause := o.bounds.Load().Beat() / 12
+		if err == nil || !base.WasNotSent(err) || ctx.Left() < pause || o.isClosed() {
+			return reply, err
+		}
+		o.clock.Sleep(pause/2 + time.Duration(o.clock.Int64N(int64(pause))))
+	}
+}
+
 // refit starts a sender to each disk of the set that has none.
 func (o *Owner) refit(s *slot) {
 	set := o.knownSet()
