--- a/cmd/fordseam-sim/campaign.go
+++ b/cmd/fordseam-sim/campaign.go
@@ -1,5 +1,5 @@
-// The campaign subcommand: any number of seeds of any scenarios, at any of
-// the known sizes, across processors.
+// The campaign and tier subcommands: any number of seeds of any scenarios, at
+// any of the known sizes, across processors.
 package main
 
 import (
@@ -18,40 +18,48 @@
 )
 
 func campaignCommand() *cli.Command {
+	return seedsCommand("campaign", "run scenarios of failure over many seeds", base.Map(simulate.Scenarios, func(s *simulate.Scenario) simulate.Played { return s }), base.SortedKeys(simulate.Shapes))
+}
+
+func tierCommand() *cli.Command {
+	return seedsCommand("tier", "run days of the platform's troubles over many seeds", base.Map(simulate.TierDays, func(d *simulate.TierDay) simulate.Played { return d }), base.SortedKeys(simulate.TierShapes))
+}
+
+func seedsCommand(name, usage string, scenarios []simulate.Played, shapes []string) *cli.Command {
 	return &cli.Command{
-		Name: "campaign", Usage: "run scenarios of failure over many seeds",
-		Description: "Prints each failing seed with the command that plays it again. Exit code 1 when a must-never was broken.",
+		Name: name, Usage: usage,
+		Description: "Prints each failing seed with the command that plays it again. Exit code 1 when a rule was broken.",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "scenario", Usage: "`NAME` of a scenario; may be repeated; all unless given"},
-			&cli.StringSliceFlag{Name: "shape", Usage: "`SHAPE`: " + strings.Join(base.SortedKeys(simulate.Shapes), ", ") + "; may be repeated; all unless given"},
+			&cli.StringSliceFlag{Name: "shape", Usage: "`SHAPE`: " + strings.Join(shapes, ", ") + "; may be repeated; all unless given"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first `SEED`"},
 			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "how `MANY` seeds of each"},
 			&cli.IntFlag{Name: "processors", Value: runtime.NumCPU(), Usage: "how `MANY` runs at once"},
 			&cli.BoolFlag{Name: "list", Usage: "list the scenarios and end"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 		},
-		Action: campaign,
+		Action: func(_ context.Context, command *cli.Command) error { return campaign(command, scenarios, shapes) },
 	}
 }
 
-func campaign(_ context.Context, command *cli.Command) error {
+func campaign(command *cli.Command, scenarios []simulate.Played, shapes []string) error {
 	if command.Bool("list") {
-		for _, name := range simulate.ScenarioNames() {
-			fmt.Println(name)
+		for _, one := range scenarios {
+			fmt.Println(one.Named())
 		}
 		return nil
 	}
-	c := &simulate.Campaign{Scenarios: simulate.Scenarios, Shapes: base.SortedKeys(simulate.Shapes), First: command.Uint64("seed"),
+	c := &simulate.Campaign{Scenarios: scenarios, Shapes: shapes, First: command.Uint64("seed"),
 		Seeds: command.Int("seeds"), Processors: command.Int("processors")}
 	usage := func(format string, args ...any) error { return cli.Exit(fmt.Sprintf(format, args...), node.ExitUsage) }
 	if names := command.StringSlice("scenario"); len(names) > 0 {
 		c.Scenarios = nil
 		for _, name := range names {
-			one := simulate.ScenarioNamed(name)
-			if one == nil {
+			place := slices.IndexFunc(scenarios, func(one simulate.Played) bool { return one.Named() == name })
+			if place < 0 {
 				return usage("scenario: none is named %q; see --list", name)
 			}
-			c.Scenarios = append(c.Scenarios, one)
+			c.Scenarios = append(c.Scenarios, scenarios[place])
 		}
 	}
 	if names := command.StringSlice("shape"); len(names) > 0 {
@@ -64,7 +72,7 @@
 	}
 	switch {
 	case command.Args().Len() > 0:
-		return usage("campaign takes no arguments, was given %q", command.Args().First())
+		return usage("%s takes no arguments, was given %q", command.Name, command.Args().First())
 	case c.Seeds < 1 || c.Seeds > 1000000:
 		return usage("seeds: must be between 1 and 1000000, is %d", c.Seeds)
 	case c.Processors < 1 || c.Processors > 1024:
@@ -85,7 +93,7 @@
 		failed = simulate.WriteCampaign(os.Stdout, rows)
 	}
 	if failed > 0 {
-		return cli.Exit(fmt.Sprintf("%d runs broke a must-never", failed), node.ExitFailed)
+		return cli.Exit(fmt.Sprintf("%d runs broke a rule", failed), node.ExitFailed)
 	}
 	return nil
 }
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -321,7 +321,7 @@
 			return err
 		}
 	}
-	var nodes []*sockets.EntryNode
+	var nodes []*platform.EntryNode
 	for _, m := range w.of(platform.ClassEdge) {
 		nodes = append(nodes, w.entryNode(m))
 	}
@@ -339,12 +339,12 @@
 	return nil
 }
 
-func (w *platformWorld) entryNode(m *machine) *sockets.EntryNode {
-	return &sockets.EntryNode{Name: m.Name, Zone: m.Zone, Front: w.at(m, w.ports.front), Readiness: w.at(m, w.ports.readiness)}
+func (w *platformWorld) entryNode(m *machine) *platform.EntryNode {
+	return &platform.EntryNode{Name: m.Name, Zone: m.Zone, Front: w.at(m, w.ports.front), Readiness: w.at(m, w.ports.readiness)}
 }
 
-func (w *platformWorld) operator(name string) *sockets.Operator {
-	return &sockets.Operator{Name: name, Clock: w.clock, Ledger: w.ledger, Control: w.controls, Rng: rand.New(rand.NewPCG(w.plan.Seed, base.Hash64(name)))}
+func (w *platformWorld) operator(name string) *platform.Operator {
+	return &platform.Operator{Call: sockets.CallControl, Name: name, Clock: w.clock, Ledger: w.ledger, Control: w.controls, Rng: rand.New(rand.NewPCG(w.plan.Seed, base.Hash64(name)))}
 }
 
 // stop ends everything that the run started, by its id.
--- a/internal/fleet/platform_run.go
+++ b/internal/fleet/platform_run.go
@@ -14,7 +14,6 @@
 
 	"fordseam/internal/base"
 	"fordseam/internal/standin/platform"
-	"fordseam/internal/standin/platform/sockets"
 
 	"github.com/juju/errors"
 )
@@ -22,7 +21,7 @@
 // configState is the operators' view of the configuration.
 type configState struct {
 	mu       sync.Mutex
-	operator *sockets.Operator
+	operator *platform.Operator
 	newest   *platform.Order
 	dropped  []platform.Route
 	added    []platform.Route
@@ -182,7 +181,7 @@
 			go func() {
 				defer w.programs.Done()
 				w.player.Request(class, 0, func(t *platform.Try) {
-					t.Probe, t.Node, t.Host, t.Target, t.Client = true, sockets.Probe(node), route.Host, route.Prefix+"probe", "probe"
+					t.Probe, t.Node, t.Host, t.Target, t.Client = true, platform.Probe(node), route.Host, route.Prefix+"probe", "probe"
 				})
 			}()
 		}
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -48,6 +48,64 @@
 	return nil
 }
 
+// Taken is what a client of the operator's routes gets: a whole body, or a
+// stream to be passed on as it comes.
+type Taken struct {
+	Status  int
+	Headers []relay.Header
+	Body    []byte
+	Stream  *line.Reader
+}
+
+// Take answers one request of a client. The route in force decides where it
+// goes: turns that are kept to their session's owner, other streams and plain
+// requests to a worker. An error is a verdict.
+func (g *Gateway) Take(call *relay.Call) (*Taken, error) {
+	table := g.Routes.Load()
+	if table == nil {
+		return nil, base.Busy(503, "no_settings", 1, "no configuration is in force yet")
+	}
+	matched := table.Match(call.Host, call.Target)
+	if matched == nil {
+		return nil, base.Decline(404, "no_route", "no route takes this request")
+	}
+	clock, limit := g.env.Clock, matched.Timeout
+	if call.Deadline > 0 {
+		limit = min(limit, call.Deadline)
+	}
+	call.Deadline = limit
+	ctx := base.NewCtx(clock, limit)
+	switch {
+	case matched.Kind == route.Stream && matched.Retained && call.Session != "":
+		stream, err := g.Lines.Turn(ctx, call)
+		if err != nil {
+			return nil, err
+		}
+		return passOn(stream, ctx)
+	case matched.Kind == route.Stream:
+		return passOn(g.Lines.Pass(ctx, matched, call), ctx)
+	}
+	reply, err := g.Relay.Offer(ctx, matched, table.Services[matched.Pick(clock.Int64N)], call, call.Body)
+	if err != nil {
+		return nil, err
+	}
+	defer reply.Close()
+	body, err := reply.Body(ctx.Left())
+	if err != nil {
+		return nil, err
+	}
+	return &Taken{Status: reply.Status, Headers: reply.Headers(), Body: body}, nil
+}
+
+// passOn answers with a stream, once its head has come.
+func passOn(stream *line.Stream, ctx *base.Ctx) (*Taken, error) {
+	head, err := stream.Head(ctx.Left(), ctx.Clock)
+	if err != nil {
+		return nil, err
+	}
+	return &Taken{Status: head.Status, Headers: head.Headers, Stream: line.NewReader(stream, ctx.Clock, ctx.Left())}, nil
+}
+
 // connShare is this gateway's part of a service's connections to each worker:
 // all gateways together keep below what a worker takes.
 func (g *Gateway) connShare(service *route.Service) int {
--- a/internal/simulate/campaign.go
+++ b/internal/simulate/campaign.go
@@ -9,13 +9,29 @@
 	"sync"
 	"text/tabwriter"
 	"time"
-
-	"fordseam/internal/base"
 )
 
+// Played is a scenario of any kind that a campaign can run at a size.
+type Played interface {
+	Named() string
+	Play(seed uint64, shape string) *Outcome
+}
+
+// Named is the scenario's name.
+func (s *Scenario) Named() string { return s.Name }
+
+// Play runs it at one of the Shapes.
+func (s *Scenario) Play(seed uint64, shape string) *Outcome { return s.Run(seed, Shapes[shape]()) }
+
+// Named is the day's name.
+func (d *TierDay) Named() string { return d.Name }
+
+// Play runs it at one of the TierShapes.
+func (d *TierDay) Play(seed uint64, shape string) *Outcome { return d.Run(seed, TierShapes[shape]()) }
+
 // Campaign is what to run.
 type Campaign struct {
-	Scenarios  []*Scenario
+	Scenarios  []Played
 	Shapes     []string
 	First      uint64
 	Seeds      int
@@ -37,13 +53,13 @@
 func (c *Campaign) Run(told func(*Outcome)) []*Tested {
 	type job struct {
 		row      *Tested
-		scenario *Scenario
+		scenario Played
 		seed     uint64
 	}
 	rows, jobs := []*Tested{}, []job{}
 	for _, shape := range c.Shapes {
 		for _, scenario := range c.Scenarios {
-			row := &Tested{Scenario: scenario.Name, Shape: shape}
+			row := &Tested{Scenario: scenario.Named(), Shape: shape}
 			rows = append(rows, row)
 			for seed := c.First; seed < c.First+uint64(c.Seeds); seed++ {
 				jobs = append(jobs, job{row, scenario, seed})
@@ -66,7 +82,7 @@
 				next := jobs[0]
 				jobs = jobs[1:]
 				mu.Unlock()
-				outcome := next.scenario.Run(next.seed, Shapes[next.row.Shape]())
+				outcome := next.scenario.Play(next.seed, next.row.Shape)
 				mu.Lock()
 				next.row.Runs++
 				next.row.Turns += outcome.Counts["turns_whole"]
@@ -92,7 +108,11 @@
 
 // Replay is the command that plays a run again.
 func (o *Outcome) Replay() string {
-	return fmt.Sprintf("fordseam-sim campaign --shape %s --scenario %q --seed %d --seeds 1", o.Shape, o.Scenario, o.Seed)
+	command := "campaign"
+	if o.Tier {
+		command = "tier"
+	}
+	return fmt.Sprintf("fordseam-sim %s --shape %s --scenario %q --seed %d --seeds 1", command, o.Shape, o.Scenario, o.Seed)
 }
 
 // WriteCampaign shows a campaign's rows, and tells how many runs failed.
@@ -114,8 +134,3 @@
 	}
 	return failed
 }
-
-// ScenarioNames lists all scenarios.
-func ScenarioNames() []string {
-	return base.Map(Scenarios, func(s *Scenario) string { return s.Name })
-}
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -38,11 +38,21 @@
 	// disk set; Found has the machines form the cluster by themselves.
 	Tolerate int
 	Found    bool
+	// ZoneNames are the zones, "zone-0" and on unless given.
+	ZoneNames []string
 	// ModelPool and ToolPool are "models" and "apps" unless set.
 	ModelPool string
 	ToolPool  string
 }
 
+// zone is the zone of a machine by its place among its like.
+func (s *Shape) zone(place int) string {
+	if len(s.ZoneNames) > 0 {
+		return s.ZoneNames[place%len(s.ZoneNames)]
+	}
+	return fmt.Sprintf("zone-%d", place%s.Zones)
+}
+
 // SmallShape is enough for every duty to have a second machine.
 func SmallShape() Shape {
 	return Shape{Name: "small", Group: "g", Turns: [2]int{2, 4}, Zones: 2, Edges: 3, Cores: 2, Storage: 3, Models: 2, Tools: 2, Capacity: 16, Pieces: 6, Gap: 20 * time.Millisecond, Settings: DefaultSettings}
@@ -84,6 +94,8 @@
 	gone bool
 	// begun machines have had a life already.
 	begun bool
+	// leaving machines were told to stop.
+	leaving bool
 }
 
 // Fleet is all machines.
@@ -110,19 +122,34 @@
 	harms int
 	// lost, set by tests only, takes mechanisms away that lie outside the wire.
 	lost mechanisms
+	// equip, when set, changes what a process is given; begins sees it built, before it starts.
+	equip  func(m *Machine, env *node.Env, place *node.Place)
+	begins func(m *Machine)
 }
 
-type mechanisms struct{ leave, seeds, endMark bool }
+// stays is the look at the list before a request leaves, expect the id that a
+// worker is told to have.
+type mechanisms struct{ leave, seeds, endMark, stays, expect bool }
 
 // NewFleet builds and starts a fleet.
 func NewFleet(seed uint64, shape Shape) *Fleet {
+	f := layFleet(seed, shape)
+	for _, m := range f.All() {
+		f.Start(m)
+	}
+	f.Callers.Go(f.Watch)
+	return f
+}
+
+// layFleet builds a fleet; nothing runs yet.
+func layFleet(seed uint64, shape Shape) *Fleet {
 	w := NewWorld(seed)
 	if shape.ModelPool == "" {
 		shape.ModelPool, shape.ToolPool = "models", "apps"
 	}
 	f := &Fleet{World: w, Net: NewNet(w), Shape: shape, models: map[string]*standin.Model{}, tools: map[string]*standin.Tool{}, Tally: standin.NewTally(), lives: map[string]life{}}
 	f.Callers = w.NewHost("callers", "outside")
-	zone := func(place int) string { return fmt.Sprintf("zone-%d", place%shape.Zones) }
+	zone := shape.zone
 	for place := 0; place < shape.Models; place++ {
 		name := fmt.Sprintf("model-%d", place)
 		model := &standin.Model{ID: name, Clock: w.NewHost(name, zone(place)).Clock(), Pieces: shape.Pieces, Gap: shape.Gap, Prefill: shape.Prefill, Cache: shape.Cache, Capacity: shape.Capacity, Given: f.Tally.Given}
@@ -146,10 +173,6 @@
 	add(&f.Storage, "storage", shape.Storage)
 	add(&f.Cores, "core", shape.Cores)
 	add(&f.Edges, "edge", shape.Edges)
-	for _, m := range f.All() {
-		f.Start(m)
-	}
-	f.Callers.Go(f.Watch)
 	return f
 }
 
@@ -160,19 +183,24 @@
 
 // Add brings a new machine of a role into the fleet, at a new address.
 func (f *Fleet) Add(role string) *Machine {
+	m := f.lay(role)
+	f.Start(m)
+	return m
+}
+
+func (f *Fleet) lay(role string) *Machine {
 	list := map[string]*[]*Machine{"storage": &f.Storage, "core": &f.Cores, "edge": &f.Edges}[role]
 	place := len(*list)
-	m := &Machine{Host: f.World.NewHost(fmt.Sprintf("%s-%d", role, place), fmt.Sprintf("zone-%d", place%f.Shape.Zones)), Role: role}
+	m := &Machine{Host: f.World.NewHost(fmt.Sprintf("%s-%d", role, place), f.Shape.zone(place)), Role: role}
 	m.Files = NewFiles(m.Host)
 	*list = append(*list, m)
-	f.Start(m)
 	return m
 }
 
 // Start gives a machine a new life.
 func (f *Fleet) Start(m *Machine) {
 	h := m.Host
-	h.alive, m.open, m.closing = true, 0, false
+	h.alive, h.dark, m.open, m.closing, m.leaving = true, false, 0, false, false
 	m.gateway, m.core, m.storage = nil, nil, nil
 	m.Count = base.NewCounters()
 	env := node.Env{Clock: h.Clock(), Wire: f.Net.Wire(h), Files: m.Files, Counters: m.Count,
@@ -188,16 +216,21 @@
 	if f.lost.seeds {
 		place.Seeds = []string{"nowhere:1"}
 	}
+	if f.equip != nil {
+		f.equip(m, &env, &place)
+	}
 	h.Go(func() {
 		m.begun = true
 		switch m.Role {
 		case "edge":
 			m.gateway = node.NewGateway(env, place)
 			h.serve = m.gateway.Handler()
+			f.built(m)
 			m.gateway.Start()
 		case "core":
 			m.core = node.NewCore(env, place)
 			h.serve = m.core.Handler()
+			f.built(m)
 			m.core.Start()
 		case "storage":
 			m.storage, m.Broken = node.NewStorage(env, place)
@@ -214,6 +247,12 @@
 	})
 }
 
+func (f *Fleet) built(m *Machine) {
+	if f.begins != nil {
+		f.begins(m)
+	}
+}
+
 // Gateway is a machine's gateway in its present life.
 func (m *Machine) Gateway() *node.Gateway { return m.gateway }
 
--- a/internal/simulate/net.go
+++ b/internal/simulate/net.go
@@ -153,12 +153,12 @@
 	path := request.URL.Path
 	n.note(path, 1, weigh(len("POST  HTTP/1.1\r\nHost: \r\n")+len(path)+len(request.URL.Host), request.Header, len(body)))
 	target := w.Hosts[hostOf(request.URL.Host)]
-	if target == nil || !target.alive {
+	if target == nil || !target.alive && !target.dark {
 		x.host.Clock().Sleep(n.delay())
 		return nil, &base.NotSent{Cause: errors.New("connection refused")}
 	}
 	done := (&clock{x.host}).NewSignal()
-	if n.cut(x.host.Name, target.Name) || n.cut(target.Name, x.host.Name) && w.Chance(0.5) {
+	if target.dark || n.cut(x.host.Name, target.Name) || n.cut(target.Name, x.host.Name) && w.Chance(0.5) {
 		n.Lost++
 		done.Wait(left)
 		if w.Chance(0.5) {
--- a/internal/simulate/scenario.go
+++ b/internal/simulate/scenario.go
@@ -35,6 +35,7 @@
 // Outcome is what came of one run.
 type Outcome struct {
 	Scenario string          `json:"scenario"`
+	Tier     bool            `json:"tier,omitempty"`
 	Shape    string          `json:"shape"`
 	Seed     uint64          `json:"seed"`
 	VirtualS float64         `json:"virtual_s"`
--- /dev/null
+++ b/internal/simulate/tier_clients.go
@@ -0,0 +1,267 @@
+// Clients and operators in virtual time: their requests go through the same
+// code of platform/ as in the daemons, in process.
+package simulate
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"fordseam/internal/base"
+	parties "fordseam/internal/standin/platform"
+	"fordseam/platform"
+
+	"github.com/valyala/fasthttp"
+)
+
+type silentLog struct{}
+
+func (silentLog) Printf(string, ...any) {}
+
+// inProcess makes a request as the daemons' server would have read it.
+func inProcess(method, target, host string, header [][2]string, body []byte) *fasthttp.RequestCtx {
+	var request fasthttp.Request
+	request.Header.SetMethod(method)
+	request.SetRequestURI(target)
+	for _, line := range header {
+		request.Header.Add(line[0], line[1])
+	}
+	request.Header.SetHost(host)
+	if len(body) > 0 {
+		request.SetBody(body)
+	}
+	r := &fasthttp.RequestCtx{}
+	r.Init(&request, nil, silentLog{})
+	return r
+}
+
+const (
+	answeredHead = iota
+	answeredBytes
+	answeredEnd
+	answeredClose // the connection closed
+)
+
+type answered struct {
+	kind    int
+	status  int
+	streams bool
+	header  map[string]string
+	bytes   []byte
+}
+
+// exchange is one request of a client on its connection.
+type exchange struct {
+	host   *Host
+	in     *pipe[answered]
+	read   bool
+	closed bool // by the client
+	number int
+}
+
+// tierClients carries tries to the gateways.
+type tierClients struct{ tier *Tier }
+
+func (c *tierClients) Carry(try *parties.Try) {
+	t := c.tier
+	clock := t.Callers.Clock()
+	try.Sent = clock.Now()
+	defer func() { try.Ended = clock.Now() }()
+	if try.Probe {
+		try.Node, _, _ = strings.Cut(try.Node, "@")
+	} else {
+		try.Node, _ = t.entry.Pick(try.Zone, try.Client, try.Fresh)
+	}
+	m := t.named(try.Node)
+	if m.Host.dark {
+		clock.Sleep(min(parties.ConnectPatience, try.Deadline))
+		try.Unread = true
+		return
+	}
+	clock.Sleep(t.way())
+	if !m.Host.alive || m.gateway == nil || m.closing {
+		try.Unread = true
+		return
+	}
+	try.Written = clock.Now()
+	t.serial++
+	x := &exchange{host: m.Host, in: newPipe[answered](t.Callers), number: t.serial}
+	t.exchanges[x] = true
+	defer func() {
+		x.closed = true
+		delete(t.exchanges, x)
+	}()
+	t.World.spawn(m.Host, m.Host.life, t.World.now+t.way(), func() { t.serve(m, try, x) })
+	c.await(try, x)
+}
+
+// await reads the answer as a client does.
+func (c *tierClients) await(try *parties.Try, x *exchange) {
+	end := try.Sent + try.Deadline
+	silence := try.Deadline
+	if try.Kind == parties.Streaming {
+		silence = parties.Silence(try.Aim, try.Pause)
+	}
+	now := func() time.Duration { return c.tier.World.now }
+	until := min(end, now()+silence)
+	if try.Kind == parties.Idempotent {
+		for patience := now() + parties.ReadPatience(try.Deadline); !x.read && !x.in.due() && now() < patience; {
+			x.in.bell.Next().Wait(patience - now())
+		}
+		if !x.read && !x.in.due() {
+			try.GaveUp, try.Unread = true, true
+			return
+		}
+	}
+	var body []byte
+	streams := false
+	for {
+		one, ok := x.in.next(until, nil)
+		if !ok {
+			try.GaveUp = true
+			return
+		}
+		switch one.kind {
+		case answeredClose:
+			try.Unread = !x.read
+			return
+		case answeredHead:
+			try.Status, try.Echo, try.Seal = one.status, one.header[parties.HeaderID], one.header[parties.HeaderSeal]
+			try.Encoding = one.header["Content-Encoding"]
+			if seconds, err := strconv.ParseFloat(one.header[parties.HeaderRetryAfter], 64); err == nil {
+				try.RetryAfter = time.Duration(seconds * float64(time.Second))
+			}
+			streams = try.Kind == parties.Streaming && strings.HasPrefix(one.header["Content-Type"], "text/event-stream")
+		case answeredBytes:
+			body = append(body, one.bytes...)
+			if streams {
+				var events []parties.Event
+				events, body = eventsIn(body, now())
+				if len(events) > 0 && try.First == 0 {
+					try.First = now()
+				}
+				try.Events = append(try.Events, events...)
+				until = min(end, now()+silence)
+			}
+		case answeredEnd:
+			switch {
+			case !streams:
+				try.First, try.Answer = now(), base.Digest(body)
+			case len(body) > 0:
+				try.Garbage = "a stream that ends in " + strconv.Quote(string(body))
+			}
+			try.Complete = true
+			return
+		}
+	}
+}
+
+// eventsIn takes whole events off what has come of a stream.
+func eventsIn(some []byte, at time.Duration) (events []parties.Event, rest []byte) {
+	for {
+		place := bytes.Index(some, []byte("\n\n"))
+		if place < 0 {
+			return events, some
+		}
+		event := parties.Event{At: at}
+		for _, line := range strings.Split(string(some[:place]), "\n") {
+			name, value, _ := strings.Cut(line, ":")
+			value = strings.TrimPrefix(value, " ")
+			switch {
+			case name == "id":
+				event.ID, _ = strconv.ParseInt(value, 10, 64)
+			case name == "data" && event.Data == "":
+				event.Data = value
+			case name == "data":
+				event.Data += "\n" + value
+			}
+		}
+		events = append(events, event)
+		some = some[place+2:]
+	}
+}
+
+// serve is the gateway's side of an exchange.
+func (t *Tier) serve(m *Machine, try *parties.Try, x *exchange) {
+	gateway, life := m.gateway, m.Host.life
+	if gateway == nil {
+		return
+	}
+	x.read = true
+	x.in.bell.Ring()
+	m.open++
+	defer func() {
+		if m.Host.life == life {
+			m.open--
+		}
+	}()
+	r := inProcess(try.Method, try.Target, try.Host, try.Header, try.Body)
+	platform.Answer(r, gateway)
+	head := answered{kind: answeredHead, status: r.Response.StatusCode(), header: map[string]string{}}
+	for name, value := range r.Response.Header.All() {
+		head.header[string(name)] = string(value)
+	}
+	x.in.put(t.way(), head)
+	stream := r.Response.BodyStream()
+	if stream == nil {
+		x.in.put(0, answered{kind: answeredBytes, bytes: bytes.Clone(r.Response.Body())})
+		x.in.put(0, answered{kind: answeredEnd})
+		return
+	}
+	defer func() { _ = r.Response.CloseBodyStream() }()
+	piece := make([]byte, 16<<10)
+	for !x.closed {
+		n, err := stream.Read(piece)
+		if n > 0 {
+			x.in.put(t.way(), answered{kind: answeredBytes, bytes: bytes.Clone(piece[:n])})
+		}
+		if err != nil {
+			kind := answeredClose
+			if err == io.EOF {
+				kind = answeredEnd
+			}
+			x.in.put(t.way(), answered{kind: kind})
+			return
+		}
+	}
+}
+
+// control makes an operator's call to a core.
+func (t *Tier) control(method, address, path string, header [][2]string, body []byte) (status int, answer []byte) {
+	clock := t.Callers.Clock()
+	m := t.named(address)
+	patience := parties.OrderPatience(len(body))
+	if m == nil || m.Host.dark {
+		clock.Sleep(patience)
+		return 0, nil
+	}
+	clock.Sleep(t.way())
+	if !m.Host.alive || m.core == nil || m.closing {
+		return 0, nil
+	}
+	core, life := m.core, m.Host.life
+	in := newPipe[answered](t.Callers)
+	t.serial++
+	x := &exchange{host: m.Host, in: in, number: t.serial}
+	t.exchanges[x] = true
+	defer delete(t.exchanges, x)
+	t.World.spawn(m.Host, life, t.World.now+t.way(), func() {
+		x.read = true
+		m.open++
+		defer func() {
+			if m.Host.life == life {
+				m.open--
+			}
+		}()
+		r := inProcess(method, path, m.Host.Name, header, body)
+		platform.Operate(r, m.Host.Clock(), core)
+		in.put(t.way(), answered{kind: answeredHead, status: r.Response.StatusCode(), bytes: bytes.Clone(r.Response.Body())})
+	})
+	one, ok := in.next(clock.Now()+patience, nil)
+	if !ok || one.kind == answeredClose {
+		return 0, nil
+	}
+	return one.status, one.bytes
+}
--- /dev/null
+++ b/internal/simulate/tier_days.go
@@ -0,0 +1,317 @@
+// The days: every trouble of the deployments' sheets, alone and mixed, and the
+// faults that end a day.
+package simulate
+
+import (
+	"time"
+
+	parties "fordseam/internal/standin/platform"
+)
+
+// at is a deed some seconds after traffic began, drawn by the seed up to a
+// second later.
+func at(seconds float64, deed func(t *Tier)) func(t *Tier) {
+	return func(t *Tier) {
+		t.Callers.Clock().Sleep(time.Duration(seconds*float64(time.Second)) + t.World.Between(0, time.Second))
+		deed(t)
+	}
+}
+
+const (
+	second = time.Second
+	short  = 1500 * time.Millisecond
+)
+
+func edges(t *Tier) []*Machine  { return t.Edges }
+func cores(t *Tier) []*Machine  { return t.Cores }
+func stores(t *Tier) []*Machine { return t.Storage }
+
+// killed kills some machines of a class, at most as many of those with a disk
+// as may be lost.
+func killed(list func(t *Tier) []*Machine, share float64, power bool) func(t *Tier) {
+	return func(t *Tier) {
+		count := max(1, int(share*float64(len(list(t)))))
+		if list(t)[0].Role == "storage" {
+			count = min(count, t.Plan.Tolerate)
+		}
+		t.each(t.some(list(t), count), func(m *Machine) {
+			t.fall(m, "node_kill", t.World.Between(200*time.Millisecond, 2*second), power, false)
+		})
+	}
+}
+
+func frozen(list func(t *Tier) []*Machine) func(t *Tier) {
+	return func(t *Tier) {
+		t.each(t.some(list(t), 1), func(m *Machine) { t.freezeNode(m, t.World.Between(second, 4*second)) })
+	}
+}
+
+func slowed(list func(t *Tier) []*Machine) func(t *Tier) {
+	return func(t *Tier) {
+		t.each(t.some(list(t), 1), func(m *Machine) { t.slowNode(m, 3*second) })
+	}
+}
+
+func replaced(list func(t *Tier) []*Machine) func(t *Tier) {
+	return func(t *Tier) {
+		t.each(t.some(list(t), 1), func(m *Machine) { t.replace(m, short) })
+	}
+}
+
+func cut(list func(t *Tier) []*Machine, half bool) func(t *Tier) {
+	return func(t *Tier) {
+		count := 1
+		if half {
+			count = len(list(t)) / 2
+		}
+		t.cutOff(t.some(list(t), count), t.World.Between(second, 4*second))
+	}
+}
+
+func rolled(list func(t *Tier) []*Machine) func(t *Tier) {
+	return func(t *Tier) {
+		for _, m := range t.some(list(t), 3) {
+			t.term(m, "roll_term", 300*time.Millisecond)
+			t.Callers.Clock().Sleep(second)
+		}
+	}
+}
+
+func released(shape string) func(t *Tier) {
+	return func(t *Tier) { t.release(shape, 0.5, 800*time.Millisecond) }
+}
+
+func answersLost(shape string, share float64) func(t *Tier) {
+	return func(t *Tier) {
+		t.ill(t.words.Services[shape], share, 6*second, parties.LostReset, parties.LostSilent)
+	}
+}
+
+func burst(times float64) func(t *Tier) {
+	return func(t *Tier) {
+		t.times = times
+		t.Callers.Clock().Sleep(3 * second)
+		t.times = 1
+	}
+}
+
+func changes(t *Tier) {
+	for range 4 {
+		t.change()
+		t.Callers.Clock().Sleep(2 * second)
+	}
+}
+
+func races(t *Tier) {
+	for range 4 {
+		t.race()
+		t.Callers.Clock().Sleep(second)
+	}
+}
+
+func wipedAfterAck(t *Tier) {
+	t.afterAck(func(m *Machine) { t.fall(m, "after_ack_wipe", short, true, true) }, t.Plan.Tolerate)
+}
+
+func one(shape string, step func(t *Tier, s *tierWorker)) func(t *Tier) {
+	return func(t *Tier) {
+		if list := t.serving(shape); len(list) > 0 {
+			step(t, list[t.rng.IntN(len(list))])
+		}
+	}
+}
+
+// TierDays are all days that runs and campaigns draw on.
+var TierDays = []*TierDay{
+	{Name: "quiet"},
+	{Name: "burst", Deeds: []func(t *Tier){at(2, burst(6))}},
+	{Name: "urgent burst", Deeds: []func(t *Tier){at(2, func(t *Tier) {
+		class := &t.Site.Classes[0]
+		for range 20 * len(t.Site.Zones) {
+			t.program(class, t.Site.Zones[t.rng.IntN(len(t.Site.Zones))], t.rng.IntN(t.Site.Clients), t.World.now+10*second, "")
+		}
+	})}},
+	{Name: "release of model workers", Deeds: []func(t *Tier){at(1, released("model"))}},
+	{Name: "release of plain workers", Deeds: []func(t *Tier){at(1, released("app"))}},
+	{Name: "answer_lost at plain workers", Deeds: []func(t *Tier){at(1, answersLost("app", 0.15))}},
+	{Name: "answer_lost at model workers", Deeds: []func(t *Tier){at(1, answersLost("model", 0.1))}},
+	{Name: "answers garbled, cut, late and extra", Deeds: []func(t *Tier){
+		at(1, func(t *Tier) {
+			t.ill(t.words.Services["app"], 0.15, 8*second, parties.Garbled, parties.Cut, parties.Extra, parties.LateExtra)
+		}),
+		at(1, func(t *Tier) {
+			t.ill(t.words.Services["model"], 0.1, 8*second, parties.Garbled, parties.Cut, parties.Extra, parties.LateExtra)
+		})}},
+	{Name: "srv_slow", Deeds: []func(t *Tier){at(1, func(t *Tier) { t.ill(t.words.Services["app"], 0.5, 6*second, parties.Slow) })}},
+	{Name: "srv_grey", Deeds: []func(t *Tier){at(1, one("app", func(t *Tier, s *tierWorker) {
+		s.LyingHealth = true
+		t.ill(s.ID, 0.6, 7*second, parties.LostSilent, parties.Slow, parties.Fail)
+	}))}},
+	{Name: "srv_lying_health", Deeds: []func(t *Tier){
+		at(1, one("app", func(t *Tier, s *tierWorker) {
+			s.SetWell(false)
+			t.Callers.Clock().Sleep(6 * second)
+			s.SetWell(true)
+		})),
+		at(1, one("model", func(t *Tier, s *tierWorker) {
+			s.LyingHealth = true
+			s.SetWell(false)
+			t.ill(s.ID, 0.5, 6*second, parties.LostReset, parties.Slow)
+			s.SetWell(true)
+		}))}},
+	{Name: "srv_flap", Deeds: []func(t *Tier){at(1, one("app", func(t *Tier, s *tierWorker) {
+		for place := range 8 {
+			s.SetWell(place%2 == 1)
+			t.Callers.Clock().Sleep(700 * time.Millisecond)
+		}
+	}))}},
+	{Name: "workers crash", Deeds: []func(t *Tier){at(1, one("app", func(t *Tier, s *tierWorker) {
+		t.crashWorker(s)
+		t.reuse(s)
+	})), at(3, one("model", func(t *Tier, s *tierWorker) {
+		t.openWorker(s.Shape, s.Zone, "")
+		t.crashWorker(s)
+		t.reuse(s)
+	}))}},
+	{Name: "workers forget connections", Deeds: []func(t *Tier){at(1, func(t *Tier) {
+		for _, s := range t.workers {
+			s.forget = 300 * time.Millisecond
+		}
+		t.Callers.Clock().Sleep(8 * second)
+		for _, s := range t.workers {
+			s.forget = 0
+		}
+	})}},
+	{Name: "list_down", Deeds: []func(t *Tier){at(1, func(t *Tier) { t.listDown(4 * second) }), at(2, released("app"))}},
+
+	{Name: "node_kill", Deeds: []func(t *Tier){at(1, killed(edges, 0.34, false)), at(6, killed(edges, 0.34, true))}},
+	{Name: "node_kill of control", Deeds: []func(t *Tier){at(1, killed(cores, 0.25, false)), at(6, killed(cores, 0.5, false)), at(3, changes)}},
+	{Name: "herd_kill", Deeds: []func(t *Tier){at(2, killed(edges, 0.7, false)), at(7, killed(cores, 1, false))}},
+	{Name: "node_freeze", Deeds: []func(t *Tier){at(1, frozen(edges)), at(6, frozen(edges))}},
+	{Name: "node_freeze of control", Deeds: []func(t *Tier){at(1, frozen(cores)), at(5, changes)}},
+	{Name: "node_slow", Deeds: []func(t *Tier){at(1, slowed(edges)), at(5, slowed(cores))}},
+	{Name: "roll_term", Traffic: 24 * second, Deeds: []func(t *Tier){at(1, rolled(edges))}},
+	{Name: "roll_term of control and stores", Traffic: 16 * second, Deeds: []func(t *Tier){at(1, rolled(cores)), at(6, rolled(stores))}},
+	{Name: "add_nodes", Deeds: []func(t *Tier){at(1, func(t *Tier) { t.add("edge") }), at(3, func(t *Tier) { t.add("core") }), at(5, func(t *Tier) { t.add("storage") })}},
+	{Name: "replace_core", Deeds: []func(t *Tier){at(1, replaced(cores)), at(4, changes)}},
+	{Name: "after_ack_kill", Deeds: []func(t *Tier){at(2, func(t *Tier) {
+		t.afterAck(func(m *Machine) { t.fall(m, "after_ack_kill", short, true, false) }, 0)
+	})}},
+	{Name: "after_ack_wipe", Deeds: []func(t *Tier){at(2, func(t *Tier) {
+		t.afterAck(func(m *Machine) { t.fall(m, "after_ack_wipe", short, true, true) }, 0)
+	})}},
+	{Name: "core_cut", Traffic: 16 * second, Deeds: []func(t *Tier){at(1, cut(cores, false)), at(7, cut(cores, true)), at(2, changes)}},
+	{Name: "config_change", Deeds: []func(t *Tier){at(1, changes)}},
+	{Name: "config_race", Deeds: []func(t *Tier){at(1, races)}},
+	{Name: "config_race with core_cut", Traffic: 14 * second, Deeds: []func(t *Tier){at(1, races), at(2, cut(cores, true)), at(7, races)}},
+	{Name: "bad_config", Deeds: []func(t *Tier){at(1, func(t *Tier) { t.badConfigs(300 * time.Millisecond) }), at(5, changes)}},
+
+	{Name: "stores killed", Traffic: 16 * second, Deeds: []func(t *Tier){at(1, killed(stores, 0.25, false)), at(9, killed(stores, 0.25, true))}},
+	{Name: "stores frozen", Deeds: []func(t *Tier){at(2, frozen(stores))}},
+	{Name: "stores slow", Deeds: []func(t *Tier){at(2, slowed(stores))}},
+	{Name: "stores after_ack_kill", Deeds: []func(t *Tier){at(2, func(t *Tier) {
+		t.afterAck(func(m *Machine) { t.fall(m, "after_ack_kill", short, true, false) }, t.Plan.Tolerate)
+	})}},
+	{Name: "stores after_ack_wipe", Traffic: 18 * second, Deeds: []func(t *Tier){at(2, wipedAfterAck), at(11, wipedAfterAck)}},
+	{Name: "stores replace_core", Traffic: 18 * second, Deeds: []func(t *Tier){at(1, replaced(stores)), at(11, wipedAfterAck)}},
+	{Name: "stores core_cut", Deeds: []func(t *Tier){at(2, cut(stores, false)), at(3, changes)}},
+	{Name: "stores retire", Traffic: 18 * second, Deeds: []func(t *Tier){at(1, func(t *Tier) {
+		t.add("storage")
+		t.Callers.Clock().Sleep(2 * second)
+		t.each(t.some(t.Storage, 1), func(m *Machine) { t.retire(m) })
+	}), at(13, wipedAfterAck)}},
+
+	{Name: "closing power", Closing: func(t *Tier) { t.all(true, nil) }},
+	{Name: "closing kill", Closing: func(t *Tier) { t.all(false, nil) }},
+	{Name: "closing wipe", Closing: func(t *Tier) {
+		list := t.some(t.Storage, t.Plan.Tolerate)
+		t.each(list, func(m *Machine) { t.fall(m, "after_ack_wipe", short, true, true) })
+	}},
+	{Name: "closing wipe and power", Closing: func(t *Tier) { t.all(true, t.some(t.Storage, t.Plan.Tolerate)) }},
+
+	{Name: "mixed: release, edges killed, configuration changes", Deeds: []func(t *Tier){at(1, released("app")), at(3, killed(edges, 0.34, false)), at(1, changes), at(2, answersLost("app", 0.1))}},
+	{Name: "mixed: stores wiped, control killed, two operators", Traffic: 16 * second, Deeds: []func(t *Tier){at(1, wipedAfterAck), at(2, killed(cores, 0.25, false)), at(3, races), at(5, killed(edges, 0.34, false))}},
+	{Name: "mixed: stores frozen, edges rolled, answers lost", Traffic: 18 * second, Deeds: []func(t *Tier){at(1, frozen(stores)), at(1, rolled(edges)), at(2, answersLost("model", 0.08))}},
+	{Name: "mixed: storm, closing power", Traffic: 16 * second, Deeds: []func(t *Tier){at(1, func(t *Tier) {
+		for end := t.World.now + 13*second; t.World.now < end; {
+			t.storm()
+			t.Callers.Clock().Sleep(t.World.Between(300*time.Millisecond, 2*second))
+		}
+	})}, Closing: func(t *Tier) { t.all(true, nil) }},
+	{Name: "mixed: storm, closing wipe and power", Traffic: 16 * second, Deeds: []func(t *Tier){at(1, func(t *Tier) {
+		for end := t.World.now + 12*second; t.World.now < end; {
+			t.storm()
+			t.Callers.Clock().Sleep(t.World.Between(300*time.Millisecond, 2*second))
+		}
+		t.Callers.Clock().Sleep(t.Site.Bounds.CatchUp + 3*second)
+	})}, Closing: func(t *Tier) { t.all(true, t.some(t.Storage, t.Plan.Tolerate)) }},
+}
+
+// storm brings one trouble of many about, and does not wait for its end. Only
+// one that touches a disk goes on at a time, with the time to catch up.
+func (t *Tier) storm() {
+	goes := func(deed func(t *Tier)) {
+		t.deeds++
+		t.Callers.Go(func() {
+			deed(t)
+			t.deeds--
+		})
+	}
+	disk := func(deed func(t *Tier)) {
+		if t.diskBusy {
+			return
+		}
+		t.diskBusy = true
+		goes(func(t *Tier) {
+			deed(t)
+			t.Callers.Clock().Sleep(t.Site.Bounds.CatchUp)
+			t.diskBusy = false
+		})
+	}
+	switch t.rng.IntN(16) {
+	case 0, 1:
+		goes(killed(edges, 0.3, t.rng.IntN(2) == 0))
+	case 2:
+		goes(frozen(edges))
+	case 3:
+		goes(killed(cores, 0.25, t.rng.IntN(2) == 0))
+	case 4:
+		goes(frozen(cores))
+	case 5:
+		disk(killed(stores, 0.25, t.rng.IntN(2) == 0))
+	case 6:
+		disk(frozen(stores))
+	case 7:
+		disk(wipedAfterAck)
+	case 8:
+		disk(cut(stores, false))
+	case 9:
+		goes(answersLost("app", 0.1))
+	case 10:
+		goes(answersLost("model", 0.05))
+	case 11:
+		goes(func(t *Tier) { t.change() })
+	case 12:
+		goes(func(t *Tier) { t.race() })
+	case 13:
+		goes(one("app", func(t *Tier, s *tierWorker) {
+			t.openWorker(s.Shape, s.Zone, "")
+			t.drain(s)
+			t.reuse(s)
+		}))
+	case 14:
+		disk(cut(cores, t.rng.IntN(2) == 0))
+	case 15:
+		goes(slowed(edges))
+	}
+}
+
+// TierDayNamed finds one.
+func TierDayNamed(name string) *TierDay {
+	for _, one := range TierDays {
+		if one.Name == name {
+			return one
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/simulate/tier_test.go
@@ -0,0 +1,44 @@
+// Every day of the platform's troubles at three sizes, with a fixed set of
+// seeds; each subtest is named after the trouble.
+package simulate
+
+import (
+	"testing"
+
+	"fordseam/internal/base"
+
+	"github.com/matryer/is"
+)
+
+func TestTheTierKeepsEveryRule(t *testing.T) {
+	for _, name := range []string{"small", "kiondo", "grown"} {
+		for _, day := range TierDays {
+			t.Run(name+"/"+day.Name, func(t *testing.T) {
+				t.Parallel()
+				count := uint64(*seeds)
+				for seed := uint64(1); seed <= count; seed++ {
+					outcome := day.Run(seed, TierShapes[name]())
+					t.Logf("seed %d, %.0f s: %v", seed, outcome.VirtualS, outcome.Counts)
+					for _, breach := range outcome.Breaches {
+						t.Errorf("%s\n  %s", outcome.Replay(), breach)
+					}
+				}
+			})
+		}
+	}
+}
+
+func TestTierDaysReplayExactly(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	seen := func() (tries, arrivals string) {
+		var kept *Tier
+		TierDayNamed("mixed: storm, closing power").RunWith(3, TierShapes["small"](), func(t *Tier) { kept = t })
+		record := kept.record.Record()
+		return base.Digest(base.Encode(record.Tries)), base.Digest(base.Encode(record.Arrivals))
+	}
+	tries, arrivals := seen()
+	again, arrivedAgain := seen()
+	is.Equal(tries, again)
+	is.Equal(arrivals, arrivedAgain)
+}
--- /dev/null
+++ b/internal/simulate/tier_workers.go
@@ -0,0 +1,476 @@
+// The platform's workers behind the simulator's back ends. A connection
+// belongs to one life of a worker at one address; it is kept, found stale,
+// reset, forgotten without a word, and carries answers that are late, cut,
+// garbled, or belong to another request, as the workers' stand-ins bring about.
+package simulate
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"fordseam/internal/base"
+	parties "fordseam/internal/standin/platform"
+
+	"github.com/juju/errors"
+)
+
+// tierWorker is one life of a worker at its address.
+type tierWorker struct {
+	*parties.Worker
+	host   *Host
+	conns  map[*workerConn]bool
+	opened int
+	// forget, when set, drops connections idle for so long without a word.
+	forget time.Duration
+	gone   bool
+}
+
+// full tells whether the worker resets one more connection.
+func (s *tierWorker) full() bool {
+	most := s.Shape.MaxConns
+	if queued := s.Queued(); queued > s.Shape.Queue/2 {
+		most = max(s.Shape.Capacity, most/2)
+	}
+	return most > 0 && len(s.conns) >= most
+}
+
+// end ends the worker's process: its connections close.
+func (s *tierWorker) end(t *Tier) {
+	s.End()
+	s.gone = true
+	if t.listening[s.Address] == s {
+		delete(t.listening, s.Address)
+	}
+	for _, c := range t.inOrder(s.conns) {
+		c.gone.Fire()
+		c.in.put(t.Net.delay(), arrived{kind: arrivedClose})
+	}
+	s.conns = map[*workerConn]bool{}
+}
+
+const (
+	arrivedHead = iota
+	arrivedPiece
+	arrivedEnd
+	arrivedRaw
+	arrivedClose
+)
+
+type arrived struct {
+	kind   int
+	status int
+	header [][2]string
+	length int
+	bytes  []byte
+}
+
+// workerConn is one connection from a gateway to a worker.
+type workerConn struct {
+	number int
+	tier   *Tier
+	from   *Host
+	life   int
+	at     *tierWorker // nil when it is reset as soon as it is used
+	addr   string
+	stock  *workerStock
+	in     *pipe[arrived]
+	gone   base.Signal // fires when the other side has closed
+	closed bool
+	until  time.Duration // the gateway's
+	idle   time.Duration // since when, for the worker
+	served int
+	later  []byte
+}
+
+func (c *workerConn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.stock.open--
+	c.gone.Fire()
+	c.in.bell.Ring()
+	if c.at != nil {
+		delete(c.at.conns, c)
+	}
+	delete(c.tier.conns, c)
+}
+
+// workerStock is what a gateway keeps for one life of a worker.
+type workerStock struct {
+	open int
+	idle []*workerConn
+	gone bool
+}
+
+// workerCalls is one gateway life's way to the workers.
+type workerCalls struct {
+	tier    *Tier
+	host    *Host
+	connect time.Duration
+	stocks  map[string]*workerStock
+}
+
+func (b *workerCalls) Forget(worker string) {
+	held := b.stocks[worker]
+	if held == nil {
+		return
+	}
+	delete(b.stocks, worker)
+	held.gone = true
+	for _, c := range held.idle {
+		c.close()
+	}
+	held.idle = nil
+}
+
+// take gives an idle connection that is quiet, or the right to make one.
+func (b *workerCalls) take(worker, addr string, most int) (*workerConn, *workerStock, error) {
+	now := b.tier.World.now
+	held := b.stocks[worker]
+	if held == nil {
+		held = &workerStock{}
+		b.stocks[worker] = held
+	}
+	for len(held.idle) > 0 {
+		c := held.idle[len(held.idle)-1]
+		held.idle = held.idle[:len(held.idle)-1]
+		if c.addr == addr && now < c.until && !c.in.due() {
+			return c, held, nil
+		}
+		c.close()
+	}
+	if most > 0 && held.open >= most {
+		return nil, nil, base.ErrNoConnection
+	}
+	held.open++
+	return nil, held, nil
+}
+
+func (b *workerCalls) dial(ctx *base.Ctx, addr string, bound time.Duration, held *workerStock) (*workerConn, error) {
+	t := b.tier
+	if bound <= 0 || bound > b.connect {
+		bound = b.connect
+	}
+	b.host.Clock().Sleep(t.Net.delay() + t.Net.delay() + time.Millisecond)
+	target := t.listening[addr]
+	if target == nil {
+		return nil, errors.New("connection refused")
+	}
+	if t.Net.cut(b.host.Name, target.host.Name) || t.Net.cut(target.host.Name, b.host.Name) {
+		b.host.Clock().Sleep(min(bound, ctx.Left()))
+		return nil, errors.New("no route")
+	}
+	t.serial++
+	c := &workerConn{number: t.serial, tier: t, from: b.host, life: b.host.life, at: target, addr: addr, stock: held, in: newPipe[arrived](b.host), gone: b.host.Clock().NewSignal()}
+	t.conns[c] = true
+	target.opened++
+	if target.full() {
+		c.at = nil
+		return c, nil
+	}
+	target.conns[c] = true
+	return c, nil
+}
+
+func (b *workerCalls) Call(ctx *base.Ctx, addr string, request *base.BackRequest) (base.BackReply, error) {
+	c, held, err := b.take(request.Worker, addr, request.MostConns)
+	if err != nil {
+		return nil, &base.NotSent{Cause: err}
+	}
+	if c == nil {
+		if c, err = b.dial(ctx, addr, request.Connect, held); err != nil {
+			held.open--
+			return nil, &base.NotSent{Cause: err}
+		}
+		c.until = b.tier.World.now + b.connect*3/4
+	}
+	if ctx.Over() || request.Stays != nil && !request.Stays() && !b.tier.lost.stays {
+		b.keep(c, c.until-b.tier.World.now)
+		return nil, &base.NotSent{Cause: base.ErrLeaves}
+	}
+	c.send(request)
+	reply := &workerReply{calls: b, conn: c, clock: ctx.Clock}
+	if err := reply.receive(ctx.Clock.Now()+ctx.Left(), request.Match); err != nil {
+		c.close()
+		return nil, errors.Annotate(err, "awaiting the answer")
+	}
+	return reply, nil
+}
+
+func (b *workerCalls) keep(c *workerConn, span time.Duration) {
+	if c.closed {
+		return
+	}
+	c.until = b.tier.World.now + span
+	if c.stock.gone || span <= 0 {
+		c.close()
+		return
+	}
+	c.stock.idle = append(c.stock.idle, c)
+}
+
+// send takes a request to the worker.
+func (c *workerConn) send(request *base.BackRequest) {
+	t, s := c.tier, c.at
+	if s == nil {
+		c.in.put(t.Net.delay(), arrived{kind: arrivedClose})
+		return
+	}
+	header := map[string]string{}
+	for name, value := range request.Header {
+		header[strings.ToLower(name)] = value
+	}
+	for _, line := range request.Lines {
+		if t.lost.expect && strings.EqualFold(line.Name, parties.HeaderExpectInstance) {
+			continue
+		}
+		header[strings.ToLower(line.Name)] = line.Value
+	}
+	asked := &parties.Asked{Method: request.Method, Target: request.Path, Host: request.Host, Body: bytes.Clone(request.Body), Gone: c.gone,
+		Header: func(name string) string { return header[strings.ToLower(name)] }}
+	t.World.spawn(s.host, s.host.life, t.World.now+t.Net.delay()+c.from.Lag, func() {
+		idle := t.World.now - c.idle
+		if s.gone || c.served > 0 && (s.forget > 0 && idle > s.forget || s.KeepIdle > 0 && idle > s.KeepIdle) {
+			c.in.put(t.Net.delay(), arrived{kind: arrivedClose})
+			return
+		}
+		reply := &workerSide{conn: c, closing: t.World.Int64N(50) == 0}
+		s.Serve(asked, reply)
+		c.served++
+		c.idle = t.World.now
+		if reply.broken || reply.closing {
+			c.in.put(t.Net.delay(), arrived{kind: arrivedClose})
+		}
+	})
+}
+
+// workerSide writes answers into a connection.
+type workerSide struct {
+	conn    *workerConn
+	closing bool
+	broken  bool
+}
+
+func (r *workerSide) put(one arrived) error {
+	c := r.conn
+	if c.closed || r.broken || c.at.gone {
+		return errors.New("the connection is closed")
+	}
+	c.in.put(c.tier.Net.delay()+c.from.Lag, one)
+	return nil
+}
+
+func (r *workerSide) Head(status int, header [][2]string, length int) error {
+	if later := r.conn.later; len(later) > 0 {
+		r.conn.later = nil
+		r.Raw(later)
+	}
+	for _, line := range header {
+		r.closing = r.closing || line[0] == "Connection"
+	}
+	if r.closing {
+		header = append(base.Filter(header, func(line [2]string) bool { return line[0] != "Connection" }), [2]string{"Connection", "close"})
+	}
+	return r.put(arrived{kind: arrivedHead, status: status, header: header, length: length})
+}
+
+func (r *workerSide) Write(piece []byte) error {
+	return r.put(arrived{kind: arrivedPiece, bytes: bytes.Clone(piece)})
+}
+func (r *workerSide) End() error        { return r.put(arrived{kind: arrivedEnd}) }
+func (r *workerSide) Raw(some []byte)   { _ = r.put(arrived{kind: arrivedRaw, bytes: bytes.Clone(some)}) }
+func (r *workerSide) Later(some []byte) { r.conn.later = bytes.Clone(some) }
+func (r *workerSide) Break(hard bool)   { r.broken = true }
+
+// workerReply is an answer as the gateway reads it.
+type workerReply struct {
+	calls   *workerCalls
+	conn    *workerConn
+	clock   base.Clock
+	head    arrived
+	foreign int
+	pending []byte
+	over    error
+	closed  bool
+}
+
+const foreignMost = 2
+
+var (
+	errCut     = errors.New("the connection was closed")
+	errGarbled = errors.New("bytes that form no answer")
+	errSilence = errors.New("no answer in time")
+)
+
+func (r *workerReply) next(until time.Duration) (arrived, error) {
+	one, ok := r.conn.in.next(until, func() bool { return r.closed })
+	switch {
+	case r.closed:
+		return one, errCut
+	case !ok:
+		return one, errSilence
+	case one.kind == arrivedClose:
+		return one, errCut
+	}
+	return one, nil
+}
+
+// receive reads up to the head of the answer that is due.
+func (r *workerReply) receive(until time.Duration, match base.HeaderLine) error {
+	for {
+		one, err := r.next(until)
+		if err != nil {
+			return err
+		}
+		switch one.kind {
+		case arrivedHead:
+			r.head = one
+			if match.Name == "" || r.Header(match.Name) == match.Value {
+				return nil
+			}
+			if r.foreign++; r.foreign > foreignMost || r.Closes() {
+				return errors.New("the answer belongs to another request")
+			}
+			for one.kind != arrivedEnd {
+				if one, err = r.next(until); err != nil || one.kind == arrivedRaw {
+					return errors.Annotate(err, "another request's answer")
+				}
+			}
+		case arrivedRaw:
+			// A whole answer among the bytes belongs to an earlier request.
+			answer, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(one.bytes)), nil)
+			if err != nil {
+				return errGarbled
+			}
+			whole, err := io.ReadAll(answer.Body)
+			if err != nil {
+				return errGarbled
+			}
+			if match.Name == "" || answer.Header.Get(match.Name) == match.Value {
+				// Its id is right: it stands for the answer itself.
+				r.head = arrived{kind: arrivedHead, status: answer.StatusCode, length: len(whole)}
+				for name := range answer.Header {
+					r.head.header = append(r.head.header, [2]string{name, answer.Header.Get(name)})
+				}
+				r.conn.in.items = append([]onTheWay[arrived]{{item: arrived{kind: arrivedPiece, bytes: whole}}, {item: arrived{kind: arrivedEnd}}}, r.conn.in.items...)
+				return nil
+			}
+			if r.foreign++; r.foreign > foreignMost {
+				return errors.New("the answer belongs to another request")
+			}
+		default:
+			return errGarbled
+		}
+	}
+}
+
+func (r *workerReply) Status() int { return r.head.status }
+
+func (r *workerReply) Header(name string) string {
+	for _, line := range r.head.header {
+		if strings.EqualFold(line[0], name) {
+			return line[1]
+		}
+	}
+	return ""
+}
+
+func (r *workerReply) EachHeader(visit func(name, value []byte)) {
+	for _, line := range r.head.header {
+		visit([]byte(line[0]), []byte(line[1]))
+	}
+}
+
+func (r *workerReply) Closes() bool { return r.Header("Connection") == "close" }
+
+// ended keeps the connection when it can carry another request.
+func (r *workerReply) ended() {
+	r.over = io.EOF
+	if r.closed {
+		return
+	}
+	r.closed = true
+	if r.Closes() || r.foreign > 0 || r.conn.in.due() {
+		r.conn.close()
+		return
+	}
+	span := r.calls.connect * 3 / 4
+	if told, found := strings.CutPrefix(r.Header("Keep-Alive"), "timeout="); found {
+		if seconds, err := strconv.Atoi(told); err == nil {
+			span = min(time.Duration(seconds)*time.Second*4/5, 30*r.calls.connect)
+		}
+	}
+	r.calls.keep(r.conn, span)
+}
+
+// piece reads on; io.EOF at the end of the answer.
+func (r *workerReply) piece(until time.Duration) ([]byte, error) {
+	if r.over != nil {
+		return nil, r.over
+	}
+	one, err := r.next(until)
+	switch {
+	case err != nil:
+		return nil, err
+	case one.kind == arrivedPiece:
+		return one.bytes, nil
+	case one.kind == arrivedEnd:
+		r.ended()
+		return nil, io.EOF
+	}
+	return nil, errGarbled
+}
+
+func (r *workerReply) Line(limit time.Duration) ([]byte, error) {
+	until := r.clock.Now() + limit
+	for {
+		if place := bytes.IndexByte(r.pending, '\n'); place >= 0 {
+			line := r.pending[:place+1]
+			r.pending = r.pending[place+1:]
+			return line, nil
+		}
+		some, err := r.piece(until)
+		if err == io.EOF && len(r.pending) > 0 {
+			line := r.pending
+			r.pending = nil
+			return line, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		r.pending = append(r.pending, some...)
+	}
+}
+
+func (r *workerReply) Body(limit time.Duration, most int) ([]byte, error) {
+	until := r.clock.Now() + limit
+	var body []byte
+	for {
+		some, err := r.piece(until)
+		if err == io.EOF {
+			if r.head.length >= 0 && len(body) != r.head.length {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if body = append(body, some...); len(body) > most {
+			return nil, errors.Errorf("an answer of more than %d bytes", most)
+		}
+	}
+}
+
+func (r *workerReply) Close() {
+	if !r.closed {
+		r.closed = true
+		r.conn.close()
+	}
+}
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -41,6 +41,9 @@
 	kept   []*event
 	serve  handlerBox
 	ends   map[*Reply]struct{}
+	// dark machines have no power: they say nothing, where a process that has
+	// ended refuses.
+	dark bool
 	// Lag is added to every message to and from the host.
 	Lag time.Duration
 }
--- a/internal/standin/platform/sockets/operator.go
+++ b/internal/standin/platform/sockets/operator.go
@@ -1,47 +1,17 @@
-// The operator over HTTP: it chooses among the nodes of control, follows two
-// redirects, moves on after failures and silence, and notes what it was told.
+// The operator's calls over HTTP, with their redirects.
 package sockets
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"net/url"
-	"strconv"
-	"sync"
-	"time"
 
-	"fordseam/internal/base"
 	"fordseam/internal/standin/platform"
 
-	"github.com/go-faster/jx"
-	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 )
 
-// Operator sends orders to the nodes that serve control.
-type Operator struct {
-	Name   string
-	Clock  base.Clock
-	Ledger *platform.Ledger
-	// Control lists the nodes' addresses as the operator knows them.
-	Control func() []string
-
-	mu  sync.Mutex
-	Rng *rand.Rand
-}
-
-func (o *Operator) choose(but string) string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	list := base.Filter(o.Control(), func(address string) bool { return address != but })
-	if len(list) == 0 {
-		return but
-	}
-	return list[o.Rng.IntN(len(list))]
-}
-
-// call makes one call, with its redirects; status 0 is no clear answer.
-func (o *Operator) call(method, address, path string, header [][2]string, body []byte) (status int, answer []byte) {
+// CallControl makes one call to a node that serves control, with its
+// redirects; status 0 is no clear answer.
+func CallControl(method, address, path string, header [][2]string, body []byte) (status int, answer []byte) {
 	target := "http://" + address + path
 	for redirects := 0; ; redirects++ {
 		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -72,89 +42,3 @@
 		target = location
 	}
 }
-
-// send repeats a call until it is done or its time is over.
-func (o *Operator) send(method, path string, header [][2]string, body []byte, until time.Duration) (status int, answer []byte, unclear bool, address string) {
-	for tries := 1; ; tries++ {
-		address = o.choose(address)
-		status, answer = o.call(method, address, path, header, body)
-		if platform.NextOrderStep(status, tries) == platform.OrderDone {
-			return status, answer, unclear, address
-		}
-		// A 429, 408 or 503 promises that the order was not taken.
-		unclear = unclear || !platform.Promise(status)
-		pause := platform.OrderPause(tries)
-		if o.Clock.Now()+pause > until {
-			return status, answer, unclear, address
-		}
-		o.Clock.Sleep(pause)
-	}
-}
-
-// Put sends a configuration until it has a clear answer or patience is over.
-func (o *Operator) Put(base uint64, config *platform.Config, raw []byte, fault string, patience time.Duration) *platform.Order {
-	order := &platform.Order{Operator: o.Name, Base: base, Config: config, Raw: raw, Fault: fault, Sent: o.Clock.Now(), Unclear: true}
-	o.Ledger.Note(func(r *platform.Record) { r.Orders = append(r.Orders, order) })
-	status, _, unclear, node := o.send("PUT", platform.PathConfig, [][2]string{{platform.HeaderIfMatch, strconv.FormatUint(base, 10)}}, raw, order.Sent+patience)
-	o.Ledger.Note(func(*platform.Record) {
-		order.Status, order.Unclear, order.Ended, order.Node = status, unclear, o.Clock.Now(), node
-	})
-	return order
-}
-
-// Read asks for the newest configuration.
-func (o *Operator) Read(note bool) (status int, raw []byte) {
-	status, raw = o.call("GET", o.choose(""), platform.PathConfig, nil, nil)
-	if note {
-		o.Ledger.Note(func(r *platform.Record) {
-			r.Reads = append(r.Reads, platform.ReadBack{At: o.Clock.Now(), Status: status, Raw: raw})
-		})
-	}
-	return status, raw
-}
-
-// ReadBack asks for it as at the end of a day: again and again for a time, and
-// on until it has come once or limit is over.
-func (o *Operator) ReadBack(span, limit time.Duration) {
-	began, came := o.Clock.Now(), false
-	for tries := 1; ; tries++ {
-		status, _ := o.Read(true)
-		came = came || status == 200
-		passed := o.Clock.Now() - began
-		if passed >= span && came || passed >= limit {
-			return
-		}
-		o.Clock.Sleep(min(500*time.Millisecond, span/4))
-	}
-}
-
-// Retire asks for a storage machine to be emptied and waits for its end.
-func (o *Operator) Retire(node string, within, patience time.Duration) error {
-	until := o.Clock.Now() + patience
-	status, answer, unclear, _ := o.send("POST", platform.PathRetire+node, nil, []byte(fmt.Sprintf(`{"within_s":%d}`, int(within.Seconds()))), until)
-	// After a call without a clear answer, a 409 says that it is under way.
-	if status != 200 && !(status == 409 && unclear) {
-		return errors.Errorf("retire %s: %d %s", node, status, answer)
-	}
-	for {
-		status, answer = o.call("GET", o.choose(""), platform.PathRetire+node, nil, nil)
-		if status == 200 && stateIn(answer) == platform.RetireComplete {
-			return nil
-		}
-		if o.Clock.Now() > until {
-			return errors.Errorf("retire %s: %d %s", node, status, answer)
-		}
-		o.Clock.Sleep(250 * time.Millisecond)
-	}
-}
-
-func stateIn(answer []byte) (state string) {
-	_ = jx.DecodeBytes(answer).Obj(func(d *jx.Decoder, key string) (err error) {
-		if key != "state" {
-			return d.Skip()
-		}
-		state, err = d.Str()
-		return err
-	})
-	return state
-}
--- a/internal/standin/platform/sockets/sockets_test.go
+++ b/internal/standin/platform/sockets/sockets_test.go
@@ -386,8 +386,8 @@
 	return addresses
 }
 
-func newOperator(addresses []string) *Operator {
-	return &Operator{Name: "op", Clock: base.NewRealClock(), Ledger: platform.NewLedger(platform.DefaultBounds(), 2, 3),
+func newOperator(addresses []string) *platform.Operator {
+	return &platform.Operator{Call: CallControl, Name: "op", Clock: base.NewRealClock(), Ledger: platform.NewLedger(platform.DefaultBounds(), 2, 3),
 		Control: func() []string { return addresses }, Rng: rand.New(rand.NewPCG(1, 1))}
 }
 
@@ -483,7 +483,7 @@
 	is := is.New(t)
 	var mu sync.Mutex
 	down := map[string]bool{}
-	node := func(name, zone string) *EntryNode {
+	node := func(name, zone string) *platform.EntryNode {
 		address := controlNodes(t, func(w http.ResponseWriter, _ *http.Request) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -491,10 +491,10 @@
 				w.WriteHeader(503)
 			}
 		})[0]
-		return &EntryNode{Name: name, Zone: zone, Front: name, Readiness: address}
+		return &platform.EntryNode{Name: name, Zone: zone, Front: name, Readiness: address}
 	}
 	e := &VirtualEntry{}
-	e.Open([]*EntryNode{node("a1", "a"), node("a2", "a"), node("a3", "a"), node("b1", "b")})
+	e.Open([]*platform.EntryNode{node("a1", "a"), node("a2", "a"), node("a3", "a"), node("b1", "b")})
 	defer e.Close()
 	clock := base.NewRealClock()
 	until := func(ready int) {
