--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -127,9 +127,9 @@
 	begins func(m *Machine)
 }
 
-// stays is the look at the list before a request leaves, expect the id that a
-// worker is told to have.
-type mechanisms struct{ leave, seeds, endMark, stays, expect bool }
+// expect is the id that a worker is told to have, match the id that an answer
+// must carry back, proof the proof that a request has not run.
+type mechanisms struct{ leave, seeds, endMark, expect, match, proof bool }
 
 // NewFleet builds and starts a fleet.
 func NewFleet(seed uint64, shape Shape) *Fleet {
--- a/internal/simulate/tier.go
+++ b/internal/simulate/tier.go
@@ -79,6 +79,7 @@
 	during    bool // traffic goes on
 	programs  int  // under way
 	deeds     int  // troubles under way
+	wander    bool // each connection of a client reaches another node
 	diskBusy  bool // a machine with a disk is lost or catches up
 }
 
--- a/internal/simulate/tier_clients.go
+++ b/internal/simulate/tier_clients.go
@@ -72,7 +72,7 @@
 	if try.Probe {
 		try.Node, _, _ = strings.Cut(try.Node, "@")
 	} else {
-		try.Node, _ = t.entry.Pick(try.Zone, try.Client, try.Fresh)
+		try.Node, _ = t.entry.Pick(try.Zone, try.Client, try.Fresh || t.wander)
 	}
 	m := t.named(try.Node)
 	if m.Host.dark {
--- a/internal/simulate/tier_days.go
+++ b/internal/simulate/tier_days.go
@@ -229,6 +229,21 @@
 	}},
 	{Name: "closing wipe and power", Closing: func(t *Tier) { t.all(true, t.some(t.Storage, t.Plan.Tolerate)) }},
 
+	{Name: "sessions wander", Deeds: []func(t *Tier){func(t *Tier) { t.wander = true }}},
+	{Name: "sessions wander, edges frozen", Traffic: 16 * second, Deeds: []func(t *Tier){func(t *Tier) { t.wander = true }, at(1, frozen(edges)), at(5, frozen(edges)), at(9, frozen(edges))}},
+	{Name: "sessions wander, edges killed", Deeds: []func(t *Tier){func(t *Tier) { t.wander = true }, at(1, killed(edges, 0.34, false)), at(4, killed(edges, 0.34, true)), at(7, killed(edges, 0.34, false))}},
+	{Name: "sessions wander, stores wiped", Traffic: 18 * second, Deeds: []func(t *Tier){func(t *Tier) { t.wander = true }, at(1, wipedAfterAck), at(10, wipedAfterAck), at(5, killed(edges, 0.34, false))}},
+	{Name: "stores wiped in turn, owners killed", Traffic: 22 * second, Deeds: []func(t *Tier){func(t *Tier) {
+		// The tightest that is to be borne: each is wiped as soon as the last has caught up.
+		t.wander = true
+		for _, m := range t.some(t.Storage, 3) {
+			t.fall(m, "node_kill", t.World.Between(100*time.Millisecond, short), true, true)
+			back := t.World.now
+			t.each(t.some(t.Edges, len(t.Edges)/2), func(m *Machine) { t.fall(m, "node_kill", 300*time.Millisecond, false, false) })
+			t.Callers.Clock().Sleep(back + t.Site.Bounds.CatchUp - t.World.now)
+		}
+	}}},
+
 	{Name: "mixed: release, edges killed, configuration changes", Deeds: []func(t *Tier){at(1, released("app")), at(3, killed(edges, 0.34, false)), at(1, changes), at(2, answersLost("app", 0.1))}},
 	{Name: "mixed: stores wiped, control killed, two operators", Traffic: 16 * second, Deeds: []func(t *Tier){at(1, wipedAfterAck), at(2, killed(cores, 0.25, false)), at(3, races), at(5, killed(edges, 0.34, false))}},
 	{Name: "mixed: stores frozen, edges rolled, answers lost", Traffic: 18 * second, Deeds: []func(t *Tier){at(1, frozen(stores)), at(1, rolled(edges)), at(2, answersLost("model", 0.08))}},
--- /dev/null
+++ b/internal/simulate/tier_removal_test.go
@@ -0,0 +1,194 @@
+// Each mechanism that a rule of the platform rests on is taken away from
+// outside the daemons' code, and some seed of some day must then be caught by
+// the checker, under the rule's name.
+package simulate
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"fordseam/internal/base"
+	"fordseam/internal/feed"
+	"fordseam/internal/ledger"
+	"fordseam/internal/register"
+	"fordseam/internal/relay"
+	"fordseam/internal/route"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// onFeed changes what followers are told.
+func onFeed(meddle func(m *Message, reply *feed.FollowReply)) func(f *Fleet) {
+	return onPath("Feed/Follow", func(m *Message) *http.Response {
+		reply, response := passed(m, m.Body, &feed.FollowReply{})
+		if response == nil || response.StatusCode != 200 {
+			return response
+		}
+		meddle(m, reply)
+		return replied(reply)
+	})
+}
+
+// onLedger changes what stores answer to gateways.
+func onLedger(f *Fleet, begin func(asked *ledger.BeginRequest, reply *ledger.BeginReply), write func(reply *ledger.WriteReply), chain func(reply *ledger.ChainReply)) {
+	f.Net.Meddle = func(m *Message) *http.Response {
+		pass := func(reply proto.Message, change func()) *http.Response {
+			_, response := passed(m, m.Body, reply)
+			if response == nil || response.StatusCode != 200 {
+				return response
+			}
+			change()
+			return replied(reply)
+		}
+		switch {
+		case begin != nil && strings.HasSuffix(m.Path, "Ledger/Begin"):
+			var asked ledger.BeginRequest
+			_ = proto.Unmarshal(m.Body, &asked)
+			reply := &ledger.BeginReply{}
+			return pass(reply, func() { begin(&asked, reply) })
+		case write != nil && (strings.HasSuffix(m.Path, "Ledger/Finish") || strings.HasSuffix(m.Path, "Ledger/Settle")):
+			reply := &ledger.WriteReply{}
+			return pass(reply, func() { write(reply) })
+		case chain != nil && strings.HasSuffix(m.Path, "Ledger/Chain"):
+			reply := &ledger.ChainReply{}
+			return pass(reply, func() { chain(reply) })
+		}
+		response, _ := m.Pass(m.Body)
+		return response
+	}
+}
+
+func TestEachMechanismOfTheTierTakenAwayIsCaught(t *testing.T) {
+	rows := []struct {
+		mechanism string
+		day       string
+		take      func(t *Tier)
+		word      string
+	}{
+		{"the fence of a Run that was succeeded", "sessions wander, edges frozen", func(t *Tier) {
+			onLedger(t.Fleet, func(asked *ledger.BeginRequest, reply *ledger.BeginReply) {
+				if reply.Ack.GetWhy() == "held" {
+					reply.Ack, reply.Holder = &ledger.Ack{Whole: true}, asked.Claim
+				}
+			}, nil, nil)
+		}, "BUDGET"},
+		{"writes on one store more than may be lost", "sessions wander, stores wiped", func(t *Tier) {
+			first := map[string]string{}
+			t.Net.Meddle = func(m *Message) *http.Response {
+				kept := func(program, turn string) bool {
+					key := m.Path + " " + program + " " + turn
+					if first[key] == "" {
+						first[key] = m.To.Name
+					}
+					return first[key] == m.To.Name
+				}
+				switch {
+				case strings.HasSuffix(m.Path, "Ledger/Begin"):
+					var asked ledger.BeginRequest
+					if _ = proto.Unmarshal(m.Body, &asked); !kept(asked.Program, asked.Turn) {
+						return replied(&ledger.BeginReply{Ack: &ledger.Ack{Whole: true}, Holder: asked.Claim})
+					}
+				case strings.HasSuffix(m.Path, "Ledger/Finish"):
+					var asked ledger.FinishRequest
+					if _ = proto.Unmarshal(m.Body, &asked); !kept(asked.Program, asked.Turn) {
+						return replied(&ledger.WriteReply{Ack: &ledger.Ack{Whole: true}, Holder: asked.Claim})
+					}
+				}
+				response, _ := m.Pass(m.Body)
+				return response
+			}
+		}, "LOST"},
+		{"the wholeness of blank stores", "stores wiped in turn, owners killed", func(t *Tier) {
+			whole := func(ack *ledger.Ack) {
+				if ack.GetWhy() == "" || ack.GetWhy() == "blank" {
+					ack.Why, ack.Whole = "", true
+				}
+			}
+			onLedger(t.Fleet, func(asked *ledger.BeginRequest, reply *ledger.BeginReply) {
+				if whole(reply.Ack); reply.Holder == nil {
+					reply.Holder = asked.Claim
+				}
+			}, func(reply *ledger.WriteReply) { whole(reply.Ack) }, func(reply *ledger.ChainReply) { whole(reply.Ack) })
+		}, "LOST"},
+		{"the reservation of tokens", "quiet", func(t *Tier) {
+			for place := range t.Site.Classes {
+				t.Site.Classes[place].Runaway = 0.3
+			}
+			onLedger(t.Fleet, func(_ *ledger.BeginRequest, reply *ledger.BeginReply) { reply.Others = nil }, nil, nil)
+		}, "BUDGET"},
+		{"the worker's id on each request", "workers crash", func(t *Tier) { t.lost.expect = true }, "ROUTE"},
+		{"the id that an answer carries back", "answers garbled, cut, late and extra", func(t *Tier) { t.lost.match = true }, "MIXED"},
+		{"proof that a worker has not run a request", "answer_lost at plain workers", func(t *Tier) { t.lost.proof = true }, "TWICE"},
+		{"news of workers that leave", "release of plain workers", func(t *Tier) {
+			onFeed(func(_ *Message, reply *feed.FollowReply) {
+				reply.Puts = base.Filter(reply.Puts, func(put *register.Put) bool {
+					return !strings.HasPrefix(put.Key, relay.RosterPrefix) || len(put.Value) > 0 && !strings.Contains(string(put.Value), `"d":true`)
+				})
+			})(t.Fleet)
+		}, "DRAIN"},
+		{"a follower's place that never falls", "config_change", func(t *Tier) {
+			// An older answer, taken for a new one, brings the older configuration back.
+			var older []byte
+			told := map[string]int{}
+			onFeed(func(m *Message, reply *feed.FollowReply) {
+				for _, put := range reply.Puts {
+					if put.Key != route.DocumentKey {
+						continue
+					}
+					if older == nil {
+						older = put.Value
+					}
+					if told[m.From.Name]++; told[m.From.Name]%2 == 1 {
+						put.Value = older
+					}
+				}
+			})(t.Fleet)
+		}, "CONFIG"},
+		{"the version that a configuration builds on", "config_race", func(t *Tier) {
+			onChange("route.change", func(_ *Message, asked *register.ChangeRequest, pass func(string, []byte) (*register.ChangeReply, *http.Response)) *http.Response {
+				var response *http.Response
+				for range 5 {
+					var now *register.ChangeReply
+					var document route.Document
+					var change map[string]any
+					now, response = pass("route.read", []byte("{}"))
+					if response == nil || json.Unmarshal(now.Result, &document) != nil {
+						return response
+					}
+					_ = json.Unmarshal(asked.Args, &change)
+					change["base"] = document.Version
+					if _, response = pass("route.change", base.Encode(change)); response == nil || response.StatusCode == 200 {
+						break
+					}
+				}
+				return response
+			})(t.Fleet)
+		}, "CONFIG"},
+		{"syncing before the answer", "closing power", func(t *Tier) {
+			for _, m := range t.Storage {
+				m.Files.Lying = true
+			}
+		}, "RECOVER"},
+		{"the hand-over of a planned stop", "roll_term", func(t *Tier) { t.lost.leave = true }, "LOST"},
+	}
+	for _, row := range rows {
+		t.Run(row.mechanism, func(t *testing.T) {
+			t.Parallel()
+			const most = 12
+			for seed := uint64(1); seed <= most; seed++ {
+				outcome := TierDayNamed(row.day).RunWith(seed, TierShapes["small"](), row.take)
+				for _, breach := range outcome.Breaches {
+					if strings.HasPrefix(breach, row.word+":") {
+						t.Logf("without %s, %q: seed %d: %s", row.mechanism, row.day, seed, breach)
+						return
+					}
+				}
+				t.Logf("seed %d: %s", seed, fmt.Sprintf("%q", outcome.Breaches))
+			}
+			t.Errorf("none of %d seeds of %q was caught with %s", most, row.day, row.word)
+		})
+	}
+}
--- a/internal/simulate/tier_troubles.go
+++ b/internal/simulate/tier_troubles.go
@@ -99,6 +99,9 @@
 	end := t.trouble(kind, m, func(x *parties.Trouble) { x.Term = true })
 	clock, grace, life, began := t.Callers.Clock(), t.Site.Bounds.Grace, m.Host.life, t.World.now
 	m.leaving = true
+	if t.lost.leave {
+		t.down(m, false)
+	}
 	limit := grace - grace/8
 	left := false
 	m.Host.Go(func() {
@@ -296,8 +299,7 @@
 // crashWorker ends a worker at once; the list shows it for some seconds more.
 func (t *Tier) crashWorker(s *tierWorker) {
 	s.end(t)
-	t.list.Change(s.ID, nil, 3*time.Second)
-	t.Callers.Clock().Sleep(3 * time.Second)
+	t.list.Change(s.ID, nil, 4*time.Second)
 }
 
 // ill has the workers of a service, or one worker, do wrong for a while.
--- a/internal/simulate/tier_workers.go
+++ b/internal/simulate/tier_workers.go
@@ -190,14 +190,20 @@
 		}
 		c.until = b.tier.World.now + b.connect*3/4
 	}
-	if ctx.Over() || request.Stays != nil && !request.Stays() && !b.tier.lost.stays {
+	if ctx.Over() || request.Stays != nil && !request.Stays() {
 		b.keep(c, c.until-b.tier.World.now)
 		return nil, &base.NotSent{Cause: base.ErrLeaves}
 	}
 	c.send(request)
-	reply := &workerReply{calls: b, conn: c, clock: ctx.Clock}
-	if err := reply.receive(ctx.Clock.Now()+ctx.Left(), request.Match); err != nil {
+	reply, match := &workerReply{calls: b, conn: c, clock: ctx.Clock}, request.Match
+	if b.tier.lost.match {
+		match = base.HeaderLine{}
+	}
+	if err := reply.receive(ctx.Clock.Now()+ctx.Left(), match); err != nil {
 		c.close()
+		if b.tier.lost.proof {
+			return nil, &base.NotSent{Cause: err}
+		}
 		return nil, errors.Annotate(err, "awaiting the answer")
 	}
 	return reply, nil
