Play printed commands again whose scenario has a comma in its name

The flag is repeated, never split. Ruled out: quoting by the shell, which reached the program whole.

--- a/cmd/fordseam-sim/campaign.go
+++ b/cmd/fordseam-sim/campaign.go
@@ -27,7 +27,7 @@
 
 func seedsCommand(name, usage string, scenarios []simulate.Played, shapes []string) *cli.Command {
 	return &cli.Command{
-		Name: name, Usage: usage,
+		Name: name, Usage: usage, DisableSliceFlagSeparator: true, // names have commas
 		Description: "Prints each failing seed with the command that plays it again. Exit code 1 when a rule was broken.",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "scenario", Usage: "`NAME` of a scenario; may be repeated; all unless given"},
--- a/internal/simulate/tier_removal_test.go
+++ b/internal/simulate/tier_removal_test.go
@@ -75,7 +75,7 @@
 				}
 			}, nil, nil)
 		}, "BUDGET"},
-		{"writes on one store more than may be lost", "sessions wander, stores wiped", func(t *Tier) {
+		{"writes on one store more than may be lost", "stores wiped in turn, owners killed", func(t *Tier) {
 			first := map[string]string{}
 			t.Net.Meddle = func(m *Message) *http.Response {
 				kept := func(program, turn string) bool {
