--- a/internal/simulate/tier.go
+++ b/internal/simulate/tier.go
@@ -424,6 +424,8 @@
 // TierDay is a day with its troubles, named after them.
 type TierDay struct {
 	Name string
+	// Fit changes the deployment that the day is played on.
+	Fit func(site *parties.Site)
 	// Deeds bring the day's troubles about while traffic goes on.
 	Deeds []func(t *Tier)
 	// Closing, when set, is the fault that ends the day.
@@ -439,6 +441,9 @@
 
 // RunWith lets a test change the tier before it starts.
 func (d *TierDay) RunWith(seed uint64, form TierShape, change func(t *Tier)) *Outcome {
+	if d.Fit != nil {
+		d.Fit(form.Site)
+	}
 	t := NewTier(seed, form, change)
 	defer t.World.Close()
 	over := false
@@ -454,6 +459,11 @@
 	t.record.Note(func(r *parties.Record) { r.Over = t.World.now })
 	record := t.record.Record()
 	out.VirtualS, out.Counts = t.World.now.Seconds(), countsOf(record)
+	for _, try := range record.Tries {
+		if try.Retain > 0 && try.OK() {
+			out.Turns = append(out.Turns, try.Ended-try.Sent)
+		}
+	}
 	for _, m := range t.All() {
 		if m.Broken != nil {
 			out.Breaches = append(out.Breaches, fmt.Sprintf("FAULT: %s does not open: %v", m.Host.Name, m.Broken))
--- a/internal/simulate/tier_days.go
+++ b/internal/simulate/tier_days.go
@@ -244,6 +244,46 @@
 		}
 	}}},
 
+	{Name: "turns kept for a short time", Fit: func(site *parties.Site) {
+		for place := range site.Classes {
+			if site.Classes[place].Retain > 0 {
+				site.Classes[place].Retain = 2 * second
+			}
+		}
+	}, Deeds: []func(t *Tier){at(3, killed(edges, 0.34, false))}},
+	{Name: "engines short of memory", Fit: func(site *parties.Site) {
+		engine := *site.Services[0].Engine
+		engine.CacheTokens = 16000
+		site.Services[0].Engine = &engine
+	}, Deeds: []func(t *Tier){at(2, burst(3))}},
+	{Name: "workers take few connections", Fit: func(site *parties.Site) {
+		for place := range site.Services {
+			site.Services[place].MaxConns = 6
+		}
+	}, Deeds: []func(t *Tier){at(2, burst(3)), at(4, func(t *Tier) { t.add("edge") })}},
+
+	{Name: "mixed: roll_term in a burst", Traffic: 20 * second, Deeds: []func(t *Tier){at(0, rolled(edges)), at(1, burst(4)), at(6, burst(4)), at(2, changes)}},
+	{Name: "mixed: core_cut, races, after_ack_kill", Traffic: 16 * second, Deeds: []func(t *Tier){at(1, cut(cores, true)), at(0, races), at(2, func(t *Tier) {
+		t.afterAck(func(m *Machine) { t.fall(m, "after_ack_kill", short, true, true) }, 0)
+	}), at(8, cut(cores, true)), at(8, races)}},
+	{Name: "mixed: all cores replaced one after the other, release", Traffic: 24 * second, Deeds: []func(t *Tier){at(1, func(t *Tier) {
+		for _, m := range append([]*Machine{}, t.Cores...) {
+			t.replace(m, 300*time.Millisecond)
+			t.Callers.Clock().Sleep(t.Site.Bounds.CatchUp)
+			t.change()
+		}
+	}), at(2, released("app"))}, Closing: func(t *Tier) { t.all(true, nil) }},
+	{Name: "mixed: all stores replaced one after the other", Traffic: 34 * second, Deeds: []func(t *Tier){func(t *Tier) { t.wander = true }, at(1, func(t *Tier) {
+		for _, m := range append([]*Machine{}, t.Storage[:min(4, len(t.Storage))]...) {
+			t.replace(m, 300*time.Millisecond)
+			t.Callers.Clock().Sleep(t.Site.Bounds.CatchUp + second)
+		}
+	}), at(9, killed(edges, 0.5, false)), at(19, killed(edges, 0.5, false))}, Closing: func(t *Tier) { t.all(true, nil) }},
+	{Name: "mixed: list_down, control killed, workers crash", Deeds: []func(t *Tier){at(1, func(t *Tier) { t.listDown(5 * second) }), at(2, killed(cores, 0.25, false)), at(2, one("app", func(t *Tier, s *tierWorker) {
+		t.crashWorker(s)
+		t.reuse(s)
+	})), at(7, released("model"))}},
+	{Name: "mixed: everything killed at once in the middle", Traffic: 18 * second, Deeds: []func(t *Tier){at(3, func(t *Tier) { t.all(false, nil) }), at(1, races)}},
 	{Name: "mixed: release, edges killed, configuration changes", Deeds: []func(t *Tier){at(1, released("app")), at(3, killed(edges, 0.34, false)), at(1, changes), at(2, answersLost("app", 0.1))}},
 	{Name: "mixed: stores wiped, control killed, two operators", Traffic: 16 * second, Deeds: []func(t *Tier){at(1, wipedAfterAck), at(2, killed(cores, 0.25, false)), at(3, races), at(5, killed(edges, 0.34, false))}},
 	{Name: "mixed: stores frozen, edges rolled, answers lost", Traffic: 18 * second, Deeds: []func(t *Tier){at(1, frozen(stores)), at(1, rolled(edges)), at(2, answersLost("model", 0.08))}},
--- a/internal/simulate/tier_removal_test.go
+++ b/internal/simulate/tier_removal_test.go
@@ -13,6 +13,7 @@
 	"fordseam/internal/base"
 	"fordseam/internal/feed"
 	"fordseam/internal/ledger"
+	"fordseam/internal/line"
 	"fordseam/internal/register"
 	"fordseam/internal/relay"
 	"fordseam/internal/route"
@@ -122,6 +123,24 @@
 		{"the worker's id on each request", "workers crash", func(t *Tier) { t.lost.expect = true }, "ROUTE"},
 		{"the id that an answer carries back", "answers garbled, cut, late and extra", func(t *Tier) { t.lost.match = true }, "MIXED"},
 		{"proof that a worker has not run a request", "answer_lost at plain workers", func(t *Tier) { t.lost.proof = true }, "TWICE"},
+		{"proof that a refused request has not run", "answer_lost at plain workers", func(t *Tier) { t.lost.proof = true }, "REFUSED"},
+		{"pieces pulled by place", "sessions wander, edges killed", func(t *Tier) {
+			onPath("line.Owner/Pull", func(m *Message) *http.Response {
+				var asked line.PullRequest
+				_ = proto.Unmarshal(m.Body, &asked)
+				asked.Place = max(asked.Place, 1) - 1
+				raw, _ := proto.Marshal(&asked)
+				response, _ := m.Pass(raw)
+				return response
+			})(t.Fleet)
+		}, "ORDER"},
+		{"a turn's place in its chain", "sessions wander, edges killed", func(t *Tier) {
+			onLedger(t.Fleet, nil, nil, func(reply *ledger.ChainReply) {
+				for _, turn := range reply.Turns {
+					turn.Previous = ""
+				}
+			})
+		}, "UNASKED"},
 		{"news of workers that leave", "release of plain workers", func(t *Tier) {
 			onFeed(func(_ *Message, reply *feed.FollowReply) {
 				reply.Puts = base.Filter(reply.Puts, func(put *register.Put) bool {
