Go by what was seen under this epoch and this set only

Cause: a core that froze while it owned slot 0 went on with what it had seen of the disks before: a machine since lost was taken in as a learner, and stayed for 3 s. What was seen now counts for the epoch of the slot it was seen under, a disk is called gone only by an answer asked for since the set last changed, and a silent learner goes after half the time.

--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -26,9 +26,10 @@
 
 	mu   sync.Mutex
 	seen map[string]*sighting
-	// stamp is the set that was looked at, since when.
-	stamp uint64
-	since time.Duration
+	// epoch and stamp are the owner's and the set's that was looked at, and
+	// since when; what was seen under another epoch may be out of date.
+	epoch, stamp uint64
+	since        time.Duration
 	// told says in words what is under way.
 	told []string
 }
@@ -37,7 +38,7 @@
 type sighting struct {
 	life    string
 	state   *DiskState
-	told    time.Duration
+	asOf    time.Duration // when it was asked for that
 	asked   time.Duration
 	busy    bool
 	silent  bool
@@ -76,7 +77,7 @@
 func (m *mending) forget() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.seen, m.told, m.stamp = map[string]*sighting{}, nil, 0
+	m.seen, m.told, m.stamp, m.epoch = map[string]*sighting{}, nil, 0, 0
 }
 
 // diskOf is the disk of a machine that was seen.
@@ -134,6 +135,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.epoch != found.epoch {
+		m.epoch, m.stamp, m.seen = found.epoch, 0, map[string]*sighting{}
+	}
 	if m.stamp != set.Stamp {
 		m.stamp, m.since = set.Stamp, now
 	}
@@ -155,7 +159,9 @@
 		switch {
 		case seen.state == nil || seen.silent || life == nil:
 			every = beat / 2
-		case len(m.told) > 0 || seen.asked < m.since:
+		case seen.asked < m.since:
+			every = 0
+		case len(m.told) > 0:
 			every = beat / 2
 		}
 		if !seen.busy && (seen.asked == 0 || now-seen.asked >= every) {
@@ -171,8 +177,8 @@
 	for _, entry := range set.Disks {
 		seen := m.seen[entry.Addr]
 		stands := condition{known: seen.state != nil, alive: lives[entry.Addr] != nil}
-		stands.fresh = seen.silent || seen.told > m.since
-		stands.gone = seen.state != nil && seen.state.Id != entry.Id
+		stands.fresh = seen.silent || seen.state != nil && seen.asOf >= m.since
+		stands.gone = seen.state != nil && seen.asOf >= m.since && seen.state.Id != entry.Id
 		if seen.silent {
 			stands.silent = max(1, now-seen.silence)
 		}
@@ -210,7 +216,7 @@
 	case err == nil && life != seen.life:
 		seen.asked = 0 // another life has begun there meanwhile
 	case err == nil:
-		seen.state, seen.told, seen.silent = state, o.clock.Now(), false
+		seen.state, seen.asOf, seen.silent = state, seen.asked, false
 	case !seen.silent:
 		seen.silent, seen.silence = true, seen.asked
 	}
@@ -324,7 +330,7 @@
 			}
 			continue
 		}
-		if entry.Learner && (stands.gone || stands.silent >= recover/4 || view.leaving[entry.Node]) {
+		if entry.Learner && (stands.gone || stands.silent >= recover/8 || view.leaving[entry.Node]) {
 			changed = true
 			continue
 		}
