--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -155,7 +155,7 @@
 
 // elsewhereNow refuses what another node takes at once.
 func (k *Keeper) elsewhereNow(code, format string, args ...any) *base.Verdict {
-	return base.BusyFor(503, code, k.Bounds.Load().Recover/400, format, args...)
+	return base.BusyFor(503, code, k.Bounds.Load().Recover/48, format, args...)
 }
 
 // forgetAssignment lets an assignment be looked up anew.
