--- a/internal/line/carry.go
+++ b/internal/line/carry.go
@@ -59,6 +59,19 @@
 	})
 }
 
+// owing counts the forwarded turns whose end has not been pulled.
+func (k *Keeper) owing() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	count := 0
+	for _, stream := range k.streams {
+		if !stream.told.Load() && !stream.abandoned() {
+			count++
+		}
+	}
+	return count
+}
+
 // Pull gives a forwarded turn's answer from a place on.
 func (k *Keeper) Pull(plain context.Context, request *PullRequest) (*PullReply, error) {
 	k.mu.Lock()
@@ -89,8 +102,12 @@
 	head, failed := stream.head, stream.failed
 	stream.mu.Unlock()
 	if failed != nil {
+		stream.told.Store(true)
 		return nil, base.ToWire(failed)
 	}
+	if done {
+		stream.told.Store(true)
+	}
 	reply := &PullReply{Pieces: pieces, Place: uint64(place), Done: done, Cut: cut}
 	if head != nil && place == 0 {
 		reply.Status, reply.Headers = int64(head.Status), packHeaders(head.Headers)
--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -570,7 +570,8 @@
 	}
 }
 
-// Drain ends all lines here: accepted turns finish, new ones go elsewhere.
+// Drain ends all lines here: accepted turns finish, new ones go elsewhere. It is
+// over when whoever forwarded a turn has its end too.
 func (k *Keeper) Drain(limit time.Duration) {
 	k.mu.Lock()
 	k.draining = true
@@ -583,7 +584,7 @@
 		k.terminate(h, budget.Drain)
 	}
 	end := k.Clock.Now() + limit
-	for k.Busy() > 0 && k.Clock.Now() < end {
+	for k.Busy()+k.owing() > 0 && k.Clock.Now() < end {
 		k.Clock.Sleep(k.Bounds.Load().Recover / 120)
 	}
 }
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -141,10 +141,22 @@
 }
 
 // plainWire reaches nodes by a table of handlers.
-type plainWire struct{ nodes map[string]http.Handler }
+type plainWire struct {
+	mu    sync.Mutex
+	nodes map[string]http.Handler
+}
+
+// lose makes a node unreachable.
+func (w *plainWire) lose(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.nodes, addr)
+}
 
 func (w *plainWire) Do(request *http.Request) (*http.Response, error) {
+	w.mu.Lock()
 	node := w.nodes[request.URL.Host]
+	w.mu.Unlock()
 	if node == nil {
 		return nil, &base.NotSent{Cause: io.ErrClosedPipe}
 	}
@@ -411,13 +423,44 @@
 	w.is.Equal(w.book.sessions["ps1"].Owner, b.me())
 	w.is.Equal(w.book.sessions["ps1"].Epoch, uint64(2))
 	a.View.Close()
-	delete(w.wire.nodes, "a:1")
+	w.wire.lose("a:1")
 	_, err = w.take(b, w.call("s2", "u2", "u1"))
 	w.is.NoErr(err)
 	w.is.Equal(w.book.sessions["ps2"].Owner, b.me())
 	w.is.True(strings.HasPrefix(w.bench.bodies["u2"], "in-u1"))
 }
 
+// An owner that leaves answers what others forwarded to it before it goes.
+func TestADrainWaitsForWhatWasForwarded(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.node("a:1", "b:1"), w.node("b:1", "a:1")
+	w.meet(a, b)
+	defer a.View.Close()
+	defer b.View.Close()
+	_, err := w.take(a, w.call("s1", "t1", ""))
+	w.is.NoErr(err)
+	w.bench.gate["t2"] = make(chan struct{})
+	stream, err := b.Turn(base.NewCtx(w.clock, 10*time.Second), w.call("s1", "t2", "t1"))
+	w.is.NoErr(err)
+	_, err = stream.Head(5*time.Second, w.clock)
+	w.is.NoErr(err)
+	drained := make(chan struct{})
+	go func() {
+		a.Drain(10 * time.Second)
+		close(drained)
+	}()
+	for !a.isDraining() {
+		w.clock.NewSignal().Wait(time.Millisecond)
+	}
+	w.is.Equal(a.owing(), 1)
+	close(w.bench.gate["t2"])
+	<-drained
+	w.wire.lose("a:1") // gone at once
+	body, err := io.ReadAll(NewReader(stream, w.clock, 5*time.Second))
+	w.is.NoErr(err)
+	w.is.Equal(string(body), "data: xt2\n\ndata: yt2\n\n")
+}
+
 func TestTerminationOnlyEscalates(t *testing.T) {
 	w := newWorld(t)
 	k := w.node("a")
--- a/internal/line/stream.go
+++ b/internal/line/stream.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
@@ -29,6 +30,7 @@
 	cut    bool
 	left   bool
 	leave  func()
+	told   atomic.Bool // the end was given to whoever pulls
 }
 
 func newStream(clock base.Clock, leave func()) *Stream {
