--- /dev/null
+++ b/internal/ledger/bench_test.go
@@ -0,0 +1,296 @@
+// What a turn and a pull cost on the real clock, over the real wire on
+// loopback, with files in a temporary folder.
+package ledger_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/conn"
+	"fordseam/internal/disk"
+	"fordseam/internal/ledger"
+	"fordseam/internal/register"
+)
+
+// counted counts the bytes of messages and replies.
+type counted struct {
+	base.Wire
+	bytes atomic.Int64
+	calls atomic.Int64
+}
+
+func (w *counted) Do(request *http.Request) (*http.Response, error) {
+	w.calls.Add(1)
+	w.bytes.Add(request.ContentLength)
+	response, err := w.Wire.Do(request)
+	if err == nil {
+		body, _ := io.ReadAll(response.Body)
+		w.bytes.Add(int64(len(body)))
+		response.Body = io.NopCloser(&reader{body})
+	}
+	return response, err
+}
+
+type reader struct{ left []byte }
+
+func (r *reader) Read(into []byte) (int, error) {
+	if len(r.left) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(into, r.left)
+	r.left = r.left[n:]
+	return n, nil
+}
+
+type bench struct {
+	b      testing.TB
+	clock  base.Clock
+	wire   *counted
+	bounds *base.Table[base.Bounds]
+	set    atomic.Pointer[register.DiskSet]
+	stores []*ledger.Store
+	addrs  []string
+}
+
+// processorTime is what this process has used.
+func processorTime() time.Duration {
+	var used syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used)
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+func newBench(b testing.TB) *bench {
+	wire, err := conn.NewWire(func() {})
+	if err != nil {
+		b.Fatal(err)
+	}
+	x := &bench{b: b, clock: base.NewRealClock(), wire: &counted{Wire: wire}, bounds: &base.Table[base.Bounds]{}}
+	x.bounds.Swap(base.DefaultBounds())
+	b.Cleanup(wire.Close)
+	return x
+}
+
+func (x *bench) open() {
+	place := len(x.stores)
+	addr := fmt.Sprintf("127.0.0.1:%d", 21840+place)
+	files, err := disk.OpenFolder(x.b.TempDir(), 0)
+	if err != nil {
+		x.b.Fatal(err)
+	}
+	store, err := ledger.OpenStore(ledger.Parts{Clock: x.clock, Wire: x.wire.Wire, Files: files, Bounds: x.bounds, Counters: base.NewCounters(), Tolerate: 1,
+		Local: func() (string, *register.DiskSet) { return fmt.Sprintf("d%d", place), x.set.Load() }})
+	if err != nil {
+		x.b.Fatal(err)
+	}
+	listener, err := conn.Listen(addr)
+	if err != nil {
+		x.b.Fatal(err)
+	}
+	server := ledger.NewLedgerServer(store)
+	mux := http.NewServeMux()
+	mux.Handle(server.PathPrefix(), server)
+	go func() { _ = http.Serve(listener, base.Receive(x.clock, mux)) }()
+	go store.Run()
+	x.b.Cleanup(func() {
+		store.Close()
+		_ = listener.Close()
+	})
+	x.stores, x.addrs = append(x.stores, store), append(x.addrs, addr)
+}
+
+func (x *bench) members(places ...int) {
+	next := &register.DiskSet{Stamp: x.set.Load().GetStamp() + 1, Cluster: "c"}
+	for _, place := range places {
+		next.Disks = append(next.Disks, &register.DiskEntry{Id: fmt.Sprintf("d%d", place), Addr: x.addrs[place], Zone: fmt.Sprintf("z%d", place)})
+	}
+	x.set.Store(next)
+	for _, store := range x.stores {
+		store.News()
+	}
+}
+
+func (x *bench) client() *ledger.Client {
+	return ledger.NewClient(x.clock, x.wire, x.set.Load, "z0", 1, x.bounds, base.NewCounters(), nil)
+}
+
+func (x *bench) turn(c *ledger.Client, program string, number int, input, output []byte) {
+	ctx := base.NewCtx(x.clock, 5*time.Second)
+	id, previous := fmt.Sprintf("%s.%012d", program, number), ""
+	if number > 0 {
+		previous = fmt.Sprintf("%s.%012d", program, number-1)
+	}
+	begun, err := c.Begin(ctx, &ledger.Beginning{Program: program, Session: "s" + program, Turn: id, Previous: previous, Owner: "10.0.0.1:7380/0123456789abcdef",
+		Run: "run-" + program, Epoch: 1, Confirmed: number > 0, Budgeted: true, Most: 136, Budget: 1 << 40, Keep: time.Minute})
+	if err != nil || !begun.Mine {
+		x.b.Fatal(err, begun)
+	}
+	if err := c.Finish(ctx, &ledger.Finished{Program: program, Session: "s" + program, Turn: id, Previous: previous, Owner: "10.0.0.1:7380/0123456789abcdef",
+		Run: "run-" + program, Epoch: 1, Input: input, Output: output, Budgeted: true, Tokens: 34, Retain: time.Minute}); err != nil {
+		x.b.Fatal(err)
+	}
+}
+
+func BenchmarkTurn(b *testing.B) {
+	x := newBench(b)
+	for place := 0; place < 4; place++ {
+		x.open()
+	}
+	x.members(0, 1, 2, 3)
+	c := x.client()
+	input, output := make([]byte, 2000), make([]byte, 1000)
+	var program atomic.Int64
+	b.SetParallelism(2)
+	b.ResetTimer()
+	used := processorTime()
+	b.RunParallel(func(pb *testing.PB) {
+		name, number := "", 5
+		for pb.Next() {
+			if number++; number >= 5 {
+				name, number = fmt.Sprintf("p%d", program.Add(1)), 0
+			}
+			x.turn(c, name, number, input, output)
+		}
+	})
+	b.StopTimer()
+	b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-us/turn")
+	logged := int64(0)
+	for _, store := range x.stores {
+		state, _ := store.Describe(nil, nil)
+		logged += state.LogBytes
+	}
+	b.ReportMetric(float64(x.wire.bytes.Load())/float64(b.N), "wire-bytes/turn")
+	b.ReportMetric(float64(x.wire.calls.Load())/float64(b.N), "messages/turn")
+	b.ReportMetric(float64(logged)/float64(b.N), "log-bytes/turn")
+}
+
+// BenchmarkFilling replaces one of four stores that hold 30 MB each.
+func BenchmarkFilling(b *testing.B) {
+	for run := 0; run < b.N; run++ {
+		b.StopTimer()
+		x := newBench(b)
+		for place := 0; place < 4; place++ {
+			x.open()
+		}
+		x.members(0, 1, 2, 3)
+		c := x.client()
+		input, output := make([]byte, 2000), make([]byte, 1000)
+		done := make(chan bool)
+		for worker := 0; worker < 32; worker++ {
+			go func() {
+				for program := worker; program < 4000; program += 32 {
+					for number := 0; number < 5; number++ {
+						x.turn(c, fmt.Sprintf("p%d", program), number, input, output)
+					}
+				}
+				done <- true
+			}()
+		}
+		for worker := 0; worker < 32; worker++ {
+			<-done
+		}
+		x.open()
+		b.StartTimer()
+		started, used := x.clock.Now(), processorTime()
+		x.members(0, 1, 2, 4)
+		for !c.Whole(base.NewCtx(x.clock, time.Second)) {
+		}
+		b.StopTimer()
+		b.ReportMetric((processorTime()-used).Seconds()*1000, "cpu-ms-all")
+		state, _ := x.stores[4].Describe(nil, nil)
+		b.ReportMetric(float64(x.clock.Now()-started)/float64(time.Millisecond), "ms-to-whole")
+		b.ReportMetric(float64(state.Bytes)/(1<<20), "MB-held")
+	}
+}
+
+// BenchmarkStore is one store's part of a turn, without the wire; its files
+// are in memory.
+func BenchmarkStore(b *testing.B) {
+	bounds := &base.Table[base.Bounds]{}
+	bounds.Swap(base.DefaultBounds())
+	set := &register.DiskSet{Stamp: 1, Cluster: "c", Disks: []*register.DiskEntry{{Id: "d0"}}}
+	store, err := ledger.OpenStore(ledger.Parts{Clock: base.NewRealClock(), Files: &memory{}, Bounds: bounds, Counters: base.NewCounters(),
+		Tolerate: 1, Local: func() (string, *register.DiskSet) { return "d0", set }})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(store.Close)
+	target := &ledger.Target{Disk: "d0", Stamp: 1}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	b.ResetTimer()
+	for number := 0; number < b.N; number++ {
+		program, turn := fmt.Sprintf("p%d", number/5), fmt.Sprintf("%016x", number)
+		claim := &ledger.Assignment{Session: "s" + program, Owner: "10.0.0.1:7380/0123456789abcdef", Run: "run-" + program, Epoch: 1, Confirmed: number%5 > 0}
+		begun, err := store.Begin(nil, &ledger.BeginRequest{Target: target, Program: program, Claim: claim, Turn: turn, Budgeted: true, Most: 136, KeepMs: 60000})
+		if err != nil || begun.Ack.Why != "" {
+			b.Fatal(err, begun)
+		}
+		if reply, err := store.Finish(nil, &ledger.FinishRequest{Target: target, Program: program, Claim: claim, Turn: turn, Input: make([]byte, 2000),
+			Output: make([]byte, 1000), Budgeted: true, Tokens: 34, KeepMs: 60000}); err != nil || reply.Ack.Why != "" {
+			b.Fatal(err, reply)
+		}
+	}
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	state, _ := store.Describe(nil, nil)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "heap-bytes/turn")
+	b.ReportMetric(float64(state.Bytes)/float64(b.N), "counted-bytes/turn")
+	b.ReportMetric(float64(state.LogBytes)/float64(b.N), "log-bytes/turn")
+}
+
+// memory is files that keep nothing.
+type memory struct{}
+
+func (m *memory) Read(string) ([]byte, error)  { return nil, nil }
+func (m *memory) Append(string, []byte) error  { return nil }
+func (m *memory) Replace(string, []byte) error { return nil }
+func (m *memory) Trim(string, int) error       { return nil }
+func (m *memory) Sync(string) error            { return nil }
+func (m *memory) Free() int64                  { return 1 << 40 }
+
+// TestManyGatewaysAtOnce is for the race detector: threads, the real wire and
+// a change of the set in the middle.
+func TestManyGatewaysAtOnce(t *testing.T) {
+	x := newBench(t)
+	for place := 0; place < 5; place++ {
+		x.open()
+	}
+	x.members(0, 1, 2, 3)
+	var done sync.WaitGroup
+	for gateway := 0; gateway < 8; gateway++ {
+		c := x.client()
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			program := fmt.Sprintf("p%d", gateway)
+			for number := 0; number < 40; number++ {
+				x.turn(c, program, number, []byte("in"), []byte("out"))
+				if number%10 == 9 {
+					chain, err := c.Chain(base.NewCtx(x.clock, 5*time.Second), program, fmt.Sprintf("%s.%012d", program, number))
+					if err != nil || len(chain) != number+1 {
+						t.Errorf("%s: %d turns, %v", program, len(chain), err)
+					}
+				}
+				if gateway == 0 && number == 20 {
+					x.members(0, 2, 3, 4)
+				}
+			}
+		}()
+	}
+	done.Wait()
+	for c, end := x.client(), x.clock.Now()+20*time.Second; !c.Whole(base.NewCtx(x.clock, time.Second)); {
+		if x.clock.Now() > end {
+			t.Fatal("not whole")
+		}
+	}
+}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -586,6 +586,10 @@
 	found := []*Turn{}
 	for id != "" {
 		part, err := c.look(ctx, program, id)
+		if len(found) > 0 && base.IsCode(err, "unknown_turn") {
+			c.counters.Add("ledger_chains_broken", 1)
+			return nil, base.Busy(503, "chain_broken", 1, "a turn that the chain goes on from is missing")
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/ledger/pull.go
+++ b/internal/ledger/pull.go
@@ -404,7 +404,10 @@
 // missed, so that whoever holds a turn holds its whole chain.
 func (s *Store) seek() {
 	for !s.isClosed() {
-		s.clock.Sleep(2 * s.bounds.Load().Beat())
+		s.mu.Lock()
+		pause := pick(len(s.wanted) > 0, 2*s.bounds.Load().Beat(), s.bounds.Load().Suspect())
+		s.mu.Unlock()
+		s.clock.Sleep(pause)
 		s.mu.Lock()
 		due := []wanted{}
 		for want, since := range s.wanted {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -6,12 +6,9 @@
 
 import (
 	"container/list"
-	"hash/fnv"
 	"slices"
 
 	"fordseam/internal/register"
-
-	"google.golang.org/protobuf/proto"
 )
 
 type assignment struct {
@@ -184,22 +181,28 @@
 func (p *program) digest() uint64 {
 	sum := uint64(0)
 	for _, held := range p.sessions {
-		sum ^= hashOf(held.message())
+		sum ^= hashOf(held.epoch, held.confirmed, held.session, held.owner, held.run)
 	}
 	for _, held := range p.spends {
-		sum ^= hashOf(&Spend{Turn: held.turn, Run: held.run, Tokens: held.tokens, Settled: held.settled})
+		sum ^= hashOf(uint64(held.tokens), held.settled, held.turn, held.run)
 	}
 	return sum
 }
 
-func hashOf(message proto.Message) uint64 {
-	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
-	if err != nil {
-		panic(err)
+// hashOf is FNV-1a over the parts, each with an end of its own.
+func hashOf(number uint64, mark bool, parts ...string) uint64 {
+	const prime = 1099511628211
+	sum := (14695981039346656037 ^ number) * prime
+	if mark {
+		sum = (sum ^ 1) * prime
+	}
+	for _, part := range parts {
+		for at := 0; at < len(part); at++ {
+			sum = (sum ^ uint64(part[at])) * prime
+		}
+		sum = (sum ^ 256) * prime
 	}
-	hash := fnv.New64a()
-	_, _ = hash.Write(raw)
-	return hash.Sum64()
+	return sum
 }
 
 const (
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -99,6 +99,7 @@
 	bell     *base.Bell
 	news     *base.Bell
 	full     bool
+	unlooked int // bytes written since the room was looked at
 	broken   error
 	closed   bool
 	ended    base.Signal
@@ -109,7 +110,7 @@
 	s := &Store{clock: parts.Clock, wire: parts.Wire, bounds: parts.Bounds, counters: parts.Counters, tolerate: max(1, parts.Tolerate),
 		local: parts.Local, files: parts.Files, programs: map[string]*program{}, turns: map[string]*turn{}, wanted: map[wanted]wantedSince{},
 		order: list.New(), opened: parts.Clock.Now(), peers: map[string]*peer{}, hearing: map[string]uint64{}, fetching: map[wanted]bool{}, index: map[uint64]*contents{},
-		bell: base.NewBell(parts.Clock), news: base.NewBell(parts.Clock), ended: parts.Clock.NewSignal()}
+		unlooked: freeFloor, bell: base.NewBell(parts.Clock), news: base.NewBell(parts.Clock), ended: parts.Clock.NewSignal()}
 	s.forming = &batch{done: s.clock.NewSignal()}
 	log, damaged, err := disk.OpenSegments(parts.Files, segmentFloor, s.read)
 	if err != nil {
@@ -300,7 +301,9 @@
 	for {
 		generation, err := s.log.Write(chosen.payload, live)
 		s.mu.Lock()
-		s.full = disk.IsFull(err) || s.files.Free() < freeFloor+int64(len(chosen.payload))
+		if s.unlooked += len(chosen.payload); err != nil || s.full || s.unlooked > freeFloor/4 {
+			s.full, s.unlooked = disk.IsFull(err) || s.files.Free() < freeFloor+int64(len(chosen.payload)), 0
+		}
 		closed := s.closed
 		if err == nil {
 			s.home(generation, chosen.programs, chosen.moved, chosen.turns)
@@ -398,7 +401,7 @@
 	}
 	if s.id != id {
 		s.id, s.sets, s.whole = id, []*register.DiskSet{set}, 0
-		if set.Stamp == 1 && len(s.programs) == 0 && !s.damaged {
+		if set.Stamp == 1 && entryIn(set, id) != nil && len(s.programs) == 0 && !s.damaged {
 			s.whole = 1 // it was there when nothing had been written
 		}
 		s.mark()
