--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,7 +131,11 @@
 	// gateway serves routes.
 	Table func(written []byte) (*route.Table, error)
 
-	disks base.Table[register.DiskSet]
+	disks  base.Table[register.DiskSet]
+	routed *base.Bell
+	// roster and written are what the feed told last; only learn has them.
+	roster  relay.Roster
+	written []byte
 }
 
 func NewGateway(env Env, place Place) *Gateway {
@@ -153,7 +157,7 @@
 		Budget: &budget.Client{Register: client}, Keeper: g.Keeper, Tools: &toolcall.Client{Register: client},
 		Workers: &worker.Client{Register: client}, Book: book, Nominator: nominator, Backends: env.Backends}
 	c.mount(session.NewOwnerServer(g.Keeper))
-	g.Routes = &base.Table[route.Table]{}
+	g.Routes, g.routed = &base.Table[route.Table]{}, base.NewBell(env.Clock)
 	g.Relay = relay.New(relay.Parts{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: place.Zone, ConnShare: g.connShare, AnswerLimit: answerLimit})
 	kept := ledger.NewClient(env.Clock, env.Wire, g.disks.Load, place.Zone, place.Tolerate, bounds, env.Counters, nil)
 	g.Lines = line.NewKeeper(line.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
@@ -283,7 +287,7 @@
 	c.env.Clock.Go(c.Follower.Run)
 	if c.Lister != nil {
 		duty := &relay.Duty{Clock: c.env.Clock, Bounds: c.bounds, Counters: c.env.Counters, Register: c.Register, Follower: c.Follower, Lister: c.Lister,
-			Holds: c.Owner.ServesFeed, Needed: func() bool { return route.DocumentOf(c.Follower.Frame().Values) != nil }}
+			Holds: c.Owner.ServesFeed, Needed: func() bool { return len(c.Follower.Frame().Values[route.DocumentKey]) > 0 }}
 		c.env.Clock.Go(duty.Run)
 	}
 }
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -19,13 +19,18 @@
 	if disks := register.DisksOf(frame.Values); disks != nil {
 		g.disks.Swap(disks)
 	}
-	if document := route.DocumentOf(frame.Values); document != nil && g.Table != nil {
+	written := frame.Values[route.DocumentKey]
+	if len(written) == len(g.written) && (len(written) == 0 || &written[0] == &g.written[0]) {
+		// the very same as in the frame before
+	} else if document := route.DocumentOf(frame.Values); document != nil && g.Table != nil {
+		g.written = written
 		if now := g.Routes.Load(); now == nil || now.Version != document.Version {
 			written, err := document.Written()
 			if err == nil {
 				var table *route.Table
 				if table, err = g.Table(written); err == nil {
 					g.Routes.Swap(table)
+					g.routed.Ring()
 					log.WithField("version", table.Version).Info("routes in force")
 					g.env.Counters.Add("routes_changed", 1)
 				}
@@ -35,7 +40,22 @@
 			}
 		}
 	}
-	g.Relay.Swap(relay.RosterOf(frame.Values))
+	if workers, changed := g.roster.Read(frame.Values); changed {
+		g.Relay.Swap(workers)
+	}
+}
+
+// TableFor gives the routes in force. A gateway that has just started waits a
+// little for them: to be told to come back costs a client more.
+func (g *Gateway) TableFor(ctx *base.Ctx) *route.Table {
+	end := g.env.Clock.Now() + min(ctx.Left(), g.bounds.Load().Hold())
+	for {
+		next := g.routed.Next()
+		table := g.Routes.Load()
+		if table != nil || !next.Wait(max(0, end-g.env.Clock.Now())) {
+			return table
+		}
+	}
 }
 
 // Serves says whether clients of the operator's routes may be sent here.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -8,6 +8,7 @@
 package relay
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -32,9 +33,14 @@
 // state is what this node knows of one life of a worker.
 type state struct {
 	Worker
-	under int // our requests under way
+	listed  Worker // as the list has it
+	list    uint64 // the last list that it was in
+	serving atomic.Bool
+	under   int // our requests under way
 
 	others   float64 // requests of others there, when last told
+	total    float64 // all there, when last told
+	limit    float64 // all there when it turned a request away
 	told     bool
 	toldAt   time.Duration
 	speed    float64 // time that requests take, as a ratio to the service's
@@ -44,6 +50,9 @@
 	full     time.Duration // until then
 	heardAt  atomic.Int64  // the last word of it, or the first request since it had none
 
+	idle   int           // connections that are probably kept to it
+	idleAt time.Duration // when one was last left
+
 	mark   uint64 // of the id
 	held   *prefixes
 	read   time.Duration // when the prompts sent there will have been read
@@ -95,7 +104,7 @@
 func (s *state) spared(o *offer, p *pool, now time.Duration) (avoided, noRoom bool) {
 	quiet := 2*o.route.Target + 4*p.request.value + max(0, s.read-now)
 	silent := s.under > 0 && now-time.Duration(s.heardAt.Load()) > quiet
-	return now < s.avoided || (s.failures > 0 && s.probing) || silent, now < s.full
+	return now < s.avoided || (s.failures > 0 && s.probing) || silent, now < s.full || (s.limit > 0 && s.load(p, now) >= s.limit)
 }
 
 // waits is how long a request would wait for a slot there.
@@ -126,6 +135,18 @@
 	return o.route.Target/12 + time.Duration(float64(o.route.Target)*float64(len(o.body))/farBody)
 }
 
+// joining is what a new connection costs, in time, where none is kept. A worker
+// that failed is to be tried again all the same.
+func (r *Relay) joining(o *offer, s *state, now time.Duration) time.Duration {
+	if s.failures > 0 {
+		return 0
+	}
+	if s.idle > 0 && now-s.idleAt < 2*r.Bounds.Load().Leave {
+		return 0
+	}
+	return o.route.Target / 48
+}
+
 // cost is the time that a request is expected to take there, with what speaks
 // against the worker expressed in time.
 func (r *Relay) cost(o *offer, p *pool, s *state, now time.Duration) time.Duration {
@@ -134,7 +155,7 @@
 	}
 	busy := s.load(p, now) / s.slots()
 	taken := float64(p.request.value) * s.pace() * (1 + busy*busy/4)
-	return s.waits(p, now) + time.Duration(taken) + r.far(o, s)
+	return s.waits(p, now) + time.Duration(taken) + r.far(o, s) + r.joining(o, s, now)
 }
 
 func (r *Relay) modelCost(o *offer, p *pool, s *state, now time.Duration) time.Duration {
@@ -156,7 +177,7 @@
 		spread := (o.shared ^ s.mark) * 0x9e3779b97f4a7c15 >> 54
 		cost += o.route.Target / 32 * time.Duration(spread) / 1024
 	}
-	return cost + r.far(o, s)
+	return cost + r.far(o, s) + r.joining(o, s, now)
 }
 
 // unreadAt is how many tokens of the prompt the worker would have to read.
@@ -188,7 +209,7 @@
 	open := make([]*state, 0, len(p.workers))
 	var avoided []*state
 	for _, s := range p.workers {
-		if o.triedAlready(s) || !r.serves(s.ID) {
+		if o.triedAlready(s) || !s.serving.Load() {
 			continue
 		}
 		possible = true
@@ -217,10 +238,11 @@
 	return r.pick(o, p, open, now), max(0, soonest), possible
 }
 
-// patience is how long a request may wait for a slot: the more urgent the
-// longer, and never so long that its time is over before it could run.
+// patience is how long a request may wait for a slot, from four times the aim
+// for the most urgent to a quarter for the least, so that these leave room; and
+// never so long that its time is over before it could run.
 func (o *offer) patience(p *pool, now time.Duration) time.Duration {
-	aim := o.route.Target * time.Duration(36-3*min(9, max(0, o.route.Urgency))) / 9
+	aim := o.route.Target * time.Duration(48-5*min(9, max(0, o.route.Urgency))) / 12
 	return min(aim, max(0, o.until-now-p.request.value)*3/4)
 }
 
@@ -246,6 +268,7 @@
 		s.heardAt.Store(int64(now))
 	}
 	s.under++
+	s.idle = max(0, s.idle-1)
 	s.probing = s.failures > 0
 	if o.service.Engine == nil {
 		return
@@ -254,7 +277,11 @@
 	o.unread = o.unreadAt(s)
 	o.backlog = max(0, s.read-now)
 	s.read = max(now, s.read) + time.Duration(o.unread)*perToken
-	o.added = s.held.use(o.call.Model, o.call.Parts, o.service.Engine.CacheTokens)
+	room := o.service.Engine.CacheTokens
+	if room <= 0 {
+		room = math.MaxInt
+	}
+	o.changes = s.held.use(o.call.Model, o.call.Parts, room)
 }
 
 // heard takes in the load that an answer tells.
@@ -276,7 +303,8 @@
 	if most, err := strconv.Atoi(strings.TrimSpace(slots)); err == nil && most > 0 {
 		s.Capacity = most
 	}
-	s.others, s.told, s.toldAt = max(0, float64(runs+waits-max(0, s.under-1))), true, now
+	s.total = float64(runs + waits)
+	s.others, s.told, s.toldAt = max(0, s.total-float64(max(0, s.under-1))), true, now
 	p := r.pool(s.Service)
 	p.others += (s.others - p.others) / float64(2*max(1, len(p.workers)))
 }
@@ -307,6 +335,9 @@
 	if how == served {
 		r.mu.Lock()
 		p := r.pool(s.Service)
+		if engine := o.service.Engine; engine != nil {
+			s.held.grow(o.call.Model, o.call.Parts, reply.events*max(1, engine.Stride))
+		}
 		took := r.Clock.Now() - reply.sentAt
 		if !s.told || s.load(p, r.Clock.Now()) <= s.slots() {
 			p.request.add(took)
@@ -334,8 +365,8 @@
 	s.probing = false
 	if o.service.Engine != nil {
 		if how != served && how != abandoned && how != failed {
-			for _, key := range o.added {
-				s.held.remove(key)
+			for _, one := range o.changes {
+				s.held.set(one.key, one.before)
 			}
 			_, perToken := p.reading.line()
 			s.read = max(now, s.read-time.Duration(o.unread)*perToken)
@@ -344,7 +375,12 @@
 	switch how {
 	case served:
 		s.failures = 0
+		s.idle, s.idleAt = s.idle+1, now
 	case full:
+		s.idle, s.idleAt = s.idle+1, now
+		if s.told && s.toldAt == now && s.total >= s.slots() {
+			s.limit = s.total
+		}
 		s.full = now + r.jitter(max(p.request.value/2, o.route.Target/16))
 	case stranger:
 		s.failures += 3
--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -90,6 +90,62 @@
 	}
 }
 
+// At twice of what the workers can do, the urgent half is served and of the
+// other half what there is room for; a refusal comes within a quarter of the
+// aim, and those served do not wait for ever.
+func TestTooMuchIsRefusedEarlyAndLeastUrgentFirst(t *testing.T) {
+	served, refused := tooMuch(t, 0, 9)
+	if refused[0] > 40 {
+		t.Error("urgent requests were refused", refused)
+	}
+	if served[0]+served[9] < 1900 {
+		t.Error("workers were idle", served)
+	}
+	served, _ = tooMuch(t, 2, 2)
+	if served[2] < 1900 {
+		t.Error("workers were idle", served)
+	}
+}
+
+func tooMuch(t *testing.T, urgencies ...int) (served, refused map[int]int) {
+	f := newFleet(t, 5)
+	for place := range 4 {
+		f.add(fmt.Sprintf("w%d", place), "z1", 6)
+	}
+	nodes := []*relay.Relay{f.relay("z1"), f.relay("z1"), f.relay("z1")}
+	served, refused = map[int]int{}, map[int]int{}
+	var slowest time.Duration
+	f.run(func() {
+		under := 0
+		for place := range 4000 { // 480 a second, where 240 can be served
+			rt := plain(route.Once, 1)
+			rt.Urgency = urgencies[place%2]
+			under++
+			f.clock.Go(func() {
+				began := f.clock.Now()
+				_, v := f.offer(nodes[place%3], rt, call())
+				took := f.clock.Now() - began
+				if v == nil {
+					served[rt.Urgency]++
+					slowest = max(slowest, took)
+				} else {
+					f.Equal(v.Ran, base.NotRun)
+					f.True(took <= rt.Target/4)
+					refused[rt.Urgency]++
+				}
+				under--
+			})
+			f.clock.Sleep(time.Second / 480)
+		}
+		for under > 0 {
+			f.clock.Sleep(100 * time.Millisecond)
+		}
+	})
+	t.Logf("served %v, refused %v, slowest %v", served, refused, slowest)
+	f.True(slowest < 1500*time.Millisecond)
+	return served, refused
+}
+
 func model(prompt int, parts ...relay.Part) *relay.Call {
 	c := call()
 	c.Parts, c.Most = parts, 34
@@ -171,6 +227,27 @@
 	})
 }
 
+// A session's own part keeps its id and grows; only what is new of it is read,
+// and what was put out after it counts as kept.
+func TestAGrowingPartIsReadOnlyWhereItGrew(t *testing.T) {
+	f := newFleet(t, 3)
+	for place := range 4 {
+		w := f.add(fmt.Sprintf("w%d", place), "z1", 96)
+		w.reading = time.Millisecond / 32
+		w.work = func() time.Duration { return 20 * time.Millisecond }
+	}
+	r := f.relay("z1")
+	f.run(func() {
+		shared := relay.Part{ID: "system", Tokens: 2000}
+		home := f.turn(r, model(0, shared, relay.Part{ID: "own", Tokens: 500}))
+		f.Equal(f.turn(r, model(0, shared, relay.Part{ID: "own", Tokens: 900})), home)
+		f.Equal(f.workers["addr-"+home].read, 2900)
+		f.Equal(r.Unread(home, model(0, shared, relay.Part{ID: "own", Tokens: 1300})), 400-2) // one event of two tokens
+		f.Equal(r.Unread(home, model(0, shared, relay.Part{ID: "own", Tokens: 600})), 0)
+		f.Equal(r.Unread(home, model(0, shared, relay.Part{ID: "other", Tokens: 600}, relay.Part{ID: "own", Tokens: 600})), 1200)
+	})
+}
+
 // A worker that turned a prompt away is not believed to keep its parts.
 func TestAPromptTurnedAwayIsNotKept(t *testing.T) {
 	f := newFleet(t, 3)
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -1,4 +1,5 @@
-// Another way of choosing, to compare: the best of a few that are drawn.
+// Another way of choosing, to compare: the best of a few that are drawn. And
+// what is believed of a worker.
 package relay
 
 // Draw lets the relay choose among so many workers drawn in the own zone, and
@@ -23,3 +24,22 @@
 		return drawn
 	}
 }
+
+// Unread is how many tokens a worker would have to read of a prompt.
+func (r *Relay) Unread(worker string, call *Call) int {
+	return (&offer{call: call}).unreadAt(r.known[worker])
+}
+
+// Serving are the workers of a service that may be chosen, with their
+// addresses, in the list's order.
+func (r *Relay) Serving(service string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []string
+	for _, s := range r.pool(service).workers {
+		if s.serving.Load() {
+			all = append(all, s.ID+"@"+s.Addr)
+		}
+	}
+	return all
+}
--- a/internal/simulate/talk_test.go
+++ b/internal/simulate/talk_test.go
@@ -13,16 +13,7 @@
 	"github.com/matryer/is"
 )
 
-// sized is a fleet of a size, a fifth of it cores and storage machines up to
-// seven each.
-func sized(nodes int) Shape {
-	shape := KiondoShape()
-	shape.Cores = min(4+nodes/30, 7)
-	shape.Storage = shape.Cores
-	shape.Edges = nodes - shape.Cores - shape.Storage
-	shape.Models, shape.Tools = 2, 2
-	return shape
-}
+func sized(nodes int) Shape { return Sized(nodes, 7) }
 
 // stage is how far a fleet was brought up.
 type stage string
@@ -94,6 +85,16 @@
 	}
 }
 
+// TestPartialViewsStayQuiet: where views hold only part of the fleet, meeting
+// a gateway again is not passed on as news.
+func TestPartialViewsStayQuiet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	calls, bytes := idle(t, 150, applied)
+	is.True(bytes < 1600)
+	is.True(calls < 6)
+}
+
 // TestEmptyFeedIsAPlaceLikeAnyOther: followers of a feed that tells nothing are
 // held as others are.
 func TestEmptyFeedIsAPlaceLikeAnyOther(t *testing.T) {
