--- a/internal/simulate/net.go
+++ b/internal/simulate/net.go
@@ -38,6 +38,9 @@
 	// Talk counts the exchanges between machines by path, with their bytes as
 	// HTTP carries them, both ways.
 	Talk map[string]*Talk
+	// Resets has the end of a process reset its connections, so that those who
+	// wait for its answer learn at once; without it they wait their time out.
+	Resets bool
 	// Meddle, set by tests only, stands between the machines and takes a
 	// mechanism away: it may answer a message itself, or change what passes.
 	Meddle func(m *Message) *http.Response
@@ -146,6 +149,9 @@
 	return nil, failed
 }
 
+// call is a message whose answer is awaited.
+type call struct{ reset base.Signal }
+
 // carry takes a message to its machine and the reply back.
 func (x *wire) carry(request *http.Request, body []byte, left time.Duration) (*http.Response, error) {
 	n, w := x.net, x.net.World
@@ -166,6 +172,11 @@
 		}
 		return nil, errLost
 	}
+	if n.Resets {
+		open := &call{reset: done}
+		target.calls = append(target.calls, open)
+		defer func() { target.calls = base.Filter(target.calls, func(one *call) bool { return one != open }) }()
+	}
 	var response *http.Response
 	deliver := func(after time.Duration, answered bool) {
 		life := target.life
@@ -182,13 +193,13 @@
 				n.Lost++
 				return
 			}
-			target.Clock().Sleep(n.delay() + x.host.Lag + target.Lag)
+			target.Clock().Sleep(n.delay() + x.host.Lag + target.Lag + x.host.work())
 			response = recorder.Result()
 			n.note(path, 0, weigh(len("HTTP/1.1 200 OK\r\n"), response.Header, recorder.Body.Len()))
 			done.Fire()
 		})
 	}
-	after := n.delay() + x.host.Lag + target.Lag
+	after := n.delay() + x.host.Lag + target.Lag + target.work()
 	if w.Chance(n.Faults.Late) {
 		after += w.Between(0, n.Faults.LateLimit)
 	}
@@ -200,7 +211,7 @@
 			deliver(after+w.Between(0, n.Faults.LateLimit), false)
 		}
 	}
-	if !done.Wait(left) {
+	if !done.Wait(left) || response == nil {
 		return nil, errLost
 	}
 	return response, nil
--- a/internal/simulate/tier.go
+++ b/internal/simulate/tier.go
@@ -76,11 +76,12 @@
 	addresses int
 	times     float64 // the load, for a while
 	persist   time.Duration
-	during    bool // traffic goes on
-	programs  int  // under way
-	deeds     int  // troubles under way
-	wander    bool // each connection of a client reaches another node
-	diskBusy  bool // a machine with a disk is lost or catches up
+	during    bool          // traffic goes on
+	programs  int           // under way
+	deeds     int           // troubles under way
+	cost      time.Duration // of a message, on each machine
+	wander    bool          // each connection of a client reaches another node
+	diskBusy  bool          // a machine with a disk is lost or catches up
 }
 
 // tierFaults are what a worker does wrong for a while.
@@ -113,6 +114,7 @@
 	t.player = parties.NewPlayer(clock, &tierClients{t}, t.record, site, t.words, seed)
 	t.player.Persist = func() time.Duration { return t.persist }
 	f.equip, f.begins = t.equip, t.begins
+	f.Net.Resets, t.cost = true, 150*time.Microsecond
 	if change != nil {
 		change(t)
 	}
@@ -156,6 +158,7 @@
 
 // equip gives a process what the platform's settings file would.
 func (t *Tier) equip(m *Machine, env *node.Env, place *node.Place) {
+	m.Host.Cost = t.cost
 	b := t.Site.Bounds
 	place.Bounds = &base.Bounds{Settings: b.Apply, Leave: b.Drain, Recover: b.Recovery, Retain: time.Minute}
 	env.Names = &platform.Names
--- a/internal/simulate/tier_clients.go
+++ b/internal/simulate/tier_clients.go
@@ -93,7 +93,7 @@
 		x.closed = true
 		delete(t.exchanges, x)
 	}()
-	t.World.spawn(m.Host, m.Host.life, t.World.now+t.way(), func() { t.serve(m, try, x) })
+	t.World.spawn(m.Host, m.Host.life, t.World.now+t.way()+m.Host.work(), func() { t.serve(m, try, x) })
 	c.await(try, x)
 }
 
--- a/internal/simulate/tier_troubles.go
+++ b/internal/simulate/tier_troubles.go
@@ -51,6 +51,7 @@
 // down ends a machine's process, or its power.
 func (t *Tier) down(m *Machine, power bool) {
 	if power {
+		m.Host.calls = nil // nobody is told
 		t.PowerLoss(m)
 	} else {
 		t.Kill(m)
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -44,6 +44,10 @@
 	// dark machines have no power: they say nothing, where a process that has
 	// ended refuses.
 	dark bool
+	// Cost is the processor's time for each message, one after the other.
+	Cost  time.Duration
+	busy  time.Duration
+	calls []*call
 	// Lag is added to every message to and from the host.
 	Lag time.Duration
 }
@@ -202,9 +206,22 @@
 // Go runs a task on a host.
 func (h *Host) Go(fn func()) { h.World.spawn(h, h.life, h.World.now, fn) }
 
+// work is how long a message waits until the processor has dealt with it.
+func (h *Host) work() time.Duration {
+	if h.Cost == 0 {
+		return 0
+	}
+	h.busy = max(h.busy, h.World.now) + h.Cost
+	return h.busy - h.World.now
+}
+
 // Kill ends everything on the host at once.
 func (h *Host) Kill() {
 	h.life++
+	for _, one := range h.calls {
+		one.reset.Fire()
+	}
+	h.calls, h.busy = nil, 0
 	h.alive, h.frozen, h.kept, h.serve = false, false, nil, nil
 	for reply := range h.ends {
 		reply.died = true
