Tell the feed of a large fleet through a tree of followers

Ways weighed: a longer hold (the permit and the failover hang on it); a shared answer for all (it spares the disks, which it does already, not the owner); gossip of changes (order and freshness would need proof). Taken: whoever follows can tell others. Up to 24 followers all ask the owner, as before. Beyond, cores ask the owner and gateways a core; where a core would have more than 16 gateways, or the view is partial, one gateway in six asks a core and the others one of those, of their own zone first, at most ten each. The part follows from the id, so there are no loops. An answer at second hand tells how long before the question it was confirmed, and the permit is shorter by that, so it is as sure as before; a node whose own is older than two thirds of a permit declines. Places never fall, as before. Three are asked at second hand, one after an answer was lost, then the owner.

Followers tell up, and are told, how many gateways follow in all: a partial view knew 77 of 381, so each gateway's share of a worker's connections was five times too large. The small sites send what they sent.

--- a/cmd/fordseam-sim/talk.go
+++ b/cmd/fordseam-sim/talk.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"time"
 
@@ -19,11 +20,13 @@
 			&cli.IntSliceFlag{Name: "nodes", Value: []int{14, 78, 200}, Usage: "`SIZES` of the fleet"},
 			&cli.IntFlag{Name: "cores", Value: 10, Usage: "`MOST` cores; there are 4 and one for each 30 nodes"},
 			&cli.DurationFlag{Name: "span", Value: 30 * time.Second, Usage: "`TIME` that is counted"},
+			&cli.IntFlag{Name: "settings-bound", Value: 2, Usage: "`SECONDS` within which settings are in force"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of all chance"},
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
 			for _, nodes := range command.IntSlice("nodes") {
 				shape := simulate.Sized(nodes, command.Int("cores"))
+				shape.Settings = fmt.Sprintf(`{"bounds":{"settings_bound_s":%d},%s`, command.Int("settings-bound"), shape.Settings[1:])
 				if shape.Edges < 1 {
 					return cli.Exit("nodes: must leave a gateway beside cores and storage machines", node.ExitUsage)
 				}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,29 +15,46 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/membership"
 	"fordseam/internal/register"
 )
 
 // Prefix marks the keys that are told to every node.
 const Prefix = "feed/"
 
-// Service is a core's side of the feed.
+// Service answers followers: the owner's part on a core, and any node's towards
+// those that it tells at second hand.
 type Service struct {
-	clock base.Clock
-	owner *register.Owner
+	clock    base.Clock
+	owner    *register.Owner
+	follower *Follower
 }
 
-func NewService(clock base.Clock, owner *register.Owner) *Service { return &Service{clock, owner} }
+// NewService takes no owner on a gateway.
+func NewService(clock base.Clock, owner *register.Owner, follower *Follower) *Service {
+	return &Service{clock, owner, follower}
+}
 
 func (v *Service) Follow(plain context.Context, request *FollowRequest) (*FollowReply, error) {
 	ctx := base.CtxOf(plain, v.clock)
+	if v.owner == nil && v.follower.asking.full(request.From) {
+		return nil, base.ToWire(base.Busy(503, "feed_crowded", 1, "this node has as many followers as it takes"))
+	}
+	gateways := v.follower.below(request.From, request.Gateways)
+	if v.owner == nil || request.Relayed && !v.owner.ServesFeed() {
+		return v.follower.Relay(ctx, request)
+	}
 	hold := min(time.Duration(request.HoldMs)*time.Millisecond, ctx.Left()/2)
 	place, frame, puts, hint, err := v.owner.News(ctx, request.Place, request.Begun, hold)
 	if err != nil {
 		return nil, base.ToWire(err)
 	}
 	told := base.Filter(puts, func(put *register.Put) bool { return strings.HasPrefix(put.Key, Prefix) })
-	return &FollowReply{Place: place, Frame: frame, Puts: told, Owner: hint}, nil
+	reply := &FollowReply{Place: place, Frame: frame, Puts: told, Owner: hint}
+	if request.From != "" {
+		reply.Gateways = gateways
+	}
+	return reply, nil
 }
 
 // Frame is what a follower knows, swapped whole at each change. Begun tells it
@@ -58,17 +75,23 @@
 	frame    base.Table[Frame]
 	changed  func(*Frame)
 	bell     *base.Bell
+	view     *membership.View
+	asking   followers
+	parent   *membership.Member // told at second hand last; only Run has it
 
-	mu     sync.Mutex
-	until  time.Duration
-	lapses uint64
-	closed bool
+	mu        sync.Mutex
+	until     time.Duration
+	confirmed time.Duration
+	steps     steps
+	gateways  int64
+	lapses    uint64
+	closed    bool
 }
 
 // NewFollower calls changed with each new frame, before the permit that
 // came with it counts.
-func NewFollower(clock base.Clock, wire base.Wire, client *register.Client, bounds *base.Table[base.Bounds], counters *base.Counters, changed func(*Frame)) *Follower {
-	f := &Follower{clock: clock, wire: wire, client: client, bounds: bounds, counters: counters, changed: changed, bell: base.NewBell(clock)}
+func NewFollower(clock base.Clock, wire base.Wire, view *membership.View, client *register.Client, bounds *base.Table[base.Bounds], counters *base.Counters, changed func(*Frame)) *Follower {
+	f := &Follower{clock: clock, wire: wire, view: view, client: client, bounds: bounds, counters: counters, changed: changed, bell: base.NewBell(clock)}
 	f.frame.Swap(&Frame{Values: map[string][]byte{}})
 	return f
 }
@@ -79,21 +102,12 @@
 // Run follows until closed.
 func (f *Follower) Run() {
 	for !f.Closed() {
-		bounds := f.bounds.Load()
-		asked := f.clock.Now()
-		var reply *FollowReply
-		frame := f.Frame()
+		frame, bounds := f.Frame(), f.bounds.Load()
 		request := &FollowRequest{Begun: frame.Begun, Place: frame.Place, HoldMs: bounds.FeedHold().Milliseconds()}
-		err := f.client.Reach(base.NewCtx(f.clock, bounds.Permit()), 0, bounds.Follow(), func(ctx *base.Ctx, addr string) (string, error) {
-			asked = f.clock.Now()
-			answered, err := NewFeedProtobufClient("http://"+addr, f.wire).Follow(ctx, request)
-			request.HoldMs = 0 // another try must not wait: the permit runs out
-			if err != nil {
-				return "", err
-			}
-			reply = answered
-			return answered.Owner, nil
-		})
+		if large(f.view) {
+			request.From, request.Gateways = f.view.Me(), f.below("", 0)
+		}
+		reply, asked, err := f.ask(request)
 		if err != nil {
 			f.counters.Add("feed_failures", 1)
 			f.clock.Sleep(bounds.FeedHold() / 4)
@@ -103,6 +117,63 @@
 	}
 }
 
+// below counts the gateways that follow through this node, itself included.
+// A core that asks itself is not its own follower.
+func (f *Follower) below(from string, gateways int64) int64 {
+	if from == f.view.Me() {
+		from = ""
+	}
+	sum := f.asking.note(from, gateways, f.clock.Now(), 2*f.bounds.Load().Permit())
+	if f.view.Self().Role == membership.RoleEdge {
+		sum++
+	}
+	return sum
+}
+
+// ask asks those who tell at second hand, if there are any, and then the owner.
+func (f *Follower) ask(request *FollowRequest) (reply *FollowReply, asked time.Duration, err error) {
+	bounds := f.bounds.Load()
+	all := f.candidates()
+	request.Relayed = true
+	lost := false
+	for tries := 0; tries < relayTries && len(all) > 0; tries++ {
+		member := all[0]
+		if all = all[1:]; lost && member.Role == membership.RoleEdge {
+			tries-- // time is short; the cores are few and well known
+			continue
+		}
+		asked = f.clock.Now()
+		reply, err = NewFeedProtobufClient("http://"+member.Addr, f.wire).Follow(base.NewCtx(f.clock, bounds.Follow()), request)
+		if v := base.FromWire(err); err == nil || v == nil || v.Code != "feed_crowded" {
+			request.HoldMs = 0 // another try must not wait: the permit runs out
+		}
+		if err == nil && reply.Owner == "" {
+			f.parent = member
+			return reply, asked, nil
+		}
+		f.counters.Add("feed_relays_failed", 1)
+		if v := base.FromWire(err); v != nil && (v.Code == "unreachable" || v.Code == "reply_lost") {
+			f.view.Suspect(member.Id)
+			lost = lost || v.Code == "reply_lost"
+		}
+		if f.parent == member {
+			f.parent = nil
+		}
+	}
+	request.Relayed = false
+	err = f.client.Reach(base.NewCtx(f.clock, bounds.Permit()), 0, bounds.Follow(), func(ctx *base.Ctx, addr string) (string, error) {
+		asked = f.clock.Now()
+		answered, err := NewFeedProtobufClient("http://"+addr, f.wire).Follow(ctx, request)
+		request.HoldMs = 0
+		if err != nil {
+			return "", err
+		}
+		reply = answered
+		return answered.Owner, nil
+	})
+	return reply, asked, err
+}
+
 // Closed reports whether the follower was ended.
 func (f *Follower) Closed() bool {
 	f.mu.Lock()
@@ -136,11 +207,20 @@
 		}
 		next := &Frame{Begun: true, Place: reply.Place, Values: values}
 		f.changed(next)
+		f.mu.Lock()
+		if reply.Frame || !current.Begun {
+			f.steps.clear()
+		} else {
+			f.steps.add(step{from: current.Place, to: next.Place, puts: reply.Puts})
+		}
 		f.frame.Swap(next)
+		f.mu.Unlock()
 		f.counters.Add("feed_changes", 1)
 	}
 	permit := f.bounds.Load().Permit()
+	asked -= time.Duration(reply.BehindMs) * time.Millisecond
 	f.mu.Lock()
+	f.gateways, f.confirmed = reply.Gateways, max(f.confirmed, asked)
 	if f.until > 0 && f.clock.Now() >= f.until {
 		f.lapses++
 	}
@@ -156,6 +236,13 @@
 	return f.clock.Now() < f.until
 }
 
+// Gateways is how many follow the feed in all, as last told.
+func (f *Follower) Gateways() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return int(f.gateways)
+}
+
 // Lapses counts how often the permit ran out before it was renewed.
 func (f *Follower) Lapses() uint64 {
 	f.mu.Lock()
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -233,6 +233,10 @@
 // Pin names the cluster from the settings file, before Run.
 func (v *View) Pin(cluster string) { v.belong(cluster) }
 
+// Partial tells that the view holds as much as it may, so that there may be
+// more gateways than it knows of.
+func (v *View) Partial() bool { return len(v.look().all) > viewLimit }
+
 // Addresses lists where live neighbours are.
 func (v *View) Addresses() []string {
 	v.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 // follow makes a follower that keeps the settings and the bounds.
 func (c *common) follow(tree *base.Table[settings.Tree], also func(*feed.Frame)) (*register.Client, *feed.Follower) {
 	client := register.NewClient(c.env.Clock, c.env.Wire, c.view, c.bounds)
-	follower := feed.NewFollower(c.env.Clock, c.env.Wire, client, c.bounds, c.env.Counters, func(frame *feed.Frame) {
+	follower := feed.NewFollower(c.env.Clock, c.env.Wire, c.view, client, c.bounds, c.env.Counters, func(frame *feed.Frame) {
 		if _, next := settings.FromFrame(frame.Values); next != nil {
 			bounds := next.Bounds()
 			c.bounds.Swap(&bounds)
@@ -150,6 +150,7 @@
 		g.learn(frame)
 	})
 	g.Follower = follower
+	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, nil, follower)))
 	g.Keeper = session.NewKeeper(session.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
 		Register: client, Follower: follower, Nominator: nominator, Backends: env.Backends, Tree: tree})
 	g.Front = &front.Front{Clock: env.Clock, Bounds: bounds, Counters: env.Counters, Follower: follower, Tree: tree,
@@ -271,7 +272,7 @@
 		c.mount(founding.NewFoundingServer(core.founder))
 	}
 	c.mount(register.NewRegisterServer(owner))
-	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, owner)))
+	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, owner, follower)))
 	core.Operate = &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}
 	return core
 }
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -60,7 +60,8 @@
 	if service.MaxConns <= 0 {
 		return 0
 	}
-	return max(1, service.MaxConns*3/4/max(1, len(g.view.Present(membership.RoleEdge))))
+	gateways := max(1, g.Follower.Gateways(), len(g.view.Present(membership.RoleEdge)))
+	return max(1, service.MaxConns*3/4/gateways)
 }
 
 // answerLimit bounds a whole answer of a worker.
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -58,8 +58,15 @@
 	return Shape{Name: "ljubljana", Group: "g", Turns: [2]int{3, 7}, Zones: 4, Edges: 9, Cores: 4, Storage: 4, Models: 12, Tools: 5, Capacity: 16, Pieces: 6, Gap: 20 * time.Millisecond, Settings: DefaultSettings}
 }
 
+// WideShape has more gateways than the feed's owner tells by itself.
+func WideShape() Shape {
+	shape := KiondoShape()
+	shape.Name, shape.Edges, shape.Cores, shape.Storage = "wide", 28, 5, 5
+	return shape
+}
+
 // Shapes are the sizes that scenarios run at.
-var Shapes = map[string]func() Shape{"small": SmallShape, "kiondo": KiondoShape, "ljubljana": LjubljanaShape}
+var Shapes = map[string]func() Shape{"small": SmallShape, "kiondo": KiondoShape, "ljubljana": LjubljanaShape, "wide": WideShape}
 
 // DefaultSettings is the document simulated fleets start with.
 const DefaultSettings = `{"pools":{"models":{"kind":"model"},"apps":{"kind":"tool"}},"max_output_tokens":64,
--- /dev/null
+++ b/internal/simulate/tree_test.go
@@ -0,0 +1,134 @@
+// The feed of a large fleet is told through a tree: its owner answers a bounded
+// number, news reaches everybody as soon and as fresh, and a node that fails in
+// the middle holds nobody up.
+package simulate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/matryer/is"
+)
+
+// followersOf are the living machines that follow the feed.
+func (f *Fleet) following() []*Machine {
+	return base.Filter(append(append([]*Machine{}, f.Cores...), f.Edges...), func(m *Machine) bool { return m.Host.alive && !m.Host.frozen })
+}
+
+func (m *Machine) follower() interface {
+	Permitted() bool
+	Lapses() uint64
+	Gateways() int
+} {
+	if m.gateway != nil {
+		return m.gateway.Follower
+	}
+	return m.core.Follower
+}
+
+// change puts new settings in force and tells how long the last follower took.
+func (f *Fleet) applied(based int) time.Duration {
+	done, stamp := false, uint64(based+1)
+	began := f.World.Now()
+	f.Callers.Go(func() {
+		f.insist("apply", func() int {
+			status, _ := f.Operate(f.living(), "POST", "/v1/operator/settings/apply", map[string]any{"change": fmt.Sprint("c", based), "based_on": based, "document": f.marked(fmt.Sprint(based))})
+			return status
+		})
+		began, done = f.World.Now(), true
+	})
+	f.World.Run(f.World.Now()+30*time.Second, func() bool { return done })
+	f.runUntil(20*time.Second, func() bool {
+		for _, m := range f.following() {
+			if m.gateway != nil && m.gateway.Stamp() < stamp {
+				return false
+			}
+		}
+		return true
+	})
+	return f.World.Now() - began
+}
+
+// lapses counts permits that ran out, and the nodes without one.
+func (f *Fleet) lapses() (lapsed uint64, without int) {
+	for _, m := range f.following() {
+		lapsed += m.follower().Lapses()
+		if !m.follower().Permitted() {
+			without++
+		}
+	}
+	return lapsed, without
+}
+
+// feeds is the core that owns the feed.
+func (f *Fleet) feeds() *Machine {
+	for _, m := range f.Cores {
+		if m.Host.alive && m.core != nil && m.core.Owner.ServesFeed() {
+			return m
+		}
+	}
+	return nil
+}
+
+func TestTheFeedOfALargeFleet(t *testing.T) {
+	t.Parallel()
+	is := is.NewRelaxed(t)
+	const nodes = 150
+	f := rested(t, nodes, applied)
+	defer f.World.Close()
+	bound := base.DefaultBounds().Settings
+	owner := f.feeds()
+	before, _ := f.lapses()
+	f.Net.By = map[string]*Share{}
+	f.World.Run(f.World.Now()+10*time.Second, nil)
+	asked := float64(f.Net.By[owner.Host.Name].Served) / 10
+	now, without := f.lapses()
+	t.Logf("at rest: the owner serves %.1f calls a second, %d permits lapsed", asked, now-before)
+	is.True(asked < 80)
+	is.Equal(now, before)
+	is.Equal(without, 0)
+	for _, m := range f.Edges {
+		is.Equal(m.gateway.Follower.Gateways(), len(f.Edges))
+	}
+	took := f.applied(1)
+	t.Logf("settings reach the last after %v", took)
+	is.True(took < bound/4)
+	for round, row := range []struct {
+		name string
+		do   func()
+	}{
+		{"a third of the gateways killed", func() {
+			for place := 0; place < len(f.Edges); place += 3 {
+				f.Kill(f.Edges[place])
+			}
+		}},
+		{"two cores killed", func() {
+			for _, m := range f.Cores {
+				if m != owner && m.Host.alive {
+					f.Kill(m)
+				}
+				if len(f.following()) < len(f.Cores)-2 {
+					break
+				}
+			}
+			f.Start(f.Cores[0])
+		}},
+		{"gateways frozen", func() {
+			for place := 1; place < len(f.Edges); place += 3 {
+				f.Edges[place].Host.Freeze()
+			}
+		}},
+		{"the owner killed", func() { f.Kill(f.feeds()) }},
+	} {
+		row.do()
+		took := f.applied(2 + round)
+		f.World.Run(f.World.Now()+10*time.Second, nil)
+		_, without := f.lapses()
+		t.Logf("%s: settings reach the last after %v", row.name, took)
+		is.True(took < 2*bound)
+		is.Equal(without, 0)
+	}
+}
