Read a neighbour's role under the view's lock

Cause: a message looked at its receiver's entry after letting go of the lock, while a shuffle put a newer one in its place (found by the race detector in the real fleet).

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -554,9 +554,9 @@
 	} else if message.Digest == 0 && v.turn%sampleEvery == 0 {
 		message.View = v.sample(sampleLimit)
 	}
-	times := v.times()
+	times, uses := v.times(), held == nil || held.member.Role == RoleEdge
 	v.mu.Unlock()
-	if v.usages != nil && (held == nil || held.member.Role == RoleEdge) {
+	if v.usages != nil && uses {
 		message.Usages = v.usages.Sample(usageLimit, times)
 	}
 	return message
