Have the last look at the list of workers caught when it is taken away

With the deployments' bounds its loss breaks no rule: a request leaves within a third of its aim after the choice of its worker, and DRAIN allows seconds.

--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -128,8 +128,9 @@
 }
 
 // expect is the id that a worker is told to have, match the id that an answer
-// must carry back, proof the proof that a request has not run.
-type mechanisms struct{ leave, seeds, endMark, expect, match, proof bool }
+// must carry back, proof the proof that a request has not run, stays the last
+// look at the list before a request leaves.
+type mechanisms struct{ leave, seeds, endMark, expect, match, proof, stays bool }
 
 // NewFleet builds and starts a fleet.
 func NewFleet(seed uint64, shape Shape) *Fleet {
--- a/internal/simulate/tier.go
+++ b/internal/simulate/tier.go
@@ -81,6 +81,7 @@
 	deeds     int           // troubles under way
 	cost      time.Duration // of a message, on each machine
 	wander    bool          // each connection of a client reaches another node
+	dialing   time.Duration // most that a connection to a worker takes to come up
 	diskBusy  bool          // a machine with a disk is lost or catches up
 }
 
--- a/internal/simulate/tier_days.go
+++ b/internal/simulate/tier_days.go
@@ -181,6 +181,13 @@
 			s.forget = 0
 		}
 	})}},
+	{Name: "release with a short drain, connections slow to come up", Fit: func(site *parties.Site) {
+		site.Bounds.Drain = 150 * time.Millisecond
+	}, Deeds: []func(t *Tier){func(t *Tier) { t.dialing = 300 * time.Millisecond }, at(1, burst(3)), at(5, burst(3)), at(0, func(t *Tier) {
+		for range 5 {
+			t.release("app", 1, 600*time.Millisecond)
+		}
+	})}},
 	{Name: "list_down", Deeds: []func(t *Tier){at(1, func(t *Tier) { t.listDown(4 * second) }), at(2, released("app"))}},
 
 	{Name: "node_kill", Deeds: []func(t *Tier){at(1, killed(edges, 0.34, false)), at(6, killed(edges, 0.34, true))}},
--- a/internal/simulate/tier_removal_test.go
+++ b/internal/simulate/tier_removal_test.go
@@ -148,6 +148,7 @@
 				})
 			})(t.Fleet)
 		}, "DRAIN"},
+		{"the last look at the list before a request leaves", "release with a short drain, connections slow to come up", func(t *Tier) { t.lost.stays = true }, "DRAIN"},
 		{"a follower's place that never falls", "config_change", func(t *Tier) {
 			// An older answer, taken for a new one, brings the older configuration back.
 			var older []byte
--- a/internal/simulate/tier_workers.go
+++ b/internal/simulate/tier_workers.go
@@ -166,6 +166,13 @@
 		b.host.Clock().Sleep(min(bound, ctx.Left()))
 		return nil, errors.New("no route")
 	}
+	if t.dialing > 0 {
+		took := t.World.Between(0, t.dialing)
+		b.host.Clock().Sleep(min(took, bound))
+		if took > bound || t.listening[addr] != target {
+			return nil, errors.New("the connection did not come up in time")
+		}
+	}
 	t.serial++
 	c := &workerConn{number: t.serial, tier: t, from: b.host, life: b.host.life, at: target, addr: addr, stock: held, in: newPipe[arrived](b.host), gone: b.host.Clock().NewSignal()}
 	t.conns[c] = true
@@ -190,7 +197,7 @@
 		}
 		c.until = b.tier.World.now + b.connect*3/4
 	}
-	if ctx.Over() || request.Stays != nil && !request.Stays() {
+	if ctx.Over() || request.Stays != nil && !request.Stays() && !b.tier.lost.stays {
 		b.keep(c, c.until-b.tier.World.now)
 		return nil, &base.NotSent{Cause: base.ErrLeaves}
 	}
