Leave an owner that is cut off from the others and the disks

A client now goes on from a core that gave no answer to the next, and begins with the one that answered last; an owner that cannot confirm steps down. Ruled out: the tree of followers (not used at that size), votes of the disks.

--- a/internal/register/client.go
+++ b/internal/register/client.go
@@ -6,6 +6,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"fordseam/internal/base"
@@ -17,10 +19,13 @@
 	wire   base.Wire
 	view   *membership.View
 	bounds *base.Table[base.Bounds]
+
+	mu       sync.Mutex
+	answered map[uint32]string // the core that answered for a slot last
 }
 
 func NewClient(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds]) *Client {
-	return &Client{clock: clock, wire: wire, view: view, bounds: bounds}
+	return &Client{clock: clock, wire: wire, view: view, bounds: bounds, answered: map[uint32]string{}}
 }
 
 // Nominate orders the live cores for a slot.
@@ -47,18 +52,41 @@
 	return json.Unmarshal(result, into)
 }
 
+// choose prefers the core that answered last, then the slot's order; a core
+// that gave no answer to this call comes after those that were not asked yet.
+// The owner may be one that others cannot reach, or that cannot reach the
+// disks, and still look alive from here.
+func (c *Client) choose(slot uint32, turned map[string]int) string {
+	order := c.Nominate(slot)
+	c.mu.Lock()
+	former := c.answered[slot]
+	c.mu.Unlock()
+	if place := slices.Index(order, former); place > 0 {
+		order = slices.Insert(slices.Delete(order, place, place+1), 0, former)
+	}
+	slices.SortStableFunc(order, func(a, b string) int { return turned[a] - turned[b] })
+	if len(order) == 0 {
+		return ""
+	}
+	return order[0]
+}
+
+func (c *Client) note(slot uint32, core string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered[slot] = core
+}
+
 // Reach calls the owner of a slot, following hints and trying again, until
 // it answers for itself. One call may take up to limit; a core that gives no
 // answer in that time is passed over until it is heard to beat again.
 func (c *Client) Reach(ctx *base.Ctx, slot uint32, limit time.Duration, call func(ctx *base.Ctx, addr string) (hint string, err error)) error {
 	var last error
-	hint, lost := "", false
+	hint, lost, turned := "", false, map[string]int{}
 	for hops := 0; !ctx.Over(); hops++ {
 		chosenCore := hint
-		if chosenCore == "" {
-			if order := c.Nominate(slot); len(order) > 0 {
-				chosenCore = order[0]
-			}
+		if chosenCore == "" || turned[chosenCore] > 0 {
+			chosenCore = c.choose(slot, turned)
 		}
 		member, _ := c.view.Find(chosenCore)
 		hint = ""
@@ -66,12 +94,14 @@
 			var err error
 			hint, err = call(ctx.Within(limit), member.Addr)
 			if err == nil && hint == "" {
+				c.note(slot, chosenCore)
 				return nil
 			}
 			if _, alive := c.view.Find(hint); !alive {
 				hint = "" // the core that was asked probes that one; ask it again
 			}
 			if err != nil {
+				turned[chosenCore]++
 				v := base.FromWire(err)
 				last = v
 				switch v.Code {
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -832,7 +832,10 @@
 			return err == nil && ack.Ok
 		})
 		if !confirmed {
+			// Whoever cannot reach the disks must not keep those waiting who could
+			// find an owner that does.
 			current.err = base.Busy(503, "no_majority", 1, "no majority of disks")
+			o.stepDown(s, epoch, 0)
 		}
 		current.done.Fire()
 	}
--- a/internal/simulate/tree_test.go
+++ b/internal/simulate/tree_test.go
@@ -29,13 +29,15 @@
 	return m.core.Follower
 }
 
-// change puts new settings in force and tells how long the last follower took.
-func (f *Fleet) applied(based int) time.Duration {
+// applied puts new settings in force and tells how long the last follower took.
+func (f *Fleet) applied(based int) time.Duration { return f.appliedBy(f.living, based) }
+
+func (f *Fleet) appliedBy(core func() *Machine, based int) time.Duration {
 	done, stamp := false, uint64(based+1)
 	began := f.World.Now()
 	f.Callers.Go(func() {
 		f.insist("apply", func() int {
-			status, _ := f.Operate(f.living(), "POST", "/v1/operator/settings/apply", map[string]any{"change": fmt.Sprint("c", based), "based_on": based, "document": f.marked(fmt.Sprint(based))})
+			status, _ := f.Operate(core(), "POST", "/v1/operator/settings/apply", map[string]any{"change": fmt.Sprint("c", based), "based_on": based, "document": f.marked(fmt.Sprint(based))})
 			return status
 		})
 		began, done = f.World.Now(), true
