Tell a slow node from a lost one

Cause: a probe of 375 ms and relays of as much took nodes with 250 ms of lag each way for lost. Now others are asked after a beat, and the direct answer counts as long as they look. A core that is asked for another's slot doubts its owner after two beats, as before.

--- a/internal/base/bounds.go
+++ b/internal/base/bounds.go
@@ -33,7 +33,7 @@
 func (b *Bounds) Follow() time.Duration { return b.FeedHold()*5/4 + b.Beat() }
 
 // Beat is what the times between neighbours are counted in: they exchange every
-// two beats, and a neighbour has one and a half to answer.
+// two beats.
 func (b *Bounds) Beat() time.Duration { return b.Leave / 12 }
 
 // Confirm is how long an owner waits for the disks that it asked first before
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -136,7 +136,7 @@
 		began := v.clock.Now()
 		partner, addrs, joins := v.nominate()
 		if partner != "" {
-			v.Probe(partner)
+			v.probe(partner)
 		}
 		for _, addr := range addrs {
 			v.clock.Go(func() { _, _ = v.exchange(addr, v.bounds.Load().Beat()*4, joins) })
@@ -365,42 +365,67 @@
 	return ""
 }
 
-// Probe asks a member for a sign of life; when none comes soon, others are
-// asked to look, and it is suspected when they find it silent too. One probe
-// at a time goes to each member.
+// Probe looks after a member that another node found silent, and doubts it
+// when no sign of life comes in two beats, until others say that it lives.
 func (v *View) Probe(id string) {
+	heard := v.probe(id)
+	if heard == nil {
+		return
+	}
+	v.clock.Go(func() {
+		if !heard.Wait(2 * v.bounds.Load().Beat()) {
+			v.doubt(id)
+		}
+	})
+}
+
+// probe asks a member for a sign of life; when none comes soon, others are
+// asked to look, and it is suspected when they find it silent too. One probe
+// at a time goes to each member. The signal fires once there is an outcome.
+func (v *View) probe(id string) base.Signal {
 	v.mu.Lock()
 	held, ok := v.known[id]
 	if !ok || held.probing || v.closed {
 		v.mu.Unlock()
-		return
+		return nil
 	}
 	held.probing = true
 	member := copyMember(held.member)
 	v.mu.Unlock()
+	over := v.clock.NewSignal()
 	v.clock.Go(func() {
 		v.verify(member)
+		over.Fire()
 		v.mu.Lock()
 		held.probing = false
 		v.mu.Unlock()
 	})
+	return over
 }
 
+// verify waits a beat for an answer before it asks others; an answer that comes
+// while they look still counts, so that a slow node is not taken for a lost one.
 func (v *View) verify(member *Member) {
 	beat, began := v.bounds.Load().Beat(), v.clock.Now()
-	found, err := v.exchange(member.Addr, beat*3/2, false)
-	if err == nil {
+	answered, heard := v.clock.NewSignal(), v.clock.NewSignal()
+	v.clock.Go(func() {
+		defer answered.Fire()
+		found, err := v.exchange(member.Addr, beat*15/4, false)
+		if err != nil {
+			return
+		}
+		heard.Fire()
 		if found == member.Id {
-			v.trust(member.Id)
+			v.trust(found)
 		}
-		return
-	}
-	if v.clock.Now()-began > 3*beat {
-		return // this node slept; it is no judge
+	})
+	answered.Wait(beat)
+	if heard.Fired() || v.clock.Now()-began > 3*beat {
+		return // it lives, or this node slept and is no judge
 	}
 	yes, no := v.askOthers(member)
 	switch {
-	case v.clock.Now()-began > 6*beat:
+	case heard.Fired() || v.clock.Now()-began > 6*beat:
 	case yes:
 		v.trust(member.Id)
 	case no:
@@ -434,7 +459,7 @@
 	v.mu.Unlock()
 	var mu sync.Mutex
 	answers := 0
-	yes = base.Ask(v.clock, asked[:min(relays, len(asked))], 1, v.bounds.Load().Beat()*3/2, func(ctx *base.Ctx, addr string) bool {
+	yes = base.Ask(v.clock, asked[:min(relays, len(asked))], 1, v.bounds.Load().Beat()*11/4, func(ctx *base.Ctx, addr string) bool {
 		reply, err := NewMembershipProtobufClient("http://"+addr, v.wire).PingReq(ctx, &PingRequest{Addr: member.Addr, Id: member.Id})
 		mu.Lock()
 		defer mu.Unlock()
@@ -450,7 +475,7 @@
 
 // PingReq looks for a member on behalf of another node.
 func (v *View) PingReq(_ context.Context, request *PingRequest) (*PingReply, error) {
-	found, err := v.exchange(request.Addr, v.bounds.Load().Beat(), false)
+	found, err := v.exchange(request.Addr, v.bounds.Load().Beat()*9/4, false)
 	return &PingReply{Alive: err == nil && found == request.Id}, nil
 }
 
@@ -485,7 +510,7 @@
 	v.mix(also)
 	v.mu.Unlock()
 	for _, id := range also[:min(relays, len(also))] {
-		v.Probe(id)
+		v.probe(id)
 	}
 }
 
@@ -689,7 +714,7 @@
 	}
 	v.mu.Unlock()
 	for _, id := range look {
-		v.Probe(id)
+		v.probe(id)
 	}
 	if v.usages != nil {
 		v.usages.Merge(message.Usages)
@@ -878,7 +903,7 @@
 // Suspect doubts a member until it or another gives a sign of its life.
 func (v *View) Suspect(id string) {
 	if v.doubt(id) {
-		v.Probe(id)
+		v.probe(id)
 	}
 }
 
--- a/internal/simulate/talk_test.go
+++ b/internal/simulate/talk_test.go
@@ -211,3 +211,20 @@
 		}
 	}
 }
+
+// TestSlowNodesAreNotTakenForLost: a machine that answers within half a second
+// stays in all views.
+func TestSlowNodesAreNotTakenForLost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := rested(t, 14, applied)
+	defer f.World.Close()
+	m := f.Edges[2]
+	m.Host.Lag = 250 * time.Millisecond
+	id, before := m.view().Me(), f.Total("members_suspected")
+	for range 200 {
+		f.World.Run(f.World.now+100*time.Millisecond, nil)
+		is.Equal(f.believers(id, nil), len(f.All()))
+	}
+	is.Equal(f.Total("members_suspected"), before)
+}
