--- a/internal/simulate/talk_test.go
+++ b/internal/simulate/talk_test.go
@@ -212,3 +212,23 @@
 		}
 	}
 }
+
+// TestSlowNodesAreNotTakenForLost: a machine that answers within half a second
+// stays in all views.
+func TestSlowNodesAreNotTakenForLost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := rested(t, 14, applied)
+	defer f.World.Close()
+	m := f.Edges[2]
+	m.Host.Lag = 250 * time.Millisecond
+	id := m.view().Me()
+	// What the slow machine makes of others is its own affair.
+	suspected := func() int64 { return f.Total("members_suspected") - m.Count.Frame()["members_suspected"] }
+	before := suspected()
+	for range 200 {
+		f.World.Run(f.World.now+100*time.Millisecond, nil)
+		is.Equal(f.believers(id, nil), len(f.All()))
+	}
+	is.Equal(suspected(), before)
+}
