Run one process a machine when troubles meet on it

A start finds a running or removed machine as it is. A process that has ended at a limit of none is always seen as such.

--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -191,6 +191,10 @@
 	return filepath.Join(w.plan.Folder, m.Name, "settings.yaml")
 }
 
+func (w *platformWorld) logPath(m *machine) string {
+	return filepath.Join(w.plan.Folder, m.Name+".log")
+}
+
 // tell writes a machine's settings file as they are now.
 func (w *platformWorld) tell(m *machine) error {
 	if err := os.MkdirAll(filepath.Dir(w.settingsPath(m)), 0o755); err != nil {
@@ -216,6 +220,13 @@
 }
 
 func (w *platformWorld) startNow(m *machine) error {
+	w.mu.Lock()
+	gone := m.gone
+	w.mu.Unlock()
+	// Two troubles may end on one machine: it runs one process, or none for good.
+	if gone || m.Running() {
+		return nil
+	}
 	if err := w.tell(m); err != nil {
 		return err
 	}
@@ -226,7 +237,7 @@
 	command := exec.Command(words[0], words[1:]...)
 	command.Dir = w.plan.Root
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + w.settingsPath(m)}
-	if err := m.launch(command, filepath.Join(w.plan.Folder, m.Name+".log")); err != nil {
+	if err := m.launch(command, w.logPath(m)); err != nil {
 		return errors.Annotate(err, m.Name)
 	}
 	m.first, m.expect = false, false
@@ -258,8 +269,9 @@
 		return
 	}
 	code, _ := m.Wait(0)
+	written, _ := os.ReadFile(w.logPath(m))
 	w.mu.Lock()
-	w.ownEnds = append(w.ownEnds, fmt.Sprintf("%s ended by itself with code %d at %.1fs", m.Name, code, w.clock.Now().Seconds()))
+	w.ownEnds = append(w.ownEnds, fmt.Sprintf("%s ended by itself with code %d at %.1fs: %s", m.Name, code, w.clock.Now().Seconds(), written[max(0, len(written)-400):]))
 	many := len(w.ownEnds) > 50
 	w.mu.Unlock()
 	select {
--- a/internal/fleet/platform_run.go
+++ b/internal/fleet/platform_run.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -334,7 +333,7 @@
 func (w *platformWorld) withLog(err error) error {
 	word := ""
 	for _, m := range w.of("") {
-		written, _ := os.ReadFile(filepath.Join(w.plan.Folder, m.Name+".log"))
+		written, _ := os.ReadFile(w.logPath(m))
 		word += fmt.Sprintf("\n%s: %s", m.Name, written[max(0, len(written)-600):])
 	}
 	return errors.Errorf("%v%s", err, word)
--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -13,6 +13,7 @@
 
 	"fordseam/internal/base"
 	"fordseam/internal/standin/platform"
+	"fordseam/internal/standin/platform/sockets"
 
 	"github.com/matryer/is"
 )
@@ -94,6 +95,26 @@
 	is.True(len(breaches) > 0)
 }
 
+// Two troubles that meet on one machine leave it one process, and a run none.
+func TestAMachineRunsOneProcess(t *testing.T) {
+	is := is.New(t)
+	w := newPlatformWorld(&PlatformPlan{Site: platform.Sites()["small"], Root: t.TempDir(), Folder: t.TempDir(), Seed: 1,
+		Commands: map[string]string{platform.ClassStorage: os.Args[0] + " stub storage"}})
+	w.listed = &sockets.ListServer{}
+	m := w.lay(platform.ClassStorage, "zone-a", 1, true)
+	is.NoErr(w.start(m))
+	first := m.exited
+	is.NoErr(w.start(m))
+	is.True(m.exited == first && m.Running())
+	is.NoErr(w.remove(m))
+	is.NoErr(w.start(m))
+	is.True(!m.Running())
+	_, ended := m.Wait(0)
+	is.True(ended)
+	w.listed = nil
+	w.stop()
+}
+
 func TestTroublesAreReadFromTheCommandLine(t *testing.T) {
 	is := is.New(t)
 	one, err := ParseTrouble("node_kill:store@5.5+3,wipe,count=2")
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -186,13 +186,35 @@
 	if exited == nil {
 		return 0, true
 	}
+	ended := time.NewTimer(limit)
+	defer ended.Stop()
 	select {
 	case <-exited:
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.code, true
-	case <-time.After(limit):
-		return 0, false
+	case <-ended.C:
+		// At a limit of none both may be there.
+		select {
+		case <-exited:
+		default:
+			return 0, false
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.code, true
+}
+
+// Running says that a life of the process has begun and not ended.
+func (p *Process) Running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.exited == nil {
+		return false
+	}
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
 	}
 }
 
