--- a/internal/simulate/net.go
+++ b/internal/simulate/net.go
@@ -40,6 +40,9 @@
 	Talk map[string]*Talk
 	// By is each machine's share of it, sent and received.
 	By map[string]*Share
+	// Resets has the end of a process reset its connections, so that those who
+	// wait for its answer learn at once; without it they wait their time out.
+	Resets bool
 	// Meddle, set by tests only, stands between the machines and takes a
 	// mechanism away: it may answer a message itself, or change what passes.
 	Meddle func(m *Message) *http.Response
@@ -163,6 +166,9 @@
 	return nil, failed
 }
 
+// call is a message whose answer is awaited.
+type call struct{ reset base.Signal }
+
 // carry takes a message to its machine and the reply back.
 func (x *wire) carry(request *http.Request, body []byte, left time.Duration) (*http.Response, error) {
 	n, w := x.net, x.net.World
@@ -170,12 +176,12 @@
 	path := request.URL.Path
 	n.note(x.host.Name, hostOf(request.URL.Host), path, 1, weigh(len("POST  HTTP/1.1\r\nHost: \r\n")+len(path)+len(request.URL.Host), request.Header, len(body)))
 	target := w.Hosts[hostOf(request.URL.Host)]
-	if target == nil || !target.alive {
+	if target == nil || !target.alive && !target.dark {
 		x.host.Clock().Sleep(n.delay())
 		return nil, &base.NotSent{Cause: errors.New("connection refused")}
 	}
 	done := (&clock{x.host}).NewSignal()
-	if n.cut(x.host.Name, target.Name) || n.cut(target.Name, x.host.Name) && w.Chance(0.5) {
+	if target.dark || n.cut(x.host.Name, target.Name) || n.cut(target.Name, x.host.Name) && w.Chance(0.5) {
 		n.Lost++
 		done.Wait(left)
 		if w.Chance(0.5) {
@@ -183,6 +189,11 @@
 		}
 		return nil, errLost
 	}
+	if n.Resets {
+		open := &call{reset: done}
+		target.calls = append(target.calls, open)
+		defer func() { target.calls = base.Filter(target.calls, func(one *call) bool { return one != open }) }()
+	}
 	var response *http.Response
 	deliver := func(after time.Duration, answered bool) {
 		life := target.life
@@ -199,13 +210,13 @@
 				n.Lost++
 				return
 			}
-			target.Clock().Sleep(n.delay() + x.host.Lag + target.Lag)
+			target.Clock().Sleep(n.delay() + x.host.Lag + target.Lag + x.host.work())
 			response = recorder.Result()
 			n.note(x.host.Name, target.Name, path, 0, weigh(len("HTTP/1.1 200 OK\r\n"), response.Header, recorder.Body.Len()))
 			done.Fire()
 		})
 	}
-	after := n.delay() + x.host.Lag + target.Lag
+	after := n.delay() + x.host.Lag + target.Lag + target.work()
 	if w.Chance(n.Faults.Late) {
 		after += w.Between(0, n.Faults.LateLimit)
 	}
@@ -217,7 +228,7 @@
 			deliver(after+w.Between(0, n.Faults.LateLimit), false)
 		}
 	}
-	if !done.Wait(left) {
+	if !done.Wait(left) || response == nil {
 		return nil, errLost
 	}
 	return response, nil
