--- a/internal/node/tier_test.go
+++ b/internal/node/tier_test.go
@@ -12,7 +12,8 @@
 
 func TestARequestWithoutRouteIsDeclinedAsNotRun(t *testing.T) {
 	is := is.New(t)
-	g := &Gateway{Routes: &base.Table[route.Table]{}}
+	clock := base.NewRealClock()
+	g := &Gateway{common: &common{env: Env{Clock: clock}, bounds: newBounds(Place{})}, Routes: &base.Table[route.Table]{}, routed: base.NewBell(clock)}
 	_, err := g.Handle(&relay.Call{ID: "x", Host: "a.example", Target: "/a"})
 	is.Equal(base.FromWire(err).Status, 503) // no configuration is in force: another node may have one
 	is.Equal(base.FromWire(err).Ran, base.NotRun)
