--- a/internal/simulate/tier_removal_test.go
+++ b/internal/simulate/tier_removal_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"fordseam/internal/base"
 	"fordseam/internal/feed"
@@ -62,6 +63,32 @@
 	}
 }
 
+// slowPulls has stores pull what they lack slowly, though within the time that
+// they have to catch up.
+func slowPulls(f *Fleet) {
+	pass := f.Net.Meddle
+	f.Net.Meddle = func(m *Message) *http.Response {
+		if strings.HasSuffix(m.Path, "Ledger/Offer") {
+			m.From.Clock().Sleep(time.Second)
+		}
+		if pass != nil {
+			return pass(m)
+		}
+		response, _ := m.Pass(m.Body)
+		return response
+	}
+}
+
+func TestSlowPullsLoseNothing(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 3; seed++ {
+		outcome := TierDayNamed("stores wiped in turn, owners killed").RunWith(seed, TierShapes["small"](), func(t *Tier) { slowPulls(t.Fleet) })
+		for _, breach := range outcome.Breaches {
+			t.Errorf("seed %d: %s", seed, breach)
+		}
+	}
+}
+
 func TestEachMechanismOfTheTierTakenAwayIsCaught(t *testing.T) {
 	rows := []struct {
 		mechanism string
@@ -113,6 +140,7 @@
 					reply.Holder = asked.Claim
 				}
 			}, func(reply *ledger.WriteReply) { whole(reply.Ack) }, func(reply *ledger.ChainReply) { whole(reply.Ack) })
+			slowPulls(t.Fleet)
 		}, "LOST"},
 		{"the reservation of tokens", "quiet", func(t *Tier) {
 			for place := range t.Site.Classes {
--- a/internal/simulate/tier_test.go
+++ b/internal/simulate/tier_test.go
@@ -3,6 +3,7 @@
 package simulate
 
 import (
+	"regexp"
 	"testing"
 
 	"fordseam/internal/base"
@@ -10,9 +11,16 @@
 	"github.com/matryer/is"
 )
 
+// atGrown are the days of the fixed set at the grown size: those that rest on
+// how many machines there are. Campaigns play all.
+var atGrown = regexp.MustCompile("^(mixed|closing|stores|hunt|herd_kill|core_cut|quiet)")
+
 func TestTheTierKeepsEveryRule(t *testing.T) {
 	for _, name := range []string{"small", "kiondo", "grown"} {
 		for _, day := range TierDays {
+			if name == "grown" && !atGrown.MatchString(day.Name) {
+				continue
+			}
 			t.Run(name+"/"+day.Name, func(t *testing.T) {
 				t.Parallel()
 				count := uint64(*seeds)
