--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -39,6 +39,7 @@
 		&cli.StringFlag{Name: "zone", Usage: "`ZONE` the machine stands in"},
 		&cli.StringSliceFlag{Name: "seed", Usage: "`IP:PORT` of another process; up to three"},
 		&cli.StringFlag{Name: "cluster", Usage: "`NAME` of the cluster, as init printed it; the process then joins no other"},
+		&cli.IntFlag{Name: "tolerate-lost-disks", Usage: "how `MANY` storage machines may be lost at once, disks and all; the same everywhere (1 unless given)"},
 		&cli.StringFlag{Name: "log", Value: "text", Usage: "log `FORM`: text or json"},
 		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "`LEVEL`: debug, info, warn or error"},
 	}
@@ -62,6 +63,9 @@
 	if command.IsSet("disk-limit-bytes") {
 		place.Limit = command.Int64("disk-limit-bytes")
 	}
+	if command.IsSet("tolerate-lost-disks") {
+		place.Tolerate = command.Int("tolerate-lost-disks")
+	}
 	faults := place.Check(roles...)
 	switch command.String("log") {
 	case "text":
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -77,6 +77,9 @@
 	for place, seed := range p.Seeds {
 		checkAddr(fmt.Sprintf("seeds[%d]", place), seed)
 	}
+	if p.Tolerate < 0 || p.Tolerate > 4 {
+		fault("tolerate_lost_disks: must be between 1 and 4")
+	}
 	if p.Role == "storage" && p.Data == "" {
 		fault("data: a storage machine needs a data folder")
 	}
