Start hollow processes one after another

380 gateways that joined at once, on three processors, had not come to rest after 20 s: 31 were ready.

--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -45,6 +45,7 @@
 					&cli.IntFlag{Name: "callers", Value: 24, Usage: "`CALLERS` at once"},
 					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
 			platformCommand(),
+			hollowCommand(),
 		},
 	}
 	node.Main(command, os.Args)
