Bound by bytes what an owner keeps of the feed's changes

Now at most 4 MiB stay besides what a disk lacks; a follower further behind is given the frame, as a new one is. TestKeptChangesOfTheFeedAreBounded: 3,000 documents of 100 KiB keep under 4 MiB.

--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -30,6 +30,9 @@
 	FeedGroup = "feed"
 
 	bufferLimit = 4096
+	// feedBytes bounds the committed changes kept for followers of the feed; who
+	// is further behind is given the frame.
+	feedBytes = 4 << 20
 )
 
 // SlotOf places a group. The feed has slot 0 to itself, so that the slot's
@@ -641,11 +644,27 @@
 	}
 	// The feed reads committed changes from the buffer, so some stay.
 	if s.num == 0 && keep > first {
-		keep = max(first, min(keep, s.tail+1-min(s.tail, bufferLimit)))
+		stays, bytes := keep, 0
+		for stays > first && s.tail-stays+1 < bufferLimit {
+			if bytes += s.buffer[stays-1-first].weight(); bytes > feedBytes {
+				break
+			}
+			stays--
+		}
+		keep = stays
 	}
 	s.buffer = s.buffer[keep-first:]
 }
 
+// weight is about what an entry holds in memory.
+func (e *Entry) weight() int {
+	sum := 64
+	for _, put := range e.Puts {
+		sum += len(put.Key) + len(put.Value) + 64
+	}
+	return sum
+}
+
 // Change answers the asker of an op, or names the core to ask instead.
 func (o *Owner) Change(plain context.Context, request *ChangeRequest) (*ChangeReply, error) {
 	ctx := base.CtxOf(plain, o.clock)
--- /dev/null
+++ b/internal/register/owner_test.go
@@ -0,0 +1,48 @@
+// What an owner keeps of the feed's changes for its followers is bounded, in
+// number and in bytes.
+package register
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestKeptChangesOfTheFeedAreBounded(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		num     uint32
+		size    int
+		changes int
+		behind  uint64 // what a disk lacks
+		kept    func(entries, bytes int) bool
+	}{
+		{"small changes by number", 0, 40, 3 * bufferLimit, 0, func(entries, _ int) bool { return entries == bufferLimit }},
+		{"few small changes all stay", 0, 40, 100, 0, func(entries, _ int) bool { return entries == 100 }},
+		{"documents by bytes", 0, 100 << 10, 3000, 0, func(entries, bytes int) bool { return bytes <= feedBytes && bytes > feedBytes/2 }},
+		{"a document larger than the bound", 0, 2 * feedBytes, 5, 0, func(entries, _ int) bool { return entries == 0 }},
+		{"what a disk lacks stays", 0, 100 << 10, 300, 80, func(entries, _ int) bool { return entries >= 80 }},
+		{"other slots keep what disks lack", 1, 40, 100, 7, func(entries, _ int) bool { return entries == 7 }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			set := &DiskSet{Stamp: 1, Disks: []*DiskEntry{{Id: "a"}, {Id: "b"}, {Id: "c"}}}
+			s := &slot{num: row.num, progress: map[string]*progress{"a": {installed: true}, "b": {installed: true}, "c": {installed: true}}}
+			value := make([]byte, row.size)
+			for range row.changes {
+				s.tail++
+				s.buffer = append(s.buffer, &Entry{Seq: s.tail, Puts: []*Put{{Key: "feed/routes", Value: value}}})
+				s.progress["a"].acked, s.progress["b"].acked = s.tail, s.tail
+				s.progress["c"].acked = s.tail - min(s.tail, row.behind)
+				s.recount(set)
+				is.Equal(s.commit, s.tail)
+			}
+			bytes := 0
+			for _, entry := range s.buffer {
+				bytes += entry.weight()
+			}
+			is.True(row.kept(len(s.buffer), bytes))
+			is.Equal(s.first()+uint64(len(s.buffer)), s.tail+1)
+		})
+	}
+}
