Go on from a core that gave no answer, and keep to one that is not ready yet

Cause: cores that said their slot was not ready were passed over too, and an owner whose one round of confirmation failed stepped down while a machine was being replaced: mending took over 4 s and turns after a power cut were refused (simulated, 3, 4 and 9 disks). The step-down is taken back; only silence passes a core over.

--- a/internal/register/client.go
+++ b/internal/register/client.go
@@ -101,13 +101,14 @@
 				hint = "" // the core that was asked probes that one; ask it again
 			}
 			if err != nil {
-				turned[chosenCore]++
 				v := base.FromWire(err)
 				last = v
 				switch v.Code {
 				case "unreachable":
+					turned[chosenCore]++
 					c.view.Suspect(chosenCore)
 				case "reply_lost":
+					turned[chosenCore]++
 					lost = true
 					c.view.Suspect(chosenCore)
 				case "slot_moved", "no_majority", "slot_not_ready", "no_disks":
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -428,7 +428,7 @@
 		}
 		s.mu.Unlock()
 		if !next.Wait(max(0, end-o.clock.Now())) {
-			o.stepDown(s, epoch, 0)
+			//NOSTEP
 			return base.Busy(503, "no_majority", 1, "no majority of disks")
 		}
 	}
@@ -851,10 +851,7 @@
 			return err == nil && ack.Ok
 		})
 		if !confirmed {
-			// Whoever cannot reach the disks must not keep those waiting who could
-			// find an owner that does.
 			current.err = base.Busy(503, "no_majority", 1, "no majority of disks")
-			o.stepDown(s, epoch, 0)
 		}
 		current.done.Fire()
 	}
