--- a/cmd/fordseam-controller/client.go
+++ b/cmd/fordseam-controller/client.go
@@ -39,6 +39,7 @@
 		client("status", "show the fleet as one core sees it", "", nil, status),
 		client("workers", "show the platform's worker list", "", nil, workers),
 		routeCommands(),
+		accessCommands(),
 		client("roster", "show the workers of the routes' services", "", nil, showRoster),
 		{Name: "storage", Usage: "see to the disks", Commands: []*cli.Command{
 			client("list", "show the disks and how far a change has come", "", nil, listStorage),
@@ -303,6 +304,9 @@
 		rows = append(rows, []string{member.Role, member.Zone, member.Addr, member.Public, state})
 	}
 	table(rows)
+	if shown.Access != nil {
+		showHolders(shown.Access)
+	}
 	for _, word := range shown.Mending {
 		fmt.Println("mending:", word)
 	}
--- a/internal/base/bounds.go
+++ b/internal/base/bounds.go
@@ -32,6 +32,13 @@
 // try that is lost and another answer fit into one permit.
 func (b *Bounds) Follow() time.Duration { return b.FeedHold()*5/4 + b.Beat() }
 
+// AccessHold is that while a change of what teams may call is under way.
+func (b *Bounds) AccessHold() time.Duration { return b.FeedHold() / 4 }
+
+// AccessFresh is how old a confirmation may be by which, under such a change,
+// the former rules still decide for those whom it concerns.
+func (b *Bounds) AccessFresh() time.Duration { return b.Settings / 5 }
+
 // Beat is what the times between neighbours are counted in: they exchange every
 // two beats, and a neighbour has one and a half to answer.
 func (b *Bounds) Beat() time.Duration { return b.Leave / 12 }
--- a/internal/base/containers.go
+++ b/internal/base/containers.go
@@ -88,10 +88,21 @@
 }
 
 // Counters are named counts, made on first use and added to without a lock.
-type Counters struct{ counts sync.Map }
+type Counters struct {
+	counts sync.Map
+	mu     sync.Mutex
+	also   []func(into map[string]int64)
+}
 
 func NewCounters() *Counters { return &Counters{} }
 
+// Also adds counts that are kept elsewhere to each frame.
+func (c *Counters) Also(source func(into map[string]int64)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.also = append(c.also, source)
+}
+
 func (c *Counters) Add(name string, n int64) {
 	count, ok := c.counts.Load(name)
 	if !ok {
@@ -107,5 +118,11 @@
 		out[name.(string)] = count.(*atomic.Int64).Load()
 		return true
 	})
+	c.mu.Lock()
+	also := c.also
+	c.mu.Unlock()
+	for _, source := range also {
+		source(out)
+	}
 	return out
 }
--- a/internal/base/verdict.go
+++ b/internal/base/verdict.go
@@ -32,6 +32,9 @@
 	// RetryAfterMs is the same to the millisecond, where it is known so well.
 	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
 	Stamp        uint64 `json:"current_stamp,omitempty"`
+	// Team and Model are what a refusal of access was decided on.
+	Team  string `json:"team,omitempty"`
+	Model string `json:"model,omitempty"`
 }
 
 func (v *Verdict) Error() string { return fmt.Sprintf("%s: %s (%s)", v.Code, v.Message, v.Ran) }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -12,6 +12,7 @@
 	"maps"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
@@ -25,12 +26,16 @@
 type Service struct {
 	clock base.Clock
 	owner *register.Owner
+	polls polls
 }
 
-func NewService(clock base.Clock, owner *register.Owner) *Service { return &Service{clock, owner} }
+func NewService(clock base.Clock, owner *register.Owner) *Service {
+	return &Service{clock: clock, owner: owner, polls: polls{holders: map[string]poll{}}}
+}
 
 func (v *Service) Follow(plain context.Context, request *FollowRequest) (*FollowReply, error) {
 	ctx := base.CtxOf(plain, v.clock)
+	v.note(request)
 	hold := min(time.Duration(request.HoldMs)*time.Millisecond, ctx.Left()/2)
 	place, frame, puts, hint, err := v.owner.News(ctx, request.Place, request.Begun, hold)
 	if err != nil {
@@ -59,8 +64,13 @@
 	changed  func(*Frame)
 	bell     *base.Bell
 
+	// Tell, when set before Run, adds to a question what the node tells of itself.
+	Tell func(request *FollowRequest)
+
+	until atomic.Int64 // a permit's end, by the node's clock
+	asked atomic.Int64 // when the newest confirmation was asked for, and 1
+
 	mu     sync.Mutex
-	until  time.Duration
 	lapses uint64
 	closed bool
 }
@@ -84,6 +94,9 @@
 		var reply *FollowReply
 		frame := f.Frame()
 		request := &FollowRequest{Begun: frame.Begun, Place: frame.Place, HoldMs: bounds.FeedHold().Milliseconds()}
+		if f.Tell != nil {
+			f.Tell(request)
+		}
 		err := f.client.Reach(base.NewCtx(f.clock, bounds.Permit()), 0, bounds.Follow(), func(ctx *base.Ctx, addr string) (string, error) {
 			asked = f.clock.Now()
 			answered, err := NewFeedProtobufClient("http://"+addr, f.wire).Follow(ctx, request)
@@ -141,21 +154,28 @@
 	}
 	permit := f.bounds.Load().Permit()
 	f.mu.Lock()
-	if f.until > 0 && f.clock.Now() >= f.until {
+	until := time.Duration(f.until.Load())
+	if until > 0 && f.clock.Now() >= until {
 		f.lapses++
 	}
-	f.until = max(f.until, asked+permit-permit/20)
+	f.until.Store(int64(max(until, asked+permit-permit/20)))
+	f.asked.Store(max(f.asked.Load(), int64(asked)+1))
 	f.mu.Unlock()
 	f.bell.Ring()
 }
 
-// Permitted reports whether this node may serve at this moment.
-func (f *Follower) Permitted() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.clock.Now() < f.until
+// News rings at the next confirmation.
+func (f *Follower) News() base.Signal { return f.bell.Next() }
+
+// Confirmed reports whether the newest confirmation was asked for so lately.
+func (f *Follower) Confirmed(within time.Duration) bool {
+	asked := f.asked.Load()
+	return asked > 0 && f.clock.Now() < time.Duration(asked)+within
 }
 
+// Permitted reports whether this node may serve at this moment.
+func (f *Follower) Permitted() bool { return f.clock.Now() < time.Duration(f.until.Load()) }
+
 // Lapses counts how often the permit ran out before it was renewed.
 func (f *Follower) Lapses() uint64 {
 	f.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"fordseam/internal/access"
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
 	"fordseam/internal/feed"
@@ -32,6 +33,7 @@
 	Book      *worker.Book
 	Nominator *worker.Nominator
 	Backends  base.Backends
+	Access    *access.Guard
 
 	known sync.Map
 	open  atomic.Int64
@@ -312,6 +314,9 @@
 		if matched.Kind != "model" {
 			return nil, base.DeclineField("route", "route %q is not for sessions", route)
 		}
+		if err := f.Access.Allows(ctx, &access.Question{Place: access.Place{Group: program.Group, Site: program.Site, Route: route}}); err != nil {
+			return nil, err
+		}
 		if matched.Policy != nil {
 			allowed, err := matched.Policy.Admit(program.Urgency, route, f.Keeper.Owned())
 			if err != nil {
@@ -377,9 +382,13 @@
 
 func (f *Front) visit(ctx *base.Ctx, v *session.Visit) (*Response, error) {
 	v.ID = base.NewID(f.Clock, "v")
-	if v.Kind == session.KindTurn && v.Turn == "" {
+	given := v.Turn != ""
+	if v.Kind == session.KindTurn && !given {
 		v.Turn = base.NewID(f.Clock, "t")
 	}
+	if err := f.allowed(ctx, v, given); err != nil {
+		return nil, err
+	}
 	reply, err := f.Keeper.Visit(ctx.Within(2*f.Bounds.Load().Recover), v)
 	if err != nil {
 		return nil, err
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -25,8 +25,7 @@
 		}}, nil
 	case "GET settings":
 		return &plan{func(*base.Ctx) (*Response, error) {
-			stamp, _ := settings.FromFrame(f.Follower.Frame().Values)
-			return answer(200, map[string]uint64{"stamp": stamp}), nil
+			return answer(200, map[string]uint64{"stamp": settings.StampIn(f.Follower.Frame().Values)}), nil
 		}}, nil
 	case "PUT workers":
 		return f.planReplace(r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"fordseam/internal/access"
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
 	"fordseam/internal/disk"
@@ -64,13 +65,14 @@
 
 type common struct {
 	env    Env
+	place  *base.Bounds
 	bounds *base.Table[base.Bounds]
 	view   *membership.View
 	mux    *http.ServeMux
 }
 
 func newCommon(env Env, place Place, usages membership.UsageBook, bounds *base.Table[base.Bounds]) *common {
-	c := &common{env: env, bounds: bounds, mux: http.NewServeMux()}
+	c := &common{env: env, place: place.Bounds, bounds: bounds, mux: http.NewServeMux()}
 	self := &membership.Member{Id: place.Addr + "/" + base.NewID(env.Clock, ""), Addr: place.Addr, PublicAddr: place.Public, Role: place.Role, Zone: place.Zone}
 	seeds := slices.Clone(place.Seeds)
 	if env.Files != nil {
@@ -104,17 +106,34 @@
 	return table
 }
 
-// follow makes a follower that keeps the settings and the bounds.
-func (c *common) follow(tree *base.Table[settings.Tree], also func(*feed.Frame)) (*register.Client, *feed.Follower) {
+// follow makes a follower that keeps the settings, the bounds and the guard.
+// Where there are rules of access it tells the core what it holds, and asks
+// more often while they change.
+func (c *common) follow(tree *base.Table[settings.Tree], guard *access.Guard, also func(*feed.Frame)) (*register.Client, *feed.Follower) {
 	client := register.NewClient(c.env.Clock, c.env.Wire, c.view, c.bounds)
+	known, held := &settings.Known{}, uint64(0)
 	follower := feed.NewFollower(c.env.Clock, c.env.Wire, client, c.bounds, c.env.Counters, func(frame *feed.Frame) {
-		if _, next := settings.FromFrame(frame.Values); next != nil {
-			bounds := next.Bounds()
+		stamp, next, fresh := known.Learn(frame.Values)
+		if fresh {
+			bounds := next.BoundsOver(c.place)
 			c.bounds.Swap(&bounds)
 			tree.Swap(next)
 		}
+		if next != nil {
+			held = stamp
+			guard.Learn(known.Access())
+		}
 		also(frame)
 	})
+	follower.Tell = func(request *feed.FollowRequest) {
+		if guard.Rules() {
+			request.Node, request.Stamp = c.view.Me(), held
+		}
+		if guard.Changing() {
+			request.HoldMs = c.bounds.Load().AccessHold().Milliseconds()
+		}
+	}
+	guard.Follow(follower)
 	return client, follower
 }
 
@@ -127,6 +146,7 @@
 	Routes   *base.Table[route.Table]
 	Relay    *relay.Relay
 	Lines    *line.Keeper
+	Access   *access.Guard
 	// Table reads the operator's document; it is set before Start where this
 	// gateway serves routes.
 	Table func(written []byte) (*route.Table, error)
@@ -140,8 +160,9 @@
 	book := worker.NewBook(env.Clock, bounds)
 	nominator := worker.NewNominator(env.Clock, bounds, env.Counters, book, place.Zone)
 	c := newCommon(env, place, book, bounds)
-	g := &Gateway{common: c}
-	client, follower := c.follow(tree, func(frame *feed.Frame) {
+	g := &Gateway{common: c, Access: access.NewGuard(env.Clock, bounds, env.Counters)}
+	env.Counters.Also(g.Access.Counts)
+	client, follower := c.follow(tree, g.Access, func(frame *feed.Frame) {
 		nominator.Swap(worker.RosterOf(frame.Values))
 		g.Keeper.Ended(endedIn(frame.Values))
 		g.learn(frame)
@@ -151,7 +172,7 @@
 		Register: client, Follower: follower, Nominator: nominator, Backends: env.Backends, Tree: tree})
 	g.Front = &front.Front{Clock: env.Clock, Bounds: bounds, Counters: env.Counters, Follower: follower, Tree: tree,
 		Budget: &budget.Client{Register: client}, Keeper: g.Keeper, Tools: &toolcall.Client{Register: client},
-		Workers: &worker.Client{Register: client}, Book: book, Nominator: nominator, Backends: env.Backends}
+		Workers: &worker.Client{Register: client}, Book: book, Nominator: nominator, Backends: env.Backends, Access: g.Access}
 	c.mount(session.NewOwnerServer(g.Keeper))
 	g.Routes = &base.Table[route.Table]{}
 	g.Relay = relay.New(relay.Parts{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: place.Zone, ConnShare: g.connShare, AnswerLimit: answerLimit})
@@ -199,8 +220,7 @@
 
 // Stamp is the settings' stamp this gateway goes by.
 func (g *Gateway) Stamp() uint64 {
-	stamp, _ := settings.FromFrame(g.Follower.Frame().Values)
-	return stamp
+	return settings.StampIn(g.Follower.Frame().Values)
 }
 
 // Ready says whether the platform may send callers here.
@@ -238,6 +258,7 @@
 	Follower *feed.Follower
 	Operate  *operate.Operate
 	Register *register.Client
+	settles  *access.Duty
 	// Lister asks for the list of workers; it is set before Start where this
 	// core keeps a roster.
 	Lister  relay.Lister
@@ -256,7 +277,8 @@
 	worker.Serve(owner)
 	route.Serve(owner)
 	relay.Serve(owner)
-	client, follower := c.follow(tree, func(*feed.Frame) {})
+	guard := access.NewGuard(env.Clock, bounds, env.Counters)
+	client, follower := c.follow(tree, guard, func(*feed.Frame) {})
 	if place.Tolerate > 0 {
 		owner.Mend(place.Tolerate)
 		kept := ledger.NewClient(env.Clock, env.Wire, func() *register.DiskSet { return register.DisksOf(follower.Frame().Values) }, place.Zone, place.Tolerate, bounds, env.Counters, nil)
@@ -268,8 +290,12 @@
 		c.mount(founding.NewFoundingServer(core.founder))
 	}
 	c.mount(register.NewRegisterServer(owner))
-	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, owner)))
-	core.Operate = &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters}
+	told := feed.NewService(env.Clock, owner)
+	c.mount(feed.NewFeedServer(told))
+	access.Serve(owner, told.Learnt, func() any { return told.Holders(2 * bounds.Load().Recover) })
+	core.settles = &access.Duty{Clock: env.Clock, Bounds: bounds, Counters: env.Counters, Register: client, Follower: follower, Holds: owner.ServesFeed, Learnt: told.Learnt}
+	core.Operate = &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters,
+		Frame: func() map[string][]byte { return follower.Frame().Values }}
 	return core
 }
 
@@ -281,6 +307,7 @@
 		c.env.Clock.Go(c.founder.Run)
 	}
 	c.env.Clock.Go(c.Follower.Run)
+	c.env.Clock.Go(c.settles.Run)
 	if c.Lister != nil {
 		duty := &relay.Duty{Clock: c.env.Clock, Bounds: c.bounds, Counters: c.env.Counters, Register: c.Register, Follower: c.Follower, Lister: c.Lister,
 			Holds: c.Owner.ServesFeed, Needed: func() bool { return route.DocumentOf(c.Follower.Frame().Values) != nil }}
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -3,6 +3,9 @@
 package node
 
 import (
+	"strings"
+
+	"fordseam/internal/access"
 	"fordseam/internal/base"
 	"fordseam/internal/feed"
 	"fordseam/internal/line"
@@ -37,6 +40,16 @@
 	g.Relay.Swap(relay.RosterOf(frame.Values))
 }
 
+// Allows says whether a client's request may call the model it names. It goes
+// before anything else is done for the request.
+func (g *Gateway) Allows(ctx *base.Ctx, matched *route.Route, call *relay.Call) error {
+	if !g.Access.Rules() || !matched.Models() {
+		return nil
+	}
+	host, _, _ := strings.Cut(call.Host, ":")
+	return g.Access.Allows(ctx, &access.Question{Host: strings.ToLower(host), Place: access.Place{Route: matched.Name}, Model: call.Model})
+}
+
 // Serves says whether clients of the operator's routes may be sent here.
 func (g *Gateway) Serves() error {
 	switch {
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -30,6 +30,8 @@
 	Register *register.Client
 	Owner    *register.Owner
 	Counters *base.Counters
+	// Frame is the newest that this core has heard of the feed.
+	Frame func() map[string][]byte
 	// Table reads an operator's document of routes; nil where there are none.
 	Table func(written []byte) (*route.Table, error)
 }
@@ -65,8 +67,14 @@
 		return o.outcome(ctx, r)
 	case "GET /v1/operator/settings/effective":
 		return o.effective(ctx, r)
+	case "GET /v1/operator/access":
+		return o.access(ctx)
+	case "GET /v1/operator/access/check":
+		return o.accessCheck(ctx, r)
+	case "POST /v1/operator/access/diff":
+		return o.accessDiff(ctx, r.Body)
 	case "GET /v1/operator/status":
-		return o.status(), nil
+		return o.status(ctx), nil
 	case "POST /v1/operator/settings/diff":
 		return o.diff(ctx, r.Body)
 	case "GET /v1/operator/workers":
@@ -193,11 +201,13 @@
 	// knows, the others see only what is being filled.
 	Mending  []string         `json:"mending"`
 	Counters map[string]int64 `json:"counters"`
+	// Access says who holds which settings, where teams have rules.
+	Access *AccessState `json:"access,omitempty"`
 	// Unwell names what needs an operator's eye; empty when all is well.
 	Unwell []string `json:"unwell"`
 }
 
-func (o *Operate) status() StatusView {
+func (o *Operate) status(ctx *base.Ctx) StatusView {
 	owned, set := o.Owner.Frame()
 	shown := StatusView{Core: o.View.Me(), Slots: owned, SetStamp: set.GetStamp(), Cluster: set.GetCluster(), Counters: o.Counters.Frame()}
 	for _, role := range []string{membership.RoleEdge, membership.RoleCore, membership.RoleStorage} {
@@ -214,6 +224,7 @@
 			}
 		}
 	}
+	shown.Access = o.accessState(ctx)
 	shown.Unwell = o.unwell(shown.Members, set)
 	return shown
 }
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -923,6 +923,18 @@
 	return owned, o.Set()
 }
 
+// FeedEpoch is the epoch under which this core owns the feed's slot, 0 when it
+// does not.
+func (o *Owner) FeedEpoch() uint64 {
+	s := o.slots[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase != serving {
+		return 0
+	}
+	return s.epoch
+}
+
 // ServesFeed tells whether this core owns the feed's slot.
 func (o *Owner) ServesFeed() bool {
 	s := o.slots[0]
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -45,8 +45,13 @@
 	Retain   time.Duration
 	Pinned   bool
 	Shares   []Share
+
+	models bool
 }
 
+// Models tells whether the route's requests call a model.
+func (r *Route) Models() bool { return r.models }
+
 // Engine is what is published of a service's model workers.
 type Engine struct {
 	Slots       int
@@ -109,6 +114,7 @@
 				return base.DeclineField(field+".weight", "must not be below 0")
 			}
 			sum += share.Weight
+			r.models = r.models || t.Services[share.Service].Engine != nil
 		}
 		if sum == 0 {
 			return base.DeclineField(field+".weight", "the weights sum to 0")
--- a/internal/session/held.go
+++ b/internal/session/held.go
@@ -5,6 +5,7 @@
 package session
 
 import (
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -175,7 +176,7 @@
 		return nil, staleRun()
 	}
 	h.mu.Lock()
-	allowed := v.Bearer == h.record.Secret || v.Bearer == h.record.ProgramSecret
+	allowed := h.record.Opens(v.Bearer)
 	if allowed {
 		h.lastSeen = k.clock.Now()
 	}
@@ -314,6 +315,19 @@
 	Error    *base.Verdict  `json:"error,omitempty"`
 }
 
+// StateIn is the state of the turn that a read's reply shows.
+func StateIn(body any) OperationState {
+	switch shown := body.(type) {
+	case TurnView:
+		return shown.State
+	case json.RawMessage:
+		var read TurnView
+		_ = json.Unmarshal(shown, &read)
+		return read.State
+	}
+	return ""
+}
+
 // TurnPage is one page of a listing; Next is empty on the last.
 type TurnPage struct {
 	Turns []TurnView `json:"turns"`
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -238,6 +238,15 @@
 	return answer.Record, nil
 }
 
+// Find gives a visit's session as this node knows it, or looks it up.
+func (k *Keeper) Find(ctx *base.Ctx, v *Visit) (*Record, error) {
+	record, err := k.resolve(ctx, v, false)
+	if err == nil && record.Program != v.Program {
+		return nil, unknownSession()
+	}
+	return record, err
+}
+
 // attempt is what a visit has learnt of the copies it sent.
 type attempt struct {
 	lostTo *Record
--- a/internal/session/record.go
+++ b/internal/session/record.go
@@ -103,6 +103,9 @@
 	Version uint64 `json:"version"`
 }
 
+// Opens tells whether a credential's digest opens the session.
+func (r *Record) Opens(bearer string) bool { return bearer == r.Secret || bearer == r.ProgramSecret }
+
 func (r *Record) assignment() *Assignment {
 	return &Assignment{Run: r.Run, Owner: r.Owner, Epoch: r.Epoch}
 }
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -6,9 +6,11 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 
+	"fordseam/internal/access"
 	"fordseam/internal/base"
 	"fordseam/internal/register"
 )
@@ -22,6 +24,8 @@
 type Record struct {
 	Stamp    uint64          `json:"stamp"`
 	Document json.RawMessage `json:"document"`
+	// Access names what the document allows teams; empty where it sets none.
+	Access string `json:"access,omitempty"`
 }
 
 // Change asks for new settings.
@@ -95,10 +99,14 @@
 		v.Stamp = now.Stamp
 		return nil, v
 	}
-	if _, faults := Read(asked.Document); len(faults) > 0 {
+	tree, faults := Read(asked.Document)
+	if len(faults) > 0 {
 		return nil, FaultVerdict(faults)
 	}
-	next := Record{Stamp: now.Stamp + 1, Document: asked.Document}
+	next := Record{Stamp: now.Stamp + 1, Document: asked.Document, Access: tree.Access().Digest()}
+	if err := access.Begin(tx, now.Stamp, next.Stamp, now.Document, now.Access, next.Access); err != nil {
+		return nil, err
+	}
 	taken := Outcome{Outcome: "taken", Stamp: next.Stamp}
 	tx.Put(Key, base.Encode(next))
 	tx.Put(logPrefix+asked.ID, base.Encode(logged{taken, tx.Now}))
@@ -124,6 +132,56 @@
 	return base.DeclineField(faults[0].Path, "%s", strings.Join(lines, "\n"))
 }
 
+// Known keeps what a node has read of the feed's settings, so that a document
+// is read once and not at each change of the feed. One task at a time uses it.
+type Known struct {
+	raw, under []byte
+	record     Record
+	tree       *Tree
+	force      access.Held
+	next       *access.Held
+}
+
+// Learn reads a frame; the tree is nil when none was ever applied, or cannot
+// be read here.
+func (k *Known) Learn(values map[string][]byte) (stamp uint64, tree *Tree, fresh bool) {
+	raw, under := values[Key], values[access.Key]
+	if k.tree != nil && bytes.Equal(raw, k.raw) && bytes.Equal(under, k.under) {
+		return k.record.Stamp, k.tree, false
+	}
+	if k.tree == nil || !bytes.Equal(raw, k.raw) {
+		var record Record
+		if raw == nil || json.Unmarshal(raw, &record) != nil {
+			return 0, nil, false
+		}
+		read, _ := Read(record.Document)
+		k.record, k.tree, fresh = record, read, read != nil
+		k.raw = raw
+	}
+	if k.tree == nil {
+		return k.record.Stamp, nil, false
+	}
+	k.under = under
+	own := access.Held{Stamp: k.record.Stamp, Table: k.tree.Access()}
+	pending := access.PendingIn(values)
+	switch {
+	case pending == nil && k.next != nil && k.next.Table.Digest() == own.Table.Digest():
+		own.Table = k.next.Table
+		k.force, k.next = own, nil
+	case pending == nil:
+		k.force, k.next = own, nil
+	case k.next == nil || k.force.Stamp != pending.Force:
+		former, _ := Read(pending.Document())
+		k.force, k.next = access.Held{Stamp: pending.Force, Table: former.Access()}, &own
+	default:
+		k.next = &own
+	}
+	return k.record.Stamp, k.tree, fresh
+}
+
+// Access gives the rules in force and, under a change, those that come next.
+func (k *Known) Access() (force access.Held, next *access.Held) { return k.force, k.next }
+
 // FromFrame reads the settings that a feed frame carries; nil when none
 // were ever applied.
 func FromFrame(values map[string][]byte) (uint64, *Tree) {
@@ -138,3 +196,21 @@
 	tree, _ := Read(record.Document)
 	return record.Stamp, tree
 }
+
+// HasAccess tells whether the settings that a frame carries set teams.
+func HasAccess(values map[string][]byte) bool {
+	var record struct {
+		Access string `json:"access"`
+	}
+	_ = json.Unmarshal(values[Key], &record)
+	return record.Access != ""
+}
+
+// StampIn is the stamp of the settings that a feed frame carries.
+func StampIn(values map[string][]byte) uint64 {
+	var record struct {
+		Stamp uint64 `json:"stamp"`
+	}
+	_ = json.Unmarshal(values[Key], &record)
+	return record.Stamp
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"fordseam/internal/access"
 	"fordseam/internal/base"
 	"fordseam/internal/policy"
 
@@ -41,6 +42,7 @@
 	initial   any
 	capped    bool
 	routeOnly bool
+	below     int // the highest level that may set it
 }
 
 var specs = []spec{
@@ -54,6 +56,7 @@
 	{name: "model", kind: kindText, initial: ""},
 	{name: "pool", kind: kindText, initial: ""},
 	{name: "policy", kind: kindText, initial: ""},
+	{name: "team", kind: kindText, initial: "", below: 1},
 	{name: "kind", kind: kindText, initial: "", routeOnly: true},
 	{name: "repeatable", kind: kindBool, initial: false, routeOnly: true},
 	{name: "path", kind: kindText, initial: "", routeOnly: true},
@@ -80,6 +83,8 @@
 	path     string
 	values   map[string]any
 	children map[string]*level
+	teams    map[string]*access.Entry
+	hosts    []string
 }
 
 // Tree is one whole, valid set of settings.
@@ -88,6 +93,9 @@
 	pools    map[string]string
 	policies map[string]*policy.Policy
 	bounds   base.Bounds
+	limits   map[string]any
+	models   []string
+	access   *access.Table
 }
 
 type reader struct {
@@ -116,6 +124,8 @@
 			return true, r.scalars(decoder, "$.bounds", boundSpecs, limits)
 		case "pools":
 			return true, r.pools(decoder, tree)
+		case "models":
+			return true, r.list(decoder, "$.models", &tree.models)
 		}
 		return r.field(decoder, tree.root, key, 0)
 	})
@@ -139,6 +149,7 @@
 		}
 		return time.Duration(value * float64(time.Second))
 	}
+	tree.limits = limits
 	tree.bounds = base.Bounds{Settings: seconds("settings_bound_s"), Leave: seconds("leave_bound_s"),
 		Recover: seconds("recover_bound_s"), Retain: seconds("retain_s")}
 	if tree.bounds.Recover < 2*tree.bounds.Settings {
@@ -256,8 +267,14 @@
 			})
 		})
 	}
+	switch {
+	case key == "teams" && depth > 0:
+		return true, r.teams(decoder, at)
+	case key == "hosts" && depth == 2:
+		return true, r.hosts(decoder, at)
+	}
 	found := specOf(specs, key)
-	if found == nil || (found.routeOnly && depth != 3) {
+	if found == nil || (found.routeOnly && depth != 3) || depth < found.below {
 		return false, nil
 	}
 	return true, r.scalar(decoder, at.path, found, at.values)
@@ -274,6 +291,9 @@
 			}
 		}
 	}
+	if len(r.faults) == 0 {
+		r.checkAccess(tree)
+	}
 }
 
 func (r *reader) descend(tree *Tree, at *level, above map[string]any, depth int) {
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -358,7 +358,7 @@
 	return false, false
 }
 
-var gatewayWords = map[string]bool{"no_confirmed_settings": true, "no_settings": true, "owner_unreachable": true, "control_unreachable": true,
+var gatewayWords = map[string]bool{"no_confirmed_settings": true, "model_not_allowed": true, "no_settings": true, "owner_unreachable": true, "control_unreachable": true,
 	"outcome_unknown": true, "slot_not_ready": true, "draining": true}
 
 func (c *Caller) refuse(id, code string, began time.Duration) {
