--- a/internal/access/duty.go
+++ b/internal/access/duty.go
@@ -20,8 +20,8 @@
 	Counters *base.Counters
 	Register *register.Client
 	Follower *feed.Follower
-	Holds    func() bool
-	Learnt   func(stamp uint64, permit time.Duration) bool
+	Epoch    func() uint64 // under which this core owns the feed's slot, or 0
+	Learnt   func(epoch, stamp uint64, permit time.Duration) bool
 
 	target uint64
 	until  time.Duration
@@ -32,7 +32,7 @@
 	for !d.Follower.Closed() {
 		next := d.Follower.News()
 		pending := PendingIn(d.Follower.Frame().Values)
-		if pending == nil || !d.Holds() {
+		if pending == nil || d.Epoch() == 0 {
 			next.Wait(d.Bounds.Load().Beat())
 			if pending == nil {
 				d.target = 0
@@ -50,7 +50,7 @@
 		d.target, d.until = pending.Target, d.Clock.Now()+pending.permit(bounds)
 	}
 	waited := d.Clock.Now() >= d.until
-	if !waited && !d.Learnt(pending.Target, pending.permit(bounds)) {
+	if !waited && !d.Learnt(d.Epoch(), pending.Target, pending.permit(bounds)) {
 		d.Clock.Sleep(min(bounds.AccessHold()/2, max(1, d.until-d.Clock.Now())))
 		return
 	}
--- a/internal/access/guard.go
+++ b/internal/access/guard.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"fordseam/internal/base"
-	"fordseam/internal/feed"
 )
 
 // Held is a table with the stamp of its settings; no table allows all.
@@ -30,6 +29,13 @@
 	pairs     []*pair
 }
 
+// Confirming tells how lately a node's state was confirmed.
+type Confirming interface {
+	Permitted() bool
+	Confirmed(within time.Duration) bool
+	News() base.Signal
+}
+
 // Guard is a gateway's part.
 type Guard struct {
 	// Told, when set, hears of each change of the rules in force.
@@ -38,7 +44,7 @@
 	clock    base.Clock
 	bounds   *base.Table[base.Bounds]
 	counters *base.Counters
-	follower *feed.Follower
+	follower Confirming
 	view     base.Table[view]
 	others   pair
 }
@@ -51,7 +57,7 @@
 
 // Follow names the follower whose permits the guard decides under; it is called
 // once, before any request.
-func (g *Guard) Follow(follower *feed.Follower) { g.follower = follower }
+func (g *Guard) Follow(follower Confirming) { g.follower = follower }
 
 // Learn takes the rules that decide and, under a change, those that come next.
 // It is called with each frame of the feed before its permit counts.
--- a/internal/access/rules.go
+++ b/internal/access/rules.go
@@ -75,6 +75,9 @@
 	if teams && rules.Models == nil {
 		c.fault("$.models", "must name all models where teams are set")
 	}
+	if !teams && rules.Models != nil {
+		c.known()
+	}
 	if len(c.faults) > 0 || !teams {
 		return nil, c.faults
 	}
@@ -105,6 +108,20 @@
 	}
 }
 
+// known holds routes to the models there are, where no teams are set.
+func (c *checker) known() {
+	for _, group := range base.SortedKeys(c.rules.Groups) {
+		for _, site := range base.SortedKeys(c.rules.Groups[group].Children) {
+			routes := c.rules.Groups[group].Children[site].Children
+			for _, name := range base.SortedKeys(routes) {
+				if _, known := c.index[routes[name].Model]; !known && routes[name].Kind == "model" {
+					c.fault(routes[name].Path+".model", "no model is named %q", routes[name].Model)
+				}
+			}
+		}
+	}
+}
+
 // group judges the teams of a group and what its sites and routes name.
 func (c *checker) group(name string, group *Level, teams bool) {
 	if teams && len(group.Teams) == 0 {
@@ -319,7 +336,8 @@
 		if next == nil || next == route {
 			return // faulted as a fallback
 		}
-		if at, known := c.index[next.Model]; !known || !(listed &^ denied).has(at) {
+		theirs, denies := c.sets(orElse(next.Team, above), group, site, next)
+		if at, known := c.index[next.Model]; !known || !(listed & theirs &^ denied &^ denies).has(at) {
 			c.fault(route.Path+".fallback", "team %q may not call %q, the model of route %q", team, next.Model, named)
 			return
 		}
--- a/internal/access/table.go
+++ b/internal/access/table.go
@@ -47,7 +47,7 @@
 }
 
 func newTable(rules *Rules, index map[string]int) *Table {
-	return &Table{models: rules.Models, index: index, teams: map[string]*Team{}, places: map[Place]*rule{}, hosts: map[string]Place{}}
+	return &Table{rules: rules, models: rules.Models, index: index, teams: map[string]*Team{}, places: map[Place]*rule{}, hosts: map[string]Place{}}
 }
 
 func (t *Table) addTeam(name, group, parent string, listed, denied Set) {
@@ -111,6 +111,9 @@
 	unknown bool
 }
 
+// Decide answers a question.
+func (t *Table) Decide(q *Question) Finding { return t.find(q) }
+
 // find answers a question; a table of no rules allows everything.
 func (t *Table) find(q *Question) Finding {
 	if t == nil {
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -45,10 +45,10 @@
 }
 
 // Learnt tells whether all nodes that may hold a permit have told that they
-// hold the settings of a stamp. It speaks for this core's time as owner, and
-// the change that asks for it must be made under the same epoch.
-func (v *Service) Learnt(stamp uint64, permit time.Duration) bool {
-	epoch, now := v.owner.FeedEpoch(), v.clock.Now()
+// hold the settings of a stamp. It speaks for this core's time as owner under an
+// epoch, and counts for a change that is made under the same.
+func (v *Service) Learnt(epoch, stamp uint64, permit time.Duration) bool {
+	now := v.clock.Now()
 	v.polls.mu.Lock()
 	defer v.polls.mu.Unlock()
 	if epoch == 0 || v.polls.epoch != epoch || now < v.polls.since+permit || now < v.polls.unnamed+permit {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -293,7 +293,7 @@
 	told := feed.NewService(env.Clock, owner)
 	c.mount(feed.NewFeedServer(told))
 	access.Serve(owner, told.Learnt, func() any { return told.Holders(2 * bounds.Load().Recover) })
-	core.settles = &access.Duty{Clock: env.Clock, Bounds: bounds, Counters: env.Counters, Register: client, Follower: follower, Holds: owner.ServesFeed, Learnt: told.Learnt}
+	core.settles = &access.Duty{Clock: env.Clock, Bounds: bounds, Counters: env.Counters, Register: client, Follower: follower, Epoch: owner.FeedEpoch, Learnt: told.Learnt}
 	core.Operate = &operate.Operate{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Register: client, Owner: owner, Counters: env.Counters,
 		Frame: func() map[string][]byte { return follower.Frame().Values }}
 	return core
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -60,7 +60,9 @@
 	Now    int64
 	Bounds *base.Bounds
 	Group  string
-	held   *treemap.Map
+	// Epoch is the one that the change is made under.
+	Epoch uint64
+	held  *treemap.Map
 	puts   []*Put
 }
 
@@ -704,7 +706,7 @@
 		return nil, base.Busy(503, "slot_not_ready", 1, "the slot is changing hands")
 	}
 	epoch := s.epoch
-	tx := &Tx{Now: s.now(o.clock), Bounds: o.bounds.Load(), Group: group, held: s.held}
+	tx := &Tx{Now: s.now(o.clock), Bounds: o.bounds.Load(), Group: group, Epoch: epoch, held: s.held}
 	result, declined := decide(tx)
 	changed := declined == nil && len(tx.puts) > 0
 	if changed {
--- /dev/null
+++ b/internal/settings/access_test.go
@@ -0,0 +1,180 @@
+// The tables of the rule of access: which documents are refused and by which
+// field, and what those that are taken allow.
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"fordseam/internal/access"
+
+	"github.com/matryer/is"
+)
+
+// duka has tills that call the checkout model, and a pay office's assistants.
+const duka = `{"models":["checkout","produce","payslip"],"pools":{"m":{"kind":"model"}},"groups":{
+"duka":{"teams":{"duka-bora":{"models":["checkout","produce"]},"tills":{"parent":"duka-bora"},"night":{"parent":"tills","deny":["produce"]}},"team":"duka-bora",
+ "sites":{"westlands":{"team":"tills","pool":"m","hosts":["tills.example"],"routes":{
+   "chat":{"kind":"model","model":"checkout","fallback":"help"},
+   "help":{"kind":"model","model":"checkout"},
+   "weigh":{"kind":"model","model":"produce","teams":{"tills":{"deny":["produce"]}}},
+   "late":{"kind":"model","model":"checkout","team":"night"}}}}},
+"plc":{"teams":{"clerks":{"models":["payslip"]}},"team":"clerks","sites":{"main":{"pool":"m","hosts":["pay.example"],"routes":{"ask":{"kind":"model","model":"payslip"}}}}}}}`
+
+func TestFaultyAccessIsRefusedByItsField(t *testing.T) {
+	is := is.New(t)
+	_, faults := Read([]byte(duka))
+	is.Equal(len(faults), 0)
+	const site = "$.groups.duka.sites.westlands"
+	rows := []struct{ name, old, new, path string }{
+		{"unknown model of a team", `"models":["payslip"]`, `"models":["payslips"]`, "$.groups.plc.teams.clerks.models[0]"},
+		{"unknown model denied", `"deny":["produce"]}},"team":"duka-bora"`, `"deny":["bread"]}},"team":"duka-bora"`, "$.groups.duka.teams.night.deny[0]"},
+		{"unknown parent", `"parent":"duka-bora"`, `"parent":"duka-nzuri"`, "$.groups.duka.teams.tills.parent"},
+		{"loop", `"duka-bora":{"models":["checkout","produce"]}`, `"duka-bora":{"parent":"night"}`, "$.groups.duka.teams.duka-bora.parent"},
+		{"its own parent", `"duka-bora":{"models":["checkout","produce"]}`, `"duka-bora":{"parent":"duka-bora"}`, "$.groups.duka.teams.duka-bora.parent"},
+		{"empty models", `"models":["payslip"]`, `"models":[]`, "$.groups.plc.teams.clerks.models"},
+		{"empty deny", `"deny":["produce"]}},"team":"duka-bora"`, `"deny":[]}},"team":"duka-bora"`, "$.groups.duka.teams.night.deny"},
+		{"no models at all", `"clerks":{"models":["payslip"]}`, `"clerks":{}`, "$.groups.plc.teams.clerks.models"},
+		{"empty teams", `"teams":{"clerks":{"models":["payslip"]}},"team":"clerks"`, `"teams":{}`, "$.groups.plc.teams"},
+		{"empty catalogue", `{"models":["checkout","produce","payslip"]`, `{"models":[]`, "$.models"},
+		{"no catalogue", `"models":["checkout","produce","payslip"],"pools"`, `"pools"`, "$.groups.duka.teams.duka-bora.models[0]"},
+		{"model named twice", `["checkout","produce","payslip"]`, `["checkout","produce","payslip","produce"]`, "$.models[3]"},
+		{"more for a team under another", `"tills":{"parent":"duka-bora"}`, `"tills":{"parent":"duka-bora","models":["payslip"]}`, "$.groups.duka.teams.tills.models[0]"},
+		{"more at a site", `"westlands":{"team":"tills"`, `"westlands":{"teams":{"tills":{"models":["checkout","produce","payslip"]}},"team":"tills"`, site + ".teams.tills.models[2]"},
+		{"more at a route than at its site", `"chat":{"kind":"model","model":"checkout"`, `"chat":{"teams":{"tills":{"models":["payslip"]}},"kind":"model","model":"checkout"`, site + ".routes.chat.teams.tills.models[0]"},
+		{"another team's model at a route", `"chat":{"kind":"model","model":"checkout"`, `"chat":{"kind":"model","model":"payslip"`, site + ".routes.chat.model"},
+		{"another team's model inherited", `"late":{"kind":"model","model":"checkout"`, `"late":{"kind":"model","model":"unheard-of"`, site + ".routes.late.model"},
+		{"route without model", `"late":{"kind":"model","model":"checkout"`, `"late":{"kind":"model"`, site + ".routes.late.model"},
+		{"a fallback to what is denied there", `"fallback":"help"`, `"fallback":"weigh"`, site + ".routes.chat.fallback"},
+		{"a fallback beyond the route's rules", `"chat":{"kind":"model","model":"checkout","fallback":"help"}`, `"chat":{"kind":"model","model":"checkout","fallback":"weigh","teams":{"tills":{"models":["checkout"]}}}`, site + ".routes.chat.fallback"},
+		{"another group's team", `"westlands":{"team":"tills"`, `"westlands":{"team":"clerks"`, site + ".team"},
+		{"unknown team", `"team":"night"`, `"team":"day"`, site + ".routes.late.team"},
+		{"a team above the one above", `"team":"night"`, `"team":"duka-bora"`, site + ".routes.late.team"},
+		{"rules for an unknown team", `"weigh":{"kind":"model","model":"produce","teams":{"tills"`, `"weigh":{"kind":"model","model":"produce","teams":{"clerks"`, site + ".routes.weigh.teams.clerks"},
+		{"a team set in two groups", `"teams":{"clerks":{"models":["payslip"]}},"team":"clerks"`, `"teams":{"tills":{"models":["payslip"]}},"team":"tills"`, "$.groups.plc.teams.tills"},
+		{"a group without teams", `"teams":{"clerks":{"models":["payslip"]}},"team":"clerks",`, ``, "$.groups.plc.teams"},
+		{"a site without team", `"teams":{"clerks":{"models":["payslip"]}},"team":"clerks"`, `"teams":{"clerks":{"models":["payslip"]}}`, "$.groups.plc.sites.main.team"},
+		{"a parent below the group", `"weigh":{"kind":"model","model":"produce","teams":{"tills":{`, `"weigh":{"kind":"model","model":"produce","teams":{"tills":{"parent":"night",`, site + ".routes.weigh.teams.tills.parent"},
+		{"a host of two sites", `"hosts":["pay.example"]`, `"hosts":["tills.example"]`, "$.groups.plc.sites.main.hosts[0]"},
+		{"a host with a port", `"hosts":["pay.example"]`, `"hosts":["pay.example:80"]`, "$.groups.plc.sites.main.hosts[0]"},
+		{"a host in upper case", `"hosts":["pay.example"]`, `"hosts":["Pay.example"]`, "$.groups.plc.sites.main.hosts[0]"},
+		{"no hosts", `"hosts":["pay.example"]`, `"hosts":[]`, "$.groups.plc.sites.main.hosts"},
+		{"teams at the top", `{"models"`, `{"teams":{"x":{"models":["checkout"]}},"models"`, "$.teams"},
+		{"team at the top", `{"models"`, `{"team":"tills","models"`, "$.team"},
+		{"hosts at a route", `"ask":{`, `"ask":{"hosts":["x.example"],`, "$.groups.plc.sites.main.routes.ask.hosts"},
+		{"unknown key of a team", `"clerks":{"models"`, `"clerks":{"modles":[],"models"`, "$.groups.plc.teams.clerks.modles"},
+		{"models that are no list", `"clerks":{"models":["payslip"]`, `"clerks":{"models":"payslip"`, "$.groups.plc.teams.clerks.models"},
+		{"a model that is no name", `"clerks":{"models":["payslip"]`, `"clerks":{"models":[7]`, "$.groups.plc.teams.clerks.models[0]"},
+		{"a team given twice", `"teams":{"clerks":{"models":["payslip"]}}`, `"teams":{"clerks":{"models":["payslip"]},"clerks":{"models":["payslip"]}}`, "$.groups.plc.teams.clerks"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			document := strings.Replace(duka, row.old, row.new, 1)
+			is.True(document != duka)
+			tree, faults := Read([]byte(document))
+			is.True(tree == nil)
+			is.True(len(faults) > 0)
+			is.Equal(faults[0].Path, row.path)
+		})
+	}
+}
+
+func TestATreeWithoutTeamsAllowsEverything(t *testing.T) {
+	is := is.New(t)
+	tree, faults := Read([]byte(whole))
+	is.Equal(len(faults), 0)
+	is.True(tree.Access() == nil)
+	is.Equal(tree.Access().Digest(), "")
+	_, faults = Read([]byte(`{"models":["a"],"pools":{"m":{"kind":"model"}},"groups":{"g":{"sites":{"s":{"pool":"m","routes":{"r":{"kind":"model","model":"b"}}}}}}}`))
+	is.Equal(len(faults), 1)
+	is.Equal(faults[0].Path, "$.groups.g.sites.s.routes.r.model") // where models are named, routes may name no other
+}
+
+func TestWhatATeamMayCall(t *testing.T) {
+	is := is.New(t)
+	tree, faults := Read([]byte(duka))
+	is.Equal(len(faults), 0)
+	table := tree.Access()
+	own := func(site, route string) access.Question {
+		group, name, _ := strings.Cut(site, "/")
+		return access.Question{Place: access.Place{Group: group, Site: name, Route: route}}
+	}
+	call := func(host, route, model string) access.Question {
+		return access.Question{Host: host, Place: access.Place{Route: route}, Model: model}
+	}
+	rows := []struct {
+		asked   access.Question
+		team    string
+		allowed bool
+	}{
+		{own("duka/westlands", "chat"), "tills", true},
+		{own("duka/westlands", "weigh"), "tills", false},
+		{own("duka/westlands", "late"), "night", true},
+		{own("plc/main", "ask"), "clerks", true},
+		{own("plc/main", "none"), "", false},
+		{call("tills.example", "till-dispute", "checkout"), "tills", true},
+		{call("tills.example", "till-dispute", "produce"), "tills", true},
+		{call("tills.example", "till-dispute", "payslip"), "tills", false},
+		{call("tills.example", "till-dispute", "never-heard-of"), "tills", false},
+		{call("tills.example", "till-dispute", ""), "tills", false},
+		{call("tills.example", "chat", ""), "tills", true},
+		{call("tills.example", "weigh", "produce"), "tills", false},
+		{call("tills.example", "late", "produce"), "night", false},
+		{call("pay.example", "x", "payslip"), "clerks", true},
+		{call("pay.example", "x", "checkout"), "clerks", false},
+		{call("other.example", "x", "checkout"), "", false},
+	}
+	for _, row := range rows {
+		t.Run(fmt.Sprint(row.asked), func(t *testing.T) {
+			is := is.New(t)
+			found := table.Decide(&row.asked)
+			is.Equal(found.Team, row.team)
+			is.Equal(found.Allowed, row.allowed)
+		})
+	}
+	open, faults := Read([]byte(strings.Replace(duka, `"hosts":["pay.example"]`, `"hosts":["pay.example","*"]`, 1)))
+	is.Equal(len(faults), 0)
+	asked := call("other.example", "x", "payslip")
+	is.Equal(open.Access().Decide(&asked).Team, "clerks")
+}
+
+func TestCheckSaysWhy(t *testing.T) {
+	is := is.New(t)
+	tree, _ := Read([]byte(duka))
+	reasons, err := tree.Access().Check("tills", "produce")
+	is.NoErr(err)
+	why := map[string]access.Reason{}
+	for _, one := range reasons {
+		why[one.Place] = one
+	}
+	is.Equal(why["$.groups.duka.teams.tills"].Allowed, true)
+	is.Equal(why["$.groups.duka.teams.tills"].Why, "listed in $.groups.duka.teams.duka-bora.models")
+	is.Equal(why["$.groups.duka.sites.westlands.routes.weigh"].Why, "denied by $.groups.duka.sites.westlands.routes.weigh.teams.tills.deny")
+	is.Equal(why["$.groups.duka.sites.westlands.routes.late"].Why, "denied by $.groups.duka.teams.night.deny")
+	reasons, err = tree.Access().Check("clerks", "checkout")
+	is.NoErr(err)
+	is.Equal(reasons[0].Why, "not listed in $.groups.plc.teams.clerks.models")
+	_, err = tree.Access().Check("nobody", "checkout")
+	is.True(strings.Contains(err.Error(), "nobody"))
+	_, err = tree.Access().Check("clerks", "nothing")
+	is.True(strings.Contains(err.Error(), "nothing"))
+}
+
+func TestDiffOfAccess(t *testing.T) {
+	is := is.New(t)
+	was, _ := Read([]byte(duka))
+	now, faults := Read([]byte(strings.Replace(duka, `"duka-bora":{"models"`, `"duka-bora":{"deny":["produce"],"models"`, 1)))
+	is.Equal(len(faults), 0)
+	is.True(was.Access().Digest() != now.Access().Digest())
+	changes := access.Diff(was.Access(), now.Access())
+	is.True(len(changes) > 0)
+	for _, one := range changes {
+		is.Equal(one.Model, "produce")
+		is.Equal(one.Change, "refused")
+	}
+	is.Equal(len(access.Diff(was.Access(), was.Access())), 0)
+	same, _ := Read([]byte(strings.Replace(duka, `"groups"`, `"queue_size":4,"groups"`, 1)))
+	is.Equal(same.Access().Digest(), was.Access().Digest()) // other values do not change what teams may call
+}
