--- a/internal/access/guard.go
+++ b/internal/access/guard.go
@@ -143,7 +143,6 @@
 				fresh = next.Allowed != found.Allowed
 			}
 		}
-		bell := g.follower.News()
 		if g.confirmed(fresh) {
 			// What was decided on must have been confirmed, not something older.
 			if now := g.view.Load(); now != held {
@@ -156,7 +155,8 @@
 			end = g.clock.Now() + min(g.bounds.Load().Hold(), ctx.Left())
 			g.counters.Add("access_held", 1)
 		}
-		if !bell.Wait(max(0, end-g.clock.Now())) && g.clock.Now() >= end {
+		bell := g.follower.News()
+		if !g.confirmed(fresh) && !bell.Wait(max(0, end-g.clock.Now())) && g.clock.Now() >= end {
 			g.counters.Add("access_unconfirmed", 1)
 			return base.Busy(503, "no_confirmed_settings", 1, "this node cannot confirm which models the team may call")
 		}
--- /dev/null
+++ b/internal/simulate/access_operate_test.go
@@ -0,0 +1,162 @@
+// Access as operators and the operator's routes meet it: every command's bad
+// input is named by its field and changes nothing, the answers say why, and the
+// routes' gateways take the rules from the tree without leaning on permits where
+// there are none.
+package simulate
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/operate"
+	"fordseam/internal/relay"
+	"fordseam/internal/route"
+
+	"github.com/matryer/is"
+)
+
+func tenantShape() Shape {
+	shape := SmallShape()
+	shape.Settings = strings.Replace(tenantTree(nil), `"team":"clerks","sites":{"main":{`, `"team":"clerks","sites":{"main":{"hosts":["pay.example"],`, 1)
+	return shape
+}
+
+func TestAccessCommandsNameWhatIsWrong(t *testing.T) {
+	script(t, tenantShape(), func(is *is.I, f *Fleet, call *talker) {
+		call.sleep(3 * time.Second)
+		read := func(path string, query map[string]string) (int, string) {
+			status, answer := f.OperateWith(f.Cores[1], "GET", "/v1/operator/access"+path, query, nil)
+			return status, string(answer)
+		}
+		status, answer := read("/check", map[string]string{"team": "tills", "model": "payslip"})
+		is.Equal(status, 200)
+		is.True(strings.Contains(answer, `"allowed":false`) && strings.Contains(answer, "not listed in $.groups.dukabora.teams.tills.models"))
+		for field, query := range map[string]map[string]string{
+			"team":  {"model": "payslip"},
+			"model": {"team": "tills", "model": "none"},
+		} {
+			status, answer = read("/check", query)
+			is.Equal(status, 400)
+			is.True(strings.Contains(answer, `"field":"`+field+`"`))
+		}
+		status, answer = read("/check", map[string]string{"team": "nobody", "model": "payslip"})
+		is.Equal(status, 400)
+		is.True(strings.Contains(answer, `"field":"team"`))
+		var shown operate.AccessView
+		_, answer = read("", nil)
+		is.NoErr(json.Unmarshal([]byte(answer), &shown))
+		is.Equal(shown.InForce, uint64(1))
+		is.Equal(len(shown.Teams), 3)
+		is.Equal(len(shown.Holders), len(f.Edges)+len(f.Cores)) // who holds which stamp
+		for _, one := range shown.Holders {
+			is.Equal(one.Stamp, uint64(1))
+		}
+		var state operate.StatusView
+		_, raw := f.Operate(f.Cores[0], "GET", "/v1/operator/status", nil)
+		is.NoErr(json.Unmarshal(raw, &state))
+		is.True(state.Access != nil && len(state.Access.Holders) == len(f.Edges)+len(f.Cores))
+
+		denied := strings.Replace(f.Shape.Settings, `"tills":{"models":["checkout"]`, `"tills":{"models":["checkout"],"deny":["checkout"]`, 1)
+		status, raw = f.Operate(f.Cores[0], "POST", "/v1/operator/access/diff", json.RawMessage(denied))
+		is.Equal(status, 200)
+		is.True(strings.Contains(string(raw), `"model":"checkout","change":"refused"`))
+		wrong := strings.Replace(f.Shape.Settings, `"model":"checkout"`, `"model":"payslip"`, 1)
+		for _, path := range []string{"access/diff", "settings/check"} {
+			status, raw = f.Operate(f.Cores[0], "POST", "/v1/operator/"+path, json.RawMessage(wrong))
+			is.Equal(status, 400)
+			is.True(strings.Contains(string(raw), "$.groups.dukabora.sites.main.routes.chat.model"))
+		}
+		status, raw = f.apply("wrong", 1, json.RawMessage(wrong))
+		is.Equal(status, 400)
+		_, raw = f.Operate(f.Cores[1], "GET", "/v1/operator/settings", nil)
+		is.True(strings.Contains(string(raw), `"stamp":1,`)) // nothing changed
+	})
+}
+
+// A change of the rules on top of one that is not in force yet is refused; other
+// changes are not.
+func TestOneChangeOfAccessAtATime(t *testing.T) {
+	script(t, tenantShape(), func(is *is.I, f *Fleet, call *talker) {
+		call.sleep(3 * time.Second)
+		f.Edges[2].Host.Freeze() // so that the change takes as long as a permit
+		call.sleep(100 * time.Millisecond)
+		denied := strings.Replace(f.Shape.Settings, `"tills":{"models":["checkout"]`, `"tills":{"models":["checkout"],"deny":["checkout"]`, 1)
+		status, _ := f.apply("first-change", 1, json.RawMessage(denied))
+		is.Equal(status, 200)
+		status, raw := f.apply("second-change", 2, json.RawMessage(f.Shape.Settings))
+		is.Equal(status, 409)
+		is.True(strings.Contains(string(raw), "access_changing"))
+		status, _ = f.apply("another-value", 2, json.RawMessage(strings.Replace(denied, `"max_output_tokens":64`, `"max_output_tokens":32`, 1)))
+		is.Equal(status, 200)
+		call.sleep(base.DefaultBounds().Permit() + base.DefaultBounds().Beat())
+		_, raw = f.Operate(f.Cores[0], "GET", "/v1/operator/access", nil)
+		is.True(strings.Contains(string(raw), `"in_force":3`))
+		f.Edges[2].Host.Thaw()
+	})
+}
+
+func TestTheOperatorsRoutesHoldTheRules(t *testing.T) {
+	script(t, tenantShape(), func(is *is.I, f *Fleet, call *talker) {
+		table := &route.Table{Version: 1, Services: map[string]*route.Service{"llm": {Name: "llm", Engine: &route.Engine{Slots: 1}}, "app": {Name: "app"}},
+			Routes: []route.Route{{Name: "ask", Host: "pay.example", Prefix: "/ask/", Timeout: time.Second, Shares: []route.Share{{Service: "llm", Weight: 1}}},
+				{Name: "post", Host: "pay.example", Prefix: "/post/", Timeout: time.Second, Shares: []route.Share{{Service: "app", Weight: 1}}},
+				{Name: "till", Host: "till.example", Prefix: "/", Timeout: time.Second, Shares: []route.Share{{Service: "llm", Weight: 1}}}}}
+		is.NoErr(table.Index())
+		allows := func(m *Machine, host, target, model string) *base.Verdict {
+			var err error
+			done := base.NewBell(f.Callers.Clock())
+			next := done.Next()
+			m.Host.Go(func() {
+				ctx := base.NewCtx(m.Host.Clock(), 5*time.Second)
+				err = m.gateway.Allows(ctx, table.Match(host, target), &relay.Call{Host: host, Target: target, Model: model})
+				next.Fire()
+			})
+			next.Wait(10 * time.Second)
+			return base.FromWire(err)
+		}
+		call.sleep(3 * time.Second)
+		edge := f.Edges[0]
+		is.True(allows(edge, "PAY.example:80", "/ask/x", "payslip") == nil)
+		is.True(allows(edge, "pay.example", "/post/x", "") == nil) // no model: not for these rules
+		v := allows(edge, "pay.example", "/ask/x", "checkout")
+		is.Equal(v.Status, 403)
+		is.Equal(v.Code, "model_not_allowed")
+		is.Equal(v.Team, "clerks")
+		is.Equal(v.Stamp, uint64(1))
+		is.Equal(v.Ran, base.NotRun)
+		is.Equal(allows(edge, "till.example", "/x", "checkout").Code, "unknown_team")
+		f.Net.CutOff(map[string]bool{edge.Host.Name: true})
+		call.sleep(3 * time.Second)
+		is.Equal(allows(edge, "pay.example", "/ask/x", "payslip").Code, "no_confirmed_settings")
+		is.True(allows(edge, "pay.example", "/post/x", "") == nil)
+		f.Net.Heal()
+		call.sleep(2 * time.Second)
+		is.True(allows(edge, "pay.example", "/ask/x", "payslip") == nil)
+	})
+}
+
+// Where no teams are set, a gateway that cannot confirm anything still serves
+// the operator's routes, tells the cores nothing of itself, and asks for no
+// confirmation.
+func TestWithoutRulesNothingChanges(t *testing.T) {
+	script(t, SmallShape(), func(is *is.I, f *Fleet, call *talker) {
+		call.sleep(2 * time.Second)
+		edge := f.Edges[0]
+		is.True(!edge.gateway.Access.Rules())
+		f.Net.CutOff(map[string]bool{edge.Host.Name: true})
+		call.sleep(5 * time.Second)
+		table := &route.Table{Version: 1, Services: map[string]*route.Service{"llm": {Name: "llm", Engine: &route.Engine{Slots: 1}}},
+			Routes: []route.Route{{Name: "ask", Host: "pay.example", Prefix: "/", Timeout: time.Second, Shares: []route.Share{{Service: "llm", Weight: 1}}}}}
+		is.NoErr(table.Index())
+		is.NoErr(edge.gateway.Allows(base.NewCtx(edge.Host.Clock(), time.Second), &table.Routes[0], &relay.Call{Host: "pay.example", Model: "m"}))
+		f.Net.Heal()
+		call.sleep(2 * time.Second)
+		_, raw := f.Operate(f.Cores[0], "GET", "/v1/operator/access", nil)
+		is.True(strings.Contains(string(raw), `"open":true`) && strings.Contains(string(raw), `"holders":[]`))
+		_, raw = f.Operate(f.Cores[0], "GET", "/v1/operator/status", nil)
+		is.True(!strings.Contains(string(raw), `"access"`))
+	})
+}
--- a/internal/simulate/access_test.go
+++ b/internal/simulate/access_test.go
@@ -206,9 +206,9 @@
 			}
 		}
 	}
-	fresh := base.DefaultBounds().AccessFresh()
+	fresh, permit := base.DefaultBounds().AccessFresh(), base.DefaultBounds().Permit()
 	for _, one := range d.askings {
-		fits, could := false, []uint64{}
+		fits, named, could := false, one.allowed, []uint64{}
 		for place, stamp := range stamps {
 			made := d.rulings[stamp]
 			until := time.Duration(1 << 62)
@@ -221,13 +221,16 @@
 			if one.allowed {
 				sent = one.first
 			}
+			// Where the former and the next say the same a permit is enough, so that
+			// an older stamp may still be named.
+			named = named || one.stamp == stamp && made.denied[one.team] && one.told >= made.from && sent <= until-fresh+permit
 			if one.told < made.from || sent > until {
 				continue
 			}
 			could = append(could, stamp)
-			fits = fits || made.denied[one.team] != one.allowed && (one.allowed || one.stamp == stamp)
+			fits = fits || made.denied[one.team] != one.allowed
 		}
-		if !fits {
+		if !fits || !named {
 			d.f.Tally.Breach("%s at %s, sent at %v and told at %v: allowed %v by %d, which none of %v says", one.team, one.gateway, one.sent, one.told, one.allowed, one.stamp, could)
 		}
 	}
@@ -259,6 +262,11 @@
 			enter(func() { d.operator(fmt.Sprint("operator", place), whose) })
 		}
 		d.people(enter)
+		for _, whose := range tenants {
+			for gateway := range f.Edges {
+				enter(func() { d.knock(whose, gateway) })
+			}
+		}
 		f.Net.Faults = Faults{}
 		if harm != "" {
 			f.harm(harm, d.going)
@@ -313,6 +321,30 @@
 	}
 }
 
+// knock asks one gateway for turns of one session, again and again, without ever
+// moving to another: what that gateway holds is what decides.
+func (d *accessDay) knock(whose tenant, gateway int) {
+	f := d.f
+	c := f.caller(fmt.Sprintf("knock-%s-%d", whose.team, gateway), gateway)
+	c.Group, c.Ask = whose.group, f.Asker(f.Callers)
+	for d.going() && !c.Start(1<<20) {
+		c = f.caller(fmt.Sprintf("%s-", c.Name), gateway)
+		c.Group, c.Ask = whose.group, f.Asker(f.Callers)
+		c.Clock.Sleep(200 * time.Millisecond)
+	}
+	path, secret := c.Session()
+	program := strings.Split(path, "/")[3]
+	ask := d.watched(whose.team, f.Asker(f.Callers))
+	for round := 0; d.going(); round++ {
+		c.Clock.Sleep(f.World.Between(100*time.Millisecond, 200*time.Millisecond))
+		f.Callers.Go(func() {
+			id := fmt.Sprint("k", round)
+			body := map[string]any{"messages": []standin.Message{{Role: "user", Content: "knock " + standin.Tag(program, id)}}, "max_output_tokens": f.Shape.Pieces + 2}
+			_, _ = ask(gateway, "POST", path+"/turns", map[string]string{"authorization": "Bearer " + secret, "turn-id": id}, base.Encode(body))
+		})
+	}
+}
+
 // longest is the longest that a change took from being asked for to be known in
 // force.
 func (d *accessDay) longest() (longest time.Duration) {
@@ -377,7 +409,7 @@
 	}{
 		{"the two steps", "a machine cut off", onPath("Feed/Follow", func(m *Message) *http.Response {
 			reply, response := passed(m, m.Body, &feed.FollowReply{})
-			if response == nil || response.StatusCode != 200 {
+			if response == nil || response.StatusCode != 200 || !strings.HasPrefix(m.From.Name, "edge") {
 				return response
 			}
 			reply.Puts = base.Filter(reply.Puts, func(put *register.Put) bool { return put.Key != access.Key })
