--- a/internal/access/guard_test.go
+++ b/internal/access/guard_test.go
@@ -223,7 +223,12 @@
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
-			one.guard.Learn(access.Held{Stamp: 1, Table: tableOf(b, tenants(2600, 4, ""))}, nil)
+			tree, _ := settings.Read(tenants(2600, 4, ""))
+			one.guard.Learn(access.Held{Stamp: 1, Table: tree.Access()}, nil)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			treeWith := float64(after.HeapAlloc - before.HeapAlloc)
+			runtime.KeepAlive(tree)
 			runtime.GC()
 			runtime.ReadMemStats(&after)
 			asked := make([]*access.Question, 2600)
@@ -241,6 +246,7 @@
 				}
 			})
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "table-MB")
+			b.ReportMetric(treeWith/1e6, "with-tree-MB")
 		})
 	}
 	b.Run("no rules", func(b *testing.B) {
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -63,7 +63,7 @@
 	// Epoch is the one that the change is made under.
 	Epoch uint64
 	held  *treemap.Map
-	puts   []*Put
+	puts  []*Put
 }
 
 func (t *Tx) Get(key string) []byte {
--- a/internal/settings/access_test.go
+++ b/internal/settings/access_test.go
@@ -3,11 +3,15 @@
 package settings
 
 import (
+	"bytes"
+	"compress/flate"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"fordseam/internal/access"
+	"fordseam/internal/base"
 
 	"github.com/matryer/is"
 )
@@ -178,3 +182,54 @@
 	same, _ := Read([]byte(strings.Replace(duka, `"groups"`, `"queue_size":4,"groups"`, 1)))
 	is.Equal(same.Access().Digest(), was.Access().Digest()) // other values do not change what teams may call
 }
+
+func TestAPlaceKeepsTheBoundsThatADocumentDoesNotSet(t *testing.T) {
+	is := is.New(t)
+	place := &base.Bounds{Settings: 3 * time.Second, Leave: 4 * time.Second, Recover: 20 * time.Second, Retain: time.Minute}
+	tree, faults := Read([]byte(`{"bounds":{"leave_bound_s":2}}`))
+	is.Equal(len(faults), 0)
+	is.Equal(tree.BoundsOver(place), base.Bounds{Settings: 3 * time.Second, Leave: 2 * time.Second, Recover: 20 * time.Second, Retain: time.Minute})
+	is.Equal(tree.BoundsOver(nil), tree.Bounds())
+}
+
+// A frame of the feed is read once for each tree, and a change under way gives
+// both tables, also to a node that has only just begun.
+func TestANodeKnowsWhatIsInForceAndWhatIsNext(t *testing.T) {
+	is := is.New(t)
+	was, next := []byte(duka), []byte(strings.Replace(duka, `"tills":{"parent":"duka-bora"}`, `"tills":{"parent":"duka-bora","deny":["checkout"]}`, 1))
+	next = []byte(strings.Replace(string(next), `"chat":{"kind":"model","model":"checkout","fallback":"help"}`, `"chat":{"kind":"model","model":"checkout"}`, 1))
+	asked := &access.Question{Place: access.Place{Group: "duka", Site: "westlands", Route: "chat"}}
+	key := func(stamp uint64, document []byte) []byte {
+		return base.Encode(Record{Stamp: stamp, Document: document, Access: "x"})
+	}
+	packed := func() []byte {
+		var into bytes.Buffer
+		writer, _ := flate.NewWriter(&into, flate.BestSpeed)
+		_, _ = writer.Write(was)
+		_ = writer.Close()
+		return into.Bytes()
+	}()
+	under := base.Encode(access.Pending{Force: 1, Target: 2, Packed: packed})
+	before, during, after := map[string][]byte{Key: key(1, was)}, map[string][]byte{Key: key(2, next), access.Key: under}, map[string][]byte{Key: key(2, next)}
+	for _, frames := range [][]map[string][]byte{{before, during, after}, {during, after}, {before, after}} {
+		known := &Known{}
+		for _, frame := range frames {
+			_, tree, _ := known.Learn(frame)
+			is.True(tree != nil)
+			force, coming := known.Access()
+			_, changing := frame[access.Key]
+			is.Equal(coming != nil, changing)
+			is.Equal(force.Stamp == 1, changing || string(frame[Key]) == string(before[Key]))
+			is.Equal(force.Table.Decide(asked).Allowed, force.Stamp == 1)
+			if coming != nil {
+				is.Equal(coming.Stamp, uint64(2))
+				is.True(!coming.Table.Decide(asked).Allowed)
+			}
+			_, again, fresh := known.Learn(frame)
+			is.True(again == tree && !fresh)
+		}
+	}
+	known := &Known{}
+	_, tree, fresh := known.Learn(map[string][]byte{})
+	is.True(tree == nil && !fresh)
+}
