--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -12,6 +12,7 @@
 	"maps"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
@@ -28,11 +29,12 @@
 	clock    base.Clock
 	owner    *register.Owner
 	follower *Follower
+	polls    polls
 }
 
 // NewService takes no owner on a gateway.
 func NewService(clock base.Clock, owner *register.Owner, follower *Follower) *Service {
-	return &Service{clock, owner, follower}
+	return &Service{clock: clock, owner: owner, follower: follower, polls: polls{holders: map[string]poll{}}}
 }
 
 func (v *Service) Follow(plain context.Context, request *FollowRequest) (*FollowReply, error) {
@@ -44,6 +46,7 @@
 	if v.owner == nil || request.Relayed && !v.owner.ServesFeed() {
 		return v.follower.Relay(ctx, request)
 	}
+	v.note(request)
 	hold := min(time.Duration(request.HoldMs)*time.Millisecond, ctx.Left()/2)
 	place, frame, puts, hint, err := v.owner.News(ctx, request.Place, request.Begun, hold)
 	if err != nil {
@@ -79,8 +82,13 @@
 	asking   followers
 	parent   *membership.Member // told at second hand last; only Run has it
 
+	// Tell, when set before Run, adds to a question what the node tells of itself.
+	Tell func(request *FollowRequest)
+
+	until atomic.Int64 // a permit's end, by the node's clock
+	asked atomic.Int64 // when the newest confirmation was asked for, and 1
+
 	mu        sync.Mutex
-	until     time.Duration
 	confirmed time.Duration
 	steps     steps
 	gateways  int64
@@ -107,6 +115,9 @@
 		if large(f.view) {
 			request.From, request.Gateways = f.view.Me(), f.below("", 0)
 		}
+		if f.Tell != nil {
+			f.Tell(request)
+		}
 		reply, asked, err := f.ask(request)
 		if err != nil {
 			f.counters.Add("feed_failures", 1)
@@ -134,6 +145,9 @@
 func (f *Follower) ask(request *FollowRequest) (reply *FollowReply, asked time.Duration, err error) {
 	bounds := f.bounds.Load()
 	all := f.candidates()
+	if request.Node != "" {
+		all = nil // what this node holds is told to the owner itself
+	}
 	request.Relayed = true
 	lost := false
 	for tries := 0; tries < relayTries && len(all) > 0; tries++ {
@@ -221,21 +235,28 @@
 	asked -= time.Duration(reply.BehindMs) * time.Millisecond
 	f.mu.Lock()
 	f.gateways, f.confirmed = reply.Gateways, max(f.confirmed, asked)
-	if f.until > 0 && f.clock.Now() >= f.until {
+	until := time.Duration(f.until.Load())
+	if until > 0 && f.clock.Now() >= until {
 		f.lapses++
 	}
-	f.until = max(f.until, asked+permit-permit/20)
+	f.until.Store(int64(max(until, asked+permit-permit/20)))
+	f.asked.Store(max(f.asked.Load(), int64(asked)+1))
 	f.mu.Unlock()
 	f.bell.Ring()
 }
 
-// Permitted reports whether this node may serve at this moment.
-func (f *Follower) Permitted() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.clock.Now() < f.until
+// News rings at the next confirmation.
+func (f *Follower) News() base.Signal { return f.bell.Next() }
+
+// Confirmed reports whether the newest confirmation was asked for so lately.
+func (f *Follower) Confirmed(within time.Duration) bool {
+	asked := f.asked.Load()
+	return asked > 0 && f.clock.Now() < time.Duration(asked)+within
 }
 
+// Permitted reports whether this node may serve at this moment.
+func (f *Follower) Permitted() bool { return f.clock.Now() < time.Duration(f.until.Load()) }
+
 // Gateways is how many follow the feed in all, as last told.
 func (f *Follower) Gateways() int {
 	f.mu.Lock()
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -63,8 +63,10 @@
 	Now    int64
 	Bounds *base.Bounds
 	Group  string
-	held   *treemap.Map
-	puts   []*Put
+	// Epoch is the one that the change is made under.
+	Epoch uint64
+	held  *treemap.Map
+	puts  []*Put
 }
 
 func (t *Tx) Get(key string) []byte {
@@ -748,7 +750,7 @@
 		return nil, base.Busy(503, "slot_not_ready", 1, "the slot is changing hands")
 	}
 	epoch := s.epoch
-	tx := &Tx{Now: s.now(o.clock), Bounds: o.bounds.Load(), Group: group, held: s.held}
+	tx := &Tx{Now: s.now(o.clock), Bounds: o.bounds.Load(), Group: group, Epoch: epoch, held: s.held}
 	result, declined := decide(tx)
 	changed := declined == nil && len(tx.puts) > 0
 	if changed {
@@ -970,6 +972,18 @@
 	return owned, o.Set()
 }
 
+// FeedEpoch is the epoch under which this core owns the feed's slot, 0 when it
+// does not.
+func (o *Owner) FeedEpoch() uint64 {
+	s := o.slots[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase != serving {
+		return 0
+	}
+	return s.epoch
+}
+
 // ServesFeed tells whether this core owns the feed's slot.
 func (o *Owner) ServesFeed() bool {
 	s := o.slots[0]
