--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -138,10 +138,10 @@
 func (f *Follower) Relay(ctx *base.Ctx, request *FollowRequest) (*FollowReply, error) {
 	hold := min(time.Duration(request.HoldMs)*time.Millisecond, ctx.Left()/2)
 	arrived := f.clock.Now()
-	first := f.Confirmed()
+	first := f.confirmedAt()
 	for {
 		next := f.bell.Next()
-		confirmed, now := f.Confirmed(), f.clock.Now()
+		confirmed, now := f.confirmedAt(), f.clock.Now()
 		frame := f.Frame()
 		renewed := confirmed > first && now-arrived >= hold/2
 		if frame.Begun && (!request.Begun || frame.Place > request.Place) || renewed || now >= arrived+hold*5/4 {
@@ -175,8 +175,8 @@
 	return reply, nil
 }
 
-// Confirmed is a moment from which on this node's frame held all there was.
-func (f *Follower) Confirmed() time.Duration {
+// confirmedAt is a moment from which on this node's frame held all there was.
+func (f *Follower) confirmedAt() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.confirmed
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -358,7 +358,7 @@
 	return false, false
 }
 
-var gatewayWords = map[string]bool{"no_confirmed_settings": true, "no_settings": true, "owner_unreachable": true, "control_unreachable": true,
+var gatewayWords = map[string]bool{"no_confirmed_settings": true, "model_not_allowed": true, "no_settings": true, "owner_unreachable": true, "control_unreachable": true,
 	"outcome_unknown": true, "slot_not_ready": true, "draining": true}
 
 func (c *Caller) refuse(id, code string, began time.Duration) {
@@ -369,6 +369,13 @@
 	c.Tally.Count("turns_refused")
 }
 
+// Refuse notes that a program's turn was told as not run: it must never run.
+func (t *Tally) Refuse(program, turn, code string) {
+	t.mu.Lock()
+	t.Refused[program+"|"+turn] = code
+	t.mu.Unlock()
+}
+
 // readTurn reads a stream to its end and checks every piece.
 func (c *Caller) readTurn(id string, answer *Answer, expected []string) (verdict, said string) {
 	pieces, leg := []string{}, ""
