Bound the changes an owner keeps by bytes; play thousands of changes

Cause: an owner kept every change that a disk in the set lacked, up to 4096 entries: 90 MB at 22 KB a configuration for one disk that stays silent under the same owner. Dropped entries also stayed reachable through the slice's array.

Ruled out as growing: keys of the feed, disk, catch-up time.

--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -22,11 +22,6 @@
 	Slots = 32
 	// FeedGroup is the group whose changes every node follows.
 	FeedGroup = "feed"
-
-	bufferLimit = 4096
-	// feedBytes bounds the committed changes kept for followers of the feed; who
-	// is further behind is given the frame.
-	feedBytes = 4 << 20
 )
 
 // Owner is a core's part in the register.
--- a/internal/register/slot.go
+++ b/internal/register/slot.go
@@ -126,36 +126,5 @@
 			s.commit, s.based = mark.acked, true
 		}
 	}
-	lowest := s.commit
-	for _, mark := range s.progress {
-		if mark.installed {
-			lowest = min(lowest, mark.acked)
-		}
-	}
-	first := s.first()
-	keep := max(lowest+1, first)
-	if lowest < s.commit && uint64(len(s.buffer)) > bufferLimit {
-		keep = s.commit + 1
-	}
-	// The feed reads committed changes from the buffer, so some stay.
-	if s.num == 0 && keep > first {
-		stays, bytes := keep, 0
-		for stays > first && s.tail-stays+1 < bufferLimit {
-			if bytes += s.buffer[stays-1-first].weight(); bytes > feedBytes {
-				break
-			}
-			stays--
-		}
-		keep = stays
-	}
-	s.buffer = s.buffer[keep-first:]
-}
-
-// weight is about what an entry holds in memory.
-func (e *Entry) weight() int {
-	sum := 64
-	for _, put := range e.Puts {
-		sum += len(put.Key) + len(put.Value) + 64
-	}
-	return sum
+	s.trim()
 }
--- a/internal/simulate/files.go
+++ b/internal/simulate/files.go
@@ -144,5 +144,14 @@
 	return true
 }
 
+// Bytes is what all files hold together.
+func (f *Files) Bytes() int {
+	sum := 0
+	for _, held := range f.files {
+		sum += len(held.live)
+	}
+	return sum
+}
+
 // Size is how long a file is.
 func (f *Files) Size(name string) int { return len(f.at(name).live) }
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/feed"
 	"fordseam/internal/front"
 	"fordseam/internal/node"
 	"fordseam/internal/standin"
@@ -264,6 +265,19 @@
 // Gateway is a machine's gateway in its present life.
 func (m *Machine) Gateway() *node.Gateway { return m.gateway }
 
+// feedFollower is what a gateway or core follows the feed with.
+func (m *Machine) feedFollower() *feed.Follower {
+	switch {
+	case !m.Host.alive || m.Host.frozen:
+		return nil
+	case m.gateway != nil:
+		return m.gateway.Follower
+	case m.core != nil:
+		return m.core.Follower
+	}
+	return nil
+}
+
 // Serving tells whether a gateway lives and may serve.
 func (m *Machine) Serving() bool {
 	return m.Host.alive && !m.Host.frozen && m.gateway != nil && m.gateway.Follower.Permitted()
--- /dev/null
+++ b/internal/simulate/manychanges_test.go
@@ -0,0 +1,57 @@
+// Many changes while members fail, at the sizes of all known sites. The long
+// form, with thousands of changes, is fordseam-sim changes.
+package simulate
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// changesOf plays a plan over seeds and wants no breach.
+func changesOf(t *testing.T, plan ChangesPlan, seeds uint64) {
+	t.Helper()
+	for seed := uint64(1); seed <= seeds; seed++ {
+		report := RunChanges(seed, plan)
+		out := &strings.Builder{}
+		report.Write(out)
+		t.Log(out.String())
+		for _, breach := range report.Breaches {
+			t.Errorf("seed %d: %s", seed, breach)
+		}
+	}
+}
+
+func planOf(t *testing.T, size string, changes int) ChangesPlan {
+	t.Helper()
+	plan, err := PlanChanges(size, changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return plan
+}
+
+func TestMembersAreCurrentHoweverManyChangesTheyMissed(t *testing.T) {
+	for _, size := range ChangesSizes {
+		t.Run(size, func(t *testing.T) {
+			t.Parallel()
+			plan := planOf(t, size, 200)
+			if plan.Gateways > 10 {
+				plan.Changes, plan.Every = 60, 300*time.Millisecond
+			}
+			changesOf(t, plan, uint64(*seeds))
+		})
+	}
+}
+
+// One member of each kind is gone while all the changes are made.
+func TestMembersAreCurrentAfterAllChangesWereMissed(t *testing.T) {
+	for _, size := range ChangesSizes[:2] {
+		t.Run(size, func(t *testing.T) {
+			t.Parallel()
+			plan := planOf(t, size, 300)
+			plan.Away = true
+			changesOf(t, plan, uint64(*seeds))
+		})
+	}
+}
