Take a shard from an owner that is cut off within a second, and refuse in time

Cause: a change that reached a core waited on the shard's owner for up to recover/12 (1 s; 1.25 s at the grown sites), the whole of an operator's patience, before another core was asked; a core that was asked instead sent the caller back to the owner as long as gateways, which reach both sides, answered that it lives; and an owner that reached the other cores but no majority of the disks kept its shards for as long as the cut lasted. A read whose answer was lost was answered 502, as though it mattered whether it ran.

Ruled out: the votes of the disks (the epoch was fenced as it should be), the gossip's own times (a core is found silent in a heartbeat and a half; it was trusted again on the word of gateways).

--- a/internal/base/bounds.go
+++ b/internal/base/bounds.go
@@ -56,6 +56,9 @@
 // Hedge is how long a slow disk is waited for before another is asked too.
 func (b *Bounds) Hedge() time.Duration { return b.Recover / 150 }
 
+// AnotherCore is how long a core is waited for before another is asked as well.
+func (b *Bounds) AnotherCore() time.Duration { return b.Beat() / 2 }
+
 // Call bounds one message to a core and back, its wait for disks included.
 func (b *Bounds) Call() time.Duration { return b.Recover / 6 }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -56,6 +56,9 @@
 	accusedAt time.Duration
 	lost      time.Duration
 	probing   bool
+	// unheard is that it gave this node's own last question no answer, whether or
+	// not others hear it.
+	unheard bool
 }
 
 // shown is the view as readers have it, made anew after a change. It holds
@@ -143,9 +146,7 @@
 		if v.Cluster != nil {
 			v.belong(v.Cluster())
 		}
-		if v.Unwell != nil {
-			v.mend(v.Unwell())
-		}
+		v.Refresh()
 		began := v.clock.Now()
 		partner, addrs, joins := v.nominate()
 		if partner != "" {
@@ -192,6 +193,32 @@
 	v.counters.Add("views_woken", 1)
 }
 
+// Refresh takes the word on what keeps this node from serving at once, and
+// tells the neighbours if it has changed.
+func (v *View) Refresh() {
+	if v.Unwell != nil {
+		v.mend(v.Unwell())
+	}
+}
+
+// Unheard reports whether a member gave this node's own last question no
+// answer. It may live: others may hear it.
+func (v *View) Unheard(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	held, ok := v.known[id]
+	return ok && held.unheard
+}
+
+// hear notes whether a member answered this node's own question.
+func (v *View) hear(id string, answered bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if held, ok := v.known[id]; ok {
+		held.unheard = !answered
+	}
+}
+
 // mend takes the word on what keeps this node from serving.
 func (v *View) mend(word string) {
 	v.mu.Lock()
@@ -356,6 +383,7 @@
 	message := v.message(v.at(addr), askView, nil)
 	reply, err := NewMembershipProtobufClient("http://"+addr, v.wire).Shuffle(base.NewCtx(v.clock, limit), message)
 	if err != nil {
+		v.hear(v.at(addr), false)
 		if base.WasNotSent(err) {
 			v.doubtAt(addr)
 		}
@@ -363,6 +391,7 @@
 	}
 	if len(reply.Members) > 0 {
 		id = reply.Members[0].Id
+		v.hear(id, true)
 	}
 	if differs := v.merge(reply, addr); differs && !askView {
 		v.counters.Add("views_compared", 1)
@@ -441,6 +470,7 @@
 	if heard.Fired() || v.clock.Now()-began > 3*beat {
 		return // it lives, or this node slept and is no judge
 	}
+	v.hear(member.Id, false)
 	yes, no := v.askOthers(member)
 	switch {
 	case heard.Fired() || v.clock.Now()-began > 6*beat:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -305,7 +305,7 @@
 }
 
 func (c *Core) Start() {
-	c.view.Unwell, c.view.Cluster = unwell(c.Ready), c.Owner.Cluster
+	c.view.Unwell, c.view.Cluster = unwell(c.state), c.Owner.Cluster
 	c.env.Clock.Go(c.view.Run)
 	c.env.Clock.Go(c.Owner.Run)
 	if c.founder != nil {
@@ -331,6 +331,15 @@
 	return nil
 }
 
+// state is what the others are told of this core: above all that it cannot reach
+// a majority of the disks.
+func (c *Core) state() error {
+	if c.Owner.WithoutQuorum() {
+		return base.Busy(503, register.NoQuorum, 1, "no majority of disks answers this core")
+	}
+	return c.Ready()
+}
+
 // Leave tells the fleet, so that others take this core's slots.
 func (c *Core) Leave(time.Duration) {
 	c.view.Leave(c.bounds.Load().Beat() * 4)
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -105,7 +105,7 @@
 
 func (o *Operate) settings(ctx *base.Ctx) (*settings.Record, error) {
 	var record settings.Record
-	return &record, o.Register.Change(ctx, register.FeedGroup, "settings.get", struct{}{}, &record)
+	return &record, o.Register.Read(ctx, register.FeedGroup, "settings.get", struct{}{}, &record)
 }
 
 func (o *Operate) check(document []byte) (any, error) {
--- a/internal/register/client.go
+++ b/internal/register/client.go
@@ -1,11 +1,10 @@
-// The client finds the owner of a group's slot and asks it for a change. Ops
-// are safe to ask twice, so a lost reply is asked again until the visit's
-// time is over; only then is the outcome unknown.
+// The client finds the owner of a group's shard and asks it for a change. Ops
+// are safe to ask twice, so a lost reply is asked again until the call's time
+// is over; only then is the outcome unknown.
 package register
 
 import (
 	"encoding/json"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +13,7 @@
 	"fordseam/internal/membership"
 )
 
+// Client asks the owners of shards for changes.
 type Client struct {
 	clock  base.Clock
 	wire   base.Wire
@@ -24,27 +24,38 @@
 	answered map[uint32]string // the core that answered for a slot last
 }
 
+// NewClient makes a client that finds cores by a view.
 func NewClient(clock base.Clock, wire base.Wire, view *membership.View, bounds *base.Table[base.Bounds]) *Client {
 	return &Client{clock: clock, wire: wire, view: view, bounds: bounds, answered: map[uint32]string{}}
 }
 
 // Nominate orders the live cores for a slot.
-func (c *Client) Nominate(slot uint32) []string {
-	ids := base.Map(c.view.Alive(membership.RoleCore), func(m *membership.Member) string { return m.Id })
-	return base.Rendezvous(fmt.Sprint("slot/", slot), ids)
-}
+func (c *Client) Nominate(slot uint32) []string { return ownersFor(c.view, slot) }
 
 // Change asks for an op in a group and reads its result into into.
 func (c *Client) Change(ctx *base.Ctx, group, op string, args, into any) error {
+	return c.change(ctx, group, op, args, into)
+}
+
+// Read asks for an op that changes nothing. Since it is all the same whether it
+// ran, a lost answer is a refusal that says when to come back.
+func (c *Client) Read(ctx *base.Ctx, group, op string, args, into any) error {
+	err := c.change(ctx, group, op, args, into)
+	if base.IsCode(err, "outcome_unknown") {
+		return base.Busy(503, "control_unreachable", 1, "%s", base.FromWire(err).Message)
+	}
+	return err
+}
+
+func (c *Client) change(ctx *base.Ctx, group, op string, args, into any) error {
 	request := &ChangeRequest{Group: group, Op: op, Args: base.Encode(args)}
-	var result []byte
-	err := c.Reach(ctx, SlotOf(group), c.bounds.Load().Call()/2, func(ctx *base.Ctx, addr string) (string, error) {
+	bounds := c.bounds.Load()
+	result, err := c.search(ctx, SlotOf(group), bounds.Call()/2, bounds.AnotherCore(), func(ctx *base.Ctx, addr string) answer {
 		reply, err := NewRegisterProtobufClient("http://"+addr, c.wire).Change(ctx, request)
 		if err != nil {
-			return "", err
+			return answer{err: err}
 		}
-		result = reply.Result
-		return reply.Owner, nil
+		return answer{hint: reply.Owner, result: reply.Result}
 	})
 	if err != nil || into == nil {
 		return err
@@ -52,6 +63,18 @@
 	return json.Unmarshal(result, into)
 }
 
+// Reach calls the owner of a slot, following hints and trying again, until
+// it answers for itself. One call may take up to limit and no other is made
+// meanwhile; a core that gives no answer in that time is passed over until it
+// is heard to beat again.
+func (c *Client) Reach(ctx *base.Ctx, slot uint32, limit time.Duration, call func(ctx *base.Ctx, addr string) (hint string, err error)) error {
+	_, err := c.search(ctx, slot, limit, forEver, func(ctx *base.Ctx, addr string) answer {
+		hint, err := call(ctx, addr)
+		return answer{hint: hint, err: err}
+	})
+	return err
+}
+
 // choose prefers the core that answered last, then the slot's order; a core
 // that gave no answer to this call comes after those that were not asked yet.
 // The owner may be one that others cannot reach, or that cannot reach the
@@ -76,55 +99,3 @@
 	defer c.mu.Unlock()
 	c.answered[slot] = core
 }
-
-// Reach calls the owner of a slot, following hints and trying again, until
-// it answers for itself. One call may take up to limit; a core that gives no
-// answer in that time is passed over until it is heard to beat again.
-func (c *Client) Reach(ctx *base.Ctx, slot uint32, limit time.Duration, call func(ctx *base.Ctx, addr string) (hint string, err error)) error {
-	var last error
-	hint, lost, turned := "", false, map[string]int{}
-	for hops := 0; !ctx.Over(); hops++ {
-		chosenCore := hint
-		if chosenCore == "" || turned[chosenCore] > 0 {
-			chosenCore = c.choose(slot, turned)
-		}
-		member, _ := c.view.Find(chosenCore)
-		hint = ""
-		if member != nil {
-			var err error
-			hint, err = call(ctx.Within(limit), member.Addr)
-			if err == nil && hint == "" {
-				c.note(slot, chosenCore)
-				return nil
-			}
-			if _, alive := c.view.Find(hint); !alive {
-				hint = "" // the core that was asked probes that one; ask it again
-			}
-			if err != nil {
-				v := base.FromWire(err)
-				last = v
-				switch v.Code {
-				case "unreachable":
-					turned[chosenCore]++
-					c.view.Suspect(chosenCore)
-				case "reply_lost":
-					turned[chosenCore]++
-					lost = true
-					c.view.Suspect(chosenCore)
-				case "slot_moved", "no_majority", "slot_not_ready", "no_disks":
-					lost = lost || v.Ran != base.NotRun
-				default:
-					return v
-				}
-			}
-		}
-		if hops > 0 || member == nil || hint == "" {
-			pause := c.bounds.Load().Beat() / 5 << min(hops, 3)
-			c.clock.Sleep(min(ctx.Left(), pause+time.Duration(c.clock.Int64N(int64(pause)))))
-		}
-	}
-	if lost {
-		return base.Unsure(503, "outcome_unknown", "the control state did not answer in time: %v", last)
-	}
-	return base.Busy(503, "control_unreachable", 1, "the control state could not be reached: %v", last)
-}
--- a/internal/register/confirm.go
+++ b/internal/register/confirm.go
@@ -48,6 +48,7 @@
 		set := o.knownSet()
 		o.counters.Add("register_confirms", 1)
 		bounds := o.bounds.Load()
+		asked := o.clock.Now()
 		confirmed := base.AskFew(o.clock, o.promptFirst(voters(set)), majority(set), bounds.Confirm(), bounds.DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 			began := o.clock.Now()
 			ack, err := o.disk(entry).Confirm(ctx, &ConfirmRequest{Claim: o.claim(s, epoch, set, entry)})
@@ -60,6 +61,9 @@
 			}
 			return err == nil && ack.Ok
 		})
+		if s.owns(epoch) {
+			o.noteQuorum(confirmed, asked)
+		}
 		if !confirmed {
 			current.err = base.Busy(503, "no_majority", 1, "no majority of disks")
 		}
--- a/internal/register/decide.go
+++ b/internal/register/decide.go
@@ -39,10 +39,8 @@
 		if serves {
 			return "", nil
 		}
-		if preferred := o.preferred(s); preferred != o.view.Me() {
-			// Whoever asks here may have found that core silent.
-			o.view.Probe(preferred)
-			return preferred, nil
+		if other := o.ahead(s); other != "" {
+			return other, nil
 		}
 		o.start(s)
 		if !next.Wait(ctx.Left() / 2) {
--- a/internal/register/owner.go
+++ b/internal/register/owner.go
@@ -42,6 +42,7 @@
 
 	// mending is set by Mend, before Run.
 	mending *mending
+	contact quorumContact
 
 	mu     sync.Mutex
 	set    *DiskSet
@@ -83,6 +84,7 @@
 				o.start(s)
 			}
 		}
+		o.seekQuorum()
 		o.moveDisks()
 		if o.clock.Now()-swept > o.bounds.Load().Sweep() {
 			swept = o.clock.Now()
--- a/internal/register/retire.go
+++ b/internal/register/retire.go
@@ -47,7 +47,7 @@
 // RetireState tells how far a machine's retirement has come.
 func RetireState(ctx *base.Ctx, client *Client, node string) (*Retiring, error) {
 	var found Retiring
-	return &found, client.Change(ctx, FeedGroup, "retiring.get", Retiring{Node: node}, &found)
+	return &found, client.Read(ctx, FeedGroup, "retiring.get", Retiring{Node: node}, &found)
 }
 
 func (o *Owner) handleRetiring() {
--- a/internal/register/slot.go
+++ b/internal/register/slot.go
@@ -76,6 +76,13 @@
 	err  error
 }
 
+// owns tells whether this core still keeps the slot under an epoch.
+func (s *slot) owns(epoch uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch == epoch
+}
+
 // first is the number that the buffer begins with; the caller holds the lock.
 func (s *slot) first() uint64 { return s.tail + 1 - uint64(len(s.buffer)) }
 
--- a/internal/register/takeover.go
+++ b/internal/register/takeover.go
@@ -5,22 +5,47 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"sync"
 	"time"
 
 	"fordseam/internal/base"
-	"fordseam/internal/membership"
 
 	"github.com/emirpasic/gods/maps/treemap"
 )
 
 func (o *Owner) preferred(s *slot) string {
-	ids := base.Map(o.view.Alive(membership.RoleCore), func(m *membership.Member) string { return m.Id })
-	if len(ids) == 0 {
+	order := ownersFor(o.view, s.num)
+	if len(order) == 0 {
 		return ""
 	}
-	return base.Rendezvous(fmt.Sprint("slot/", s.num), ids)[0]
+	return order[0]
+}
+
+// probedAhead is how many cores that go before this one in a slot's order are
+// looked after at once when this one is asked.
+const probedAhead = 3
+
+// ahead names the core that should take a slot before this one. Whoever asks
+// here may have found that core silent, so it is probed, and is passed over
+// while it gives this core no answer, whatever others find: what it owns is
+// then taken from it by a higher epoch.
+func (o *Owner) ahead(s *slot) string {
+	order := ownersFor(o.view, s.num)
+	for place, id := range order {
+		if id == o.view.Me() {
+			return ""
+		}
+		if place < probedAhead {
+			o.view.Probe(id)
+		}
+		if !o.view.Unheard(id) {
+			for _, next := range order[place+1 : min(len(order), probedAhead)] {
+				o.view.Probe(next)
+			}
+			return id
+		}
+	}
+	return o.preferred(s)
 }
 
 func (o *Owner) start(s *slot) {
@@ -56,6 +81,7 @@
 	s.highest++
 	epoch := s.highest
 	s.mu.Unlock()
+	began := o.clock.Now()
 	var mu sync.Mutex
 	var newest *PromiseReply
 	promised := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
@@ -87,8 +113,10 @@
 		if learnt {
 			return base.Busy(503, "older_epoch", 1, "the disks have promised a higher epoch")
 		}
+		o.noteQuorum(false, began)
 		return base.Busy(503, "no_majority", 1, "no majority of disks")
 	}
+	o.noteQuorum(true, began)
 	mu.Lock()
 	content, age := newest, newest.AgeMs
 	mu.Unlock()
--- a/internal/route/change.go
+++ b/internal/route/change.go
@@ -112,5 +112,5 @@
 
 func Read(ctx *base.Ctx, client *register.Client) (*Document, error) {
 	var found Document
-	return &found, client.Change(ctx, register.FeedGroup, "route.read", struct{}{}, &found)
+	return &found, client.Read(ctx, register.FeedGroup, "route.read", struct{}{}, &found)
 }
