--- a/internal/simulate/net.go
+++ b/internal/simulate/net.go
@@ -43,11 +43,23 @@
 	// Resets has the end of a process reset its connections, so that those who
 	// wait for its answer learn at once; without it they wait their time out.
 	Resets bool
+	// Notice is what the sender notices of a message that a cut stops.
+	Notice Notice
 	// Meddle, set by tests only, stands between the machines and takes a
 	// mechanism away: it may answer a message itself, or change what passes.
 	Meddle func(m *Message) *http.Response
 }
 
+// Notice is what the sender of a message notices of a cut.
+type Notice int
+
+// A cut drops messages in silence, resets connections, or has them refused.
+const (
+	NoticeNothing Notice = iota
+	NoticeReset
+	NoticeRefused
+)
+
 // Talk is what was said on one path.
 type Talk struct{ Calls, Bytes int }
 
@@ -183,6 +195,13 @@
 	done := (&clock{x.host}).NewSignal()
 	if target.dark || n.cut(x.host.Name, target.Name) || n.cut(target.Name, x.host.Name) && w.Chance(0.5) {
 		n.Lost++
+		if n.Notice != NoticeNothing && !target.dark {
+			x.host.Clock().Sleep(n.delay())
+			if n.Notice == NoticeRefused {
+				return nil, &base.NotSent{Cause: errors.New("connection refused")}
+			}
+			return nil, errLost
+		}
 		done.Wait(left)
 		if w.Chance(0.5) {
 			return nil, &base.NotSent{Cause: errors.New("no route")}
@@ -208,6 +227,9 @@
 			target.serve.ServeHTTP(recorder, arrived)
 			if !answered || n.cut(target.Name, x.host.Name) || w.Chance(n.Faults.Lost) {
 				n.Lost++
+				if answered && n.Notice != NoticeNothing {
+					done.Fire() // without a response: the connection was reset
+				}
 				return
 			}
 			target.Clock().Sleep(n.delay() + x.host.Lag + target.Lag + x.host.work())
