--- a/internal/route/change.go
+++ b/internal/route/change.go
@@ -245,7 +245,7 @@
 // Read asks for what is in force; the version is 0 where nothing is.
 func Read(ctx *base.Ctx, client *register.Client) (*Document, error) {
 	var found Document
-	err := client.Change(ctx, register.FeedGroup, operationRead, struct{}{}, &found)
+	err := client.Read(ctx, register.FeedGroup, operationRead, struct{}{}, &found)
 	if err != nil {
 		return nil, readOutcome(base.FromWire(err))
 	}
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -463,3 +463,13 @@
 	f.Tally.Check(f.Models, f.Tools, int64(f.Shape.Pieces))
 	return f.Tally.Breaches
 }
+
+// feeds is the core that owns the feed.
+func (f *Fleet) feeds() *Machine {
+	for _, m := range f.Cores {
+		if m.Host.alive && m.core != nil && m.core.Owner.ServesFeed() {
+			return m
+		}
+	}
+	return nil
+}
--- a/internal/simulate/manychanges.go
+++ b/internal/simulate/manychanges.go
@@ -7,7 +7,6 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -104,7 +103,7 @@
 	fleet   *Fleet
 	report  *ChangesReport
 	rng     *rand.Rand
-	routes  []byte
+	tail    []byte
 	version uint64 // acknowledged
 	changes int
 	returns []Return
@@ -124,7 +123,7 @@
 	f := layFleet(seed, shape)
 	defer f.World.Close()
 	r := &changesRun{plan: plan, fleet: f, rng: rand.New(rand.NewPCG(seed, 0xc4a9)), report: &ChangesReport{Plan: plan, Seed: seed}}
-	r.routes = r.document()
+	r.tail = r.documentTail()
 	f.Net.BytesPerSecond = plan.BytesPerSecond
 	f.equip = func(_ *Machine, env *node.Env, place *node.Place) {
 		place.Bounds = base.DefaultBounds()
@@ -149,23 +148,35 @@
 	return r.report
 }
 
-// document is a configuration without its version. Gateways read only that.
-func (r *changesRun) document() []byte {
+// documentHead is what stands before the version in a document.
+const documentHead = `{"generation":`
+
+// documentTail is the part of a configuration that follows its version. The
+// padding does not compress below the bytes that the plan asks for.
+func (r *changesRun) documentTail() []byte {
 	var out bytes.Buffer
+	out.WriteString(`,"route_table":[`)
 	for place := range r.plan.Routes {
-		fmt.Fprintf(&out, `{"name":"r-%d","hostname":"host%d.example","path_prefix":"/p-%x/","deadline_ms":%d,"backend":"app"},`,
+		if place > 0 {
+			out.WriteByte(',')
+		}
+		fmt.Fprintf(&out, `{"name":"r-%d","hostname":"host%d.example","path_prefix":"/p-%x/","deadline_ms":%d,"backend":"app"}`,
 			place, place%7, r.rng.Uint64(), 1000+place%9*100)
 	}
+	out.WriteString(`],"padding":"`)
 	for written := 0; written < r.plan.Padding; written += 8 {
-		_ = binary.Write(&out, binary.LittleEndian, r.rng.Uint64())
+		fmt.Fprintf(&out, "%016x", r.rng.Uint64())
 	}
+	out.WriteString(`"}`)
 	return out.Bytes()
 }
 
-// versionOnly reads the version that stands at a document's head.
+// versionOnly reads the version that stands at a document's head; gateways of
+// this scenario need no more.
 func versionOnly(document []byte) (*route.Table, error) {
-	head, _, _ := bytes.Cut(document, []byte("\n"))
-	version, err := strconv.ParseUint(string(head), 10, 64)
+	rest := bytes.TrimPrefix(document, []byte(documentHead))
+	digits, _, _ := bytes.Cut(rest, []byte(","))
+	version, err := strconv.ParseUint(string(digits), 10, 64)
 	return &route.Table{Version: version}, err
 }
 
@@ -230,9 +241,14 @@
 	if m == nil {
 		return false
 	}
-	document := append([]byte(fmt.Sprintf("%d\n", r.version+1)), r.routes...)
+	document := append([]byte(fmt.Sprintf("%s%d", documentHead, r.version+1)), r.tail...)
+	change, malformed := route.ChangeOf(r.version, &route.Table{Version: r.version + 1}, document)
+	if malformed != nil {
+		r.breach("change %d is malformed: %v", r.changes, malformed)
+		return false
+	}
 	err, answered := r.ask(m, func(ctx *base.Ctx, core *node.Core) error {
-		return route.Put(ctx, core.Register, route.ChangeOf(r.version, &route.Table{Version: r.version + 1}, document))
+		return route.Put(ctx, core.Register, change)
 	})
 	switch verdict := base.FromWire(err); {
 	case answered && err == nil:
--- a/internal/simulate/tree_test.go
+++ b/internal/simulate/tree_test.go
@@ -65,16 +65,6 @@
 	return lapsed, without
 }
 
-// feeds is the core that owns the feed.
-func (f *Fleet) feeds() *Machine {
-	for _, m := range f.Cores {
-		if m.Host.alive && m.core != nil && m.core.Owner.ServesFeed() {
-			return m
-		}
-	}
-	return nil
-}
-
 func TestTheFeedOfALargeFleet(t *testing.T) {
 	t.Parallel()
 	is := is.NewRelaxed(t)
