Hold planned changes of the disk set until the turn history has its copies

Cause: the repair of the voter set looked at the register's slots only. A retirement took the next disk out, and machines that came took places of others, while stores were still pulling the turn history under the former set; only the end of a retirement asked the ledger, by a set that the asking core had learnt from the feed and that could be older than the one in force.

Now the owner asks the stores of the set in force for the stamp up to which they are whole. A change that nothing forces (a machine that leaves, a vote or a learner beyond the votes that are missing) waits for all of them; a retirement is complete only then. What a loss makes necessary never waits: a voter that is gone or silent, its replacement, a leaving machine that is lost itself. Growth goes on after recover_bound_s, since it gives no copy up.

plan is cut into steps of one job; at most as many machines as the fault budget join at once beyond those that replace a loss.

Tests: TestRetiringByName, TestReplacementsThenTheNextLoss, TestFounding, TestTroubledDisksKeepTheirVotes, TestPowerCutWithDisksLost, and the register and ledger packages.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -287,7 +287,7 @@
 	if place.Tolerate > 0 {
 		owner.Mend(place.Tolerate)
 		kept := ledger.NewClient(env.Clock, env.Wire, func() *register.DiskSet { return register.DisksOf(follower.Frame().Values) }, place.Zone, place.Tolerate, bounds, env.Counters, nil)
-		owner.Emptied(func(ctx *base.Ctx, disk string) (bool, error) { return kept.Emptied(ctx, disk), nil })
+		owner.Keeps(kept)
 	}
 	core := &Core{common: c, Owner: owner, Follower: follower, Register: client}
 	if place.Found {
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -23,8 +23,11 @@
 	tolerate int
 	// emptied is asked before a retirement is complete.
 	emptied func(ctx *base.Ctx, disk string) (bool, error)
+	// content, where there is one, is what planned changes wait for.
+	content Content
 
 	mu   sync.Mutex
+	held hold
 	seen map[string]*sighting
 	// epoch and stamp are the owner's and the set's that was looked at, and
 	// since when; what was seen under another epoch may be out of date.
@@ -77,7 +80,7 @@
 func (m *mending) forget() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.seen, m.told, m.stamp, m.epoch = map[string]*sighting{}, nil, 0, 0
+	m.seen, m.told, m.stamp, m.epoch, m.held = map[string]*sighting{}, nil, 0, 0, hold{}
 }
 
 // diskOf is the disk of a machine that was seen.
@@ -225,144 +228,310 @@
 // mendSet makes the next change that the set needs, if any.
 func (o *Owner) mendSet(found *recorded, filled map[string]int) (reached string, more bool) {
 	now, view := found.disks, o.look(found)
-	next, wanted, told := o.plan(now, view, filled)
-	for _, retiring := range found.retiring {
-		if !retiring.Complete {
-			told = append(told, fmt.Sprintf("machine %s is being retired", retiring.Node))
-		}
+	next := o.plan(now, view, filled, repairOnly)
+	if next.set == nil && next.planned {
+		next = o.plannedChange(now, view, filled)
+	}
+	told := next.told
+	finished := false
+	if next.set == nil {
+		retired := o.finishRetiring(found)
+		finished = retired.finished
+		told = append(told, retired.told...)
 	}
 	o.mending.mu.Lock()
 	o.mending.told = told
 	o.mending.mu.Unlock()
-	asked := disksAsk{Base: now.Current, Next: next, Wanted: wanted}
+	asked := disksAsk{Base: now.Current, Next: next.set, Wanted: next.wanted}
 	switch {
-	case next != nil:
+	case next.set != nil:
 		if o.own("disks.propose", asked) != nil {
 			return "", false
 		}
 		o.counters.Add("disk_sets_mended", 1)
-		return fmt.Sprint("proposed ", next.Stamp), true
-	case wanted != now.Wanted:
-		return fmt.Sprint("wanted ", wanted), o.own("disks.want", asked) == nil
+		o.counters.Add("disks_dropped", int64(next.dropped))
+		return fmt.Sprint("proposed ", next.set.Stamp), true
+	case next.wanted != now.Wanted:
+		return fmt.Sprint("wanted ", next.wanted), o.own("disks.want", asked) == nil
+	}
+	return fmt.Sprint(told, filled), finished || view.asking || now.Under()
+}
+
+// plannedChange makes a planned change once the content's copies are in place,
+// and says what it waits for until then.
+func (o *Owner) plannedChange(now *Disks, view *outlook, filled map[string]int) *setPlan {
+	copies := o.redundancyOf(now.Current)
+	allowed := anyChange
+	switch {
+	case copies.full():
+	case copies.waited >= o.bounds.Load().Recover:
+		allowed = growth
+	default:
+		allowed = repairOnly
+	}
+	next := o.plan(now, view, filled, allowed)
+	if next.set == nil && !copies.full() {
+		next.told = append(next.told, "the next planned change of the disk set waits: "+copies.words())
 	}
-	done := o.finishRetiring(found)
-	return fmt.Sprint(told, filled), done || view.asking || now.Under()
+	return next
+}
+
+// allowance is which changes of the set may be made at the moment.
+type allowance int
+
+const (
+	// repairOnly is what a loss makes necessary.
+	repairOnly allowance = iota
+	// growth lets more disks in as well, which gives no copy up.
+	growth
+	// anyChange lets machines leave as well.
+	anyChange
+)
+
+// setPlan is the next change of the set.
+type setPlan struct {
+	// set is nil where nothing changes.
+	set *DiskSet
+	// wanted is how many voters there should be then.
+	wanted int
+	// told says in words what is amiss.
+	told []string
+	// planned tells that there is a change that nothing forces.
+	planned bool
+	dropped int
+}
+
+// planner chooses the next change. At most one vote comes or goes with it.
+type planner struct {
+	*setPlan
+	view    *outlook
+	current *DiskSet
+	filled  map[string]int
+	allowed allowance
+	bounds  *base.Bounds
+
+	need  int // voters that must stay
+	votes int
+	lost  int // voters that are gone or silent
+	whole int // learners that may have a vote
+	spare bool
+
+	drop, promote *DiskEntry
 }
 
 // plan says what the next set should be, how many voters are wanted then, and
 // in words what is amiss.
-func (o *Owner) plan(now *Disks, view *outlook, filled map[string]int) (next *DiskSet, wanted int, told []string) {
-	recover := o.bounds.Load().Recover
-	set, need := now.Current, o.mending.least()
-	votes, lost, whole := len(voters(set)), 0, 0
-	for _, entry := range set.Disks {
-		stands := view.conditions[entry.Id]
+func (o *Owner) plan(now *Disks, view *outlook, filled map[string]int, allowed allowance) *setPlan {
+	p := &planner{setPlan: &setPlan{}, view: view, current: now.Current, filled: filled, allowed: allowed, bounds: o.bounds.Load(), need: o.mending.least()}
+	p.survey()
+	p.wanted = max(now.Wanted, p.need)
+	if now.Wanted == 0 || p.lost == 0 {
+		p.wanted = max(p.wanted, p.votes)
+	}
+	p.choose()
+	p.build()
+	return p.setPlan
+}
+
+// survey counts how the disks of the set stand, and says what is amiss.
+func (p *planner) survey() {
+	p.votes = len(voters(p.current))
+	p.spare = p.votes-1 >= p.need
+	for _, entry := range p.current.Disks {
+		stands := p.view.conditions[entry.Id]
 		switch {
 		case stands.gone:
-			told = append(told, fmt.Sprintf("disk %s at %s was lost; another disk answers there", entry.Id, entry.Addr))
+			p.told = append(p.told, fmt.Sprintf("disk %s at %s was lost; another disk answers there", entry.Id, entry.Addr))
 		case stands.silent > 0:
-			told = append(told, fmt.Sprintf("disk %s at %s is silent", entry.Id, entry.Addr))
+			p.told = append(p.told, fmt.Sprintf("disk %s at %s is silent", entry.Id, entry.Addr))
 		case entry.Learner:
-			told = append(told, fmt.Sprintf("disk %s at %s is being filled: %d of %d slots", entry.Id, entry.Addr, filled[entry.Id], Slots))
+			p.told = append(p.told, fmt.Sprintf("disk %s at %s is being filled: %d of %d slots", entry.Id, entry.Addr, p.filled[entry.Id], Slots))
 		}
 		if !entry.Learner && stands.lost() {
-			lost++
+			p.lost++
 		}
-		if entry.Learner && filled[entry.Id] == Slots && stands.well() {
-			whole++
+		if entry.Learner && p.filled[entry.Id] == Slots && stands.well() {
+			p.whole++
 		}
 	}
-	wanted = max(now.Wanted, need)
-	if now.Wanted == 0 || lost == 0 {
-		wanted = max(wanted, votes)
+}
+
+// choose picks the one vote that comes or goes: first what a loss makes
+// necessary, then machines that come, then those that leave.
+func (p *planner) choose() {
+	p.pickDrop(func(_ *DiskEntry, stands condition) bool { return stands.gone })
+	p.pickDrop(func(_ *DiskEntry, stands condition) bool {
+		return p.replaceable(stands) && p.votes-1+p.whole >= p.wanted
+	})
+	p.pickPromotion()
+	p.pickDrop(func(entry *DiskEntry, stands condition) bool {
+		return p.view.leaving[entry.Node] && p.others(entry.Id) && (stands.lost() || p.may(anyChange))
+	})
+	p.pickDrop(func(entry *DiskEntry, stands condition) bool {
+		return !stands.alive && stands.silent >= p.bounds.Recover && p.others(entry.Id)
+	})
+}
+
+// may tells whether a planned change is allowed; it is noted where it is not.
+func (p *planner) may(change allowance) bool {
+	if p.allowed < change {
+		p.planned = true
+		return false
 	}
-	// silent for long enough to give its place to a learner that is whole
-	replaceable := func(c condition) bool {
-		return c.silent >= recover/16 || !c.alive && c.silent >= o.bounds.Load().Beat()
+	return true
+}
+
+// replaceable tells that a disk has been silent for long enough to give its
+// place to a learner that is whole.
+func (p *planner) replaceable(stands condition) bool {
+	return stands.silent >= p.bounds.Recover/16 || !stands.alive && stands.silent >= p.bounds.Beat()
+}
+
+// others tells that all other voters are well.
+func (p *planner) others(id string) bool {
+	for _, entry := range voters(p.current) {
+		if entry.Id != id && !p.view.conditions[entry.Id].well() {
+			return false
+		}
 	}
-	others := func(id string) bool {
-		for _, entry := range voters(set) {
-			if entry.Id != id && !view.conditions[entry.Id].well() {
-				return false
-			}
+	return true
+}
+
+func (p *planner) chosen() bool { return p.drop != nil || p.promote != nil }
+
+// pickDrop takes the first voter that fits out, where it can be spared.
+func (p *planner) pickDrop(fits func(entry *DiskEntry, stands condition) bool) {
+	if !p.spare {
+		return
+	}
+	for _, entry := range voters(p.current) {
+		if !p.chosen() && fits(entry, p.view.conditions[entry.Id]) {
+			p.drop = entry
 		}
-		return true
 	}
-	drop, promote := "", ""
-	choose := func(fits func(entry *DiskEntry, c condition) bool) {
-		for _, entry := range set.Disks {
-			if drop == "" && promote == "" && fits(entry, view.conditions[entry.Id]) {
-				if entry.Learner {
-					promote = entry.Id
-				} else {
-					drop = entry.Id
-				}
-			}
+}
+
+// pickPromotion gives a vote to a learner that is whole, once every voter was
+// asked since the set last changed. Where votes are missing that is a repair.
+func (p *planner) pickPromotion() {
+	if p.chosen() {
+		return
+	}
+	for _, entry := range voters(p.current) {
+		if !p.view.conditions[entry.Id].fresh {
+			return
 		}
 	}
-	fresh := func(entry *DiskEntry) bool { return view.conditions[entry.Id].fresh }
-	heard := len(base.Filter(voters(set), fresh)) == votes
-	spare := votes-1 >= need
-	choose(func(entry *DiskEntry, c condition) bool { return !entry.Learner && spare && c.gone })
-	choose(func(entry *DiskEntry, c condition) bool {
-		return !entry.Learner && spare && replaceable(c) && votes-1+whole >= wanted
-	})
-	choose(func(entry *DiskEntry, c condition) bool {
-		return entry.Learner && heard && filled[entry.Id] == Slots && c.well() && !view.leaving[entry.Node]
-	})
-	if promote != "" {
-		wanted = max(wanted, votes+1-lost)
+	missing := p.votes-p.lost < p.wanted
+	for _, entry := range p.current.Disks {
+		ready := entry.Learner && p.filled[entry.Id] == Slots && p.view.conditions[entry.Id].well() && !p.view.leaving[entry.Node]
+		if ready && !p.chosen() && (missing || p.may(growth)) {
+			p.promote = entry
+			p.wanted = max(p.wanted, p.votes+1-p.lost)
+		}
 	}
-	choose(func(entry *DiskEntry, c condition) bool {
-		return !entry.Learner && view.leaving[entry.Node] && spare && others(entry.Id)
-	})
-	choose(func(entry *DiskEntry, c condition) bool {
-		return !entry.Learner && spare && !c.alive && c.silent >= recover && others(entry.Id)
-	})
-	next = &DiskSet{Stamp: set.Stamp + 1, Cluster: set.Cluster}
-	changed := drop != "" || promote != ""
-	for _, entry := range set.Disks {
-		stands := view.conditions[entry.Id]
-		if entry.Id == drop {
-			o.counters.Add("disks_dropped", 1)
-			if view.leaving[entry.Node] {
-				wanted = max(need, min(wanted, votes-1))
+}
+
+// build makes the next set, where anything changes.
+func (p *planner) build() {
+	next := &DiskSet{Stamp: p.current.Stamp + 1, Cluster: p.current.Cluster}
+	changed, learners := p.chosen(), 0
+	for _, entry := range p.current.Disks {
+		if entry == p.drop {
+			p.dropped++
+			if p.view.leaving[entry.Node] {
+				p.wanted = max(p.need, min(p.wanted, p.votes-1))
 			}
 			continue
 		}
-		if entry.Learner && (stands.gone || stands.silent >= recover/8 || view.leaving[entry.Node]) {
+		if entry.Learner && p.givesUp(entry) {
 			changed = true
 			continue
 		}
-		next.Disks = append(next.Disks, &DiskEntry{Id: entry.Id, Addr: entry.Addr, Zone: entry.Zone, Node: entry.Node, Learner: entry.Learner && entry.Id != promote})
+		learner := entry.Learner && entry != p.promote
+		if learner {
+			learners++
+		}
+		next.Disks = append(next.Disks, &DiskEntry{Id: entry.Id, Addr: entry.Addr, Zone: entry.Zone, Node: entry.Node, Learner: learner})
 	}
-	for _, entry := range view.candidates {
-		changed = true
-		next.Disks = append(next.Disks, entry)
+	joining := p.joining(learners)
+	next.Disks = append(next.Disks, joining...)
+	if !changed && len(joining) == 0 {
+		return
 	}
-	if !changed {
-		return nil, wanted, told
+	p.set = next
+	p.told = append(p.told, fmt.Sprintf("disk set %d is under way", next.Stamp))
+}
+
+// givesUp tells that a learner goes: it is lost, or its machine leaves.
+func (p *planner) givesUp(entry *DiskEntry) bool {
+	stands := p.view.conditions[entry.Id]
+	if stands.gone || stands.silent >= p.bounds.Recover/8 {
+		return true
 	}
-	return next, wanted, append(told, fmt.Sprintf("disk set %d is under way", next.Stamp))
+	return p.view.leaving[entry.Node] && p.may(anyChange)
+}
+
+// joining are the candidates that become learners with this change. As many
+// come at once as votes are missing; more of them are growth.
+func (p *planner) joining(learners int) []*DiskEntry {
+	votes := p.votes - p.lost
+	if p.promote != nil {
+		votes++
+	}
+	missing := max(0, p.wanted-votes-learners)
+	if len(p.view.candidates) <= missing {
+		return p.view.candidates
+	}
+	if p.may(growth) {
+		missing = max(missing, p.budget()-learners)
+	}
+	return p.view.candidates[:min(max(0, missing), len(p.view.candidates))]
+}
+
+// budget is how many machines may be lost at once. As many may take places of
+// others at once, so that enough copies stay where they were.
+func (p *planner) budget() int { return max(1, (p.need-1)/2) }
+
+// retirements is what became of the machines being retired.
+type retirements struct {
+	finished bool
+	told     []string
 }
 
 // finishRetiring concludes retirements whose disk is out of the set, which is
-// settled, and of which nothing else is kept.
-func (o *Owner) finishRetiring(found *recorded) bool {
-	done := false
+// settled, whose content has its full number of copies without it, and of which
+// nothing else is kept.
+func (o *Owner) finishRetiring(found *recorded) (result retirements) {
+	set := found.disks.Current
 	for _, retiring := range found.retiring {
-		stays := slices.ContainsFunc(found.disks.Current.Disks, func(entry *DiskEntry) bool {
-			return entry.Node == retiring.Node || entry.Id == retiring.Disk
-		})
-		if retiring.Complete || stays {
+		if retiring.Complete {
 			continue
 		}
-		if emptied := o.mending.emptied; emptied != nil && retiring.Disk != "" {
-			if empty, err := emptied(base.NewCtx(o.clock, o.bounds.Load().Call()), retiring.Disk); err != nil || !empty {
-				continue
-			}
+		if waits := o.retirementWaits(set, retiring); waits != "" {
+			result.told = append(result.told, fmt.Sprintf("machine %s is being retired: %s", retiring.Node, waits))
+			continue
+		}
+		result.finished = o.own("retiring.conclude", retiring) == nil || result.finished
+	}
+	return result
+}
+
+// retirementWaits says what keeps a machine from being given up.
+func (o *Owner) retirementWaits(set *DiskSet, retiring *Retiring) string {
+	stays := slices.ContainsFunc(set.Disks, func(entry *DiskEntry) bool {
+		return entry.Node == retiring.Node || entry.Id == retiring.Disk
+	})
+	if stays {
+		return "its disk is in the set"
+	}
+	if copies := o.redundancyOf(set); !copies.full() {
+		return copies.words()
+	}
+	if emptied := o.mending.emptied; emptied != nil && retiring.Disk != "" {
+		if empty, err := emptied(base.NewCtx(o.clock, o.bounds.Load().Call()), retiring.Disk); err != nil || !empty {
+			return "data is kept there"
 		}
-		done = o.own("retiring.conclude", retiring) == nil || done
 	}
-	return done
+	return ""
 }
