Lose the next storage machine as soon as the last has caught up, over every way and size

Turn histories are written straight to the storage machines of a simulated fleet while stores fill slowly (0.4 s a request). Machines are wiped, replaced, cut off or lose power with all others, four times 4.1 s apart, with 3, 4 and 9 of them and budgets of 1 and 2; every machine in turn is retired and taken away when that is complete, with as many others wiped at that moment; retirement is asked for on all at once while one is wiped.

--- /dev/null
+++ b/internal/simulate/history_test.go
@@ -0,0 +1,124 @@
+// A writer of turn histories: it keeps what storage machines acknowledged, and
+// looks for all of it again.
+package simulate
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/ledger"
+)
+
+const (
+	historyPrograms = 24
+	historyRetain   = 10 * time.Minute
+)
+
+// historyWriter takes turns of many programs, one after the other, straight to
+// the storage machines.
+type historyWriter struct {
+	fleet    *Fleet
+	client   *ledger.Client
+	turns    [][]string // those acknowledged, by program
+	attempts int
+	epochs   []uint64
+	stopped  bool
+}
+
+func newHistoryWriter(f *Fleet) *historyWriter {
+	bounds := &base.Table[base.Bounds]{}
+	bounds.Swap(base.DefaultBounds())
+	client := ledger.NewClient(f.Callers.Clock(), f.Net.Wire(f.Callers), f.set, f.Callers.Zone, f.Shape.Tolerate, bounds, base.NewCounters(), nil)
+	return &historyWriter{fleet: f, client: client, turns: make([][]string, historyPrograms), epochs: make([]uint64, historyPrograms)}
+}
+
+func (w *historyWriter) ctx() *base.Ctx {
+	return base.NewCtx(w.fleet.Callers.Clock(), 6*time.Second)
+}
+
+func programName(place int) string { return fmt.Sprintf("program-%d", place) }
+
+// last is the newest acknowledged turn of a program.
+func (w *historyWriter) last(place int) string {
+	if count := len(w.turns[place]); count > 0 {
+		return w.turns[place][count-1]
+	}
+	return ""
+}
+
+// turn takes one turn of a program and tells whether it was acknowledged.
+func (w *historyWriter) turn(place int) bool {
+	w.attempts++
+	program, previous := programName(place), w.last(place)
+	id := fmt.Sprintf("%s.%d", program, w.attempts)
+	run := "run-" + program
+	begun, err := w.client.Begin(w.ctx(), &ledger.Beginning{Program: program, Session: "session", Turn: id, Previous: previous, Owner: "gateway",
+		Run: run, Epoch: w.epochs[place], Confirmed: w.epochs[place] > 0, Keep: historyRetain})
+	if err != nil || !begun.Mine {
+		return false
+	}
+	w.epochs[place] = begun.Epoch
+	err = w.client.Finish(w.ctx(), &ledger.Finished{Program: program, Session: "session", Turn: id, Previous: previous, Owner: "gateway",
+		Run: run, Epoch: begun.Epoch, Input: []byte("in " + id), Output: []byte("out " + id), Retain: historyRetain})
+	if err != nil {
+		return false
+	}
+	w.turns[place] = append(w.turns[place], id)
+	return true
+}
+
+// round takes one turn of each program.
+func (w *historyWriter) round() {
+	for place := range w.turns {
+		w.turn(place)
+	}
+}
+
+// keepWriting goes on with turns until it is stopped.
+func (w *historyWriter) keepWriting() {
+	w.fleet.Callers.Go(func() {
+		for !w.stopped {
+			w.round()
+			w.fleet.Callers.Clock().Sleep(200 * time.Millisecond)
+		}
+	})
+}
+
+// missing says which programs' acknowledged turns are not all found.
+func (w *historyWriter) missing() (lost []string) {
+	for place := range w.turns {
+		acknowledged := w.turns[place]
+		if len(acknowledged) == 0 {
+			continue
+		}
+		found, err := w.client.Chain(w.ctx(), programName(place), acknowledged[len(acknowledged)-1])
+		switch {
+		case err != nil:
+			lost = append(lost, fmt.Sprintf("%s: %v", programName(place), err))
+		case len(found) < len(acknowledged):
+			lost = append(lost, fmt.Sprintf("%s: %d of %d turns", programName(place), len(found), len(acknowledged)))
+		}
+	}
+	return lost
+}
+
+// redundant tells whether every disk of the set holds all that it should of the
+// turn histories.
+func (w *historyWriter) redundant() bool {
+	return len(w.client.Gaps(w.ctx(), w.fleet.set())) == 0
+}
+
+// slowHistory makes stores fill slowly: each request for what is missing takes
+// a while, as it does with a whole retention window of turns.
+func slowHistory(f *Fleet, span time.Duration) {
+	f.Net.Meddle = func(m *Message) *http.Response {
+		if strings.HasSuffix(m.Path, "Ledger/Fetch") {
+			m.From.Clock().Sleep(span)
+		}
+		response, _ := m.Pass(m.Body)
+		return response
+	}
+}
--- a/internal/simulate/mending_test.go
+++ b/internal/simulate/mending_test.go
@@ -27,7 +27,13 @@
 // mending runs a script on several seeds.
 func mending(t *testing.T, shape Shape, steps func(is *is.I, f *Fleet, call *talker)) {
 	t.Helper()
-	bring(t, mendingSeeds**seeds, shape, func(t *testing.T, f *Fleet) {
+	mendingOver(t, mendingSeeds, shape, steps)
+}
+
+// mendingOver runs a script on a number of seeds, times the seeds asked for.
+func mendingOver(t *testing.T, count int, shape Shape, steps func(is *is.I, f *Fleet, call *talker)) {
+	t.Helper()
+	bring(t, count**seeds, shape, func(t *testing.T, f *Fleet) {
 		is := is.New(t)
 		formed(t, f)
 		done := false
--- /dev/null
+++ b/internal/simulate/redundancy_test.go
@@ -0,0 +1,277 @@
+// The next loss: storage machines are wiped, replaced, cut off and retired one
+// after another, and the next goes as soon as the last has caught up. What was
+// acknowledged of turn histories is found throughout.
+package simulate
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/register"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// catchUp is how long a machine that is back still counts as lost at the
+	// sites with the shortest such time.
+	catchUp = 4100 * time.Millisecond
+	// fillSpan is how long a store takes to fill in these runs, per request.
+	fillSpan = 400 * time.Millisecond
+)
+
+// lossSeeds is how many seeds each of these runs has at the least.
+const lossSeeds = 1
+
+// lossSize is a number of storage machines and how many may be lost at once.
+type lossSize struct{ storage, tolerate int }
+
+var lossSizes = []lossSize{{3, 1}, {4, 1}, {9, 2}}
+
+// loseSome has as many machines as may be lost at once go in one way and come
+// back or be replaced; it returns when the last is back.
+var lossWays = map[string]func(f *Fleet, lost []*Machine, call *talker){
+	"wiped": func(f *Fleet, lost []*Machine, call *talker) {
+		for _, m := range lost {
+			f.wipe(m)
+		}
+		call.sleep(f.World.Between(100*time.Millisecond, time.Second))
+		for _, m := range lost {
+			f.Start(m)
+		}
+	},
+	"replaced": func(f *Fleet, lost []*Machine, call *talker) {
+		for _, m := range lost {
+			f.lose(m, f.World.Chance(0.5))
+		}
+		call.sleep(f.World.Between(0, 2*time.Second))
+		for range lost {
+			f.Add("storage")
+		}
+	},
+	"cut off": func(f *Fleet, lost []*Machine, call *talker) {
+		apart := map[string]bool{}
+		for _, m := range lost {
+			apart[m.Host.Name] = true
+		}
+		f.Net.CutOff(apart)
+		call.sleep(f.World.Between(time.Second, 6*time.Second))
+		f.Net.Heal()
+	},
+	"power lost everywhere, some wiped": func(f *Fleet, lost []*Machine, call *talker) {
+		for _, m := range f.All() {
+			if m.Host.alive {
+				f.PowerLoss(m)
+			}
+		}
+		for _, m := range lost {
+			m.Files.Wipe()
+		}
+		call.sleep(f.World.Between(500*time.Millisecond, 2*time.Second))
+		for _, m := range f.All() {
+			if !m.gone {
+				f.Start(m)
+			}
+		}
+	},
+}
+
+// drawn picks different storage machines that are not gone.
+func (f *Fleet) drawn(count int) []*Machine {
+	var chosen []*Machine
+	for len(chosen) < count {
+		if m := f.pick(f.disks()); !slices.Contains(chosen, m) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// checkHistory fails the test where an acknowledged turn is not found.
+func checkHistory(t *testing.T, is *is.I, f *Fleet, w *historyWriter) {
+	t.Helper()
+	lost := w.missing()
+	for _, one := range lost {
+		t.Logf("seed %d at %v: %s", f.World.Seed, f.World.Now(), one)
+	}
+	if len(lost) > 0 {
+		f.explain(t)
+	}
+	is.Equal(len(lost), 0)
+}
+
+func TestTheNextLossAfterCatchingUp(t *testing.T) {
+	for name, way := range lossWays {
+		for _, size := range lossSizes {
+			t.Run(fmt.Sprint(name, "/", size.storage), func(t *testing.T) {
+				t.Parallel()
+				mendingOver(t, lossSeeds, mendingShape(size.storage, size.tolerate), func(is *is.I, f *Fleet, call *talker) {
+					is.True(f.until(10*time.Second, f.whole) < 10*time.Second)
+					w := newHistoryWriter(f)
+					w.round()
+					slowHistory(f, fillSpan)
+					w.keepWriting()
+					for range 4 {
+						call.sleep(f.World.Between(0, time.Second))
+						way(f, f.drawn(size.tolerate), call)
+						call.sleep(catchUp)
+						checkHistory(t, is, f, w)
+					}
+					w.stopped = true
+				})
+			})
+		}
+	}
+}
+
+// Every machine in turn is retired, replaced by another, and taken away with its
+// disk the moment that is complete; others lose their disks right then.
+func TestRetiringEachMachineInTurn(t *testing.T) {
+	for _, size := range []lossSize{{4, 1}, {9, 2}} {
+		t.Run(fmt.Sprint(size.storage), func(t *testing.T) {
+			t.Parallel()
+			var longest time.Duration
+			mendingOver(t, lossSeeds, mendingShape(size.storage, size.tolerate), func(is *is.I, f *Fleet, call *talker) {
+				is.True(f.until(10*time.Second, f.whole) < 10*time.Second)
+				w := newHistoryWriter(f)
+				w.round()
+				slowHistory(f, fillSpan)
+				w.keepWriting()
+				for _, out := range slices.Clone(f.Storage) {
+					longest = max(longest, retireThenLose(t, is, f, w, call, out))
+				}
+				w.stopped = true
+			})
+			t.Logf("%d disks: retired within %v", size.storage, longest)
+		})
+	}
+}
+
+// retireThenLose retires one machine, takes it away, and has as many others as
+// may be lost wiped at that moment. It tells how long the retirement took.
+func retireThenLose(t *testing.T, is *is.I, f *Fleet, w *historyWriter, call *talker, out *Machine) time.Duration {
+	t.Helper()
+	f.Add("storage")
+	call.sleep(time.Second)
+	began := f.World.Now()
+	is.Equal(f.retiring("POST", out.Host.Name), "200active")
+	took := f.until(20*time.Second, func() bool { return f.retiring("GET", out.Host.Name) == "200complete" })
+	if took >= 20*time.Second {
+		f.explain(t)
+	}
+	is.True(took < 20*time.Second)
+	took = f.World.Now() - began
+	f.lose(out, false)
+	lost := f.drawn(f.Shape.Tolerate)
+	for _, m := range lost {
+		f.wipe(m)
+	}
+	call.sleep(300 * time.Millisecond)
+	for _, m := range lost {
+		f.Start(m)
+	}
+	call.sleep(catchUp)
+	checkHistory(t, is, f, w)
+	return took
+}
+
+// Retirement is asked for on every machine at once; each that is complete goes
+// with its disk, and one that may be lost is lost during the hand-over.
+func TestRetirementsAtOnceWithALoss(t *testing.T) {
+	for _, size := range []lossSize{{7, 1}, {9, 2}} {
+		t.Run(fmt.Sprint(size.storage), func(t *testing.T) {
+			t.Parallel()
+			mendingOver(t, lossSeeds, mendingShape(size.storage, size.tolerate), func(is *is.I, f *Fleet, call *talker) {
+				is.True(f.until(10*time.Second, f.whole) < 10*time.Second)
+				w := newHistoryWriter(f)
+				w.round()
+				slowHistory(f, fillSpan)
+				w.keepWriting()
+				var leaving []*Machine
+				for _, m := range slices.Clone(f.Storage) {
+					if f.retiring("POST", m.Host.Name) == "200active" {
+						leaving = append(leaving, m)
+					}
+				}
+				is.Equal(len(leaving), size.storage-2*size.tolerate-1) // the others are refused
+				call.sleep(f.World.Between(0, 2*time.Second))
+				victim := f.pick(f.disks())
+				f.wipe(victim)
+				call.sleep(300 * time.Millisecond)
+				f.Start(victim)
+				for _, m := range leaving {
+					taken := f.until(30*time.Second, func() bool { return f.retiring("GET", m.Host.Name) == "200complete" })
+					if taken >= 30*time.Second {
+						f.explain(t)
+					}
+					is.True(taken < 30*time.Second)
+					f.lose(m, false)
+				}
+				next := f.pick(f.disks())
+				f.wipe(next)
+				call.sleep(300 * time.Millisecond)
+				f.Start(next)
+				call.sleep(catchUp)
+				checkHistory(t, is, f, w)
+				w.stopped = true
+			})
+		})
+	}
+}
+
+// noContent is content that always has its copies: what planned changes waited
+// for is taken away.
+type noContent struct{}
+
+func (noContent) Gaps(*base.Ctx, *register.DiskSet) []register.DiskGap { return nil }
+
+// Without the wait for copies, a retirement that is called complete too soon
+// loses what was acknowledged.
+func TestPlannedChangesThatDoNotWaitLoseTurns(t *testing.T) {
+	t.Parallel()
+	const tries = 8
+	for seed := uint64(1); seed <= tries; seed++ {
+		if retiredWithoutWaiting(t, seed) > 0 {
+			t.Logf("seed %d shows the loss", seed)
+			return
+		}
+	}
+	t.Fatalf("none of %d seeds shows the loss", tries)
+}
+
+// retiredWithoutWaiting tells how many programs lost turns.
+func retiredWithoutWaiting(t *testing.T, seed uint64) (lost int) {
+	t.Helper()
+	f := NewFleet(seed, mendingShape(5, 1))
+	defer f.World.Close()
+	formed(t, f)
+	done := false
+	f.Callers.Go(func() {
+		defer func() { done = true }()
+		call := &talker{f, f.Asker(f.Callers)}
+		f.until(10*time.Second, f.whole)
+		for _, m := range f.Cores {
+			m.core.Owner.Keeps(noContent{})
+		}
+		w := newHistoryWriter(f)
+		w.round()
+		slowHistory(f, fillSpan)
+		out := f.pick(f.Storage)
+		f.retiring("POST", out.Host.Name)
+		f.until(20*time.Second, func() bool { return f.retiring("GET", out.Host.Name) == "200complete" })
+		f.lose(out, false)
+		next := f.pick(f.disks())
+		f.wipe(next)
+		call.sleep(300 * time.Millisecond)
+		f.Start(next)
+		call.sleep(catchUp)
+		lost = len(w.missing())
+	})
+	if !f.World.Run(f.World.Now()+10*time.Minute, func() bool { return done }) {
+		t.Fatalf("seed %d did not end", seed)
+	}
+	return lost
+}
