Cut the protocol's decisions out of register and disk as pure functions

Cause: the model checker is to call the code that runs in production, and the decisions stood inside methods with locks, files and messages.

The store, the service, the owner and the record of the set call them. Behaviour stays, but for one: a proposal that changes more than one vote is now refused by the record itself (many_votes); no caller makes one.

Tests of disk read the renamed fields of a replica (Promised, Leader, Installed, Seq), which are embedded from consensus.Shard; what they check is the same.

--- /dev/null
+++ b/internal/consensus/consensus_test.go
@@ -0,0 +1,177 @@
+package consensus_test
+
+import (
+	"testing"
+
+	"fordseam/internal/consensus"
+
+	"github.com/matryer/is"
+)
+
+func TestJudge(t *testing.T) {
+	self := consensus.Identity{ID: "a", SetVersion: 2}
+	held := consensus.Shard{Promised: 5, Leader: "one"}
+	for _, row := range []struct {
+		name  string
+		claim consensus.Claim
+		want  consensus.Rejection
+	}{
+		{"its leader", consensus.Claim{Epoch: 5, Leader: "one", SetVersion: 2, Replica: "a"}, consensus.Accepted},
+		{"a higher epoch", consensus.Claim{Epoch: 6, Leader: "two", SetVersion: 2, Replica: "a"}, consensus.Accepted},
+		{"a lower epoch", consensus.Claim{Epoch: 4, Leader: "one", SetVersion: 2, Replica: "a"}, consensus.RejectedEpoch},
+		{"another leader of the same epoch", consensus.Claim{Epoch: 5, Leader: "two", SetVersion: 2, Replica: "a"}, consensus.RejectedEpoch},
+		{"an older set", consensus.Claim{Epoch: 6, Leader: "two", SetVersion: 1, Replica: "a"}, consensus.RejectedSet},
+		{"a newer set", consensus.Claim{Epoch: 6, Leader: "two", SetVersion: 3, Replica: "a"}, consensus.RejectedSet},
+		{"another replica", consensus.Claim{Epoch: 6, Leader: "two", SetVersion: 2, Replica: "b"}, consensus.RejectedBlank},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is.New(t).Equal(consensus.Judge(self, held, row.claim), row.want)
+		})
+	}
+}
+
+func TestJudgeWithoutIdentity(t *testing.T) {
+	is.New(t).Equal(consensus.Judge(consensus.Identity{}, consensus.Shard{}, consensus.Claim{}), consensus.RejectedBlank)
+}
+
+func TestInstallAndAppend(t *testing.T) {
+	is := is.New(t)
+	shard := consensus.Shard{}.Promise(3, "one")
+	_, taken := shard.Install(2, "two", 9)
+	is.True(!taken) // fenced by the promise
+	shard, taken = shard.Install(3, "one", 4)
+	is.True(taken)
+	_, taken = shard.Install(3, "one", 4)
+	is.True(!taken) // covered already
+	is.Equal(consensus.JudgeAppend(shard, 3, 6), consensus.RejectedBehind)
+	is.Equal(consensus.JudgeAppend(shard, 2, 5), consensus.RejectedBehind)
+	is.Equal(consensus.JudgeAppend(shard, 3, 5), consensus.Accepted)
+	shard, taken = shard.Append(3, 5)
+	is.True(taken)
+	_, taken = shard.Append(3, 5)
+	is.True(!taken)
+	is.Equal(shard, consensus.Shard{Promised: 3, Leader: "one", Installed: 3, Seq: 5})
+}
+
+func TestCommitted(t *testing.T) {
+	at := func(acked uint64) consensus.Progress { return consensus.Progress{Installed: true, Acked: acked} }
+	empty := consensus.Progress{}
+	for _, row := range []struct {
+		name      string
+		committed uint64
+		voters    []consensus.Progress
+		want      uint64
+		reached   bool
+	}{
+		{"nobody yet", 0, []consensus.Progress{empty, empty, empty}, 0, false},
+		{"one of three", 0, []consensus.Progress{at(4), empty, empty}, 0, false},
+		{"two of three, the lower counts", 0, []consensus.Progress{at(4), at(2), empty}, 2, true},
+		{"two of four", 0, []consensus.Progress{at(4), at(4), empty, empty}, 0, false},
+		{"three of four", 0, []consensus.Progress{at(4), at(3), at(5), empty}, 3, true},
+		{"never back", 5, []consensus.Progress{at(4), at(4), at(4)}, 5, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			seq, reached := consensus.Committed(row.committed, row.voters)
+			is.Equal(seq, row.want)
+			is.Equal(reached, row.reached)
+		})
+	}
+}
+
+func TestNextMessage(t *testing.T) {
+	for _, row := range []struct {
+		name     string
+		progress consensus.Progress
+		want     consensus.MessageKind
+	}{
+		{"nothing yet", consensus.Progress{}, consensus.SendSnapshot},
+		{"it was silent", consensus.Progress{Mute: true}, consensus.SendProbe},
+		{"entries are at hand", consensus.Progress{Installed: true, Acked: 4, SetVersion: 1}, consensus.SendEntries},
+		{"entries are gone", consensus.Progress{Installed: true, Acked: 2, SetVersion: 1}, consensus.SendSnapshot},
+		{"all there is", consensus.Progress{Installed: true, Acked: 7, SetVersion: 1}, consensus.SendNothing},
+		{"all there is, under a former set", consensus.Progress{Installed: true, Acked: 7}, consensus.SendProbe},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is.New(t).Equal(row.progress.Next(4, 7, 1), row.want)
+		})
+	}
+}
+
+// setOf makes a set of voters, with those in lower case as learners.
+func setOf(version uint64, voters, learners string) consensus.ReplicaSet {
+	set := consensus.ReplicaSet{Version: version, Cluster: "cluster"}
+	for _, id := range voters {
+		set.Members = append(set.Members, consensus.Member{ID: string(id)})
+	}
+	for _, id := range learners {
+		set.Members = append(set.Members, consensus.Member{ID: string(id), Learner: true})
+	}
+	return set
+}
+
+func TestProposals(t *testing.T) {
+	current := setOf(4, "ABC", "D")
+	settled := consensus.SetRecord{Current: current, Settled: true}
+	for _, row := range []struct {
+		name   string
+		record consensus.SetRecord
+		next   consensus.ReplicaSet
+		want   consensus.ProposalRejection
+	}{
+		{"a learner gets a vote", settled, setOf(5, "ABCD", ""), consensus.ProposalAccepted},
+		{"a voter goes and learners change", settled, setOf(5, "AB", "EF"), consensus.ProposalAccepted},
+		{"one goes and one comes", settled, setOf(5, "ABD", ""), consensus.ProposalManyVotes},
+		{"two come", settled, setOf(5, "ABCDE", ""), consensus.ProposalManyVotes},
+		{"a version left out", settled, setOf(6, "ABCD", ""), consensus.ProposalStale},
+		{"another is being adopted", consensus.SetRecord{Current: current, Settled: true, NextVersion: 5}, setOf(5, "ABCD", ""), consensus.ProposalUnderWay},
+		{"the last is not settled", consensus.SetRecord{Current: current}, setOf(5, "ABCD", ""), consensus.ProposalUnderWay},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is.New(t).Equal(row.record.JudgeProposal(row.next), row.want)
+		})
+	}
+}
+
+func TestAdopted(t *testing.T) {
+	before, after := setOf(4, "ABCD", "E"), setOf(5, "ABCDE", "")
+	for _, row := range []struct {
+		name string
+		took string
+		want bool
+	}{
+		{"a majority of both", "ABC", true},
+		{"a majority of the set after only", "ABE", false},
+		{"nobody", "", false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			took := map[string]bool{}
+			for _, id := range row.took {
+				took[string(id)] = true
+			}
+			is.New(t).Equal(consensus.Adopted(before, after, func(id string) bool { return took[id] }), row.want)
+		})
+	}
+}
+
+func TestJudgeSet(t *testing.T) {
+	known := setOf(4, "ABC", "")
+	other := setOf(5, "ABC", "")
+	other.Cluster = "other"
+	for _, row := range []struct {
+		name    string
+		known   *consensus.ReplicaSet
+		offered consensus.ReplicaSet
+		want    consensus.Rejection
+	}{
+		{"none known", nil, known, consensus.Accepted},
+		{"a newer one", &known, setOf(5, "ABCD", ""), consensus.Accepted},
+		{"the same again", &known, setOf(4, "ABC", ""), consensus.Accepted},
+		{"an older one", &known, setOf(3, "ABC", ""), consensus.RejectedSet},
+		{"another cluster's", &known, other, consensus.RejectedCluster},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is.New(t).Equal(consensus.JudgeSet(row.known, row.offered), row.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/consensus/leader.go
@@ -0,0 +1,111 @@
+package consensus
+
+// Position orders contents of a shard: first by the epoch they were installed
+// under, then by the number of their newest change.
+type Position struct {
+	Installed uint64
+	Seq       uint64
+}
+
+// Newer reports whether p is of newer content than other.
+func (p Position) Newer(other Position) bool {
+	if p.Installed != other.Installed {
+		return p.Installed > other.Installed
+	}
+	return p.Seq > other.Seq
+}
+
+// Progress is what a leader knows of a replica's copy of its shard.
+type Progress struct {
+	// Installed tells that the replica has the leader's snapshot.
+	Installed bool
+	// Acked is the newest change that the replica acknowledged.
+	Acked uint64
+	// SetVersion is that of the set under which it last did.
+	SetVersion uint64
+	// Mute tells that the last message got no answer.
+	Mute bool
+}
+
+// Has reports whether the replica is known to hold the shard up to seq.
+func (p Progress) Has(seq uint64) bool { return p.Installed && p.Acked >= seq }
+
+// Acknowledge takes in a replica's answer to a message sent under a set.
+func (p Progress) Acknowledge(seq, setVersion uint64) Progress {
+	return Progress{Installed: true, Acked: max(p.Acked, seq), SetVersion: setVersion}
+}
+
+// MessageKind is what a leader sends a replica next.
+type MessageKind int
+
+const (
+	// SendNothing means that the replica has all there is.
+	SendNothing MessageKind = iota
+	// SendProbe is an append without entries, which asks how far the replica is
+	// and under which set.
+	SendProbe
+	// SendSnapshot is the whole content.
+	SendSnapshot
+	// SendEntries is what follows what the replica has.
+	SendEntries
+)
+
+// NeedsSnapshot tells that the replica can't go on from entries that begin
+// with number first.
+func (p Progress) NeedsSnapshot(first uint64) bool { return !p.Installed || p.Acked+1 < first }
+
+// Next decides what to send a replica, where the leader keeps the entries from
+// first to tail and goes by the set of a version.
+func (p Progress) Next(first, tail, setVersion uint64) MessageKind {
+	switch {
+	case p.Mute:
+		return SendProbe
+	case p.NeedsSnapshot(first):
+		return SendSnapshot
+	case p.Acked < tail:
+		return SendEntries
+	case p.SetVersion != setVersion:
+		return SendProbe
+	}
+	return SendNothing
+}
+
+// Committed finds the newest change that a majority of the voters has, from
+// committed on. It is not reached while no majority has even that.
+func Committed(committed uint64, voters []Progress) (seq uint64, reached bool) {
+	seq = committed
+	for _, voter := range voters {
+		if voter.Has(seq) && isOnMajority(voter.Acked, voters) {
+			seq, reached = voter.Acked, true
+		}
+	}
+	return seq, reached
+}
+
+func isOnMajority(seq uint64, voters []Progress) bool {
+	count := 0
+	for _, voter := range voters {
+		if voter.Has(seq) {
+			count++
+		}
+	}
+	return count >= Majority(len(voters))
+}
+
+// Settled reports whether a majority of the voters acknowledged what is
+// committed under the set of a version.
+func Settled(committed, setVersion uint64, voters []Progress) bool {
+	count := 0
+	for _, voter := range voters {
+		if voter.Whole(committed, setVersion) {
+			count++
+		}
+	}
+	return count >= Majority(len(voters))
+}
+
+// Whole reports whether the replica acknowledged what is committed under the
+// set of a version.
+func (p Progress) Whole(committed, setVersion uint64) bool {
+	return p.Has(committed) && p.SetVersion == setVersion
+}
--- a/internal/disk/install.go
+++ b/internal/disk/install.go
@@ -7,7 +7,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if held := s.replicas[slot]; held != nil {
-		return held.seq
+		return held.Seq
 	}
 	return 0
 }
--- a/internal/disk/service.go
+++ b/internal/disk/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 	"fordseam/internal/register"
 )
 
@@ -41,7 +42,7 @@
 func (s *Store) describe() *register.DiskState {
 	state := &register.DiskState{Id: s.id, Set: s.set, Seqs: map[uint32]uint64{}, UsedBytes: int64(s.frameBytes + s.logBytes)}
 	for slot, held := range s.replicas {
-		state.Seqs[slot] = held.seq
+		state.Seqs[slot] = held.Seq
 	}
 	state.Retired = s.set != nil && !s.member()
 	return state
@@ -79,22 +80,25 @@
 	return state, nil
 }
 
+// consensusIdentity is who the replica is in the protocol; the caller holds the
+// lock.
+func (s *Store) consensusIdentity() consensus.Identity {
+	return consensus.Identity{ID: s.id, SetVersion: s.set.GetStamp()}
+}
+
 // judge looks at a claim; the caller holds the lock.
 func (s *Store) judge(claim *register.Claim) *register.Ack {
 	held := s.replicaOf(claim.Slot)
-	ack := &register.Ack{Epoch: held.promised, Seq: held.seq}
-	switch {
-	case s.broken != nil:
+	ack := &register.Ack{Epoch: held.Promised, Seq: held.Seq}
+	if s.broken != nil {
 		ack.Why = "broken"
-	case s.id == "" || claim.Disk != s.id:
-		ack.Why = "blank"
-	case claim.SetStamp != s.set.GetStamp():
-		ack.Why, ack.Set = "set", s.set
-	case claim.Epoch < held.promised || (claim.Epoch == held.promised && held.owner != claim.Owner):
-		ack.Why = "epoch"
-	default:
-		ack.Ok = true
+		return ack
+	}
+	rejection := consensus.Judge(s.consensusIdentity(), held.Shard, claim.Consensus())
+	if rejection == consensus.RejectedSet {
+		ack.Set = s.set
 	}
+	ack.Ok, ack.Why = rejection == consensus.Accepted, string(rejection)
 	return ack
 }
 
@@ -118,7 +122,7 @@
 	}
 	put, why := s.enqueue(kindPromise, request.Claim, true)
 	held := s.replicaOf(request.Claim.Slot)
-	reply := &register.PromiseReply{Ack: ack, Installed: held.installed, Seq: held.seq, Puts: held.puts(), AgeMs: (s.clock.Now() - held.touched).Milliseconds()}
+	reply := &register.PromiseReply{Ack: ack, Installed: held.Installed, Seq: held.Seq, Puts: held.puts(), AgeMs: (s.clock.Now() - held.touched).Milliseconds()}
 	s.mu.Unlock()
 	v.finish(ack, put, why)
 	return reply, nil
@@ -133,7 +137,7 @@
 		return ack, nil
 	}
 	held := s.replicaOf(request.Claim.Slot)
-	if held.installed == request.Claim.Epoch && held.seq >= request.Seq {
+	if held.Covers(request.Claim.Epoch, request.Seq) {
 		put, why := s.enqueue(kindPromise, request.Claim, true)
 		s.mu.Unlock()
 		return v.finish(ack, put, why), nil
@@ -149,8 +153,9 @@
 	s.mu.Lock()
 	ack := s.judge(request.Claim)
 	held := s.replicaOf(request.Claim.Slot)
-	if ack.Ok && (held.installed != request.Claim.Epoch || len(request.Entries) > 0 && request.Entries[0].Seq > held.seq+1) {
-		ack.Ok, ack.Why = false, "behind"
+	if ack.Ok {
+		rejection := consensus.JudgeAppend(held.Shard, request.Claim.Epoch, request.First())
+		ack.Ok, ack.Why = rejection == consensus.Accepted, string(rejection)
 	}
 	if !ack.Ok {
 		s.mu.Unlock()
@@ -159,7 +164,7 @@
 	fresh := &register.AppendRequest{Claim: request.Claim}
 	freeing := true
 	for _, entry := range request.Entries {
-		if entry.Seq <= held.seq {
+		if entry.Seq <= held.Seq {
 			continue
 		}
 		fresh.Entries = append(fresh.Entries, entry)
@@ -168,7 +173,7 @@
 		}
 	}
 	put, why := s.enqueue(kindAppend, fresh, freeing)
-	ack.Seq = held.seq
+	ack.Seq = held.Seq
 	s.mu.Unlock()
 	return v.finish(ack, put, why), nil
 }
@@ -186,20 +191,16 @@
 	s := v.store
 	s.mu.Lock()
 	ack := &register.Ack{Set: s.set}
-	switch {
-	case s.id == "":
-		ack.Why = "blank"
-	case s.set != nil && s.set.Cluster != "" && s.set.Cluster != request.Set.Cluster:
-		ack.Why = "other_cluster"
-	case s.set != nil && s.set.Stamp > request.Set.Stamp:
-		ack.Why = "set"
-	default:
-		ack.Ok, ack.Set = true, request.Set
+	rejection := consensus.RejectedBlank
+	if s.id != "" {
+		rejection = consensus.JudgeSet(s.set.Consensus(), *request.Set.Consensus())
 	}
-	if !ack.Ok {
+	if rejection != consensus.Accepted {
+		ack.Why = string(rejection)
 		s.mu.Unlock()
 		return ack, nil
 	}
+	ack.Ok, ack.Set = true, request.Set
 	put, why := s.enqueue(kindAdopt, request.Set, true)
 	s.mu.Unlock()
 	return v.finish(ack, put, why), nil
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 	"fordseam/internal/register"
 
 	"github.com/juju/errors"
@@ -34,12 +35,10 @@
 	kindAdopt
 )
 
+// replica is this machine's copy of one shard.
 type replica struct {
-	promised  uint64
-	owner     string
-	installed uint64
-	seq       uint64
-	values    map[string][]byte
+	consensus.Shard
+	values map[string][]byte
 	// touched is when this process took in the newest of it.
 	touched time.Duration
 }
@@ -263,21 +262,21 @@
 		if err := proto.Unmarshal(payload, &message); err != nil {
 			return errors.Trace(err)
 		}
-		if held := s.replicaOf(message.Slot); message.Epoch >= held.promised {
-			held.promised, held.owner = message.Epoch, message.Owner
-		}
+		held := s.replicaOf(message.Slot)
+		held.Shard = held.Promise(message.Epoch, message.Owner)
 	case kindInstall:
 		var message register.InstallRequest
 		if err := proto.Unmarshal(payload, &message); err != nil {
 			return errors.Trace(err)
 		}
 		held := s.replicaOf(message.Claim.Slot)
-		if message.Claim.Epoch < held.promised || (message.Claim.Epoch == held.installed && message.Seq <= held.seq) {
+		next, taken := held.Install(message.Claim.Epoch, message.Claim.Owner, message.Seq)
+		if !taken {
 			return nil
 		}
-		held.promised, held.owner = message.Claim.Epoch, message.Claim.Owner
 		was := replicaTime(held)
-		held.installed, held.seq, held.values = message.Claim.Epoch, message.Seq, map[string][]byte{}
+		held.Shard = next
+		held.values = map[string][]byte{}
 		held.put(message.Puts)
 		if replicaTime(held) != was {
 			held.touched = s.clock.Now() // another change than the one it had
@@ -289,10 +288,13 @@
 		}
 		held := s.replicaOf(message.Claim.Slot)
 		for _, entry := range message.Entries {
-			if held.installed == message.Claim.Epoch && entry.Seq > held.seq {
-				held.put(entry.Puts)
-				held.seq, held.touched = entry.Seq, s.clock.Now()
+			next, taken := held.Append(message.Claim.Epoch, entry.Seq)
+			if !taken {
+				continue
 			}
+			held.Shard = next
+			held.put(entry.Puts)
+			held.touched = s.clock.Now()
 		}
 	default:
 		return errors.Errorf("unknown record kind %d", kind)
@@ -324,8 +326,8 @@
 	}
 	s.mu.Unlock()
 	for place, held := range copies {
-		frame.Replicas = append(frame.Replicas, &Replica{Slot: slots[place], Promised: held.promised, Owner: held.owner,
-			Installed: held.installed, Seq: held.seq, Puts: held.puts()})
+		frame.Replicas = append(frame.Replicas, &Replica{Slot: slots[place], Promised: held.Promised, Owner: held.Leader,
+			Installed: held.Installed, Seq: held.Seq, Puts: held.puts()})
 	}
 	payload, err := proto.Marshal(frame)
 	if err != nil {
@@ -342,7 +344,7 @@
 	s.id, s.set = frame.Id, frame.Set
 	for _, found := range frame.Replicas {
 		held := s.replicaOf(found.Slot)
-		held.promised, held.owner, held.installed, held.seq = found.Promised, found.Owner, found.Installed, found.Seq
+		held.Shard = consensus.Shard{Promised: found.Promised, Leader: found.Owner, Installed: found.Installed, Seq: found.Seq}
 		held.put(found.Puts)
 	}
 	return nil
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -231,8 +231,8 @@
 			store, err := Open(base.NewRealClock(), lost, counters)
 			is.NoErr(err) // a torn tail mends itself
 			held := store.replicas[3]
-			is.True(held.seq >= answered.Load() && held.seq <= asked.Load())
-			for seq := held.seq; seq > 0 && seq+4 > held.seq; seq-- {
+			is.True(held.Seq >= answered.Load() && held.Seq <= asked.Load())
+			for seq := held.Seq; seq > 0 && seq+4 > held.Seq; seq-- {
 				is.Equal(len(held.values[fmt.Sprint("k", seq%4)]), 2000+int(seq))
 			}
 			cut += counters.Frame()["disk_tails_cut"]
@@ -277,7 +277,7 @@
 			is.NoErr(b.store.applyBatch(entry))
 		}
 		held := b.store.replicas[3]
-		is.Equal(fmt.Sprintf("%d %s %d %d %s", held.promised, held.owner, held.installed, held.seq, held.values["k"]), "2 p 2 8 newest")
+		is.Equal(fmt.Sprintf("%d %s %d %d %s", held.Promised, held.Leader, held.Installed, held.Seq, held.values["k"]), "2 p 2 8 newest")
 	}
 	b.finish()
 }
@@ -315,7 +315,7 @@
 					continue
 				}
 				opened++
-				is.Equal(store.replicas[3].seq, seq)
+				is.Equal(store.replicas[3].Seq, seq)
 				is.Equal(string(store.replicas[3].values["last"]), fmt.Sprint(seq))
 				store.Close()
 			}
@@ -388,7 +388,7 @@
 	reopened := func(files *memory) *Store {
 		store, err := Open(base.NewRealClock(), files, base.NewCounters())
 		is.NoErr(err)
-		is.Equal(store.replicas[3].seq, seq)
+		is.Equal(store.replicas[3].Seq, seq)
 		is.Equal(string(store.replicas[3].values["last"]), fmt.Sprint(seq))
 		is.Equal(store.id, b.id)
 		store.Close()
@@ -447,7 +447,7 @@
 	again, err := Open(base.NewRealClock(), files, b.store.counters)
 	is.NoErr(err)
 	is.Equal(b.store.counters.Frame()["disk_frames"], frames+1)
-	is.True(again.replicas[3].promised >= 1)
+	is.True(again.replicas[3].Promised >= 1)
 	again.Close()
 }
 
@@ -490,7 +490,7 @@
 	is.NoErr(err)
 	again, err := Open(base.NewRealClock(), files, base.NewCounters())
 	is.NoErr(err)
-	is.Equal(again.replicas[3].seq, uint64(3))
+	is.Equal(again.replicas[3].Seq, uint64(3))
 	is.Equal(string(again.replicas[3].values["k1"])+string(again.replicas[3].values["k3"]), "v1v3")
 	again.Close()
 }
--- a/internal/register/disks.go
+++ b/internal/register/disks.go
@@ -15,6 +15,7 @@
 	"sync"
 
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 	"fordseam/internal/membership"
 )
 
@@ -101,11 +102,13 @@
 		if now.Next != nil && now.Next.Stamp == asked.Next.Stamp && string(base.Encode(now.Next)) == string(base.Encode(asked.Next)) {
 			return now, nil
 		}
-		if now.Next != nil || !now.Settled {
+		switch now.Consensus().JudgeProposal(*asked.Next.Consensus()) {
+		case consensus.ProposalUnderWay:
 			return nil, base.Busy(409, "disks_moving", 2, "another change of the disks is under way")
-		}
-		if asked.Next.Stamp != now.Current.Stamp+1 {
+		case consensus.ProposalStale:
 			return nil, base.Decline(409, "stale_stamp", "the disk set stands at %d", now.Current.Stamp)
+		case consensus.ProposalManyVotes:
+			return nil, base.Decline(409, "many_votes", "a change of the disks gives or takes one vote at most")
 		}
 		now.Next = asked.Next
 		if asked.Wanted > 0 {
@@ -312,10 +315,7 @@
 	}
 	var mu sync.Mutex
 	took := map[string]bool{}
-	enough := func(set *DiskSet) bool {
-		count := base.Filter(voters(set), func(entry *DiskEntry) bool { return took[entry.Id] })
-		return len(count) >= majority(set)
-	}
+	before, after := *current.Consensus(), *next.Consensus()
 	list := base.Map(base.SortedKeys(all), func(id string) *DiskEntry { return all[id] })
 	return base.Ask(o.clock, list, 1, o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 		state, err := o.disk(entry).Describe(ctx, &DescribeRequest{})
@@ -326,7 +326,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		took[entry.Id] = err == nil && ack.Ok
-		return enough(current) && enough(next)
+		return consensus.Adopted(before, after, func(id string) bool { return took[id] })
 	})
 }
 
@@ -411,15 +411,11 @@
 		s.mu.Lock()
 		if s.phase == serving {
 			reply.Owned = append(reply.Owned, s.num)
-			has := func(entry *DiskEntry) bool {
-				mark := s.progress[entry.Id]
-				return mark.has(s.commit) && mark.stamp == set.Stamp
-			}
-			if len(base.Filter(voters(set), has)) >= majority(set) {
+			if consensus.Settled(s.commit, set.GetStamp(), s.voters(set)) {
 				reply.Settled = append(reply.Settled, s.num)
 			}
 			for place, entry := range learners {
-				if has(entry) {
+				if s.progressOf(entry.Id).Whole(s.commit, set.GetStamp()) {
 					reply.Filled[place].Slots = append(reply.Filled[place].Slots, s.num)
 				}
 			}
--- a/internal/register/diskset.go
+++ b/internal/register/diskset.go
@@ -5,6 +5,7 @@
 
 import (
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 	"fordseam/internal/membership"
 )
 
@@ -75,7 +76,8 @@
 	return base.Filter(set.Disks, func(entry *DiskEntry) bool { return !entry.Learner })
 }
 
-func majority(set *DiskSet) int { return len(voters(set))/2 + 1 }
+// majority is how many voters of the set decide.
+func majority(set *DiskSet) int { return consensus.Majority(len(voters(set))) }
 
 func inSet(set *DiskSet, id string) bool {
 	for _, entry := range set.Disks {
--- a/internal/register/owner_test.go
+++ b/internal/register/owner_test.go
@@ -5,6 +5,8 @@
 import (
 	"testing"
 
+	"fordseam/internal/consensus"
+
 	"github.com/matryer/is"
 )
 
@@ -31,13 +33,13 @@
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
 			set := &DiskSet{Stamp: 1, Disks: []*DiskEntry{{Id: "a"}, {Id: "b"}, {Id: "c"}}}
-			s := &slot{num: row.num, progress: map[string]*progress{"a": {installed: true}, "b": {installed: true}, "c": {installed: true}}}
+			s := &slot{num: row.num, progress: map[string]*consensus.Progress{"a": {Installed: true}, "b": {Installed: true}, "c": {Installed: true}}}
 			value := make([]byte, row.size)
 			for range row.changes {
 				s.tail++
 				s.buffer = append(s.buffer, &Entry{Seq: s.tail, Puts: []*Put{{Key: "feed/routes", Value: value}}})
-				s.progress["a"].acked, s.progress["b"].acked = s.tail, s.tail
-				s.progress["c"].acked = s.tail - min(s.tail, row.behind)
+				s.progress["a"].Acked, s.progress["b"].Acked = s.tail, s.tail
+				s.progress["c"].Acked = s.tail - min(s.tail, row.behind)
 				s.recount(set)
 				is.Equal(s.commit, s.tail)
 			}
@@ -56,11 +58,11 @@
 func TestTrimmingBeforeAnythingIsCommitted(t *testing.T) {
 	is := is.New(t)
 	set := &DiskSet{Stamp: 1, Disks: []*DiskEntry{{Id: "a"}, {Id: "b"}, {Id: "c"}}}
-	s := &slot{num: 1, tail: 50, progress: map[string]*progress{"a": {installed: true, acked: 50}, "b": {}, "c": {}}}
+	s := &slot{num: 1, tail: 50, progress: map[string]*consensus.Progress{"a": {Installed: true, Acked: 50}, "b": {}, "c": {}}}
 	s.recount(set)
 	is.Equal(s.first(), uint64(51))
 	is.True(!s.based)
-	s.progress["b"] = &progress{installed: true, acked: 50}
+	s.progress["b"] = &consensus.Progress{Installed: true, Acked: 50}
 	s.recount(set)
 	is.Equal(s.commit, uint64(50))
 	is.True(s.based)
--- a/internal/register/replicate.go
+++ b/internal/register/replicate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 )
 
 // refit starts a sender to each disk of the set that has none.
@@ -19,7 +20,7 @@
 	}
 	for _, entry := range set.Disks {
 		if s.progress[entry.Id] == nil {
-			s.progress[entry.Id] = &progress{}
+			s.progress[entry.Id] = &consensus.Progress{}
 			epoch := s.epoch
 			o.clock.Go(func() { o.send(s, epoch, entry) })
 		}
@@ -41,7 +42,7 @@
 			s.mu.Unlock()
 			return
 		}
-		repair := s.based && s.needsFrame(entry.Id) && !s.progress[entry.Id].mute
+		repair := s.based && s.needsFrame(entry.Id) && !s.progress[entry.Id].Mute
 		if repair {
 			if turn := o.beginRepair(entry.Id); turn != nil {
 				s.mu.Unlock()
@@ -66,9 +67,8 @@
 			continue
 		}
 		s.mu.Lock()
-		if s.epoch == epoch && s.progress[entry.Id] != nil {
-			mark := s.progress[entry.Id]
-			mark.installed, mark.mute, mark.acked, mark.stamp = true, false, max(mark.acked, ack.Seq), set.Stamp
+		if known := s.progress[entry.Id]; s.epoch == epoch && known != nil {
+			*known = known.Acknowledge(ack.Seq, set.Stamp)
 			s.recount(set)
 		}
 		s.mu.Unlock()
@@ -130,7 +130,7 @@
 		case "behind":
 			s.mu.Lock()
 			if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
-				mark.installed, mark.mute = false, false
+				mark.Installed, mark.Mute = false, false
 			}
 			s.mu.Unlock()
 			return true
@@ -138,7 +138,7 @@
 	}
 	s.mu.Lock()
 	if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
-		mark.mute = ack == nil
+		mark.Mute = ack == nil
 	}
 	s.mu.Unlock()
 	o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
--- a/internal/register/slot.go
+++ b/internal/register/slot.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 
 	"github.com/emirpasic/gods/maps/treemap"
 )
@@ -37,20 +38,6 @@
 	serving
 )
 
-// progress is what a disk has of a slot, and the disk set under which it
-// last said so.
-type progress struct {
-	installed bool
-	// mute disks gave no answer to the last message; they are sent a small one
-	// next.
-	mute  bool
-	acked uint64
-	stamp uint64
-}
-
-// has reports whether the disk is known to hold the slot up to a number.
-func (p *progress) has(seq uint64) bool { return p != nil && p.installed && p.acked >= seq }
-
 type slot struct {
 	num  uint32
 	bell *base.Bell
@@ -66,7 +53,7 @@
 	commit     uint64
 	based      bool
 	buffer     []*Entry
-	progress   map[string]*progress
+	progress   map[string]*consensus.Progress
 	nextRound  *round
 	roundsBusy bool
 }
@@ -89,49 +76,51 @@
 // needsFrame tells that a disk cannot go on from the buffer; the caller holds
 // the lock.
 func (s *slot) needsFrame(diskID string) bool {
-	mark := s.progress[diskID]
-	return !mark.installed || mark.acked+1 < s.first()
+	return s.progressOf(diskID).NeedsSnapshot(s.first())
+}
+
+// progressOf is what is known of a disk; the caller holds the lock.
+func (s *slot) progressOf(diskID string) consensus.Progress {
+	if known := s.progress[diskID]; known != nil {
+		return *known
+	}
+	return consensus.Progress{}
+}
+
+// voters is what is known of the set's voters; the caller holds the lock.
+func (s *slot) voters(set *DiskSet) []consensus.Progress {
+	return base.Map(voters(set), func(entry *DiskEntry) consensus.Progress { return s.progressOf(entry.Id) })
 }
 
 // outstanding builds what a disk lacks; the caller holds the lock.
 func (s *slot) outstanding(claim *Claim, diskID string) (*InstallRequest, *AppendRequest) {
-	mark := s.progress[diskID]
-	if mark.mute {
+	known := s.progress[diskID]
+	switch known.Next(s.first(), s.tail, claim.SetStamp) {
+	case consensus.SendProbe:
 		return nil, &AppendRequest{Claim: claim}
+	case consensus.SendSnapshot:
+		known.Installed = false
+		return s.snapshot(claim), nil
+	case consensus.SendEntries:
+		entries := append([]*Entry(nil), s.buffer[known.Acked+1-s.first():]...)
+		return nil, &AppendRequest{Claim: claim, Entries: entries}
 	}
-	if s.needsFrame(diskID) {
-		mark.installed = false
-		install := &InstallRequest{Claim: claim, Seq: s.tail}
-		s.held.Each(func(key, value any) {
-			install.Puts = append(install.Puts, &Put{Key: key.(string), Value: value.([]byte)})
-		})
-		return install, nil
-	}
-	if mark.acked >= s.tail {
-		if mark.stamp != claim.SetStamp {
-			return nil, &AppendRequest{Claim: claim}
-		}
-		return nil, nil
-	}
-	entries := append([]*Entry(nil), s.buffer[mark.acked+1-s.first():]...)
-	return nil, &AppendRequest{Claim: claim, Entries: entries}
+	return nil, nil
+}
+
+// snapshot is the whole content for a disk; the caller holds the lock.
+func (s *slot) snapshot(claim *Claim) *InstallRequest {
+	install := &InstallRequest{Claim: claim, Seq: s.tail}
+	s.held.Each(func(key, value any) {
+		install.Puts = append(install.Puts, &Put{Key: key.(string), Value: value.([]byte)})
+	})
+	return install
 }
 
 // recount finds what a majority has; the caller holds the lock.
 func (s *slot) recount(set *DiskSet) {
-	reached := func(seq uint64) bool {
-		count := 0
-		for _, entry := range voters(set) {
-			if s.progress[entry.Id].has(seq) {
-				count++
-			}
-		}
-		return count >= majority(set)
-	}
-	for _, entry := range voters(set) {
-		if mark := s.progress[entry.Id]; mark.has(s.commit) && reached(mark.acked) {
-			s.commit, s.based = mark.acked, true
-		}
+	if committed, reached := consensus.Committed(s.commit, s.voters(set)); reached {
+		s.commit, s.based = committed, true
 	}
 	s.trim()
 }
--- a/internal/register/tail.go
+++ b/internal/register/tail.go
@@ -22,8 +22,8 @@
 	first, keep := s.first(), s.uncommitted()
 	reach := s.newest(tailBytes)
 	for _, mark := range s.progress {
-		if mark.installed && mark.acked+1 >= reach {
-			keep = min(keep, mark.acked+1)
+		if mark.Installed && mark.Acked+1 >= reach {
+			keep = min(keep, mark.Acked+1)
 		}
 	}
 	if s.num == 0 {
--- a/internal/register/takeover.go
+++ b/internal/register/takeover.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 
 	"github.com/emirpasic/gods/maps/treemap"
 )
@@ -99,9 +100,9 @@
 		mu.Lock()
 		defer mu.Unlock()
 		switch {
-		case newest == nil || reply.Installed > newest.Installed || (reply.Installed == newest.Installed && reply.Seq > newest.Seq):
+		case newest == nil || reply.position().Newer(newest.position()):
 			newest = reply
-		case reply.Installed == newest.Installed && reply.Seq == newest.Seq:
+		case reply.position() == newest.position():
 			newest.AgeMs = max(newest.AgeMs, reply.AgeMs)
 		}
 		return true
@@ -131,7 +132,7 @@
 		kept, _ := binary.Varint(raw.([]byte))
 		s.time = kept + age // no disk has held it for longer than it is old
 	}
-	s.progress = map[string]*progress{}
+	s.progress = map[string]*consensus.Progress{}
 	s.mu.Unlock()
 	o.refit(s)
 	end := o.clock.Now() + o.bounds.Load().Call()
