--- /dev/null
+++ b/internal/model/rules.go
@@ -0,0 +1,39 @@
+package model
+
+import "fordseam/internal/consensus"
+
+// Rules are the decisions that a world calls. ImplementedRules are those that
+// run in production; a removal replaces one of them by a weaker one.
+type Rules struct {
+	Judge       func(self consensus.Identity, held consensus.Shard, claim consensus.Claim) consensus.Rejection
+	JudgeAppend func(held consensus.Shard, epoch, first uint64) consensus.Rejection
+	Install     func(held consensus.Shard, epoch uint64, leader string, seq uint64) (consensus.Shard, bool)
+	Newer       func(position, other consensus.Position) bool
+	Committed   func(committed uint64, voters []consensus.Progress) (uint64, bool)
+	// PromiseQuorum and ReadQuorum are how many of the voters must answer.
+	PromiseQuorum func(voters int) int
+	ReadQuorum    func(voters int) int
+	// SyncBeforeAnswer has a replica answer only what it has synced.
+	SyncBeforeAnswer bool
+	// InstallBeforeServing has a leader serve only once its snapshot is on a
+	// majority.
+	InstallBeforeServing bool
+	// FreshLeaderNames gives each life of a process another name.
+	FreshLeaderNames bool
+}
+
+// ImplementedRules are the decisions that run in production.
+func ImplementedRules() Rules {
+	return Rules{
+		Judge:                consensus.Judge,
+		JudgeAppend:          consensus.JudgeAppend,
+		Install:              consensus.Shard.Install,
+		Newer:                consensus.Position.Newer,
+		Committed:            consensus.Committed,
+		PromiseQuorum:        consensus.Majority,
+		ReadQuorum:           consensus.Majority,
+		SyncBeforeAnswer:     true,
+		InstallBeforeServing: true,
+		FreshLeaderNames:     true,
+	}
+}
