Count a replica's answer by the newest set, not by the one it was sent under

Cause, found by the model checker (world of a changing set: three voters, one spare, four sets, one leader; 34 steps, 1,738,293 states searched): a leader counted an answer by the set that its message was sent under. Where the answer of one replica came late, after two changes of the set, the voters of the first set were counted once more, and what two of them had was taken for committed while the set in force had four voters:

Ruled out: a fault of the model's own (the test below fails on the code as it was: commit 1, wanted 0). It needs one answer that is out while two changes of the set go through, which a slow or frozen replica that is being replaced gives.

Answers are now counted by the newest set that the leader knows.

--- a/internal/register/owner_test.go
+++ b/internal/register/owner_test.go
@@ -5,6 +5,7 @@
 import (
 	"testing"
 
+	"fordseam/internal/base"
 	"fordseam/internal/consensus"
 
 	"github.com/matryer/is"
@@ -67,3 +68,24 @@
 	is.Equal(s.commit, uint64(50))
 	is.True(s.based)
 }
+
+// An answer that comes late, to a message that was sent under a set that two
+// changes have replaced, must not have the former set's voters count: the model
+// checker found that what they acknowledged could then be lost.
+func TestLateAnswersAreCountedByTheNewestSet(t *testing.T) {
+	is := is.New(t)
+	clock := base.NewRealClock()
+	former := &DiskSet{Stamp: 1, Disks: []*DiskEntry{{Id: "a"}, {Id: "b"}, {Id: "c"}}}
+	newest := &DiskSet{Stamp: 3, Disks: append(former.Disks[:3:3], &DiskEntry{Id: "d"})}
+	s := &slot{num: 1, epoch: 1, tail: 1, bell: base.NewBell(clock), buffer: []*Entry{{Seq: 1}}, progress: map[string]*consensus.Progress{
+		"a": {},
+		"b": {Installed: true, Acked: 1, SetVersion: 3},
+		"c": {Installed: true, Acked: 1, SetVersion: 3},
+		"d": {Installed: true, SetVersion: 3},
+	}}
+	owner := &Owner{set: newest}
+	owner.acknowledge(s, 1, "a", 0, former.Stamp)
+	is.Equal(s.commit, uint64(0)) // b and c are no majority of four
+	owner.acknowledge(s, 1, "a", 1, newest.Stamp)
+	is.Equal(s.commit, uint64(1))
+}
--- a/internal/register/replicate.go
+++ b/internal/register/replicate.go
@@ -66,13 +66,7 @@
 			}
 			continue
 		}
-		s.mu.Lock()
-		if known := s.progress[entry.Id]; s.epoch == epoch && known != nil {
-			*known = known.Acknowledge(ack.Seq, set.Stamp)
-			s.recount(set)
-		}
-		s.mu.Unlock()
-		s.bell.Ring()
+		o.acknowledge(s, epoch, entry.Id, ack.Seq, set.Stamp)
 	}
 }
 
--- a/internal/register/slot.go
+++ b/internal/register/slot.go
@@ -117,6 +117,20 @@
 	return install
 }
 
+// acknowledge takes in a disk's answer to a message that was sent under a set.
+// It is counted by the newest set that this core knows: the one that the
+// message was sent under may be out of force since, and its majorities need not
+// meet those of the set in force.
+func (o *Owner) acknowledge(s *slot, epoch uint64, diskID string, seq, sentStamp uint64) {
+	s.mu.Lock()
+	if known := s.progress[diskID]; s.epoch == epoch && known != nil {
+		*known = known.Acknowledge(seq, sentStamp)
+		s.recount(o.knownSet())
+	}
+	s.mu.Unlock()
+	s.bell.Ring()
+}
+
 // recount finds what a majority has; the caller holds the lock.
 func (s *slot) recount(set *DiskSet) {
 	if committed, reached := consensus.Committed(s.commit, s.voters(set)); reached {
