Cut the seeds' vote and the lease's arithmetic out as pure functions

Cause: both are to be checked by explicit states as they run. The founder's vote, the choice of a ballot and of what to propose, the end of a follower's lease, how old a relayed answer is and when it may still be passed on are now in internal/consensus. Behaviour is unchanged.

--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"fordseam/internal/consensus"
 
@@ -175,3 +176,37 @@
 		})
 	}
 }
+
+func TestBootstrapVotes(t *testing.T) {
+	is := is.New(t)
+	seed := consensus.Acceptor[string]{}
+	seed, ok := seed.Prepare(4)
+	is.True(ok)
+	_, ok = seed.Accept(3, "older")
+	is.True(!ok) // a higher ballot was promised
+	seed, ok = seed.Accept(4, "first")
+	is.True(ok)
+	_, ok = seed.Prepare(3)
+	is.True(!ok)
+
+	proposal := consensus.Proposal[string]{Value: "own"}
+	is.Equal(proposal.Learn(0, "").Value, "own") // a seed that has not voted
+	proposal = proposal.Learn(seed.Accepted, seed.Value)
+	is.Equal(proposal.Learn(2, "older").Value, "first")
+
+	is.Equal(consensus.NextBallot(0, 3, 2), uint64(5))
+	is.Equal(consensus.NextBallot(5, 3, 0), uint64(6))
+}
+
+func TestLease(t *testing.T) {
+	is := is.New(t)
+	const lease = 1200 * time.Millisecond
+	is.Equal(consensus.LeaseEnd(time.Second, 0, lease), 2140*time.Millisecond)
+	is.Equal(consensus.LeaseEnd(time.Second, 200*time.Millisecond, lease), 1940*time.Millisecond)
+	is.Equal(consensus.Behind(time.Second, 900*time.Millisecond+1), 100*time.Millisecond) // rounded up
+	is.Equal(consensus.Behind(time.Second, 2*time.Second), time.Duration(0))              // confirmed after the question
+	is.True(consensus.MayRelay(800*time.Millisecond, 0, lease))
+	is.True(!consensus.MayRelay(801*time.Millisecond, 0, lease))
+	is.True(consensus.TakesAnswer(3, 3))
+	is.True(!consensus.TakesAnswer(2, 3))
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 	"fordseam/internal/membership"
 	"fordseam/internal/register"
 )
@@ -203,7 +204,7 @@
 
 func (f *Follower) take(reply *FollowReply, asked time.Duration) {
 	current := f.Frame()
-	if reply.Place < current.Place {
+	if !consensus.TakesAnswer(reply.Place, current.Place) {
 		f.counters.Add("feed_older_dropped", 1)
 		return
 	}
@@ -232,14 +233,16 @@
 		f.counters.Add("feed_changes", 1)
 	}
 	permit := f.bounds.Load().Permit()
-	asked -= time.Duration(reply.BehindMs) * time.Millisecond
+	behind := time.Duration(reply.BehindMs) * time.Millisecond
+	leaseEnd := consensus.LeaseEnd(asked, behind, permit)
+	asked -= behind
 	f.mu.Lock()
 	f.gateways, f.confirmed = reply.Gateways, max(f.confirmed, asked)
 	until := time.Duration(f.until.Load())
 	if until > 0 && f.clock.Now() >= until {
 		f.lapses++
 	}
-	f.until.Store(int64(max(until, asked+permit-permit/20)))
+	f.until.Store(int64(max(until, leaseEnd)))
 	f.asked.Store(max(f.asked.Load(), int64(asked)+1))
 	f.mu.Unlock()
 	f.bell.Ring()
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 	"fordseam/internal/membership"
 	"fordseam/internal/register"
 )
@@ -158,11 +159,11 @@
 	confirmed, frame, gateways := f.confirmed, f.Frame(), f.gateways
 	puts, ok := f.steps.since(request.Place)
 	f.mu.Unlock()
-	if !frame.Begun || frame.Place < request.Place || f.clock.Now()-confirmed > f.bounds.Load().Permit()*2/3 {
+	if !frame.Begun || frame.Place < request.Place || !consensus.MayRelay(f.clock.Now(), confirmed, f.bounds.Load().Permit()) {
 		f.counters.Add("feed_relays_declined", 1)
 		return nil, base.ToWire(base.Busy(503, "feed_stale", 1, "this node is behind the feed itself"))
 	}
-	reply := &FollowReply{Place: frame.Place, Gateways: gateways, BehindMs: int64((max(0, arrived-confirmed) + time.Millisecond - 1) / time.Millisecond)}
+	reply := &FollowReply{Place: frame.Place, Gateways: gateways, BehindMs: consensus.Behind(arrived, confirmed).Milliseconds()}
 	switch {
 	case !request.Begun || frame.Place > request.Place && !ok:
 		reply.Frame = true
--- a/internal/founding/founding.go
+++ b/internal/founding/founding.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/consensus"
 	"fordseam/internal/membership"
 	"fordseam/internal/register"
 )
@@ -34,10 +35,8 @@
 	place    int
 	tolerate int
 
-	mu       sync.Mutex
-	promised uint64
-	accepted uint64
-	set      *register.DiskSet
+	mu   sync.Mutex
+	vote consensus.Acceptor[*register.DiskSet]
 }
 
 // New makes a founder at an address; one that is no seed's neither proposes
@@ -95,7 +94,7 @@
 	if set == nil {
 		return false
 	}
-	took := base.Ask(f.clock, set.Disks, len(set.Disks)/2+1, f.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *register.DiskEntry) bool {
+	took := base.Ask(f.clock, set.Disks, consensus.Majority(len(set.Disks)), f.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *register.DiskEntry) bool {
 		ack, err := f.disk(entry.Addr).Adopt(ctx, &register.AdoptRequest{Set: set})
 		return err == nil && ack.Ok
 	})
@@ -144,20 +143,19 @@
 // seed's: the newest that any of a majority had accepted, else the fresh one.
 func (f *Founder) decide(fresh *register.DiskSet) *register.DiskSet {
 	f.mu.Lock()
-	count := uint64(len(f.seeds))
-	ballot := (f.promised/count+1)*count + uint64(f.place)
-	f.promised = ballot // it is used once
+	ballot := consensus.NextBallot(f.vote.Promised, len(f.seeds), f.place)
+	f.vote.Promised = ballot // it is used once
 	f.mu.Unlock()
 	var mu sync.Mutex
-	set, accepted := fresh, uint64(0)
+	proposal := consensus.Proposal[*register.DiskSet]{Value: fresh}
 	learn := func(vote *Vote) {
 		mu.Lock()
-		if vote.Ok && vote.Accepted > accepted {
-			set, accepted = vote.Set, vote.Accepted
+		if vote.Ok {
+			proposal = proposal.Learn(vote.Accepted, vote.Set)
 		}
 		mu.Unlock()
 		f.mu.Lock()
-		f.promised = max(f.promised, vote.Promised) // the next ballot is higher
+		f.vote.Promised = max(f.vote.Promised, vote.Promised) // the next ballot is higher
 		f.mu.Unlock()
 	}
 	if !f.ask(func(ctx *base.Ctx, seed Founding) (*Vote, error) {
@@ -166,7 +164,7 @@
 		return nil
 	}
 	mu.Lock()
-	chosen := set
+	chosen := proposal.Value
 	mu.Unlock()
 	if !f.ask(func(ctx *base.Ctx, seed Founding) (*Vote, error) {
 		return seed.Accept(ctx, &AcceptRequest{Ballot: ballot, Set: chosen})
@@ -177,7 +175,7 @@
 }
 
 func (f *Founder) ask(call func(ctx *base.Ctx, seed Founding) (*Vote, error), learn func(*Vote)) bool {
-	return base.Ask(f.clock, f.seeds, len(f.seeds)/2+1, f.bounds.Load().DiskLimit()/2, func(ctx *base.Ctx, addr string) bool {
+	return base.Ask(f.clock, f.seeds, consensus.Majority(len(f.seeds)), f.bounds.Load().DiskLimit()/2, func(ctx *base.Ctx, addr string) bool {
 		var seed Founding = f
 		if addr != f.seeds[f.place] {
 			seed = NewFoundingProtobufClient("http://"+addr, f.wire)
@@ -195,20 +193,16 @@
 func (f *Founder) Prepare(_ context.Context, request *PrepareRequest) (*Vote, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ok := request.Ballot >= f.promised
-	if ok {
-		f.promised = request.Ballot
-	}
-	return &Vote{Ok: ok, Promised: f.promised, Accepted: f.accepted, Set: f.set}, nil
+	next, ok := f.vote.Prepare(request.Ballot)
+	f.vote = next
+	return &Vote{Ok: ok, Promised: next.Promised, Accepted: next.Accepted, Set: next.Value}, nil
 }
 
 // Accept votes for a set unless a later ballot was promised.
 func (f *Founder) Accept(_ context.Context, request *AcceptRequest) (*Vote, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ok := request.Ballot >= f.promised
-	if ok {
-		f.promised, f.accepted, f.set = request.Ballot, request.Ballot, request.Set
-	}
-	return &Vote{Ok: ok, Promised: f.promised}, nil
+	next, ok := f.vote.Accept(request.Ballot, request.Set)
+	f.vote = next
+	return &Vote{Ok: ok, Promised: next.Promised}, nil
 }
