--- a/internal/register/owner_test.go
+++ b/internal/register/owner_test.go
@@ -5,6 +5,9 @@
 import (
 	"testing"
 
+	"fordseam/internal/base"
+	"fordseam/internal/consensus"
+
 	"github.com/matryer/is"
 )
 
@@ -31,13 +34,13 @@
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
 			set := &DiskSet{Stamp: 1, Disks: []*DiskEntry{{Id: "a"}, {Id: "b"}, {Id: "c"}}}
-			s := &slot{num: row.num, progress: map[string]*progress{"a": {installed: true}, "b": {installed: true}, "c": {installed: true}}}
+			s := &slot{num: row.num, progress: map[string]*consensus.Progress{"a": {Installed: true}, "b": {Installed: true}, "c": {Installed: true}}}
 			value := make([]byte, row.size)
 			for range row.changes {
 				s.tail++
 				s.buffer = append(s.buffer, &Entry{Seq: s.tail, Puts: []*Put{{Key: "feed/routes", Value: value}}})
-				s.progress["a"].acked, s.progress["b"].acked = s.tail, s.tail
-				s.progress["c"].acked = s.tail - min(s.tail, row.behind)
+				s.progress["a"].Acked, s.progress["b"].Acked = s.tail, s.tail
+				s.progress["c"].Acked = s.tail - min(s.tail, row.behind)
 				s.recount(set)
 				is.Equal(s.commit, s.tail)
 			}
@@ -56,12 +59,33 @@
 func TestTrimmingBeforeAnythingIsCommitted(t *testing.T) {
 	is := is.New(t)
 	set := &DiskSet{Stamp: 1, Disks: []*DiskEntry{{Id: "a"}, {Id: "b"}, {Id: "c"}}}
-	s := &slot{num: 1, tail: 50, progress: map[string]*progress{"a": {installed: true, acked: 50}, "b": {}, "c": {}}}
+	s := &slot{num: 1, tail: 50, progress: map[string]*consensus.Progress{"a": {Installed: true, Acked: 50}, "b": {}, "c": {}}}
 	s.recount(set)
 	is.Equal(s.first(), uint64(51))
 	is.True(!s.based)
-	s.progress["b"] = &progress{installed: true, acked: 50}
+	s.progress["b"] = &consensus.Progress{Installed: true, Acked: 50}
 	s.recount(set)
 	is.Equal(s.commit, uint64(50))
 	is.True(s.based)
 }
+
+// An answer that comes late, to a message that was sent under a set that two
+// changes have replaced, must not have the former set's voters count: the model
+// checker found that what they acknowledged could then be lost.
+func TestLateAnswersAreCountedByTheNewestSet(t *testing.T) {
+	is := is.New(t)
+	clock := base.NewRealClock()
+	former := &DiskSet{Stamp: 1, Disks: []*DiskEntry{{Id: "a"}, {Id: "b"}, {Id: "c"}}}
+	newest := &DiskSet{Stamp: 3, Disks: append(former.Disks[:3:3], &DiskEntry{Id: "d"})}
+	s := &slot{num: 1, epoch: 1, tail: 1, bell: base.NewBell(clock), buffer: []*Entry{{Seq: 1}}, progress: map[string]*consensus.Progress{
+		"a": {},
+		"b": {Installed: true, Acked: 1, SetVersion: 3},
+		"c": {Installed: true, Acked: 1, SetVersion: 3},
+		"d": {Installed: true, SetVersion: 3},
+	}}
+	owner := &Owner{set: newest}
+	owner.acknowledge(s, 1, "a", 0, former.Stamp)
+	is.Equal(s.commit, uint64(0)) // b and c are no majority of four
+	owner.acknowledge(s, 1, "a", 1, newest.Stamp)
+	is.Equal(s.commit, uint64(1))
+}
