Refuse a turn whose history cannot be confirmed at once, with when to come back

Cause: the ledger's client asked for a claim or a chain again and again until the turn's own deadline (settleClaim, look). With too few stores that can confirm, a turn with 30 s was held for 30 s and then refused.

The refusal is a 503 that has run nothing and says when to come back; ledger_unconfirmed counts it.

A gateway whose memory of turns was full refused every chain that it had to recall (history_broken); it now goes on from what the ledger gave.

Tests: ledger and line packages, TestTheTierKeepsEveryRule/small.

--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -276,7 +276,34 @@
 	c.clock.Sleep(min(ctx.Left(), time.Duration(hedge/4+c.clock.Int64N(hedge/2))))
 }
 
+// effort is one try at having the stores confirm something. A turn is not held
+// for it towards its deadline: whoever asks is refused in time to come back.
+type effort struct {
+	client *Client
+	ctx    *base.Ctx
+	began  time.Duration
+}
+
+// confirming begins a try that lasts as long as one answer of a disk may take,
+// and leaves half of the time that the turn has.
+func (c *Client) confirming(ctx *base.Ctx) *effort {
+	limit := min(c.bounds.Load().DiskLimit(), ctx.Left()/2)
+	return &effort{client: c, ctx: ctx.Within(limit), began: c.clock.Now()}
+}
+
+// settledHedges is after how many hedges a try ends whose stores all answer and
+// lack too much: only their filling helps, which takes longer.
+const settledHedges = 4
+
+// over tells that the try has ended. answered tells that every store that was
+// asked gave an answer.
+func (e *effort) over(answered bool) bool {
+	settled := answered && e.client.clock.Now()-e.began >= settledHedges*e.client.bounds.Load().Hedge()
+	return settled || e.ctx.Over()
+}
+
 func (c *Client) unreached(what string) error {
+	c.counters.Add("ledger_unconfirmed", 1)
 	return base.BusyFor(503, "ledger_unreachable", c.bounds.Load().Recover/40, "too few storage machines answered for %s", what)
 }
 
@@ -437,9 +464,13 @@
 // replicas' votes are split between claims at one epoch, the one whose Run is
 // first by name asks again at a higher one.
 func (c *Client) settleClaim(ctx *base.Ctx, b *Beginning, epoch *uint64, known []*Spend) (claimed, error) {
-	for tries := 0; !ctx.Over(); tries++ {
+	try := c.confirming(ctx)
+	ctx = try.ctx
+	answered := false
+	for tries := 0; !try.over(answered); tries++ {
 		came := c.claim(ctx, b, *epoch, known)
 		best := came.best
+		answered = best == nil && !came.silent && !came.moved
 		switch {
 		case came.moved:
 		case came.taken:
@@ -601,7 +632,10 @@
 }
 
 func (c *Client) look(ctx *base.Ctx, program, id string) ([]*Turn, error) {
-	for !ctx.Over() {
+	try := c.confirming(ctx)
+	ctx = try.ctx
+	answered := false
+	for !try.over(answered) {
 		set, order, need := c.replicas(program)
 		if set == nil {
 			c.pause(ctx)
@@ -627,6 +661,7 @@
 		if !moved && absent(answers) {
 			return nil, base.Decline(404, "unknown_turn", "there is no such turn")
 		}
+		answered = !moved && allAnswered(answers, len(set.Disks))
 		if !moved {
 			c.pause(ctx)
 		}
@@ -680,6 +715,12 @@
 	return ""
 }
 
+// allAnswered tells that each of a number of stores gave an answer.
+func allAnswered[R any](answers []answer[R], stores int) bool {
+	said := base.Filter(answers, func(one answer[R]) bool { return one.ack != nil })
+	return len(said) == stores
+}
+
 // Whole tells whether every store of the newest set lacks nothing.
 func (c *Client) Whole(ctx *base.Ctx) bool {
 	set := c.newest()
--- a/internal/line/history.go
+++ b/internal/line/history.go
@@ -64,6 +64,15 @@
 	return body, true
 }
 
+// joined builds the body of a chain that is given oldest first.
+func joined(turns []Kept) []byte {
+	body := []byte{}
+	for _, one := range turns {
+		body = append(append(body, one.Input...), one.Output...)
+	}
+	return body
+}
+
 // sweep forgets what no turn may name any more.
 func (h *history) sweep() {
 	h.mu.Lock()
--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -397,8 +397,8 @@
 		k.history.keep(one, retain)
 	}
 	body, ok := k.history.chain(turn)
-	if !ok {
-		return nil, k.soon("history_broken", "the conversation's history is not whole here")
+	if !ok { // there is no room to remember it
+		body = joined(turns)
 	}
 	return body, nil
 }
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -236,6 +236,22 @@
 	w.is.Equal(w.book.settled["t1"], int64(4)) // two events of stride two
 }
 
+// A gateway whose memory of turns is full goes on from what the ledger gives.
+func TestAFullMemoryStillRecallsChains(t *testing.T) {
+	w := newWorld(t)
+	k := w.node("a")
+	for _, turn := range []string{"t1", "t2"} {
+		previous := map[string]string{"t2": "t1"}[turn]
+		_, err := w.take(k, w.call("s1", turn, previous))
+		w.is.NoErr(err)
+	}
+	other := w.node("b")
+	other.history.size = historyMost + 1
+	_, err := w.take(other, w.call("s2", "t3", "t2"))
+	w.is.NoErr(err)
+	w.is.Equal(w.bench.bodies["t3"], "in-t1xt1\nyt1\nin-t2xt2\nyt2\nin-t3")
+}
+
 func TestAnUnknownPreviousTurnRunsNothing(t *testing.T) {
 	w := newWorld(t)
 	_, err := w.take(w.node("a"), w.call("s1", "t1", "never"))
