--- a/internal/base/ctx.go
+++ b/internal/base/ctx.go
@@ -44,6 +44,10 @@
 	return c.Context.Value(key)
 }
 
+// MessageIDHeader carries a message's id there and back between nodes: an
+// answer with another id belongs to another message.
+const MessageIDHeader = "Seq"
+
 const (
 	withinHeader = "Fordseam-Within-Ms"
 	contentType  = "Content-Type"
@@ -93,6 +97,9 @@
 		if r.Header.Get(contentType) == "" {
 			r.Header.Set(contentType, messageType)
 		}
+		if id := r.Header.Get(MessageIDHeader); id != "" {
+			w.Header().Set(MessageIDHeader, id)
+		}
 		received := &Ctx{Context: r.Context(), Clock: clock, Until: clock.Now() + limit}
 		next.ServeHTTP(lean{w}, r.WithContext(received))
 	})
--- a/internal/conn/wire.go
+++ b/internal/conn/wire.go
@@ -9,7 +9,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
@@ -44,11 +46,11 @@
 	}
 	l := &listener{addr: parsed, accepted: make(chan net.Conn, 256), closed: make(chan struct{})}
 	handler := &events{booted: make(chan gnet.Engine, 1)}
-	handler.opened = func(f *flow) {
+	handler.opened = func(c *eventConn) {
 		select {
-		case l.accepted <- f:
+		case l.accepted <- c:
 		default:
-			_ = f.raw.Close()
+			_ = c.raw.Close()
 		}
 	}
 	failed := make(chan error, 1)
@@ -85,6 +87,12 @@
 
 func (l *listener) Addr() net.Addr { return l.addr }
 
+// errForeign says that an answer belongs to another message.
+var errForeign = errors.New("the reply belongs to another message")
+
+// errTooLong says that a reply was not read to its end.
+var errTooLong = errors.New("the reply is too long")
+
 // connectLimit bounds the making of a connection: a machine without power says
 // nothing, and whoever waits for it is better told so soon.
 var connectLimit = base.DefaultBounds().Recover / 48
@@ -94,6 +102,8 @@
 	client *gnet.Client
 	http   *http.Client
 	sent   func()
+
+	messages atomic.Uint64
 }
 
 // NewWire starts the dialing engine; sent is called for each message.
@@ -123,7 +133,7 @@
 	if err != nil {
 		return nil, &base.NotSent{Cause: err}
 	}
-	dialed := prepareFlow(plain.LocalAddr(), plain.RemoteAddr())
+	dialed := newEventConn(plain.LocalAddr(), plain.RemoteAddr())
 	if _, err := w.client.EnrollContext(plain, dialed); err != nil {
 		_ = plain.Close()
 		return nil, &base.NotSent{Cause: err}
@@ -145,6 +155,8 @@
 		return nil, &base.NotSent{Cause: context.DeadlineExceeded}
 	}
 	base.StampRequest(request, left)
+	id := strconv.FormatUint(w.messages.Add(1), 36)
+	request.Header.Set(base.MessageIDHeader, id)
 	w.sent()
 	bounded, cancel := context.WithTimeout(request.Context(), left)
 	defer cancel()
@@ -153,14 +165,29 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	// A node of an earlier version sends no id back.
+	if got := response.Header.Get(base.MessageIDHeader); got != "" && got != id {
+		w.abandon(response)
+		return nil, errForeign
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, unreadLimit))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) == unreadLimit {
+		return nil, errTooLong
+	}
 	response.Body = io.NopCloser(bytes.NewReader(body))
 	return response, nil
 }
 
+// abandon closes the connection that an answer came on. The HTTP client may
+// have put it back already when the answer had no body, so all idle ones go.
+func (w *Wire) abandon(response *http.Response) {
+	_ = response.Body.Close() // unread: the client closes the connection
+	w.http.CloseIdleConnections()
+}
+
 // Close ends the dialing engine.
 func (w *Wire) Close() {
 	w.http.CloseIdleConnections()
