--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -17,6 +17,7 @@
 	"fordseam/internal/conn"
 	"fordseam/internal/disk"
 	"fordseam/internal/relay"
+	"fordseam/internal/workerconn"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -121,7 +122,7 @@
 		return nil, errors.Trace(err)
 	}
 	r.cleanup.Push(wire.Close)
-	r.Env = Env{Clock: base.NewRealClock(), Wire: wire, Counters: counters, Backends: NewCountedBackends(base.DefaultBounds().Recover/12, counters), Names: names}
+	r.Env = Env{Clock: base.NewRealClock(), Wire: wire, Counters: counters, Backends: workerconn.New(base.DefaultBounds().Recover/12, counters), Names: names}
 	if r.private, err = conn.Listen(place.Addr); err != nil {
 		r.cleanup.Run()
 		return nil, err
--- /dev/null
+++ b/internal/relay/fuzz_test.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/route"
+)
+
+// linesReply gives prepared bytes line by line, and then an end.
+type linesReply struct {
+	base.BackReply
+	rest []byte
+	end  error
+}
+
+func (r *linesReply) Line(time.Duration) ([]byte, error) {
+	if len(r.rest) == 0 {
+		return nil, r.end
+	}
+	length := bytes.IndexByte(r.rest, '\n') + 1
+	if length == 0 {
+		length = len(r.rest)
+	}
+	line := r.rest[:length]
+	r.rest = r.rest[length:]
+	return line, nil
+}
+
+func (r *linesReply) Header(string) string { return "" }
+func (r *linesReply) Close()               {}
+
+// readEvents reads a stream to its end.
+func readEvents(raw []byte, end error) ([]*Event, error) {
+	relay := New(Parts{Clock: base.NewRealClock(), Bounds: &base.Table[base.Bounds]{}, Counters: base.NewCounters()})
+	relay.Bounds.Swap(base.DefaultBounds())
+	reply := &Reply{Status: 200, relay: relay, under: &linesReply{rest: bytes.Clone(raw), end: end}, state: &state{held: newPrefixes()}, offer: fuzzOffer()}
+	var events []*Event
+	for {
+		event, err := reply.Event(time.Second)
+		if err != nil {
+			return events, err
+		}
+		events = append(events, event)
+	}
+}
+
+// payload is what an event's data lines say, read in another way.
+func payload(raw []byte) []byte {
+	var lines [][]byte
+	for _, line := range bytes.Split(raw, []byte("\n")) {
+		line = bytes.TrimRight(line, "\r")
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			lines = append(lines, bytes.TrimPrefix(data, []byte(" ")))
+		}
+	}
+	return bytes.Join(lines, []byte("\n"))
+}
+
+// Of any bytes: the events together are the very bytes that came, each one's
+// payload is that of its data lines, and the end is clean only where the
+// worker's was.
+func FuzzEvents(f *testing.F) {
+	for _, seed := range []string{
+		"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+		"data: a\r\ndata: b\r\n\r\n",
+		": note\n\n\n\ndata:\n\n",
+		"weight-versions: 3\nid: 7\ndata:  two spaces\n\ndata: no end",
+		"data\n\nid\n\ndata:x\rdata:y\n\n",
+	} {
+		f.Add([]byte(seed), true)
+		f.Add([]byte(seed), false)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, clean bool) {
+		if len(raw) > eventLimit/2 {
+			return
+		}
+		end := io.ErrUnexpectedEOF
+		if clean {
+			end = io.EOF
+		}
+		events, err := readEvents(raw, end)
+		if (err == io.EOF) != clean {
+			t.Fatalf("the worker's end was %v, and what is told %v", end, err)
+		}
+		var all []byte
+		for _, event := range events {
+			all = append(all, event.Raw...)
+			if !bytes.Equal(event.Data, payload(event.Raw)) {
+				t.Fatalf("event %q has the payload %q", event.Raw, event.Data)
+			}
+		}
+		if clean && !bytes.Equal(all, raw) {
+			t.Fatalf("%q came, and %q is passed on", raw, all)
+		}
+		if !clean && !bytes.HasPrefix(raw, all) {
+			t.Fatalf("%q came, and %q is passed on", raw, all)
+		}
+	})
+}
+
+func fuzzOffer() *offer {
+	return &offer{call: &Call{}, route: &route.Route{Target: time.Second}, service: &route.Service{}}
+}
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -17,7 +17,7 @@
 const eventLimit = 1 << 20
 
 // Event is one event of a stream: its bytes as they came, the empty line
-// included, and the payload of its data lines.
+// included, and the payload of its data lines; Data is nil when it has none.
 type Event struct {
 	Raw  []byte
 	Data []byte
@@ -116,7 +116,9 @@
 			return event, nil
 		}
 		if data, ok := bytes.CutPrefix(text, []byte("data:")); ok {
-			if event.Data != nil {
+			if event.Data == nil {
+				event.Data = []byte{} // an empty payload is one as well
+			} else {
 				event.Data = append(event.Data, '\n')
 			}
 			event.Data = append(event.Data, bytes.TrimPrefix(data, []byte(" "))...)
--- a/internal/node/backends.go
+++ b/internal/workerconn/client.go
@@ -1,8 +1,4 @@
-// Back ends over fasthttp. A call that names a worker's life goes by the
-// connections kept for it. Any other has a connection of its own: when it
-// cannot be made, no byte left; once it is made, any loss may have run. The
-// visit's end and Close both shut the connection, which ends a waiting read.
-package node
+package workerconn
 
 import (
 	"bufio"
@@ -20,28 +16,31 @@
 	"github.com/valyala/fasthttp"
 )
 
-type backends struct {
+// Client sends requests to workers. A call that names a worker's life goes by
+// the connections kept for it. Any other has a connection of its own: when it
+// cannot be made, no byte left; once it is made, any loss may have run.
+type Client struct {
 	connect time.Duration
-	kept    *kept
+	pool    *pool
 }
 
-// NewBackends bounds the making of a connection; the other times of a
-// connection are ratios to that bound.
-func NewBackends(connect time.Duration) base.Backends {
-	return NewCountedBackends(connect, base.NewCounters())
-}
+var _ base.Backends = (*Client)(nil)
 
-// NewCountedBackends also counts connections.
-func NewCountedBackends(connect time.Duration, counters *base.Counters) base.Backends {
-	return &backends{connect, newKept(connect, counters)}
+// New makes a client that counts its connections. connect bounds the making of
+// a connection; the other times of a connection are ratios to that bound.
+func New(connect time.Duration, counters *base.Counters) *Client {
+	return &Client{connect: connect, pool: newPool(connect, counters)}
 }
 
-func (b *backends) Forget(worker string) { b.kept.Forget(worker) }
+// Forget closes the idle connections kept for a worker's life.
+func (c *Client) Forget(worker string) { c.pool.forget(worker) }
 
 // after is a moment for a socket's deadline.
 func after(limit time.Duration) time.Time { return time.Now().Add(limit) }
 
-type backReply struct {
+// singleReply is the answer under way on a connection of its own. The context's
+// end and Close both shut the connection, which ends a waiting read.
+type singleReply struct {
 	response *fasthttp.Response
 	plain    net.Conn
 	reader   *bufio.Reader
@@ -53,7 +52,7 @@
 
 // read runs one reading. Close may come from another task meanwhile; the
 // client's own state is let go only when nobody reads.
-func (r *backReply) read(reading func() error) error {
+func (r *singleReply) read(reading func() error) error {
 	r.reading.Lock()
 	err := reading()
 	r.reading.Unlock()
@@ -63,7 +62,7 @@
 	return err
 }
 
-func (r *backReply) letGo() {
+func (r *singleReply) letGo() {
 	if !r.reading.TryLock() {
 		return // whoever reads lets go after
 	}
@@ -75,12 +74,19 @@
 	})
 }
 
-func (b *backends) Call(ctx *base.Ctx, addr string, request *base.BackRequest) (base.BackReply, error) {
+// Call sends a request and gives its answer's head. An error wraps
+// base.NotSent only when no byte of the request left.
+func (c *Client) Call(ctx *base.Ctx, addr string, request *base.BackRequest) (base.BackReply, error) {
 	if request.Worker != "" {
-		return b.kept.call(ctx, addr, request)
+		return c.pool.call(ctx, addr, request)
 	}
+	return c.callOnce(ctx, addr, request)
+}
+
+// callOnce uses a connection for one request only.
+func (c *Client) callOnce(ctx *base.Ctx, addr string, request *base.BackRequest) (base.BackReply, error) {
 	left := ctx.Left()
-	plain, err := net.DialTimeout("tcp", addr, min(left, b.connect))
+	plain, err := net.DialTimeout("tcp", addr, min(left, c.connect))
 	if err != nil {
 		return nil, &base.NotSent{Cause: err}
 	}
@@ -91,7 +97,7 @@
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		Dial: func(string) (net.Conn, error) {
 			if used {
-				return nil, errors.New("a leg has one connection")
+				return nil, errors.New("a call has one connection")
 			}
 			used = true
 			return plain, nil
@@ -111,7 +117,7 @@
 		_ = plain.Close()
 		return nil, err
 	}
-	reply := &backReply{response: response, plain: plain, timer: timer}
+	reply := &singleReply{response: response, plain: plain, timer: timer}
 	if stream := response.BodyStream(); stream != nil {
 		reply.reader = bufio.NewReaderSize(stream, 64<<10)
 	} else {
@@ -120,18 +126,24 @@
 	return reply, nil
 }
 
-func (r *backReply) Status() int               { return r.response.StatusCode() }
-func (r *backReply) Header(name string) string { return string(r.response.Header.Peek(name)) }
+// Status is the answer's status.
+func (r *singleReply) Status() int { return r.response.StatusCode() }
+
+// Header is one header of the answer.
+func (r *singleReply) Header(name string) string { return string(r.response.Header.Peek(name)) }
 
-func (r *backReply) EachHeader(visit func(name, value []byte)) {
+// EachHeader walks all header lines.
+func (r *singleReply) EachHeader(visit func(name, value []byte)) {
 	for name, value := range r.response.Header.All() {
 		visit(name, value)
 	}
 }
 
-func (r *backReply) Closes() bool { return r.response.ConnectionClose() }
+// Closes tells that the worker will close the connection.
+func (r *singleReply) Closes() bool { return r.response.ConnectionClose() }
 
-func (r *backReply) Line(limit time.Duration) ([]byte, error) {
+// Line gives the next line of the body with its end; io.EOF at a clean end.
+func (r *singleReply) Line(limit time.Duration) ([]byte, error) {
 	var line []byte
 	err := r.read(func() (err error) {
 		_ = r.plain.SetReadDeadline(time.Now().Add(limit))
@@ -144,10 +156,11 @@
 	return line, nil
 }
 
-func (r *backReply) Body(limit time.Duration, most int) ([]byte, error) {
+// Body gives the whole body.
+func (r *singleReply) Body(limit time.Duration, most int) ([]byte, error) {
 	length := r.response.Header.ContentLength()
-	if length == -2 {
-		return nil, errors.New("an answer without a length cannot be told from a cut one")
+	if length == lengthByClose {
+		return nil, errLength
 	}
 	var body []byte
 	err := r.read(func() (err error) {
@@ -166,7 +179,8 @@
 	return body, nil
 }
 
-func (r *backReply) Close() {
+// Close ends the exchange; it may be called from another task.
+func (r *singleReply) Close() {
 	r.timer.Stop()
 	_ = r.plain.Close()
 	r.closed.Store(true)
--- a/internal/node/backends_test.go
+++ b/internal/workerconn/client_test.go
@@ -1,16 +1,13 @@
-// Back ends over real sockets: what proves that nothing left, what is cut,
-// and what a place's faults are.
-package node
+// Calls with a connection of their own, over real sockets: what proves that
+// nothing left, and what is cut.
+package workerconn
 
 import (
 	"bufio"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"runtime"
-	"strings"
 	"testing"
 	"time"
 
@@ -44,7 +41,7 @@
 
 func call(addr string) (base.BackReply, error) {
 	ctx := base.NewCtx(base.NewRealClock(), 20*time.Second)
-	return NewBackends(5*time.Second).Call(ctx, addr, &base.BackRequest{Method: "POST", Path: "/x", Body: []byte(`{"a":1}`)})
+	return New(5*time.Second, base.NewCounters()).Call(ctx, addr, &base.BackRequest{Method: "POST", Path: "/x", Body: []byte(`{"a":1}`)})
 }
 
 func TestOnlyAFailedConnectIsNotSent(t *testing.T) {
@@ -104,34 +101,6 @@
 	is.True(<-ended != nil)
 }
 
-func TestPlaces(t *testing.T) {
-	is := is.New(t)
-	file := filepath.Join(t.TempDir(), "place.json")
-	write := func(document string) error {
-		is.NoErr(os.WriteFile(file, []byte(document), 0o600))
-		return ReadPlace(file, &Place{})
-	}
-	for document, field := range map[string]string{`{"adress":"x"}`: "adress", `{"seeds":"x"}`: "seeds", `{"zone":1}`: "zone", `{`: "body", `{"seeds":[1]}`: "seeds[0]"} {
-		err := write(document)
-		is.True(err != nil && strings.Contains(err.Error(), ": "+field+": "))
-	}
-	whole := Place{Role: "storage", Addr: "127.0.0.1:1", Public: "127.0.0.1:2", Zone: "z", Seeds: []string{"127.0.0.1:1"}, Data: "d"}
-	is.Equal(len(whole.Check("core", "storage")), 0)
-	for field, bad := range map[string]Place{
-		"role":           {Role: "king", Addr: whole.Addr, Public: whole.Public, Zone: "z", Seeds: whole.Seeds},
-		"address":        {Role: "core", Addr: "host:1", Public: whole.Public, Zone: "z", Seeds: whole.Seeds},
-		"public_address": {Role: "core", Addr: whole.Addr, Public: whole.Addr, Zone: "z", Seeds: whole.Seeds},
-		"zone":           {Role: "core", Addr: whole.Addr, Public: whole.Public, Seeds: whole.Seeds},
-		"seeds":          {Role: "core", Addr: whole.Addr, Public: whole.Public, Zone: "z"},
-		"seeds[0]":       {Role: "core", Addr: whole.Addr, Public: whole.Public, Zone: "z", Seeds: []string{"x"}},
-		"data":           {Role: "storage", Addr: whole.Addr, Public: whole.Public, Zone: "z", Seeds: whole.Seeds},
-	} {
-		faults := bad.Check("core", "storage")
-		is.Equal(len(faults), 1)
-		is.True(strings.HasPrefix(faults[0], field+":"))
-	}
-}
-
 // A call leaves nothing running behind it, however it ends.
 func TestCallsLeaveNothingBehind(t *testing.T) {
 	is := is.New(t)
--- a/internal/node/kept_test.go
+++ b/internal/workerconn/pool_test.go
@@ -1,7 +1,7 @@
 // Kept connections over real sockets, against a small worker that does each
 // wrong thing on demand: what may be used again, and what proves that a request
 // did not leave.
-package node
+package workerconn
 
 import (
 	"bufio"
@@ -91,14 +91,14 @@
 type bench struct {
 	*is.I
 	worker *fakeWorker
-	pool   *backends
+	client *Client
 	clock  *movedClock
 	seen   int
 }
 
 func newBench(t testing.TB, answer func(c net.Conn, request *http.Request, made int) bool) *bench {
-	b := &bench{I: is.NewRelaxed(t.(*testing.T)), worker: newFakeWorker(t, answer), pool: NewBackends(5 * time.Second).(*backends), clock: &movedClock{Clock: base.NewRealClock()}}
-	b.pool.kept.clock = b.clock
+	b := &bench{I: is.NewRelaxed(t.(*testing.T)), worker: newFakeWorker(t, answer), client: New(5*time.Second, base.NewCounters()), clock: &movedClock{Clock: base.NewRealClock()}}
+	b.client.pool.clock = b.clock
 	return b
 }
 
@@ -110,7 +110,7 @@
 }
 
 func (b *bench) send(request *base.BackRequest) (base.BackReply, error) {
-	return b.pool.Call(base.NewCtx(b.clock, 20*time.Second), b.worker.addr(), request)
+	return b.client.Call(base.NewCtx(b.clock, 20*time.Second), b.worker.addr(), request)
 }
 
 // ask makes a request and reads its whole answer.
@@ -135,9 +135,9 @@
 
 // idle is how many connections are kept.
 func (b *bench) idle() (idle, open int) {
-	b.pool.kept.mu.Lock()
-	defer b.pool.kept.mu.Unlock()
-	if held := b.pool.kept.stocks["w1"]; held != nil {
+	b.client.pool.mu.Lock()
+	defer b.client.pool.mu.Unlock()
+	if held := b.client.pool.workers["w1"]; held != nil {
 		return len(held.idle), held.open
 	}
 	return 0, 0
@@ -158,7 +158,7 @@
 func TestAConnectionOutlivesARequestsDeadline(t *testing.T) {
 	b := newBench(t, ordinary)
 	b.served()
-	b.NoErr(b.pool.kept.stocks["w1"].idle[0].SetDeadline(time.Now().Add(-time.Second)))
+	b.NoErr(b.client.pool.workers["w1"].idle[0].SetDeadline(time.Now().Add(-time.Second)))
 	b.served()
 	b.Equal(b.connections(), 1)
 }
@@ -173,7 +173,7 @@
 	_, err = reply.Body(20*time.Second, 1000)
 	b.NoErr(err)
 	b.Equal(b.connections(), 2)
-	b.pool.Forget("w1")
+	b.client.Forget("w1")
 	<-b.worker.ended
 	b.served()
 	b.Equal(b.connections(), 3)
@@ -354,9 +354,9 @@
 	b := newBench(t, ordinary)
 	b.served()
 	b.clock.ahead.Add(int64(time.Minute))
-	b.pool.kept.sweepIdle()
+	b.client.pool.sweepIdle()
 	<-b.worker.ended
-	b.Equal(len(b.pool.kept.stocks), 0)
+	b.Equal(len(b.client.pool.workers), 0)
 }
 
 func TestARequestArrivesByteForByte(t *testing.T) {
@@ -382,7 +382,7 @@
 	request.Method, request.Path, request.Host = "DELETE", "/a//b/../c%2Fd/./?x=%41&y=+&z", "Some.Host:81"
 	request.Lines = append(request.Lines, base.HeaderLine{Name: "x-Second", Value: "b"}, base.HeaderLine{Name: "x-Second", Value: "a"}, base.HeaderLine{Name: "Cookie", Value: "b=2; a=1"},
 		base.HeaderLine{Name: "Content-Type", Value: "text/odd"}, base.HeaderLine{Name: "user-agent", Value: "me"})
-	reply, err := b.pool.Call(base.NewCtx(b.clock, 20*time.Second), listener.Addr().String(), request)
+	reply, err := b.client.Call(base.NewCtx(b.clock, 20*time.Second), listener.Addr().String(), request)
 	b.NoErr(err)
 	defer reply.Close()
 	<-got
@@ -545,8 +545,8 @@
 	b := newBench(t, ordinary)
 	reply, err := b.send(b.request())
 	b.NoErr(err)
-	held := b.pool.kept.stocks["w1"]
-	b.pool.Forget("w1")
+	held := b.client.pool.workers["w1"]
+	b.client.Forget("w1")
 	_, err = reply.Body(20*time.Second, 1000)
 	b.NoErr(err)
 	reply.Close()
@@ -613,7 +613,7 @@
 		_, _ = c.Write(answer)
 		return true
 	})
-	pool := NewBackends(5 * time.Second)
+	pool := New(5*time.Second, base.NewCounters())
 	clock := base.NewRealClock()
 	request := &base.BackRequest{Method: "POST", Path: "/x/y", Host: "some.host", Body: bytes.Repeat([]byte("y"), 600), Worker: "w1",
 		Lines: []base.HeaderLine{{Name: "Request-Id", Value: "r1"}, {Name: "Deadline", Value: "6000"}}, Match: base.HeaderLine{Name: "Request-Id", Value: "r1"}}
