--- a/internal/base/clock_test.go
+++ b/internal/base/clock_test.go
@@ -18,7 +18,7 @@
 	read := 0
 	// These set deadlines on sockets, relative to now, or drive tests; the fleet and
 	// the stand-ins over sockets are parties, no slices.
-	allowed := map[string]bool{"../base/clock.go": true, "../node/backends.go": true, "../conn/conn.go": true}
+	allowed := map[string]bool{"../base/clock.go": true, "../workerconn/deadline.go": true, "../conn/conn.go": true}
 	is.NoErr(filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasPrefix(path, "../fleet/") || strings.HasPrefix(path, "../standin/platform/sockets/") || allowed[path] {
 			return err
--- a/internal/workerconn/client.go
+++ b/internal/workerconn/client.go
@@ -35,9 +35,6 @@
 // Forget closes the idle connections kept for a worker's life.
 func (c *Client) Forget(worker string) { c.pool.forget(worker) }
 
-// after is a moment for a socket's deadline.
-func after(limit time.Duration) time.Time { return time.Now().Add(limit) }
-
 // singleReply is the answer under way on a connection of its own. The context's
 // end and Close both shut the connection, which ends a waiting read.
 type singleReply struct {
@@ -146,7 +143,7 @@
 func (r *singleReply) Line(limit time.Duration) ([]byte, error) {
 	var line []byte
 	err := r.read(func() (err error) {
-		_ = r.plain.SetReadDeadline(time.Now().Add(limit))
+		_ = r.plain.SetReadDeadline(after(limit))
 		line, err = r.reader.ReadBytes('\n')
 		return err
 	})
@@ -164,7 +161,7 @@
 	}
 	var body []byte
 	err := r.read(func() (err error) {
-		_ = r.plain.SetReadDeadline(time.Now().Add(limit))
+		_ = r.plain.SetReadDeadline(after(limit))
 		body, err = io.ReadAll(io.LimitReader(r.reader, int64(most)+1))
 		return err
 	})
