--- a/internal/access/change.go
+++ b/internal/access/change.go
@@ -3,6 +3,7 @@
 // change under way: which rules still decide. Once no node may decide that has
 // not learnt the new ones, the mark of the change is taken away, and that place
 // in the feed is where they are in force.
+
 package access
 
 import (
--- a/internal/access/duty.go
+++ b/internal/access/duty.go
@@ -3,6 +3,7 @@
 // counted from when this core first saw the change, always suffices, since
 // every answer of the feed after that carries the change with it. Where all who
 // asked lately have acknowledged the new settings it need not wait.
+
 package access
 
 import (
--- a/internal/access/explain.go
+++ b/internal/access/explain.go
@@ -1,5 +1,6 @@
 // What the rules come to, for operators: what each team may call, why at each
 // place, and what another tree would give or take.
+
 package access
 
 import (
--- a/internal/access/guard.go
+++ b/internal/access/guard.go
@@ -5,6 +5,7 @@
 // former rules decide, so that an older gateway falls silent shortly after the
 // change and none decides by what it held before a freeze. A deployment without
 // rules pays one load.
+
 package access
 
 import (
--- a/internal/access/table.go
+++ b/internal/access/table.go
@@ -1,6 +1,7 @@
 // The table of one tree's rules: immutable, swapped whole, and asked without a
 // lock. A question is a place of the tree, or a host with a route of the
 // operator's; the answer names the team and the model that it was decided on.
+
 package access
 
 import (
--- a/internal/base/ask.go
+++ b/internal/base/ask.go
@@ -1,4 +1,5 @@
 // Ask puts a question to many at once, each in a task of its own.
+
 package base
 
 import (
--- a/internal/base/backend.go
+++ b/internal/base/backend.go
@@ -3,6 +3,7 @@
 // connection kept for that worker's life may carry it. Either way an error
 // wraps NotSent only when it is certain that no byte of the request left. A
 // reply's body is read line by line as it comes, or whole.
+
 package base
 
 import (
--- a/internal/base/bounds.go
+++ b/internal/base/bounds.go
@@ -1,6 +1,7 @@
 // Bounds are the few times that operators promise their users; every
 // interval inside the system is a ratio to one of them, so that changing a
 // bound changes all that hangs on it and the order between them stays.
+
 package base
 
 import "time"
--- a/internal/base/containers.go
+++ b/internal/base/containers.go
@@ -1,6 +1,7 @@
 // Small generic containers and pipelines shared by the slices: a table that
 // is swapped whole, sorted key walks (so that the simulator replays), and
 // named counters.
+
 package base
 
 import (
--- a/internal/base/ctx.go
+++ b/internal/base/ctx.go
@@ -2,6 +2,7 @@
 // which the visit must end on this node's monotonic clock, and a stack of
 // clean-ups run in reverse. Between nodes only the time left travels, never
 // a moment, since clocks differ.
+
 package base
 
 import (
--- a/internal/base/fields.go
+++ b/internal/base/fields.go
@@ -1,6 +1,7 @@
 // Reading of JSON objects field by field, for callers', the platform's and
 // operators' requests: unknown, repeated, ill-typed and out-of-range fields
 // are each declined by name before anything is done.
+
 package base
 
 import (
--- a/internal/base/verdict.go
+++ b/internal/base/verdict.go
@@ -2,6 +2,7 @@
 // happened, which HTTP status callers see, and above all whether the request
 // may have run. It crosses nodes inside twirp errors, so that the node that
 // knows is the one whose word reaches the caller.
+
 package base
 
 import (
--- a/internal/conn/wire.go
+++ b/internal/conn/wire.go
@@ -1,6 +1,7 @@
 // The real wire: a listener and a dialer made of gnet engines, and an HTTP
 // client for twirp whose errors say whether a byte may have left. Replies are
 // read whole inside Do, so that the time a visit has left covers them.
+
 package conn
 
 import (
--- a/internal/disk/files.go
+++ b/internal/disk/files.go
@@ -2,6 +2,7 @@
 // count once Sync of the same name returned. The real one keeps plain files in
 // one data folder; the simulator keeps bytes in memory and drops what was not
 // synced when power goes.
+
 package disk
 
 import (
--- a/internal/disk/neighbours.go
+++ b/internal/disk/neighbours.go
@@ -1,5 +1,6 @@
 // The addresses of the fleet as a storage machine last knew them. They are
 // only a hint where to ask, so a file that cannot be read counts as empty.
+
 package disk
 
 import (
--- a/internal/disk/record.go
+++ b/internal/disk/record.go
@@ -8,6 +8,7 @@
 // been answered, and the disk is damaged. A batch is written only after the
 // one before it was synced, and numbers run on without a gap through every
 // log and slot, so nothing answered can be missing unseen.
+
 package disk
 
 import (
--- a/internal/disk/segments.go
+++ b/internal/disk/segments.go
@@ -6,6 +6,7 @@
 // still counts of the oldest file again and then drops it; a batch says how
 // many files before its own count, so that one that is half emptied when power
 // goes is not missed.
+
 package disk
 
 import (
--- a/internal/disk/service.go
+++ b/internal/disk/service.go
@@ -2,6 +2,7 @@
 // it is meant for, the disk set its sender goes by and the sender's epoch. A
 // disk that is blank, no longer in the set, asked under another disk's id or
 // under an older set or epoch says why and changes nothing.
+
 package disk
 
 import (
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -5,6 +5,11 @@
 // is written to the other slot and a new log begun; the former slot and log
 // stay until the turn after, so a slot that cannot be read falls back on
 // them. How a torn tail is told from rot is in record.go.
+
+// Package disk is the durable part of a storage machine: a replica of the
+// register's shards (Store), the log of the ledger (Segments), and the call
+// interface by which the cores reach the replica (Service). A record counts as
+// stored only after its file has been synced.
 package disk
 
 import (
--- a/internal/feed/holders.go
+++ b/internal/feed/holders.go
@@ -1,6 +1,7 @@
 // Who follows the feed here and which settings each holds, as their questions
 // told it. The owner of the feed's slot knows all that may serve: every permit
 // was given by its answers, or by an answer from before it took the slot.
+
 package feed
 
 import (
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -7,6 +7,7 @@
 // confirmed, which its permit is shorter by; order is kept as ever, since no
 // follower's place falls. Whoever gives no fresh answer is passed over, and the
 // owner is asked last.
+
 package feed
 
 import (
--- a/internal/fleet/badday.go
+++ b/internal/fleet/badday.go
@@ -2,6 +2,7 @@
 // killed and told to stop, a disk is lost and replaced, operators collide, and
 // at last everything falls at once. What callers and workers saw is checked
 // from the outside, and so are the settings that gateways show.
+
 package fleet
 
 import (
--- a/internal/fleet/hollow.go
+++ b/internal/fleet/hollow.go
@@ -2,6 +2,7 @@
 // duties are real and which serve nobody, beside real processes of cores and
 // storage machines. It measures what a node and a core spend at rest on a fleet
 // of that size: processor time, memory and messages.
+
 package fleet
 
 import (
--- a/internal/fleet/parties.go
+++ b/internal/fleet/parties.go
@@ -1,4 +1,5 @@
 // The stand-in workers and callers over real HTTP.
+
 package fleet
 
 import (
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -2,6 +2,7 @@
 // the same ports as all others, its process is told of its place by a settings
 // file, and the platform's stand-ins play round it. The commands of the roles
 // are given, so that any build can be put to it.
+
 package fleet
 
 import (
--- a/internal/fleet/platform_run.go
+++ b/internal/fleet/platform_run.go
@@ -1,5 +1,6 @@
 // One run on the platform from start to report: formation, traffic with
 // troubles at their times, probes, a closing fault, reading back, checking.
+
 package fleet
 
 import (
--- a/internal/fleet/platform_troubles.go
+++ b/internal/fleet/platform_troubles.go
@@ -1,5 +1,6 @@
 // Troubles of a run on the platform, by the names that the platform has for
 // them, each at its time: KIND[:CLASS]@SECONDS[+FOR][,option...].
+
 package fleet
 
 import (
--- a/internal/fleet/platform_workers.go
+++ b/internal/fleet/platform_workers.go
@@ -1,5 +1,6 @@
 // The platform's workers in a run: opened, put on the list, given troubles,
 // replaced one after the other, crashed.
+
 package fleet
 
 import (
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -1,5 +1,6 @@
 // Processes of a fleet: started with flags, their logs kept in files,
 // signalled by the id they were started with.
+
 package fleet
 
 import (
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -1,4 +1,5 @@
 // What a run came to, for people and as JSON.
+
 package fleet
 
 import (
--- a/internal/front/access.go
+++ b/internal/front/access.go
@@ -1,5 +1,6 @@
 // Which models a program may call follows from its group, its site and the
 // route of its session. A turn is looked at here, before it is carried anywhere.
+
 package front
 
 import (
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,4 +1,5 @@
 // The callers' interface: programs, sessions, turns and tool calls.
+
 package front
 
 import (
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -1,5 +1,6 @@
 // The platform's interface: the stamped worker list, and the usage reports
 // and leaving notices that workers send.
+
 package front
 
 import (
--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -1,6 +1,7 @@
 // Tool calls go by a configured route to application workers. A route that
 // may not be repeated needs an Idempotency-Key, whose claim is durable before
 // the call goes out; see package toolcall for what the claim promises.
+
 package front
 
 import (
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -3,6 +3,7 @@
 package ledger_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -169,7 +170,7 @@
 	b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-us/turn")
 	logged := int64(0)
 	for _, store := range x.stores {
-		state, _ := store.Describe(nil, nil)
+		state, _ := store.Describe(context.Background(), nil)
 		logged += state.LogBytes
 	}
 	b.ReportMetric(float64(x.wire.bytes.Load())/float64(b.N), "wire-bytes/turn")
@@ -210,7 +211,7 @@
 		}
 		b.StopTimer()
 		b.ReportMetric((processorTime()-used).Seconds()*1000, "cpu-ms-all")
-		state, _ := x.stores[4].Describe(nil, nil)
+		state, _ := x.stores[4].Describe(context.Background(), nil)
 		b.ReportMetric(float64(x.clock.Now()-started)/float64(time.Millisecond), "ms-to-whole")
 		b.ReportMetric(float64(state.Bytes)/(1<<20), "MB-held")
 	}
@@ -236,11 +237,11 @@
 	for number := 0; number < b.N; number++ {
 		program, turn := fmt.Sprintf("p%d", number/5), fmt.Sprintf("%016x", number)
 		claim := &ledger.Assignment{Session: "s" + program, Owner: "10.0.0.1:7380/0123456789abcdef", Run: "run-" + program, Epoch: 1, Confirmed: number%5 > 0}
-		begun, err := store.Begin(nil, &ledger.BeginRequest{Target: target, Program: program, Claim: claim, Turn: turn, Budgeted: true, Most: 136, KeepMs: 60000})
+		begun, err := store.Begin(context.Background(), &ledger.BeginRequest{Target: target, Program: program, Claim: claim, Turn: turn, Budgeted: true, Most: 136, KeepMs: 60000})
 		if err != nil || begun.Ack.Why != "" {
 			b.Fatal(err, begun)
 		}
-		if reply, err := store.Finish(nil, &ledger.FinishRequest{Target: target, Program: program, Claim: claim, Turn: turn, Input: make([]byte, 2000),
+		if reply, err := store.Finish(context.Background(), &ledger.FinishRequest{Target: target, Program: program, Claim: claim, Turn: turn, Input: make([]byte, 2000),
 			Output: make([]byte, 1000), Budgeted: true, Tokens: 34, KeepMs: 60000}); err != nil || reply.Ack.Why != "" {
 			b.Fatal(err, reply)
 		}
@@ -248,7 +249,7 @@
 	b.StopTimer()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	state, _ := store.Describe(nil, nil)
+	state, _ := store.Describe(context.Background(), nil)
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "heap-bytes/turn")
 	b.ReportMetric(float64(state.Bytes)/float64(b.N), "counted-bytes/turn")
 	b.ReportMetric(float64(state.LogBytes)/float64(b.N), "log-bytes/turn")
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -3,6 +3,7 @@
 // first; the others are turned to at once when one fails or declines, and
 // after a short while when one is slow. A store that was slow or could not be
 // reached is asked last for a moment.
+
 package ledger
 
 import (
--- a/internal/ledger/keep_test.go
+++ b/internal/ledger/keep_test.go
@@ -3,6 +3,7 @@
 package ledger_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -13,7 +14,7 @@
 )
 
 func (m *machine) state() *ledger.DescribeReply {
-	state, _ := m.store.Describe(nil, nil)
+	state, _ := m.store.Describe(context.Background(), nil)
 	return state
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 package ledger_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -89,7 +90,7 @@
 	for _, m := range f.stores {
 		told += fmt.Sprintf("\n%s %s up %v", m.host.Name, m.id, m.up)
 		if m.store != nil {
-			state, _ := m.store.Describe(nil, nil)
+			state, _ := m.store.Describe(context.Background(), nil)
 			told += fmt.Sprintf(" %v %v", state, m.count.Frame())
 		}
 	}
--- a/internal/ledger/pull.go
+++ b/internal/ledger/pull.go
@@ -4,6 +4,7 @@
 // from then on it answers no write under the older one: what was acknowledged
 // under that is seen, and nothing more comes. A store lacks nothing of a set
 // once it has heard out enough of those that could hold what it does not.
+
 package ledger
 
 import (
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -1,6 +1,7 @@
 // What gateways may ask of a store. Every message names the disk it is meant
 // for and the disk set its sender goes by, and may come twice. An answer that
 // changed nothing still waits for what it rests on to be synced.
+
 package ledger
 
 import (
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -2,6 +2,7 @@
 // joined. Every join gives the same whatever the order and however often, so
 // the log, a message that comes twice and another store's account are all
 // taken in by the same code.
+
 package ledger
 
 import (
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -4,6 +4,7 @@
 // sync. The log is a ring of files: what still counts of the oldest is written
 // again before it is dropped. Time is counted by the store itself and stands
 // still while the process is down, so nothing is forgotten too early.
+
 package ledger
 
 import (
--- a/internal/line/carry.go
+++ b/internal/line/carry.go
@@ -1,4 +1,5 @@
 // How a call travels between gateways, and how an answer is pulled.
+
 package line
 
 import (
--- a/internal/line/history.go
+++ b/internal/line/history.go
@@ -1,5 +1,6 @@
 // The history is a gateway's memory of whole turns, by turn id. It only
 // saves asking the ledger: what is not here is recalled from there.
+
 package line
 
 import (
--- a/internal/line/ports.go
+++ b/internal/line/ports.go
@@ -1,5 +1,6 @@
 // What a line needs of others: the ledger that keeps it, and the relay that
 // takes its turns to workers.
+
 package line
 
 import (
--- a/internal/line/stream.go
+++ b/internal/line/stream.go
@@ -1,6 +1,7 @@
 // A stream is one turn's answer as it comes: a head, then pieces that are
 // passed on unchanged, then an end. It is whole only when its owner says so; a
 // reader that leaves early ends the turn's work.
+
 package line
 
 import (
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -2,6 +2,7 @@
 // connections kept for it. Any other has a connection of its own: when it
 // cannot be made, no byte left; once it is made, any loss may have run. The
 // visit's end and Close both shut the connection, which ends a waiting read.
+
 package node
 
 import (
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -1,6 +1,7 @@
 // The life of a daemon: check the place, listen, start the slices, serve
 // until a signal, then stop accepting, finish what was read, hand over, and
 // leave with a clean exit code.
+
 package node
 
 import (
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -1,6 +1,7 @@
 // The public side over fasthttp: requests become the front's own form, whole
 // answers go back as they are, and streams as server-sent events with one
 // event a piece and exactly one final event.
+
 package node
 
 import (
--- a/internal/node/keeping.go
+++ b/internal/node/keeping.go
@@ -1,4 +1,5 @@
 // Lines keep what must last in the ledger.
+
 package node
 
 import (
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -6,6 +6,7 @@
 // bytes that belong to no request, and is dropped. It is dropped as well before
 // the worker's own time for idle connections is over. No task waits on an idle
 // connection; a sweep drops those whose time is over.
+
 package node
 
 import (
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -1,6 +1,7 @@
 // Main runs a command line with the exit codes all programs share: 0 for
 // success, 1 for failure, 2 for a command line or settings that are wrong,
 // and 3 for an outcome that is not known.
+
 package node
 
 import (
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -1,6 +1,7 @@
 // A process learns its place from a settings file, from flags, or both, the
 // flags winning. Everything is checked before anything starts, and each
 // fault is named.
+
 package node
 
 import (
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -1,5 +1,6 @@
 // A gateway that serves an operator's routes: what the feed tells it, when it
 // is ready, and the joints between lines, ledger and relay.
+
 package node
 
 import (
--- a/internal/operate/access.go
+++ b/internal/operate/access.go
@@ -1,5 +1,6 @@
 // Access as operators see it: what each team may call and why, what a document
 // would change, and who holds which settings.
+
 package operate
 
 import (
--- a/internal/operate/routes.go
+++ b/internal/operate/routes.go
@@ -1,5 +1,6 @@
 // The operator's routes and the roster of workers, as
 // operators see and change them.
+
 package operate
 
 import (
--- a/internal/operate/storage.go
+++ b/internal/operate/storage.go
@@ -1,4 +1,5 @@
 // Storage as operators see it: forming the cluster once, and the disks.
+
 package operate
 
 import (
--- a/internal/register/client.go
+++ b/internal/register/client.go
@@ -1,6 +1,7 @@
 // The client finds the owner of a group's shard and asks it for a change. Ops
 // are safe to ask twice, so a lost reply is asked again until the call's time
 // is over; only then is the outcome unknown.
+
 package register
 
 import (
--- a/internal/register/disks.go
+++ b/internal/register/disks.go
@@ -5,6 +5,7 @@
 // whose majorities always meet. From then on disks refuse the former set. The
 // next change waits until every slot is whole on a majority of this one.
 // Whoever owns slot 0 carries a change on, so one that broke off resumes.
+
 package register
 
 import (
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -6,6 +6,7 @@
 // enough. At most one vote comes or goes with each change, so the majorities
 // before and after it meet; learners come and go along with it. A frozen or cut
 // off machine keeps its vote while nobody can take its place.
+
 package register
 
 import (
--- a/internal/register/redundancy.go
+++ b/internal/register/redundancy.go
@@ -4,6 +4,7 @@
 // before its content stands elsewhere, and machines that come do not push more
 // copies out of their places than the fault budget covers. The repair of a loss
 // does not wait.
+
 package register
 
 import (
--- a/internal/register/retire.go
+++ b/internal/register/retire.go
@@ -3,6 +3,7 @@
 // complete once the machine's disk is out of the set, every slot is whole
 // without it, and whatever else keeps data there says that it holds none; then
 // the machine may be taken away together with its disk.
+
 package register
 
 import (
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -5,6 +5,7 @@
 // where its chain is kept as long as that pays. A worker that fails is avoided
 // for a while that doubles, then tried by one request at a time; when all are
 // avoided, none is.
+
 package relay
 
 import (
--- a/internal/relay/duty.go
+++ b/internal/relay/duty.go
@@ -2,6 +2,7 @@
 // deployment's list of workers and puts what changed into the feed, in the
 // slot that makes it the holder, so that a former holder's word is fenced. The
 // roster outlives its holder; while the list does not answer, it stands.
+
 package relay
 
 import (
--- a/internal/relay/line.go
+++ b/internal/relay/line.go
@@ -2,6 +2,7 @@
 // a refusal still comes early within the aim. The line is ordered by rank, then
 // urgency, then age; a full one gives up its last. Who is refused is told when
 // to come back, one after another at the pace of the service.
+
 package relay
 
 import (
--- a/internal/relay/prefix.go
+++ b/internal/relay/prefix.go
@@ -3,6 +3,7 @@
 // only if every part before it is kept whole as well. A session's own part keeps
 // its id while it grows, turn by turn; what was kept of it need not be read
 // again.
+
 package relay
 
 import "container/list"
--- a/internal/relay/rates.go
+++ b/internal/relay/rates.go
@@ -1,6 +1,7 @@
 // Rates of a service as this node has measured them. They start from what is
 // published of such workers and follow the measurements, older ones counting
 // less and less.
+
 package relay
 
 import "time"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,6 +3,7 @@
 // not run it: no byte left, or the answer says so. A request that may be
 // repeated goes on after any failure. Nothing is sent to a worker that the list
 // shows leaving, nor when too little time is left for the send to count.
+
 package relay
 
 import (
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -1,6 +1,7 @@
 // A worker's answer: whole, or a stream read event by event. Its status, body
 // and seal are passed on unchanged. Closing a stream early closes the worker's
 // connection, which ends the worker's work.
+
 package relay
 
 import (
--- a/internal/relay/roster.go
+++ b/internal/relay/roster.go
@@ -1,6 +1,7 @@
 // The roster is the list of workers as the platform of a deployment keeps
 // it. One duty holder asks for it; each worker is a key of the feed, so that
 // a change costs what changed, and every gateway reads the same.
+
 package relay
 
 import (
--- a/internal/route/canonical.go
+++ b/internal/route/canonical.go
@@ -1,5 +1,6 @@
 // The canonical form of a JSON document: what two spellings of the same
 // document have in common, and what no two different documents share.
+
 package route
 
 import (
--- a/internal/route/change.go
+++ b/internal/route/change.go
@@ -8,6 +8,7 @@
 // whenever it is asked for again, also when its document is spelled otherwise.
 // The same document under the same version on top of another version is another
 // order, and is decided as such.
+
 package route
 
 import (
--- a/internal/route/history.go
+++ b/internal/route/history.go
@@ -1,6 +1,7 @@
 // The history of changes that were taken: which document came into force under
 // which version, so that a change that is asked for again gets the answer that
 // it got, whatever was changed since.
+
 package route
 
 import (
--- a/internal/session/held.go
+++ b/internal/session/held.go
@@ -2,6 +2,7 @@
 // has, the operation states, the chain, and the streams. One mutation runs
 // at a time, in the order accepted, each within its own deadline; reads,
 // lists and status look at the memory and never stand in the queue.
+
 package session
 
 import (
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -5,6 +5,7 @@
 // that holds another Run says so, and the assignment is looked up anew once.
 // When the owner is gone, the understudy, or failing it this node, takes the
 // next Run by epoch, and the visit goes on there.
+
 package session
 
 import (
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -5,6 +5,7 @@
 // after that a lost leg ends the stream as cut. Success needs the worker's
 // finish reason and its end mark, the chain on a majority, and the offer to
 // the understudy.
+
 package session
 
 import (
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -2,6 +2,7 @@
 // place; a pull that finds none is held until there is one. All pieces of a
 // stream are of one leg: a stream may change legs only while it has none,
 // and it ends in exactly one final piece.
+
 package session
 
 import (
--- a/internal/settings/access.go
+++ b/internal/settings/access.go
@@ -1,6 +1,7 @@
 // What the tree says of access: the models there are, a group's teams and what
 // lower levels say of them, and the hosts by which requests of the operator's
 // routes show their site. The rules themselves are judged in package access.
+
 package settings
 
 import (
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -3,6 +3,7 @@
 // whose outcome its sender does not know is asked for by that id: either it
 // is found taken, or its id is first fenced on a majority and only then
 // called refused, so that a late copy can never come into force.
+
 package settings
 
 import (
--- a/internal/settings/diff.go
+++ b/internal/settings/diff.go
@@ -1,4 +1,5 @@
 // What a document would change: the values that differ, by path.
+
 package settings
 
 import (
--- a/internal/simulate/access_operate_test.go
+++ b/internal/simulate/access_operate_test.go
@@ -69,7 +69,7 @@
 			is.Equal(status, 400)
 			is.True(strings.Contains(string(raw), "$.groups.dukabora.sites.main.routes.chat.model"))
 		}
-		status, raw = f.apply("wrong", 1, json.RawMessage(wrong))
+		status, _ = f.apply("wrong", 1, json.RawMessage(wrong))
 		is.Equal(status, 400)
 		_, raw = f.Operate(f.Cores[1], "GET", "/v1/operator/settings", nil)
 		is.True(strings.Contains(string(raw), `"stamp":1,`)) // nothing changed
--- a/internal/simulate/cutoff.go
+++ b/internal/simulate/cutoff.go
@@ -3,6 +3,7 @@
 // machine that cannot reach a majority refuses with 503 and says when to come
 // back, an acknowledged configuration stands, one that got no clear answer is
 // either in force everywhere or never, and the others go on.
+
 package simulate
 
 import (
--- a/internal/simulate/cutoff_judge.go
+++ b/internal/simulate/cutoff_judge.go
@@ -1,4 +1,5 @@
 // Judging what operators were answered while machines were cut off.
+
 package simulate
 
 import (
--- a/internal/simulate/files.go
+++ b/internal/simulate/files.go
@@ -1,5 +1,6 @@
 // Disks in memory. Of what was not synced when power goes any sectors may be
 // kept. A disk can stall, fill up, or rot.
+
 package simulate
 
 import (
--- a/internal/simulate/fleet.go
+++ b/internal/simulate/fleet.go
@@ -1,5 +1,6 @@
 // A fleet in virtual time: gateways, cores and storage machines built from
 // the same parts as the daemons, with stand-in workers behind them.
+
 package simulate
 
 import (
--- a/internal/simulate/harms.go
+++ b/internal/simulate/harms.go
@@ -1,4 +1,5 @@
 // The kinds of failure of the brief, each as a scenario.
+
 package simulate
 
 import (
--- a/internal/simulate/history_test.go
+++ b/internal/simulate/history_test.go
@@ -105,12 +105,6 @@
 	return lost
 }
 
-// redundant tells whether every disk of the set holds all that it should of the
-// turn histories.
-func (w *historyWriter) redundant() bool {
-	return len(w.client.Gaps(w.ctx(), w.fleet.set())) == 0
-}
-
 // slowHistory makes stores fill slowly: each request for what is missing takes
 // a while, as it does with a whole retention window of turns.
 func slowHistory(f *Fleet, span time.Duration) {
--- a/internal/simulate/manychanges.go
+++ b/internal/simulate/manychanges.go
@@ -3,6 +3,7 @@
 // current within a bound, however many changes it missed. What it took, and
 // what the fleet holds in memory and on its disks, is told by the number of
 // changes.
+
 package simulate
 
 import (
--- a/internal/simulate/mending.go
+++ b/internal/simulate/mending.go
@@ -1,4 +1,5 @@
 // What there is to see of a disk set that mends itself.
+
 package simulate
 
 import (
--- a/internal/simulate/net.go
+++ b/internal/simulate/net.go
@@ -1,6 +1,7 @@
 // The wire in memory: messages take a while, and by the seed are lost on the
 // way or on the way back, come late, or come twice. Machines can be cut from
 // each other in one direction or both.
+
 package simulate
 
 import (
--- a/internal/simulate/operators.go
+++ b/internal/simulate/operators.go
@@ -2,6 +2,7 @@
 // once and resolve what they were not told, the platform that takes workers
 // off its list and puts them back, and those who replace disks. What they
 // are told goes into the ledger, and so does what gateways show meanwhile.
+
 package simulate
 
 import (
--- a/internal/simulate/parties.go
+++ b/internal/simulate/parties.go
@@ -1,4 +1,5 @@
 // Back ends and callers in memory.
+
 package simulate
 
 import (
--- a/internal/simulate/scenario.go
+++ b/internal/simulate/scenario.go
@@ -2,6 +2,7 @@
 // callers converse, operators collide, the platform replaces workers and a
 // runaway program spends its budget. Every run keeps the whole ledger and
 // ends in the same checks; a seed replays exactly.
+
 package simulate
 
 import (
--- a/internal/simulate/talk.go
+++ b/internal/simulate/talk.go
@@ -1,6 +1,7 @@
 // What a fleet at rest says, by size: the calls and bytes of each kind, and of
 // the busiest machine of each role. The slope over sizes is the growth that
 // docs/CAPACITY.md speaks of.
+
 package simulate
 
 import (
--- a/internal/simulate/tier.go
+++ b/internal/simulate/tier.go
@@ -3,6 +3,7 @@
 // daemons' own parts; clients, programs, operators, workers and the list of
 // workers are the stand-ins; the checker names the rules that were broken in
 // what they saw. Everything runs in virtual time and replays from its seed.
+
 package simulate
 
 import (
--- a/internal/simulate/tier_clients.go
+++ b/internal/simulate/tier_clients.go
@@ -1,5 +1,6 @@
 // Clients and operators in virtual time: their requests go through the same
 // code of platform/ as in the daemons, in process.
+
 package simulate
 
 import (
@@ -45,11 +46,10 @@
 )
 
 type answered struct {
-	kind    int
-	status  int
-	streams bool
-	header  map[string]string
-	bytes   []byte
+	kind   int
+	status int
+	header map[string]string
+	bytes  []byte
 }
 
 // exchange is one request of a client on its connection.
--- a/internal/simulate/tier_days.go
+++ b/internal/simulate/tier_days.go
@@ -1,5 +1,6 @@
 // The days: every trouble of the deployments' sheets, alone and mixed, and the
 // faults that end a day.
+
 package simulate
 
 import (
--- a/internal/simulate/tier_troubles.go
+++ b/internal/simulate/tier_troubles.go
@@ -1,5 +1,6 @@
 // The troubles that the platform names, brought about in the tier and noted for
 // the checker as the platform would know them.
+
 package simulate
 
 import (
--- a/internal/simulate/tier_wire.go
+++ b/internal/simulate/tier_wire.go
@@ -1,5 +1,6 @@
 // What one side of a connection sends to the other: in order, each piece a
 // while later, and nothing any more once the sender's machine has gone dark.
+
 package simulate
 
 import (
--- a/internal/simulate/tier_workers.go
+++ b/internal/simulate/tier_workers.go
@@ -2,6 +2,7 @@
 // belongs to one life of a worker at one address; it is kept, found stale,
 // reset, forgotten without a word, and carries answers that are late, cut,
 // garbled, or belong to another request, as the workers' stand-ins bring about.
+
 package simulate
 
 import (
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -2,6 +2,7 @@
 // would: it names its turns, follows up on the answer before, asks again by
 // the same id when it was told that the outcome is not known, and checks
 // every answer against what a right model must have said to its own chain.
+
 package standin
 
 import (
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -3,6 +3,7 @@
 // were known to leave and who was given work, what planned stops dropped, and
 // how long the fleet took to be back. Each fact is judged as it comes in, so
 // every run that keeps a ledger watches the same must-nevers.
+
 package standin
 
 import (
--- a/internal/standin/platform/change.go
+++ b/internal/standin/platform/change.go
@@ -2,6 +2,7 @@
 // add and remove routes or change time-outs, and invalid ones of every kind.
 // An invalid one that can be read also adds a route of its own, so that it
 // shows when it is in force.
+
 package platform
 
 import (
--- a/internal/standin/platform/check.go
+++ b/internal/standin/platform/check.go
@@ -1,6 +1,7 @@
 // The checker: which rules were broken, by name, going only by what clients,
 // workers, operators and the platform's list saw on their side. Each rule is a
 // function of the whole record.
+
 package platform
 
 import (
--- a/internal/standin/platform/check_test.go
+++ b/internal/standin/platform/check_test.go
@@ -29,8 +29,10 @@
 		{Name: "look", Host: "h", Prefix: "/look/", Kind: Idempotent, DeadlineMs: 6000, Service: "a"},
 	}}
 	s := &scene{Record: &Record{Bounds: DefaultBounds(), Stride: 2, Core: 3, Over: 60 * sec}}
-	for _, m := range []Start{{"edge-1", ClassEdge, 0}, {"edge-2", ClassEdge, 0}, {"core-1", ClassCore, 0}, {"core-2", ClassCore, 0}, {"core-3", ClassCore, 0}, {"storage-1", ClassStorage, 0}} {
-		s.Starts = append(s.Starts, m)
+	s.Starts = []Start{
+		{"edge-1", ClassEdge, 0}, {"edge-2", ClassEdge, 0},
+		{"core-1", ClassCore, 0}, {"core-2", ClassCore, 0}, {"core-3", ClassCore, 0},
+		{"storage-1", ClassStorage, 0},
 	}
 	s.first = s.order(0, c, 1*sec, 200)
 	s.call("p1", NonIdempotent, "/post/1", 10*sec)
--- a/internal/standin/platform/config.go
+++ b/internal/standin/platform/config.go
@@ -1,6 +1,7 @@
 // The operator's configuration: routes, services and limits under one
 // generation, as it is written, read, matched and judged. Routes and services
 // that a checker compares are always made from the document that was sent.
+
 package platform
 
 import (
--- a/internal/standin/platform/engine.go
+++ b/internal/standin/platform/engine.go
@@ -2,6 +2,7 @@
 // the requests that run, in steps that take longer as more run; parts of
 // prompts are kept and not read again while every part before them is kept
 // too; when memory runs out, the newest of the least urgent is put back.
+
 package platform
 
 import (
--- a/internal/standin/platform/entry.go
+++ b/internal/standin/platform/entry.go
@@ -1,6 +1,7 @@
 // The platform's entry as it decides: a node is in while it says that it is
 // ready, and out after two misses; each new connection of a client goes to a
 // node of the client's zone, chosen by a hash of the client.
+
 package platform
 
 import (
--- a/internal/standin/platform/instances.go
+++ b/internal/standin/platform/instances.go
@@ -1,5 +1,6 @@
 // The platform's list of workers: it shows each change some time after it was
 // made, in pages, and answers only so many calls a second.
+
 package platform
 
 import (
--- a/internal/standin/platform/operator.go
+++ b/internal/standin/platform/operator.go
@@ -1,6 +1,7 @@
 // The operator: it chooses among the nodes of control, moves on after failures
 // and silence, and notes what it was told. How a call reaches a node is given,
 // so that the same operator works over sockets and in virtual time.
+
 package platform
 
 import (
--- a/internal/standin/platform/player.go
+++ b/internal/standin/platform/player.go
@@ -2,6 +2,7 @@
 // protocol says, and notes how each program ended. How a try reaches a node is
 // the carrier's matter, so that the same player runs over sockets and in
 // virtual time.
+
 package platform
 
 import (
--- a/internal/standin/platform/program.go
+++ b/internal/standin/platform/program.go
@@ -1,6 +1,7 @@
 // Programs as plans: lines of turns, tools between them, helpers and runaways,
 // drawn from a seed before anything is sent. Only the ids of tries are drawn
 // later.
+
 package platform
 
 import (
--- a/internal/standin/platform/record.go
+++ b/internal/standin/platform/record.go
@@ -2,6 +2,7 @@
 // what the platform's list showed, operators' orders, and troubles that the
 // harness brought about. Moments are on the one clock of the run. The ledger
 // gathers it from many tasks; the checker reads it when all have ended.
+
 package platform
 
 import (
--- a/internal/standin/platform/retry.go
+++ b/internal/standin/platform/retry.go
@@ -1,5 +1,6 @@
 // When clients and operators try again, exactly as the protocol says. Nothing
 // here waits or sends.
+
 package platform
 
 import "time"
--- a/internal/standin/platform/settings.go
+++ b/internal/standin/platform/settings.go
@@ -1,5 +1,6 @@
 // The settings file that the platform hands to each process, with every field
 // it has.
+
 package platform
 
 import (
--- a/internal/standin/platform/site.go
+++ b/internal/standin/platform/site.go
@@ -1,6 +1,7 @@
 // A deployment's shape: zones, machines, services, kinds of request and how
 // often they come. Names of services, hosts and paths are drawn anew for each
 // run, as the platform does.
+
 package platform
 
 import (
--- a/internal/standin/platform/sockets/client.go
+++ b/internal/standin/platform/sockets/client.go
@@ -1,6 +1,7 @@
 // Clients over TCP. Each client keeps a connection for many requests or opens
 // new ones; what comes on a connection is read bare, so that answers cut
 // short, bytes that are no answer and answers nobody asked for are told apart.
+
 package sockets
 
 import (
@@ -46,8 +47,6 @@
 	served int
 }
 
-var errStale = errors.New("bytes were waiting on an idle connection")
-
 // kept takes an idle connection of a client, if one is well.
 func (c *Clients) kept(t *platform.Try) *clientConn {
 	for {
@@ -118,7 +117,7 @@
 		conn = c.kept(t)
 	}
 	if conn == nil {
-		node, address := t.Node, ""
+		var node, address string
 		if t.Probe {
 			node, address, _ = strings.Cut(t.Node, "@")
 		} else {
--- a/internal/standin/platform/sockets/entry.go
+++ b/internal/standin/platform/sockets/entry.go
@@ -1,5 +1,6 @@
 // The platform's entry over HTTP: it asks every node each second whether it
 // is ready.
+
 package sockets
 
 import (
--- a/internal/standin/platform/sockets/instances.go
+++ b/internal/standin/platform/sockets/instances.go
@@ -1,4 +1,5 @@
 // The platform's list over HTTP.
+
 package sockets
 
 import (
--- a/internal/standin/platform/sockets/operator.go
+++ b/internal/standin/platform/sockets/operator.go
@@ -1,4 +1,5 @@
 // The operator's calls over HTTP, with their redirects.
+
 package sockets
 
 import (
--- a/internal/standin/platform/sockets/unread.go
+++ b/internal/standin/platform/sockets/unread.go
@@ -1,6 +1,7 @@
 // Whether a node has read a request, as only the system knows it: on one
 // machine the other side's socket is in the system's table, and bytes that
 // come to a closed connection are answered by a reset.
+
 package sockets
 
 import (
--- a/internal/standin/platform/sockets/worker.go
+++ b/internal/standin/platform/sockets/worker.go
@@ -191,7 +191,6 @@
 // connReply writes answers on a connection.
 type connReply struct {
 	conn    net.Conn
-	mu      sync.Mutex
 	chunked bool
 	closing bool
 	ended   bool
--- a/internal/standin/platform/summary.go
+++ b/internal/standin/platform/summary.go
@@ -1,5 +1,6 @@
 // What a record comes to in numbers: how programs and requests ended, and how
 // long callers waited.
+
 package platform
 
 import (
--- a/internal/standin/platform/worker.go
+++ b/internal/standin/platform/worker.go
@@ -2,6 +2,7 @@
 // a time and queues a few more, refuses what it has not run in so many words,
 // and can be given troubles. It keeps evidence of all that it ran. A plain
 // worker answers with bytes, a model worker with a stream from its engine.
+
 package platform
 
 import (
--- a/internal/whatif/run.go
+++ b/internal/whatif/run.go
@@ -1,4 +1,5 @@
 // Running a question and reporting what came of it.
+
 package whatif
 
 import (
--- a/internal/worker/nominate.go
+++ b/internal/worker/nominate.go
@@ -7,6 +7,7 @@
 // and among equals the site, then the program, with fewest legs under way. A line that is full
 // declines at once and says when to come again, and so does one in
 // which a leg could not come to its end in time.
+
 package worker
 
 import (
