--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -46,6 +46,7 @@
 					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
 			platformCommand(),
 			hollowCommand(),
+			daysCommand(),
 		},
 	}
 	node.Main(command, os.Args)
