Grow the watch's tree by redirects, so that partial views cannot bypass it

Cause: the tree was laid out from a node's view of the fleet. A view holds 96 members and drops gateways first; 4 cores and 92 storage machines fill it, so at 300 machines no gateway saw another one, each took the fleet for a small one and asked the owner itself.

Ruled out: a lag of the gateways' own reading (one change is 1 ms at 3,000 workers), the roster's churn itself (deltas of 100 B), retries after feed_crowded (none were counted, since no gateway was asked).

Now a node answers a bounded number of gateways (a core 16, a gateway 10, the owner 32 that found nobody else), and names some of them to whoever else asks. Nobody has to know all gateways.

What is left at the owner is the disk set of 92 replicas.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,10 +41,11 @@
 
 func (v *Service) Follow(plain context.Context, request *FollowRequest) (*FollowReply, error) {
 	ctx := base.CtxOf(plain, v.clock)
-	if v.owner == nil && v.follower.asking.full(request.From) {
-		return nil, base.ToWire(base.Busy(503, "feed_crowded", 1, "this node has as many followers as it takes"))
+	if v.follower.crowded(request, v.most(request)) {
+		v.follower.counters.Add("feed_relays_crowded", 1)
+		return &FollowReply{Crowded: true, Relays: v.follower.asking.relays(request.From, request.Zone)}, nil
 	}
-	gateways := v.follower.below(request.From, request.Gateways)
+	gateways := v.follower.below(request)
 	if v.owner == nil || request.Relayed && !v.owner.ServesFeed() {
 		return v.follower.Relay(ctx, request)
 	}
@@ -61,6 +63,20 @@
 	return reply, nil
 }
 
+// most is how many gateways this node answers. What a node holds under rules of
+// access is told to the owner itself, by however many.
+func (v *Service) most(request *FollowRequest) int {
+	switch {
+	case v.owner == nil:
+		return relayFollowers
+	case request.Node != "":
+		return math.MaxInt
+	case !request.Relayed:
+		return ownerFollowers
+	}
+	return coreFollowers
+}
+
 // Frame is what a follower knows, swapped whole at each change. Begun tells it
 // from the frame of a follower that was told nothing yet.
 type Frame struct {
@@ -69,6 +85,39 @@
 	Values map[string][]byte
 }
 
+// with gives the frame that a reply makes of this one.
+func (f *Frame) with(reply *FollowReply) *Frame {
+	values := map[string][]byte{}
+	if !reply.Frame {
+		values = maps.Clone(f.Values)
+	}
+	for _, put := range reply.Puts {
+		if put.Gone {
+			delete(values, put.Key)
+		} else {
+			values[put.Key] = put.Value
+		}
+	}
+	return &Frame{Begun: true, Place: reply.Place, Values: values}
+}
+
+// puts are the changes that make another frame of this one: whoever has this one
+// need not be told the whole of the other.
+func (f *Frame) puts(next *Frame) (puts []*register.Put) {
+	for _, key := range base.SortedKeys(f.Values) {
+		if _, stays := next.Values[key]; !stays {
+			puts = append(puts, &register.Put{Key: key, Gone: true})
+		}
+	}
+	for _, key := range base.SortedKeys(next.Values) {
+		value := next.Values[key]
+		if before, known := f.Values[key]; !known || string(before) != string(value) {
+			puts = append(puts, &register.Put{Key: key, Value: value})
+		}
+	}
+	return puts
+}
+
 // Follower keeps a node's frame and its permit.
 type Follower struct {
 	clock    base.Clock
@@ -81,7 +130,8 @@
 	bell     *base.Bell
 	view     *membership.View
 	asking   followers
-	parent   *membership.Member // told at second hand last; only Run has it
+	parent   string                 // the address that answered at second hand last; only Run has it
+	followed atomic.Pointer[string] // the same, for those who ask
 
 	// Tell, when set before Run, adds to a question what the node tells of itself.
 	Tell func(request *FollowRequest)
@@ -113,8 +163,11 @@
 	for !f.Closed() {
 		frame, bounds := f.Frame(), f.bounds.Load()
 		request := &FollowRequest{Begun: frame.Begun, Place: frame.Place, HoldMs: bounds.FeedHold().Milliseconds()}
-		if large(f.view) {
-			request.From, request.Gateways = f.view.Me(), f.below("", 0)
+		if !frame.Begun || large(f.view) {
+			self := f.view.Self()
+			request.From, request.Zone = self.Id, self.Zone
+			request.Core = self.Role == membership.RoleCore
+			request.Gateways = f.below(&FollowRequest{})
 		}
 		if f.Tell != nil {
 			f.Tell(request)
@@ -129,13 +182,15 @@
 	}
 }
 
-// below counts the gateways that follow through this node, itself included.
-// A core that asks itself is not its own follower.
-func (f *Follower) below(from string, gateways int64) int64 {
+// below counts the gateways that follow through this node, itself and the asker
+// included. A core that asks itself is not its own follower.
+func (f *Follower) below(request *FollowRequest) int64 {
+	from := request.From
 	if from == f.view.Me() {
 		from = ""
 	}
-	sum := f.asking.note(from, gateways, f.clock.Now(), 2*f.bounds.Load().Permit())
+	asked := heard{gateways: request.Gateways, zone: request.Zone, core: request.Core, at: f.clock.Now()}
+	sum := f.asking.note(from, asked, f.remembers())
 	if f.view.Self().Role == membership.RoleEdge {
 		sum++
 	}
@@ -144,38 +199,68 @@
 
 // ask asks those who tell at second hand, if there are any, and then the owner.
 func (f *Follower) ask(request *FollowRequest) (reply *FollowReply, asked time.Duration, err error) {
-	bounds := f.bounds.Load()
-	all := f.candidates()
+	addresses := f.relays()
 	if request.Node != "" {
-		all = nil // what this node holds is told to the owner itself
+		addresses = nil // what this node holds is told to the owner itself
+	}
+	if reply, asked = f.askRelays(request, addresses); reply != nil {
+		return reply, asked, nil
 	}
+	return f.askOwner(request)
+}
+
+// askRelays asks one address after another, and whom those name; it gives nothing
+// where none of a few had a fresh answer.
+func (f *Follower) askRelays(request *FollowRequest, addresses []string) (reply *FollowReply, asked time.Duration) {
 	request.Relayed = true
-	lost := false
-	for tries := 0; tries < relayTries && len(all) > 0; tries++ {
-		member := all[0]
-		if all = all[1:]; lost && member.Role == membership.RoleEdge {
-			tries-- // time is short; the cores are few and well known
-			continue
+	lost, tried := false, map[string]bool{f.view.Self().Addr: true}
+	for tries := 0; tries < relayTries && len(addresses) > 0; {
+		address := addresses[0]
+		addresses = addresses[1:]
+		member := f.memberAt(address)
+		isCore := member != nil && member.Role == membership.RoleCore
+		if tried[address] || lost && !isCore {
+			continue // after a lost answer time is short; the cores are well known
 		}
+		tried[address] = true
+		tries++
 		asked = f.clock.Now()
-		reply, err = NewFeedProtobufClient("http://"+member.Addr, f.wire).Follow(base.NewCtx(f.clock, bounds.Follow()), request)
-		if v := base.FromWire(err); err == nil || v == nil || v.Code != "feed_crowded" {
+		answered, err := NewFeedProtobufClient("http://"+address, f.wire).Follow(base.NewCtx(f.clock, f.bounds.Load().Follow()), request)
+		switch {
+		case err == nil && answered.Crowded:
+			addresses = prepend(addresses, answered.Relays...)
+			f.leave(address)
+		case err == nil && answered.Owner == "":
+			f.parent = address
+			f.followed.Store(&address)
+			return answered, asked
+		default:
 			request.HoldMs = 0 // another try must not wait: the permit runs out
-		}
-		if err == nil && reply.Owner == "" {
-			f.parent = member
-			return reply, asked, nil
-		}
-		f.counters.Add("feed_relays_failed", 1)
-		if v := base.FromWire(err); v != nil && (v.Code == "unreachable" || v.Code == "reply_lost") {
-			f.view.Suspect(member.Id)
-			lost = lost || v.Code == "reply_lost"
-		}
-		if f.parent == member {
-			f.parent = nil
+			f.counters.Add("feed_relays_failed", 1)
+			f.leave(address)
+			if v := base.FromWire(err); v != nil && (v.Code == "unreachable" || v.Code == "reply_lost") {
+				lost = lost || v.Code == "reply_lost"
+				if member != nil {
+					f.view.Suspect(member.Id)
+				}
+			}
 		}
 	}
+	return nil, asked
+}
+
+// leave ends following a node.
+func (f *Follower) leave(address string) {
+	if f.parent == address {
+		f.parent = ""
+		f.followed.Store(nil)
+	}
+}
+
+// askOwner asks the owner itself.
+func (f *Follower) askOwner(request *FollowRequest) (reply *FollowReply, asked time.Duration, err error) {
 	request.Relayed = false
+	bounds := f.bounds.Load()
 	err = f.client.Reach(base.NewCtx(f.clock, bounds.Permit()), 0, bounds.Follow(), func(ctx *base.Ctx, addr string) (string, error) {
 		asked = f.clock.Now()
 		answered, err := NewFeedProtobufClient("http://"+addr, f.wire).Follow(ctx, request)
@@ -186,6 +271,12 @@
 		reply = answered
 		return answered.Owner, nil
 	})
+	if err == nil && reply.Crowded {
+		request.HoldMs = 0
+		if reply, asked = f.askRelays(request, reply.Relays); reply == nil {
+			err = base.Busy(503, "feed_crowded", 1, "nobody that was asked takes another follower")
+		}
+	}
 	return reply, asked, err
 }
 
@@ -209,24 +300,15 @@
 		return
 	}
 	if reply.Place > current.Place || !current.Begun {
-		values := map[string][]byte{}
-		if !reply.Frame {
-			values = maps.Clone(current.Values)
-		}
-		for _, put := range reply.Puts {
-			if put.Gone {
-				delete(values, put.Key)
-			} else {
-				values[put.Key] = put.Value
-			}
-		}
-		next := &Frame{Begun: true, Place: reply.Place, Values: values}
+		next := current.with(reply)
 		f.changed(next)
 		f.mu.Lock()
-		if reply.Frame || !current.Begun {
-			f.steps.clear()
-		} else {
-			f.steps.add(step{from: current.Place, to: next.Place, puts: reply.Puts})
+		if current.Begun {
+			puts := reply.Puts
+			if reply.Frame {
+				puts = current.puts(next)
+			}
+			f.steps.add(step{from: current.Place, to: next.Place, puts: puts})
 		}
 		f.frame.Swap(next)
 		f.mu.Unlock()
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -1,18 +1,18 @@
 // In a large fleet the feed is told through a tree of followers, so that its
-// owner answers a bounded number. Cores ask the owner; gateways ask a core; in
-// a fleet with many gateways for each core, one gateway in six asks a core and
-// the others ask one of those, of their own zone where there is one. Who has
-// which part follows from a node's id, so there are no loops and nothing to
-// agree on. An answer at second hand says how long before the question it was
-// confirmed, which its permit is shorter by; order is kept as ever, since no
-// follower's place falls. Whoever gives no fresh answer is passed over, and the
-// owner is asked last.
+// owner answers a bounded number. Cores ask the owner, gateways ask a core. Each
+// node answers a bounded number of gateways; one that has as many names some of
+// them to whoever else asks, who turns to those. So the tree grows with the fleet
+// by itself, and nobody needs to know all gateways. A node stays with whom it
+// found while that gives fresh answers. An answer at second hand says how long
+// before the question it was confirmed, which the permit is shorter by; order is
+// kept as ever, since no follower's place falls. In a circle nobody's
+// confirmation is renewed, so it ends when that is too old. The owner is asked last.
+
 package feed
 
 import (
 	"cmp"
 	"slices"
-	"sync"
 	"time"
 
 	"fordseam/internal/base"
@@ -24,76 +24,88 @@
 const (
 	// directMost is how many nodes all ask the owner.
 	directMost = 24
-	// perCore is how many gateways a core tells before gateways tell gateways.
-	perCore = 16
-	// branch is how many gateways there are for one that tells others, and
-	// tellsMost how many followers a gateway takes.
-	branch    = 6
-	tellsMost = 10
+	// coreFollowers and relayFollowers are how many gateways a core and a gateway
+	// answer at second hand; ownerFollowers is how many the owner answers that
+	// found nobody else.
+	coreFollowers  = 16
+	relayFollowers = 10
+	ownerFollowers = 32
+	// relaysTold is how many relays a crowded node names.
+	relaysTold = 6
+	// relayTries is how many are asked at second hand before the owner.
+	relayTries = 4
 	// stepBytes bounds the changes that a follower keeps to tell others.
 	stepBytes = 1 << 20
-	// relayTries is how many are asked at second hand before the owner.
-	relayTries = 3
 )
 
-// tells reports whether a gateway is one of those that tell others.
-func tells(id string) bool { return base.Hash64("feed", id)%branch == 0 }
-
-// large tells that there are too many nodes for all to ask the owner.
+// large tells that there are too many nodes for all to ask the owner. A view that
+// leaves members out may show few gateways, or none.
 func large(view *membership.View) bool {
-	return len(view.Known(membership.RoleCore))+len(view.Known(membership.RoleEdge)) > directMost
+	return view.Partial() || len(view.Known(membership.RoleCore))+len(view.Known(membership.RoleEdge)) > directMost
 }
 
-// relays lists whom a node may ask at second hand, first the one it should;
-// none where it asks the owner.
-func relays(view *membership.View) []*membership.Member {
-	self := view.Self()
-	if self.Role == membership.RoleCore || !large(view) {
+// relays lists the addresses that a node asks at second hand, in turn: the one
+// that answered last, then the cores in an order of its own; none where it asks
+// the owner.
+func (f *Follower) relays() []string {
+	self := f.view.Self()
+	if self.Role == membership.RoleCore || !large(f.view) {
 		return nil
 	}
-	cores, gateways := view.Alive(membership.RoleCore), view.Alive(membership.RoleEdge)
-	deep := view.Partial() || len(gateways) > perCore*len(cores)
-	if !deep || tells(self.Id) {
-		return nearest(self, cores, false)
+	cores := slices.Clone(f.view.Alive(membership.RoleCore))
+	slices.SortFunc(cores, func(a, b *membership.Member) int {
+		return cmp.Compare(base.Hash64(self.Id, b.Id), base.Hash64(self.Id, a.Id))
+	})
+	found := base.Map(cores, func(m *membership.Member) string { return m.Addr })
+	if f.parent == "" {
+		return found
+	}
+	if known := f.memberAt(f.parent); known != nil {
+		if _, alive := f.view.Find(known.Id); !alive || known.Leaving {
+			f.parent = ""
+			return found
+		}
 	}
-	tellers := base.Filter(gateways, func(m *membership.Member) bool { return tells(m.Id) && m.Id != self.Id })
-	return append(nearest(self, tellers, true), nearest(self, cores, false)...)
+	return prepend(found, f.parent)
 }
 
-// candidates puts the one that answered last first. A partial view may have
-// dropped it meanwhile; it stays unless it is known to be lost or leaving.
-func (f *Follower) candidates() []*membership.Member {
-	all := relays(f.view)
-	if f.parent == nil || len(all) == 0 {
-		return all
-	}
-	if known, alive := f.view.Find(f.parent.Id); known != nil && (!alive || known.Leaving) {
-		f.parent = nil
-		return all
-	}
-	return append([]*membership.Member{f.parent}, slices.DeleteFunc(all, func(m *membership.Member) bool { return m.Id == f.parent.Id })...)
+// prepend puts addresses before others, and each there once.
+func prepend(others []string, first ...string) []string {
+	rest := base.Filter(others, func(address string) bool { return !slices.Contains(first, address) })
+	return append(slices.Clone(first), rest...)
 }
 
-// nearest orders members by this node's own rendezvous, its zone's first where
-// that is asked for.
-func nearest(self *membership.Member, members []*membership.Member, zoned bool) []*membership.Member {
-	rank := make(map[string]uint64, len(members))
-	for _, m := range members {
-		rank[m.Id] = base.Hash64(self.Id, m.Id)
-	}
-	ordered := slices.Clone(members)
-	slices.SortFunc(ordered, func(a, b *membership.Member) int {
-		if zoned && (a.Zone == self.Zone) != (b.Zone == self.Zone) {
-			if a.Zone == self.Zone {
-				return -1
+// memberAt finds who is known to listen at an address, nobody where the view is
+// partial and leaves it out.
+func (f *Follower) memberAt(address string) *membership.Member {
+	for _, role := range []string{membership.RoleCore, membership.RoleEdge} {
+		for _, member := range f.view.Known(role) {
+			if member.Addr == address {
+				return member
 			}
-			return 1
 		}
-		return cmp.Compare(rank[b.Id], rank[a.Id])
-	})
-	return ordered
+	}
+	return nil
+}
+
+// crowded tells that a question is left to other nodes, since this one answers
+// as many followers as it takes, or is leaving, or follows the asker itself.
+func (f *Follower) crowded(request *FollowRequest, most int) bool {
+	if request.From == "" || request.From == f.view.Me() || request.Core {
+		return false
+	}
+	if f.view.Self().Leaving && f.view.Self().Role == membership.RoleEdge {
+		return true
+	}
+	if parent := f.followed.Load(); parent != nil && *parent == addressOf(request.From) {
+		return true
+	}
+	return f.asking.full(request.From, most, f.clock.Now(), f.remembers())
 }
 
+// remembers is how long a follower counts after its newest question.
+func (f *Follower) remembers() time.Duration { return 2 * f.bounds.Load().Permit() }
+
 // step is a change of a follower's frame.
 type step struct {
 	from, to uint64
@@ -118,8 +130,6 @@
 	}
 }
 
-func (s *steps) clear() { *s = steps{} }
-
 // since gives the puts from a place on, if all are at hand. A step that begins
 // before the place is given whole: its puts come in order, so the last counts.
 func (s *steps) since(place uint64) (puts []*register.Put, ok bool) {
@@ -182,43 +192,3 @@
 	defer f.mu.Unlock()
 	return f.confirmed
 }
-
-// followers counts the gateways that follow through a node.
-type followers struct {
-	mu  sync.Mutex
-	all map[string]heard
-}
-
-type heard struct {
-	gateways int64
-	at       time.Duration
-}
-
-// full tells that a node has as many followers as it takes, the asker not being
-// one of them.
-func (c *followers) full(from string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, known := c.all[from]
-	return !known && len(c.all) >= tellsMost
-}
-
-// note takes an asker in, and gives the sum of those heard within a span.
-func (c *followers) note(from string, gateways int64, now, span time.Duration) (sum int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.all == nil {
-		c.all = map[string]heard{}
-	}
-	if from != "" {
-		c.all[from] = heard{gateways, now}
-	}
-	for id, one := range c.all {
-		if now-one.at > span {
-			delete(c.all, id)
-			continue
-		}
-		sum += one.gateways
-	}
-	return sum
-}
--- a/internal/simulate/talk.go
+++ b/internal/simulate/talk.go
@@ -22,9 +22,9 @@
 	return shape
 }
 
-// busiest is a role's machines at rest: their mean and their most.
+// busiest is what a role's machines said a second: their mean and their most.
 type busiest struct {
-	machines                     int
+	role                         string
 	calls, bytes                 float64
 	mostCalls, mostBytes, served float64
 	most                         string
@@ -45,32 +45,41 @@
 	f.World.Run(f.World.Now()+20*time.Second, nil)
 	f.Net.Talk, f.Net.By = map[string]*Talk{}, map[string]*Share{}
 	f.World.Run(f.World.Now()+span, nil)
-	nodes := len(f.All())
-	share := span.Seconds() * float64(nodes)
-	fmt.Fprintf(out, "%d nodes: %d gateways, %d cores, %d storage machines, %v at rest\n", nodes, shape.Edges, shape.Cores, shape.Storage, span)
-	for _, path := range base.SortedKeys(f.Net.Talk) {
-		talk := f.Net.Talk[path]
+	fmt.Fprintf(out, "%d nodes: %d gateways, %d cores, %d storage machines, %v at rest\n", len(f.All()), shape.Edges, shape.Cores, shape.Storage, span)
+	f.Net.writeTalk(out, f, span)
+	return nil
+}
+
+// writeTalk writes what was counted over a span: by kind, and by role.
+func (n *Net) writeTalk(out io.Writer, f *Fleet, span time.Duration) {
+	share := span.Seconds() * float64(len(f.All()))
+	for _, path := range base.SortedKeys(n.Talk) {
+		talk := n.Talk[path]
 		fmt.Fprintf(out, "  %-46s %7.3f calls %8.1f bytes a node and second, %6.0f bytes a call\n", path, float64(talk.Calls)/share, float64(talk.Bytes)/share, float64(talk.Bytes)/float64(max(1, talk.Calls)))
 	}
-	for _, role := range []struct {
-		name string
-		list []*Machine
-	}{{"gateway", f.Edges}, {"core", f.Cores}, {"storage", f.Storage}} {
-		sum := busiest{machines: len(role.list)}
-		for _, m := range role.list {
-			mine := f.Net.By[m.Host.Name]
-			if mine == nil {
-				continue
-			}
-			calls, bytes := float64(mine.Asked+mine.Served)/span.Seconds(), float64(mine.Bytes)/span.Seconds()
-			sum.calls += calls / float64(sum.machines)
-			sum.bytes += bytes / float64(sum.machines)
-			if bytes > sum.mostBytes {
-				sum.mostCalls, sum.mostBytes, sum.most, sum.served = calls, bytes, m.Host.Name, float64(mine.Served)/span.Seconds()
-			}
-		}
+	for _, load := range []busiest{n.loadOf("gateway", f.Edges, span), n.loadOf("core", f.Cores, span), n.loadOf("storage", f.Storage, span)} {
 		fmt.Fprintf(out, "  %-8s mean %7.1f calls %9.0f bytes a second; most (%s) %7.1f calls %9.0f bytes, %7.1f of the calls served\n",
-			role.name, sum.calls, sum.bytes, sum.most, sum.mostCalls, sum.mostBytes, sum.served)
+			load.role, load.calls, load.bytes, load.most, load.mostCalls, load.mostBytes, load.served)
 	}
-	return nil
+}
+
+// loadOf sums up what the machines of a role said over a span.
+func (n *Net) loadOf(role string, machines []*Machine, span time.Duration) busiest {
+	sum := busiest{role: role}
+	for _, m := range machines {
+		mine := n.By[m.Host.Name]
+		if mine == nil {
+			continue
+		}
+		calls := float64(mine.Asked+mine.Served) / span.Seconds()
+		bytes := float64(mine.Bytes) / span.Seconds()
+		sum.calls += calls / float64(len(machines))
+		sum.bytes += bytes / float64(len(machines))
+		if bytes > sum.mostBytes {
+			sum.most = m.Host.Name
+			sum.mostCalls, sum.mostBytes = calls, bytes
+			sum.served = float64(mine.Served) / span.Seconds()
+		}
+	}
+	return sum
 }
--- /dev/null
+++ b/internal/simulate/talk_churn.go
@@ -0,0 +1,183 @@
+// What control says while workers come and go and the operator changes the
+// configuration, by the size of the fleet. The workers are only entries of the
+// platform's list; nobody calls them.
+package simulate
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/membership"
+	parties "fordseam/internal/standin/platform"
+	"fordseam/platform"
+)
+
+const (
+	// churnCores is how many cores there are at any size, and churnStorage the
+	// share of storage machines, as the deployments have them when they grow.
+	churnCores   = 4
+	churnStorage = 0.3
+	// churnGap is how long one of a thousand workers stays the newest.
+	churnGap = time.Second
+	// listShare is how much of the platform's rate the list is read at.
+	listShare = 0.8
+	// churnLead is how long a fleet is left alone before it is measured.
+	churnLead = 10 * time.Second
+)
+
+// ChurnShape is a deployment of a size, ten workers for each of its machines.
+func ChurnShape(machines int) TierShape {
+	site := parties.Sites()["ljubljana"]
+	site.Name = fmt.Sprintf("churn-%d", machines)
+	site.Cores = churnCores
+	site.Storage = max(4, int(churnStorage*float64(machines)))
+	site.Edges = machines - site.Cores - site.Storage
+	site.Services[0].Workers = machines * 5
+	site.Services[1].Workers = machines * 5
+	return TierShape{Name: site.Name, Site: site, Tolerate: 1}
+}
+
+// Churn is a fleet under such a load.
+type Churn struct {
+	*Tier
+	over bool
+}
+
+// NewChurn forms a fleet and begins to replace its workers.
+func NewChurn(seed uint64, machines int) (*Churn, error) {
+	c := &Churn{Tier: NewTier(seed, ChurnShape(machines), paceList)}
+	formed, done := false, false
+	c.Callers.Go(func() {
+		formed = c.form()
+		done = true
+	})
+	if !c.World.Run(c.World.Now()+2*time.Minute, func() bool { return done }) || !formed {
+		return c, fmt.Errorf("the fleet of %d did not form", machines)
+	}
+	c.Callers.Go(c.replaceWorkers)
+	c.World.Run(c.World.Now()+churnLead, nil)
+	return c, nil
+}
+
+// paceList has cores read the list no faster than the platform lets them.
+func paceList(t *Tier) {
+	start := t.Fleet.begins
+	t.Fleet.begins = func(m *Machine) {
+		start(m)
+		if m.core == nil {
+			return
+		}
+		read := t.readList(m)
+		m.core.Lister = platform.Lister(func(token string, limit time.Duration) (int, []byte, error) {
+			m.Host.Clock().Sleep(time.Duration(float64(time.Second) / (listShare * t.Site.ListPerS)))
+			return read(token, limit)
+		})
+	}
+}
+
+// replaceWorkers takes one worker after another off the list, as a release
+// does, and puts a new one on it.
+func (c *Churn) replaceWorkers() {
+	gap := churnGap * 1000 / time.Duration(len(c.workers))
+	for place := 0; !c.over; place++ {
+		c.Callers.Clock().Sleep(gap)
+		leaving := c.workers[place]
+		c.Callers.Go(func() { c.replaceWorker(leaving) })
+	}
+}
+
+func (c *Churn) replaceWorker(leaving *tierWorker) {
+	c.openWorker(leaving.Shape, leaving.Zone, "")
+	draining := c.instance(leaving, parties.StateDraining)
+	c.list.Change(leaving.ID, &draining, 0)
+	c.Callers.Clock().Sleep(c.Site.Bounds.Drain)
+	c.list.Change(leaving.ID, nil, 0)
+	leaving.end(c.Tier)
+}
+
+// Applied is how one change of the configuration fared.
+type Applied struct {
+	// Acked is how long the operator waited, InForce how long after that the
+	// last gateway went by it.
+	Acked, InForce time.Duration
+}
+
+// Apply changes the configuration and waits until all gateways that live go by
+// it, or a limit is over.
+func (c *Churn) Apply(limit time.Duration) (Applied, error) {
+	var order *parties.Order
+	began, acked := c.World.Now(), time.Duration(0)
+	c.Callers.Go(func() {
+		order = c.change()
+		acked = c.World.Now()
+	})
+	c.World.Run(began+limit, func() bool { return acked > 0 })
+	if order == nil || !order.Acked() {
+		return Applied{}, fmt.Errorf("the change was not acknowledged within %v", limit)
+	}
+	version := order.Config.Generation
+	for c.behind(version) > 0 {
+		if c.World.Now() > acked+limit {
+			return Applied{}, fmt.Errorf("%d gateways do not go by version %d after %v", c.behind(version), version, limit)
+		}
+		c.World.Run(c.World.Now()+20*time.Millisecond, nil)
+	}
+	return Applied{Acked: acked - began, InForce: c.World.Now() - acked}, nil
+}
+
+// behind counts the living gateways that go by an older configuration.
+func (c *Churn) behind(version uint64) int {
+	return len(base.Filter(c.Edges, func(m *Machine) bool {
+		if !m.Host.alive || m.gateway == nil {
+			return false
+		}
+		table := m.gateway.Routes.Load()
+		return table == nil || table.Version < version
+	}))
+}
+
+// Measure counts what is said over a span in which the configuration changes
+// once a period, and gives how the changes fared.
+func (c *Churn) Measure(span, period time.Duration) (changes []Applied, err error) {
+	c.Net.Talk, c.Net.By = map[string]*Talk{}, map[string]*Share{}
+	for end := c.World.Now() + span; c.World.Now() < end; {
+		next := c.World.Now() + period
+		one, err := c.Apply(30 * time.Second)
+		if err != nil {
+			return changes, err
+		}
+		changes = append(changes, one)
+		c.World.Run(next, nil)
+	}
+	return changes, nil
+}
+
+// Busiest gives the bytes a second of the busiest machine of a role.
+func (c *Churn) Busiest(role string, span time.Duration) float64 {
+	list := map[string][]*Machine{membership.RoleEdge: c.Edges, membership.RoleCore: c.Cores, membership.RoleStorage: c.Storage}[role]
+	return c.Net.loadOf(role, list, span).mostBytes
+}
+
+// WriteChurn measures a fleet of a size.
+func WriteChurn(out io.Writer, seed uint64, machines int, span time.Duration) error {
+	c, err := NewChurn(seed, machines)
+	defer c.World.Close()
+	if err != nil {
+		return err
+	}
+	began := c.World.Now()
+	changes, err := c.Measure(span, 2*time.Second)
+	if err != nil {
+		return err
+	}
+	span = c.World.Now() - began
+	fmt.Fprintf(out, "%d nodes: %d gateways, %d cores, %d storage machines, %d workers that come and go, %v\n", machines, len(c.Edges), len(c.Cores), len(c.Storage), len(c.listening), span)
+	c.Net.writeTalk(out, c.Fleet, span)
+	slices.SortFunc(changes, func(a, b Applied) int { return int(a.InForce - b.InForce) })
+	middle, last := changes[len(changes)/2], changes[len(changes)-1]
+	fmt.Fprintf(out, "  %d changes of the configuration, in force everywhere after %v in the middle, %v at the longest\n", len(changes), middle.InForce, last.InForce)
+	return nil
+}
--- /dev/null
+++ b/internal/simulate/talk_churn_test.go
@@ -0,0 +1,84 @@
+// A fleet of three hundred before three thousand workers that come and go.
+package simulate
+
+import (
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/matryer/is"
+)
+
+// TestAConfigurationReachesALargeFleetWhoseWorkersChange holds that a
+// configuration is in force everywhere long before its bound, and that the owner
+// of the feed answers a bounded number of followers, though no view of the fleet
+// shows its gateways: cores and storage machines fill them.
+func TestAConfigurationReachesALargeFleetWhoseWorkersChange(t *testing.T) {
+	t.Parallel()
+	is := is.NewRelaxed(t)
+	c, err := NewChurn(1, 300)
+	defer c.World.Close()
+	is.NoErr(err)
+	if err != nil {
+		return
+	}
+	hidden := 0
+	for _, m := range c.Edges {
+		if m.gateway.View().Partial() && len(m.gateway.View().Known("edge")) < directMostGateways {
+			hidden++
+		}
+	}
+	is.True(hidden > len(c.Edges)/2)
+	const span = 10 * time.Second
+	before := c.Total("roster_changes")
+	began := c.World.Now()
+	changes, err := c.Measure(span, time.Second)
+	is.NoErr(err)
+	took := c.World.Now() - began
+	for _, change := range changes {
+		is.True(change.InForce < c.Site.Bounds.Apply/4)
+	}
+	is.True(c.Total("roster_changes") > before)
+	owner := c.feeds()
+	asked := float64(c.Net.By[owner.Host.Name].Served) / took.Seconds()
+	t.Logf("%d changes in force: %v; the owner serves %.0f calls a second", len(changes), changes, asked)
+	is.True(asked < 150)
+	is.True(len(c.Edges) > 200)
+	for _, m := range c.Edges {
+		is.Equal(m.gateway.Follower.Gateways(), len(c.Edges))
+	}
+}
+
+// directMostGateways is about how many gateways a view shows of a small fleet.
+const directMostGateways = 20
+
+// TestALargeFleetServesSoonAfterAllWasKilled: followers that all come back at
+// once with nothing do not hold each other up.
+func TestALargeFleetServesSoonAfterAllWasKilled(t *testing.T) {
+	t.Parallel()
+	is := is.NewRelaxed(t)
+	c, err := NewChurn(2, 300)
+	defer c.World.Close()
+	is.NoErr(err)
+	if err != nil {
+		return
+	}
+	for _, m := range c.All() {
+		c.down(m, false)
+	}
+	c.World.Run(c.World.Now()+600*time.Millisecond, nil)
+	for _, m := range c.All() {
+		c.begin(m)
+	}
+	began := c.World.Now()
+	unready := func() int {
+		return len(base.Filter(c.Edges, func(m *Machine) bool { return m.gateway == nil || m.gateway.Serves() != nil }))
+	}
+	half := c.runUntil(30*time.Second, func() bool { return unready() < len(c.Edges)/2 })
+	c.runUntil(30*time.Second, func() bool { return unready() == 0 })
+	all := c.World.Now() - began
+	t.Logf("half of the gateways serve after %v, all after %v", half, all)
+	is.True(half < 2*time.Second)
+	is.True(all < 4*time.Second)
+}
--- a/internal/simulate/tier.go
+++ b/internal/simulate/tier.go
@@ -172,12 +172,17 @@
 		m.gateway.Table = platform.ReadTable
 	case m.core != nil:
 		m.core.Operate.Table = platform.ReadTable
-		m.core.Lister = platform.Lister(func(token string, limit time.Duration) (int, []byte, error) {
-			m.Host.Clock().Sleep(t.way())
-			status, body := t.list.Get("", token)
-			m.Host.Clock().Sleep(t.way())
-			return status, body, nil
-		})
+		m.core.Lister = platform.Lister(t.readList(m))
+	}
+}
+
+// readList is a core's way to the platform's list.
+func (t *Tier) readList(m *Machine) platform.ListPage {
+	return func(token string, _ time.Duration) (int, []byte, error) {
+		m.Host.Clock().Sleep(t.way())
+		status, body := t.list.Get("", token)
+		m.Host.Clock().Sleep(t.way())
+		return status, body, nil
 	}
 }
 
