Rest the acknowledgement of a repeated order on a majority's entry

Cause: an order that was found taken changed nothing, so its answer waited for the leader's confirmation alone, and where that failed the call was said to be not run (503, a promise), though the order had been taken.

Now the repeat writes one small key, outside the feed: where no majority takes the entry the outcome is open (504).

Ruled out: calling every failure of a PUT open, which would lose the 503 that tells an operator that nothing was sent.

--- a/internal/route/change.go
+++ b/internal/route/change.go
@@ -13,6 +13,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"io"
@@ -187,6 +188,7 @@
 	taken := &Taken{asked.Version, asked.Digest}
 	switch {
 	case found == takenAsAsked:
+		tx.Put(repeatKey, binary.BigEndian.AppendUint64(nil, asked.Version))
 		return taken, nil
 	case found == forgotten:
 		return nil, unknownOutcome("version %d is older than the history that is kept", asked.Version)
--- a/internal/route/history.go
+++ b/internal/route/history.go
@@ -18,6 +18,11 @@
 	// historyPrefix is where the blocks are kept. It is outside the feed's
 	// prefix: the history is the leader's and is not told to every node.
 	historyPrefix = "routes/history/"
+	// repeatKey holds the version of the newest order that was acknowledged again.
+	// It is written so that the answer rests on a majority's acknowledgement of an
+	// entry: where that fails the outcome is open, as it has to be for an order
+	// that was taken, while an answer that changed nothing would be called not run.
+	repeatKey = "routes/repeated"
 	// legacyKey keeps what a document of the first format listed.
 	legacyKey = "routes/legacy"
 	// legacyLimit bounds that list; a document of the first format had 64 at most.
--- a/internal/route/history_test.go
+++ b/internal/route/history_test.go
@@ -109,7 +109,9 @@
 		}
 		now, err := load(held)
 		is.NoErr(err)
-		is.Equal(now.Version, versionOf(since+1)) // a repeat changes nothing
+		is.Equal(now.Version, versionOf(since+1)) // a repeat changes nothing that is in force
+		is.True(held[repeatKey] != nil)           // but its answer rests on an entry
+		delete(held, repeatKey)
 	}
 }
 
