Check histories of configuration orders for linearizability

Eight senders of two operators send orders on one version and under the same numbers, in three spellings, invalid ones among them; a quarter of the answers is lost; every order is sent again, taken ones also long after; the configuration is read from any core, byte for byte. Meanwhile the leader of the configuration's shard is killed before or after each kind of its steps (promise, install, append, confirm, change), cut off, frozen, and replicas are frozen, killed and lose power, at the sizes of all four sites. The history is checked with github.com/anishathalye/porcupine against a register with compare-and-set and idempotent repeats; the model is tested with a history of each breach.

Ruled out: one operation for each call of a sender (an order without a clear answer would be open to the end of the history in each of them, and the check would take too long); killing the leader at a random message (confirmations are most of them, and leaders died before they could be stale).

--- /dev/null
+++ b/internal/simulate/orders_model.go
@@ -0,0 +1,73 @@
+// What a history of orders is checked against: a register that holds one
+// configuration and changes by compare-and-set, with idempotent repeats.
+package simulate
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// taken is a configuration that came into force.
+type takenOrder struct {
+	version  uint64
+	document string
+}
+
+// orderState is the configuration in force and all that came into force before
+// it, as text, so that equal states compare as equal.
+type orderState struct {
+	now   takenOrder
+	chain string
+}
+
+func link(base, version uint64, document string) string {
+	return fmt.Sprintf("|%d>%d:%s|", base, version, document)
+}
+
+// step tells whether a register in a state may answer a call so, and gives the
+// state after.
+func (s orderState) step(order Order, outcome OrderOutcome) (bool, orderState) {
+	own := link(order.Base, order.Version, order.Document)
+	repeated := strings.Contains(s.chain, own)
+	applies := !order.Invalid && order.Base == s.now.version && order.Version > order.Base
+	next := s
+	if applies {
+		next = orderState{takenOrder{order.Version, order.Document}, s.chain + own}
+	}
+	switch outcome {
+	case OrderTaken:
+		return repeated || applies, next
+	case OrderRefused:
+		return !repeated && !applies, s
+	case OrderRead:
+		return order.Version == s.now.version && order.Document == s.now.document, s
+	}
+	return true, next // no clear answer: taken if it could be, at whatever time
+}
+
+// orderModel is the sequential model.
+var orderModel = porcupine.Model{
+	Init: func() any { return orderState{} },
+	Step: func(state, input, output any) (bool, any) {
+		return state.(orderState).step(input.(Order), output.(OrderOutcome))
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v: %d", input, output) },
+}
+
+// Linearizable checks a history: Ok, Illegal, or Unknown when the time that is
+// given is over before it is known.
+func Linearizable(history []OrderEvent, within time.Duration) porcupine.CheckResult {
+	operations := make([]porcupine.Operation, 0, len(history))
+	for _, event := range history {
+		ended := int64(event.Ended)
+		if event.Outcome == OrderUnclear {
+			ended = math.MaxInt64 // it may be taken at any time after it was sent
+		}
+		operations = append(operations, porcupine.Operation{ClientId: event.Sender, Input: event.Order, Call: int64(event.Began), Output: event.Outcome, Return: ended})
+	}
+	return porcupine.CheckOperationsTimeout(orderModel, operations, within)
+}
--- /dev/null
+++ b/internal/simulate/orders_test.go
@@ -0,0 +1,232 @@
+// Histories of configuration orders are linearizable, whatever fails between
+// the steps of those who decide them.
+package simulate
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/register"
+	"fordseam/internal/route"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+)
+
+// checkWithin bounds the check of one history, by the machine's clock.
+const checkWithin = 2 * time.Minute
+
+// playOrders plays a day and gives what is wrong with it.
+func playOrders(seed uint64, shape OrderShape, stale bool, change func(f *Fleet)) (*OrderDay, []string) {
+	d := NewOrderDay(seed, shape, change)
+	d.StaleLeaders = stale
+	defer d.World.Close()
+	done := false
+	d.Callers.Go(func() {
+		d.Play()
+		done = true
+	})
+	if !d.World.Run(time.Hour, func() bool { return done }) {
+		return d, append(d.Breaches, "the day did not end")
+	}
+	wrong := d.Breaches
+	if result := Linearizable(d.History, checkWithin); result != porcupine.Ok {
+		wrong = append(wrong, fmt.Sprintf("the history of %d calls is not linearizable: %s", len(d.History), result))
+	}
+	return d, wrong
+}
+
+func (d *OrderDay) counts() string {
+	count := map[OrderOutcome]int{}
+	for _, event := range d.History {
+		count[event.Outcome]++
+	}
+	return fmt.Sprintf("%d versions, %d acknowledged, %d refused, %d unclear, %d read, kills %v, %.0f s", d.known, count[OrderTaken], count[OrderRefused], count[OrderUnclear],
+		count[OrderRead], d.Kills, d.World.Now().Seconds())
+}
+
+func TestOrdersAreLinearizable(t *testing.T) {
+	for _, shape := range OrderShapes {
+		t.Run(shape.Name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= uint64(*seeds); seed++ {
+				d, wrong := playOrders(seed, shape, seed%4 == 0, nil)
+				t.Logf("seed %d: %s", seed, d.counts())
+				for _, one := range wrong {
+					t.Errorf("seed %d: %s", seed, one)
+				}
+			}
+		})
+	}
+}
+
+func TestTheModelOfOrdersRefusesEachBreach(t *testing.T) {
+	is := is.New(t)
+	event := func(began, ended int, outcome OrderOutcome, base, version uint64, document string) OrderEvent {
+		return OrderEvent{Order: Order{Base: base, Version: version, Document: document}, Outcome: outcome, Began: time.Duration(began), Ended: time.Duration(ended)}
+	}
+	invalid := event(1, 2, OrderTaken, 0, 1, "a")
+	invalid.Order.Invalid = true
+	for _, row := range []struct {
+		name    string
+		history []OrderEvent
+		want    porcupine.CheckResult
+	}{
+		{"a race has one winner", []OrderEvent{event(1, 5, OrderTaken, 0, 1, "a"), event(1, 5, OrderRefused, 0, 1, "b"), event(6, 7, OrderRead, 0, 1, "a")}, porcupine.Ok},
+		{"a repeat long after", []OrderEvent{event(1, 2, OrderTaken, 0, 1, "a"), event(3, 4, OrderTaken, 1, 2, "b"), event(5, 6, OrderTaken, 0, 1, "a")}, porcupine.Ok},
+		{"an unclear order shows later", []OrderEvent{event(1, 2, OrderUnclear, 0, 1, "a"), event(3, 4, OrderRead, 0, 0, ""), event(5, 6, OrderRead, 0, 1, "a")}, porcupine.Ok},
+		{"an unclear order never shows", []OrderEvent{event(1, 2, OrderUnclear, 0, 1, "a"), event(3, 4, OrderTaken, 0, 1, "b"), event(5, 6, OrderRead, 0, 1, "b")}, porcupine.Ok},
+		{"two winners", []OrderEvent{event(1, 5, OrderTaken, 0, 1, "a"), event(1, 5, OrderTaken, 0, 1, "b")}, porcupine.Illegal},
+		{"two numbers on one version", []OrderEvent{event(1, 5, OrderTaken, 0, 1, "a"), event(1, 5, OrderTaken, 0, 2, "a")}, porcupine.Illegal},
+		{"a refused repeat", []OrderEvent{event(1, 2, OrderTaken, 0, 1, "a"), event(3, 4, OrderTaken, 1, 2, "b"), event(5, 6, OrderRefused, 0, 1, "a")}, porcupine.Illegal},
+		{"a refusal out of what was known before", []OrderEvent{event(1, 2, OrderTaken, 0, 1, "a"), event(3, 4, OrderRefused, 1, 2, "b")}, porcupine.Illegal},
+		{"an older configuration read", []OrderEvent{event(1, 2, OrderTaken, 0, 1, "a"), event(3, 4, OrderTaken, 1, 2, "b"), event(5, 6, OrderRead, 0, 1, "a")}, porcupine.Illegal},
+		{"the same on another version", []OrderEvent{event(1, 2, OrderTaken, 0, 1, "a"), event(3, 4, OrderTaken, 1, 2, "b"), event(5, 6, OrderTaken, 1, 1, "a")}, porcupine.Illegal},
+		{"a refused order in force", []OrderEvent{event(1, 2, OrderRefused, 0, 1, "a"), event(3, 4, OrderRead, 0, 1, "a")}, porcupine.Illegal},
+		{"an invalid order taken", []OrderEvent{invalid}, porcupine.Illegal},
+	} {
+		if found := Linearizable(row.history, checkWithin); found != row.want {
+			t.Errorf("%s: %s", row.name, found)
+		}
+	}
+	is.True(len(OrderShapes) == 4)
+}
+
+// Each mechanism that the history of orders rests on is taken away, and some
+// seed must show it.
+func TestEachMechanismOfOrdersTakenAwayIsCaught(t *testing.T) {
+	for _, row := range []struct {
+		mechanism string
+		stale     bool
+		take      func(f *Fleet)
+	}{
+		{"the history of orders", false, onChange("route.change", func(_ *Message, asked *register.ChangeRequest, pass func(string, []byte) (*register.ChangeReply, *http.Response)) *http.Response {
+			// An order that builds on what is no longer in force is decided by that alone.
+			var change route.Change
+			var now route.Document
+			reply, response := pass("route.read", []byte("{}"))
+			if response == nil || response.StatusCode != http.StatusOK || json.Unmarshal(reply.Result, &now) != nil || json.Unmarshal(asked.Args, &change) != nil {
+				return response
+			}
+			if change.Base != now.Version {
+				change.Digest = base.Digest(nil)
+			}
+			_, response = pass("route.change", base.Encode(change))
+			return response
+		})},
+		{"the confirmation before a refusal or a read", true, onPath("Disk/Confirm", func(*Message) *http.Response {
+			return replied(&register.Ack{Ok: true})
+		})},
+		{"the version that an order builds on", false, onChange("route.change", func(_ *Message, asked *register.ChangeRequest, pass func(string, []byte) (*register.ChangeReply, *http.Response)) *http.Response {
+			var change route.Change
+			var now route.Document
+			reply, response := pass("route.read", []byte("{}"))
+			if response == nil || response.StatusCode != http.StatusOK || json.Unmarshal(reply.Result, &now) != nil || json.Unmarshal(asked.Args, &change) != nil {
+				return response
+			}
+			change.Base = now.Version
+			_, response = pass("route.change", base.Encode(change))
+			return response
+		})},
+	} {
+		t.Run(row.mechanism, func(t *testing.T) {
+			t.Parallel()
+			const most = 40 // a seed that shows the fault ends the search
+			for seed := uint64(1); seed <= most; seed++ {
+				if d, wrong := playOrders(seed, OrderShapes[0], row.stale, row.take); len(wrong) > 0 {
+					t.Logf("seed %d, %s: %s", seed, d.counts(), wrong)
+					return
+				}
+			}
+			t.Errorf("%d seeds showed nothing", most)
+		})
+	}
+}
+
+// An order is acknowledged again by every core after 65, 500 and 3,000 versions,
+// also after leaders were killed and all machines lost their power.
+func TestAnOrderIsAcknowledgedAgainAfterThousandsOfVersions(t *testing.T) {
+	t.Parallel()
+	d := NewOrderDay(1, OrderShapes[0], nil)
+	defer d.World.Close()
+	done := false
+	orders := []Order{{}}
+	next := func(number int) Order {
+		return Order{Base: orders[number-1].Version, Version: uint64(3*number + number%2), Document: documentName(number % orderSenders)}
+	}
+	take := func(number int) {
+		order := next(number)
+		if d.Put(0, order, orderTries) != OrderTaken {
+			t.Errorf("order %d was not taken", number)
+		}
+		orders = append(orders, order)
+	}
+	repeat := func(number int, others []Order) {
+		for range d.Cores {
+			if outcome := d.Put(0, orders[number], orderTries); outcome != OrderTaken {
+				t.Errorf("order %d of %d: %d when repeated", number, len(orders)-1, outcome)
+			}
+		}
+		for _, other := range others {
+			if outcome := d.Put(0, other, orderTries); outcome != OrderRefused {
+				t.Errorf("%+v, in the place of order %d of %d: %d", other, number, len(orders)-1, outcome)
+			}
+		}
+	}
+	repeats := func() {
+		for _, since := range []int{1, 63, 64, 65, 500, 3000} {
+			if number := len(orders) - 1 - since; number > 0 {
+				otherwise := orders[number]
+				otherwise.Document = "operator 0, draft 9"
+				onAnother := orders[number]
+				onAnother.Base++
+				repeat(number, []Order{otherwise, onAnother})
+			}
+		}
+	}
+	d.Callers.Go(func() {
+		d.Callers.Clock().Sleep(3 * time.Second)
+		for number := 1; number <= 3001; number++ {
+			take(number)
+			switch number {
+			case 66, 501, 3001:
+				repeats()
+			}
+			if number%500 == 250 {
+				leader := d.leader()
+				d.Kill(leader)
+				d.Start(leader)
+			}
+		}
+		for _, m := range d.All() {
+			d.PowerLoss(m)
+		}
+		for _, m := range d.All() {
+			d.Start(m)
+		}
+		repeats()
+		done = true
+	})
+	if !d.World.Run(5*time.Hour, func() bool { return done }) {
+		t.Fatal("it did not end")
+	}
+	told := 0
+	for key, value := range d.Edges[0].gateway.Follower.Frame().Values {
+		if key != route.DocumentKey && strings.HasPrefix(key, "routes/") {
+			t.Errorf("a gateway was told %s", key)
+		}
+		told += len(key) + len(value)
+	}
+	t.Logf("%d versions in %.0f s; a gateway was told %d bytes", len(orders)-1, d.World.Now().Seconds(), told)
+	if told > 4096 {
+		t.Errorf("a gateway was told %d bytes", told)
+	}
+	for _, one := range d.Breaches {
+		t.Error(one)
+	}
+}
