--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -46,9 +46,11 @@
 	open int
 	idle []*conn
 	gone bool
-	// lasts, when not 0, is how long idle connections are kept because some
-	// ended sooner than the worker told.
+	// lasts, when not 0, is how long idle connections are kept because one ended
+	// sooner than the worker told.
 	lasts time.Duration
+	// survived is the longest rest after which a request was answered.
+	survived time.Duration
 }
 
 func newPool(connect time.Duration, counters *base.Counters) *pool {
@@ -147,21 +149,31 @@
 	return nil, held, nil
 }
 
-// endedIdle learns from a connection that ended while it rested, or was reset
-// by the first request after: those that follow rest half as long.
+// endedIdle learns from a connection that ended while it rested, or with the
+// first request after: the next ones rest less. A rest that another connection
+// survived is not blamed, so a worker that breaks off requests at any time does
+// not cost its connections.
 func (p *pool) endedIdle(one *conn) {
-	if one.rested < p.idleLeast() {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lasts := max(one.rested/2, p.idleLeast())
-	if one.of.lasts == 0 || lasts < one.of.lasts {
-		one.of.lasts = lasts
+	held := one.of
+	if one.rested < p.idleLeast() || one.rested <= held.survived {
+		return
+	}
+	lasts := max(held.survived, one.rested/2, p.idleLeast())
+	if held.lasts == 0 || lasts < held.lasts {
+		held.lasts = lasts
 		p.counters.Add("connections_shortened", 1)
 	}
 }
 
+// survivedRest notes that a connection was good after its rest.
+func (p *pool) survivedRest(one *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one.of.survived = max(one.of.survived, one.rested)
+}
+
 // drop closes a connection.
 func (p *pool) drop(one *conn) {
 	one.move(eventDoubt)
@@ -294,6 +306,7 @@
 func (p *pool) answer(one *conn, request *base.BackRequest) (base.BackReply, error) {
 	reply, err := p.receive(one, request)
 	if err == nil {
+		p.survivedRest(one)
 		return reply, nil
 	}
 	if wasClosed(err) {
--- a/internal/workerconn/pool_test.go
+++ b/internal/workerconn/pool_test.go
@@ -629,3 +629,45 @@
 		reply.Close()
 	}
 }
+
+// A worker that ends idle connections sooner than it tells: the connections that
+// follow rest no longer than one has survived; a loss after a rest that others
+// survived changes nothing.
+func TestConnectionsThatEndIdleShortenTheNextRest(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		survived  time.Duration
+		ends      time.Duration
+		shortened bool
+	}{
+		{"ended after the longest rest", 2 * time.Second, 6 * time.Second, true},
+		{"ended after a rest that was survived", 6 * time.Second, 2 * time.Second, false},
+		{"ended at once", 0, 100 * time.Millisecond, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := newBench(t, func(c net.Conn, request *http.Request, _ int) bool {
+				id := request.Header.Get("Request-Id")
+				if id == "r3" {
+					return false
+				}
+				_, _ = io.WriteString(c, whole(id, "Keep-Alive: timeout=10\r\n", "hello"))
+				return true
+			})
+			b.served()
+			b.clock.ahead.Add(int64(row.survived))
+			b.served()
+			b.clock.ahead.Add(int64(row.ends))
+			_, err := b.ask()
+			b.True(err != nil)
+			b.True(!base.WasNotSent(err))
+			b.served()
+			b.clock.ahead.Add(int64(5 * time.Second))
+			b.served()
+			made := 2
+			if row.shortened {
+				made = 3 // the last one rested too long
+			}
+			b.Equal(b.connections(), made)
+		})
+	}
+}
