Let a repeatable request leave a silent worker, and hold nobody past the deadline

Now such a request goes on after four times its expected duration, at least the aim, if half of its time is still left, another try is allowed and nobody waits in the line. A request that may not be repeated waits as before: a worker's silence proves nothing.

Also: a worker's last word is waited for at most 100 ms past the deadline (was 5% of the time: 300 ms at 6 s), a stream's reader ends at the deadline (each read had the whole time), the ledger gets 200 ms past it (was 1 s); and a refusal by a session's owner in the middle of a forwarded turn stays the proof that it is (it became a 502).

--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -520,7 +520,7 @@
 	h.mu.Unlock()
 	kept := Kept{Turn: call.ID, Previous: call.Previous, Input: call.Body, Output: output}
 	ending := &Ending{Program: call.Program, Session: call.Session, Run: assignment.Run, Owner: assignment.Owner, Epoch: assignment.Epoch, Kept: kept, Budgeted: call.HasBudget, Tokens: tokens, Retain: matched.Retain}
-	ctx := base.NewCtx(k.Clock, min(max(op.ctx.Left(), k.Bounds.Load().Recover/12), k.Bounds.Load().Recover/4))
+	ctx := base.NewCtx(k.Clock, k.keepLimit(op.ctx.Left()))
 	if err := k.Ledger.Finish(ctx, ending); err != nil {
 		k.Counters.Add("turns_not_kept", 1)
 		k.settle(h, op, tokens)
@@ -534,6 +534,14 @@
 	op.stream.finish()
 }
 
+// keepLimit is how long the ledger may take for a turn whose answer is over, of
+// the time left: it gets a little also when that is over, but no more than what
+// a client is held past its deadline without a price.
+func (k *Keeper) keepLimit(left time.Duration) time.Duration {
+	recover := k.Bounds.Load().Recover
+	return min(max(left, recover/60), recover/4)
+}
+
 // answerPlain passes an answer on that is no stream.
 func (k *Keeper) answerPlain(op *operation, reply Reply) {
 	body, err := reply.Body(op.ctx.Left())
@@ -717,11 +725,7 @@
 				return
 			}
 			if reply, err = asked(false, place, 3*hold); err != nil {
-				v := base.FromWire(err)
-				if v.Ran == base.NotRun && v.Code != "refused" {
-					v = base.Unsure(502, "owner_lost", "the session's owner was lost: %s", v.Message)
-				}
-				stream.fail(v)
+				stream.fail(pullFailed(err))
 				return
 			}
 		}
@@ -729,6 +733,16 @@
 	return stream, nil
 }
 
+// pullFailed judges a pull without an answer. That it was not sent says nothing
+// of the turn, which the owner has; the owner's own word does.
+func pullFailed(err error) *base.Verdict {
+	v := base.FromWire(err)
+	if base.WasNotSent(err) {
+		return base.Unsure(502, "owner_lost", "the session's owner was lost: %s", v.Message)
+	}
+	return v
+}
+
 // Forward is the owner's side; it never carries a turn any further.
 func (k *Keeper) Forward(plain context.Context, request *ForwardRequest) (*PullReply, error) {
 	arrived := base.CtxOf(plain, k.Clock)
--- a/internal/line/stream.go
+++ b/internal/line/stream.go
@@ -133,18 +133,22 @@
 type Reader struct {
 	stream *Stream
 	clock  base.Clock
-	limit  time.Duration
+	until  time.Duration
 	place  int
 	rest   []byte
 }
 
+// NewReader reads a stream for at most the limit in all.
 func NewReader(stream *Stream, clock base.Clock, limit time.Duration) *Reader {
-	return &Reader{stream: stream, clock: clock, limit: limit}
+	return &Reader{stream: stream, clock: clock, until: clock.Now() + limit}
 }
 
+// Read gives what has come. It fails when the stream was cut, or when the time
+// is over before its end.
+
 func (r *Reader) Read(into []byte) (int, error) {
 	for len(r.rest) == 0 {
-		pieces, done, cut := r.stream.From(r.place, r.limit, r.clock)
+		pieces, done, cut := r.stream.From(r.place, max(0, r.until-r.clock.Now()), r.clock)
 		switch {
 		case len(pieces) > 0:
 			for _, piece := range pieces {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -238,9 +238,8 @@
 		Stays: func() bool { return chosen.serving.Load() && o.until-r.Clock.Now() >= o.least() }}
 	request.Lines = append(o.lines[:len(o.lines):len(o.lines)], base.HeaderLine{Name: r.Names.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
 		base.HeaderLine{Name: r.Names.ExpectWorker, Value: chosen.ID})
-	// A worker ends by itself at the time it is given; its word on that is
-	// worth a little more waiting.
-	under, err := r.Backends.Call(o.ctx.Within(left+left/20), chosen.Addr, request)
+	limit := r.attemptLimit(o, chosen, left)
+	under, err := r.Backends.Call(o.ctx.Within(limit), chosen.Addr, request)
 	if err != nil {
 		return nil, r.unsent(o, chosen, err)
 	}
@@ -260,7 +259,7 @@
 	case reply.Status/100 == 2 && o.route.Kind == route.Stream:
 		return reply, nil
 	}
-	body, err := under.Body(o.until-r.Clock.Now()+left/20, r.AnswerLimit)
+	body, err := under.Body(max(0, sentAt+limit-r.Clock.Now()), r.AnswerLimit)
 	if err != nil {
 		reply.end(failed)
 		if r.Clock.Now() >= o.until {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -44,6 +44,9 @@
 		{"the worker's own failure is the answer", breaks, route.Once, 2, 500, "", 1},
 		{"also of what may be repeated", breaks, route.Repeatable, 2, 500, "", 1},
 		{"silence", silent, route.Once, 2, 504, base.MayHaveRun, 1},
+		{"silence, may be repeated", silent, route.Repeatable, 2, 200, "", 2},
+		{"silence, may be repeated, no try left", silent, route.Repeatable, 1, 504, base.MayHaveRun, 1},
+		{"silence of a stream", silent, route.Stream, 2, 504, base.MayHaveRun, 1},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			f := newFleet(t, 1)
@@ -108,6 +111,52 @@
 	f.Equal(len(a.got)+len(b.got), 2)
 }
 
+// A repeatable request leaves a silent worker soon enough to be served inside
+// its deadline; one whose expected work leaves no time for a second attempt
+// stays.
+func TestARepeatableRequestLeavesASilentWorker(t *testing.T) {
+	for _, row := range []struct {
+		name     string
+		work     time.Duration
+		deadline time.Duration
+		sent     int
+	}{
+		{"time for another attempt", 50 * time.Millisecond, 1500 * time.Millisecond, 2},
+		{"no time for another attempt", 50 * time.Millisecond, 300 * time.Millisecond, 1},
+		{"slow work, no time for another attempt", 300 * time.Millisecond, 1500 * time.Millisecond, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			a, b := f.add("a", "z1", 6), f.add("b", "z1", 6)
+			for _, w := range f.order {
+				w.work = func() time.Duration { return row.work }
+			}
+			r := f.relay("z1")
+			f.run(func() {
+				for range 40 { // the time of a request is learned
+					_, v := f.offer(r, plain(route.Repeatable, 2), call())
+					f.True(v == nil)
+				}
+				sent := len(a.got) + len(b.got)
+				f.before = func(w *fakeWorker) {
+					if len(a.got)+len(b.got) == sent {
+						w.fault = silent
+					}
+				}
+				c := call()
+				c.Deadline = row.deadline
+				began := f.clock.Now()
+				_, v := f.offer(r, plain(route.Repeatable, 2), c)
+				f.Equal(v == nil, row.sent == 2)
+				f.Equal(len(a.got)+len(b.got)-sent, row.sent)
+				if row.sent == 2 {
+					f.True(f.clock.Now()-began < row.deadline/2)
+				}
+			})
+		})
+	}
+}
+
 func TestWhatAWorkerIsSent(t *testing.T) {
 	f := newFleet(t, 1)
 	w := f.add("a", "z1", 6)
