--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -2,6 +2,7 @@
 // wait for a silent worker until its time is over: while there are tries and
 // time left for a whole second attempt, it goes on to another worker. Any other
 // request waits, since a worker's silence proves nothing.
+
 package relay
 
 import (
--- a/internal/simulate/talk_churn.go
+++ b/internal/simulate/talk_churn.go
@@ -1,6 +1,7 @@
 // What control says while workers come and go and the operator changes the
 // configuration, by the size of the fleet. The workers are only entries of the
 // platform's list; nobody calls them.
+
 package simulate
 
 import (
@@ -55,7 +56,8 @@
 		done = true
 	})
 	if !c.World.Run(c.World.Now()+2*time.Minute, func() bool { return done }) || !formed {
-		return c, fmt.Errorf("the fleet of %d did not form", machines)
+		c.World.Close()
+		return nil, fmt.Errorf("the fleet of %d did not form", machines)
 	}
 	c.Callers.Go(c.replaceWorkers)
 	c.World.Run(c.World.Now()+churnLead, nil)
@@ -164,10 +166,10 @@
 // WriteChurn measures a fleet of a size.
 func WriteChurn(out io.Writer, seed uint64, machines int, span time.Duration) error {
 	c, err := NewChurn(seed, machines)
-	defer c.World.Close()
 	if err != nil {
 		return err
 	}
+	defer c.World.Close()
 	began := c.World.Now()
 	changes, err := c.Measure(span, 2*time.Second)
 	if err != nil {
--- a/internal/simulate/talk_churn_test.go
+++ b/internal/simulate/talk_churn_test.go
@@ -18,11 +18,11 @@
 	t.Parallel()
 	is := is.NewRelaxed(t)
 	c, err := NewChurn(1, 300)
-	defer c.World.Close()
 	is.NoErr(err)
 	if err != nil {
 		return
 	}
+	defer c.World.Close()
 	hidden := 0
 	for _, m := range c.Edges {
 		if m.gateway.View().Partial() && len(m.gateway.View().Known("edge")) < directMostGateways {
@@ -59,11 +59,11 @@
 	t.Parallel()
 	is := is.NewRelaxed(t)
 	c, err := NewChurn(2, 300)
-	defer c.World.Close()
 	is.NoErr(err)
 	if err != nil {
 		return
 	}
+	defer c.World.Close()
 	for _, m := range c.All() {
 		c.down(m, false)
 	}
