Take a silent owner's shard after one heartbeat interval, and without a failed try

Change: a refusal at the same epoch counts as another's promise; a core that is asked probes the cores ahead of it and waits up to a heartbeat interval for the first; an arriving answer ends a pause; a silence counts for two intervals.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -55,10 +55,12 @@
 	accused   uint64
 	accusedAt time.Duration
 	lost      time.Duration
-	probing   bool
+	// probe fires at the end of the probe that is under way, nil if none is.
+	probe base.Signal
 	// unheard is that it gave this node's own last question no answer, whether or
-	// not others hear it.
-	unheard bool
+	// not others hear it, as was found at a moment.
+	unheard   bool
+	unheardAt time.Duration
 }
 
 // shown is the view as readers have it, made anew after a change. It holds
@@ -201,13 +203,13 @@
 	}
 }
 
-// Unheard reports whether a member gave this node's own last question no
-// answer. It may live: others may hear it.
-func (v *View) Unheard(id string) bool {
+// Unheard reports whether a member gave this node's own last question no answer,
+// as was found within a span. It may live: others may hear it.
+func (v *View) Unheard(id string, within time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	held, ok := v.known[id]
-	return ok && held.unheard
+	return ok && held.unheard && v.clock.Now()-held.unheardAt <= within
 }
 
 // hear notes whether a member answered this node's own question.
@@ -215,7 +217,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if held, ok := v.known[id]; ok {
-		held.unheard = !answered
+		held.unheard, held.unheardAt = !answered, v.clock.Now()
 	}
 }
 
@@ -413,41 +415,47 @@
 }
 
 // Probe looks after a member that another node found silent, and doubts it
-// when no sign of life comes in two beats, until others say that it lives.
-func (v *View) Probe(id string) {
-	heard := v.probe(id)
-	if heard == nil {
-		return
+// when no sign of life comes in two beats, until others say that it lives. The
+// signal fires at the end of the probe; nil where there is nobody to probe.
+func (v *View) Probe(id string) base.Signal {
+	over, fresh := v.probe(id)
+	if fresh {
+		v.clock.Go(func() {
+			if !over.Wait(2 * v.bounds.Load().Beat()) {
+				v.doubt(id)
+			}
+		})
 	}
-	v.clock.Go(func() {
-		if !heard.Wait(2 * v.bounds.Load().Beat()) {
-			v.doubt(id)
-		}
-	})
+	return over
 }
 
 // probe asks a member for a sign of life; when none comes soon, others are
 // asked to look, and it is suspected when they find it silent too. One probe
-// at a time goes to each member. The signal fires once there is an outcome.
-func (v *View) probe(id string) base.Signal {
+// at a time goes to each member. The signal fires once there is an outcome;
+// fresh tells that this call began the probe.
+func (v *View) probe(id string) (over base.Signal, fresh bool) {
 	v.mu.Lock()
 	held, ok := v.known[id]
-	if !ok || held.probing || v.closed {
+	if !ok || v.closed {
 		v.mu.Unlock()
-		return nil
+		return nil, false
+	}
+	if held.probe != nil {
+		defer v.mu.Unlock()
+		return held.probe, false
 	}
-	held.probing = true
+	over = v.clock.NewSignal()
+	held.probe = over
 	member := copyMember(held.member)
 	v.mu.Unlock()
-	over := v.clock.NewSignal()
 	v.clock.Go(func() {
 		v.verify(member)
-		over.Fire()
 		v.mu.Lock()
-		held.probing = false
+		held.probe = nil
 		v.mu.Unlock()
+		over.Fire()
 	})
-	return over
+	return over, true
 }
 
 // verify waits a beat for an answer before it asks others; an answer that comes
--- a/internal/register/decide.go
+++ b/internal/register/decide.go
@@ -39,8 +39,11 @@
 		if serves {
 			return "", nil
 		}
-		if other := o.ahead(s); other != "" {
-			return other, nil
+		if o.preferred(s) != o.view.Me() {
+			o.lookAhead(ctx, s)
+			if other := o.ahead(s); other != "" {
+				return other, nil
+			}
 		}
 		o.start(s)
 		if !next.Wait(ctx.Left() / 2) {
--- a/internal/register/search.go
+++ b/internal/register/search.go
@@ -179,12 +179,19 @@
 	return got.hint
 }
 
-// pause keeps a search that finds nobody from asking in a tight loop.
+// pause keeps a search that finds nobody from asking in a tight loop; an answer
+// that arrives ends it.
 func (s *search) pause() {
 	const doublings = 3
 	pause := s.client.bounds.Load().Beat() / 10 << min(s.hops, doublings)
 	pause += time.Duration(s.client.clock.Int64N(int64(pause)))
-	s.client.clock.Sleep(min(s.ctx.Left(), pause))
+	news := s.arrived.Next()
+	s.mu.Lock()
+	arrived := len(s.answers) > 0
+	s.mu.Unlock()
+	if !arrived {
+		news.Wait(min(s.ctx.Left(), pause))
+	}
 }
 
 // unanswered is what the caller is told when the time is over.
--- a/internal/register/takeover.go
+++ b/internal/register/takeover.go
@@ -26,29 +26,45 @@
 // looked after at once when this one is asked.
 const probedAhead = 3
 
-// ahead names the core that should take a slot before this one. Whoever asks
-// here may have found that core silent, so it is probed, and is passed over
-// while it gives this core no answer, whatever others find: what it owns is
-// then taken from it by a higher epoch.
+// ahead names the core that should take a slot before this one: the first in
+// the slot's order that answers this core, whatever others find. What a silent
+// one owns is taken from it by a higher epoch.
 func (o *Owner) ahead(s *slot) string {
-	order := ownersFor(o.view, s.num)
-	for place, id := range order {
-		if id == o.view.Me() {
+	for _, id := range ownersFor(o.view, s.num) {
+		switch {
+		case id == o.view.Me():
 			return ""
-		}
-		if place < probedAhead {
-			o.view.Probe(id)
-		}
-		if !o.view.Unheard(id) {
-			for _, next := range order[place+1 : min(len(order), probedAhead)] {
-				o.view.Probe(next)
-			}
+		case !o.unheard(id):
 			return id
 		}
 	}
 	return o.preferred(s)
 }
 
+// unheard tells that a core has lately given this one no answer.
+func (o *Owner) unheard(core string) bool {
+	return o.view.Unheard(core, 2*o.bounds.Load().Beat())
+}
+
+// lookAhead probes the cores that go before this one in a slot's order, since
+// whoever asks here may have found them silent, and what this core found of them
+// may be old. It waits until the first has answered, or has had a heartbeat
+// interval to do so.
+func (o *Owner) lookAhead(ctx *base.Ctx, s *slot) {
+	var first base.Signal
+	for place, id := range ownersFor(o.view, s.num) {
+		if id == o.view.Me() || place >= probedAhead {
+			break
+		}
+		if probe := o.view.Probe(id); place == 0 && !o.unheard(id) {
+			first = probe
+		}
+	}
+	if first != nil {
+		first.Wait(min(ctx.Left()/2, o.bounds.Load().Beat()*11/10))
+	}
+}
+
 func (o *Owner) start(s *slot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,6 +101,7 @@
 	began := o.clock.Now()
 	var mu sync.Mutex
 	var newest *PromiseReply
+	taken := false // a disk has promised this epoch or a higher one to another core
 	promised := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 		reply, err := o.promise(ctx, entry, &PromiseRequest{Claim: o.claim(s, epoch, set, entry)})
 		if err != nil {
@@ -95,6 +112,9 @@
 			s.mu.Lock()
 			s.highest = max(s.highest, reply.Ack.Epoch)
 			s.mu.Unlock()
+			mu.Lock()
+			taken = taken || reply.Ack.Epoch >= epoch
+			mu.Unlock()
 			return false
 		}
 		mu.Lock()
@@ -108,9 +128,9 @@
 		return true
 	})
 	if !promised {
-		s.mu.Lock()
-		learnt := s.highest > epoch
-		s.mu.Unlock()
+		mu.Lock()
+		learnt := taken
+		mu.Unlock()
 		if learnt {
 			return base.Busy(503, "older_epoch", 1, "the disks have promised a higher epoch")
 		}
--- a/internal/simulate/cutoff.go
+++ b/internal/simulate/cutoff.go
@@ -27,9 +27,12 @@
 	CutResets   CutWay = "resets"
 	CutRefused  CutWay = "refused"
 	CutFrozen   CutWay = "frozen"
+	// CutKilled and CutDark end the process, or the machine's power, instead.
+	CutKilled CutWay = "killed"
+	CutDark   CutWay = "without power"
 )
 
-// CutWays lists them.
+// CutWays lists those that leave the machines alive.
 var CutWays = []CutWay{CutSilent, CutOutbound, CutInbound, CutResets, CutRefused, CutFrozen}
 
 // CutTarget is who is cut off.
@@ -73,9 +76,6 @@
 // operatorSilence is how long an operator waits for an answer.
 const operatorSilence = time.Second
 
-// cutSpan is how long machines are cut off.
-const cutSpan = 20 * time.Second
-
 // consultation is one call of an operator and its answer.
 type consultation struct {
 	kind       string
@@ -96,12 +96,22 @@
 	return fmt.Sprintf("%s of %d on %d to %s at %v: %d after %v %q", c.kind, c.version, c.base, c.core.Host.Name, c.sent, c.status, c.ended-c.sent, c.body)
 }
 
-// CutRun is one cut and what came of it.
-type CutRun struct {
+// CutPlan is one cut: at which size, who, how, and for how long.
+type CutPlan struct {
 	Size   string
 	Target CutTarget
 	Way    CutWay
+	Span   time.Duration
 	Seed   uint64
+}
+
+func (c CutPlan) String() string {
+	return fmt.Sprintf("%s, seed %d, %s, %s", c.Size, c.Seed, c.Target, c.Way)
+}
+
+// CutRun is one cut and what came of it.
+type CutRun struct {
+	CutPlan
 	// Acked is how long after the cut a change was acknowledged by a core on the
 	// majority's side, to an operator who calls that side only; Everywhere is the
 	// same for one who calls cores of both sides as they come.
@@ -139,10 +149,10 @@
 	refused bool
 }
 
-// PlayCut has a target cut off for twenty seconds at a size.
-func PlayCut(size string, target CutTarget, way CutWay, seed uint64, change func(f *Fleet)) *CutRun {
-	run := &CutRun{Size: size, Target: target, Way: way, Seed: seed}
-	t := NewTier(seed, CutShape(size), nil)
+// Play has the target cut off; a test may change the fleet before.
+func (c CutPlan) Play(change func(f *Fleet)) *CutRun {
+	run := &CutRun{CutPlan: c}
+	t := NewTier(c.Seed, CutShape(c.Size), nil)
 	defer t.World.Close()
 	if change != nil {
 		change(t.Fleet)
@@ -176,7 +186,7 @@
 		p.breach("no core owns the feed")
 		return
 	}
-	end := p.World.now + time.Second + cutSpan + 6*time.Second
+	end := p.World.now + time.Second + p.run.Span + 6*time.Second
 	left := 0
 	enter := func(task func()) {
 		left++
@@ -191,7 +201,7 @@
 	clock.Sleep(time.Second + p.World.Between(0, 300*time.Millisecond))
 	p.cut()
 	enter(p.firstAck)
-	clock.Sleep(cutSpan)
+	clock.Sleep(p.run.Span)
 	p.heal()
 	enter(p.settle)
 	p.until(2*time.Minute, func() bool { return left == 0 })
@@ -228,10 +238,10 @@
 		p.apart[p.pick(p.Storage)] = true
 	}
 	p.from, p.to = p.World.now, 1<<60
-	if p.run.Way == CutFrozen {
+	if p.stops() {
 		for _, m := range p.All() {
 			if p.apart[m] {
-				m.Host.Freeze()
+				p.stop(m)
 			}
 		}
 		return
@@ -257,6 +267,22 @@
 	p.restarts()
 }
 
+// stops tells that the machines stand still or fall instead of being cut off.
+func (p *cutPlay) stops() bool {
+	return p.run.Way == CutFrozen || p.run.Way == CutKilled || p.run.Way == CutDark
+}
+
+func (p *cutPlay) stop(m *Machine) {
+	switch p.run.Way {
+	case CutFrozen:
+		m.Host.Freeze()
+	case CutKilled:
+		p.down(m, false)
+	case CutDark:
+		p.down(m, true)
+	}
+}
+
 // restarts kills processes and starts them again while the cut lasts.
 func (p *cutPlay) restarts() {
 	var list []*Machine
@@ -279,8 +305,11 @@
 	p.Net.Heal()
 	p.Net.Notice = NoticeNothing
 	for _, m := range p.All() {
-		if m.Host.frozen {
+		switch {
+		case m.Host.frozen:
 			m.Host.Thaw()
+		case p.stops() && p.apart[m]:
+			p.begin(m)
 		}
 	}
 	p.to = p.World.now
@@ -300,6 +329,9 @@
 	p.calls = append(p.calls, c)
 	in := newPipe[int](p.Callers)
 	if !m.Host.alive || m.core == nil {
+		if m.Host.dark {
+			clock.Sleep(operatorSilence)
+		}
 		clock.Sleep(p.way())
 		c.ended, c.stopped = clock.Now(), true
 		return c
@@ -312,7 +344,7 @@
 		c.status, c.retryAfter, c.body = r.Response.StatusCode(), string(r.Response.Header.Peek("Retry-After")), slices.Clone(r.Response.Body())
 		c.ended = p.World.now
 		overlaps := p.apart[m] && p.from > 0 && since < p.to && c.ended > p.from
-		c.stopped = overlaps && p.run.Way == CutFrozen
+		c.stopped = overlaps && p.stops()
 		// Who is cut off from the disks only may ask the other cores.
 		c.apart = overlaps && since >= p.from && c.ended < p.to && p.run.Target != CutFromDisks
 		in.put(p.way(), c.status)
@@ -365,7 +397,7 @@
 	clock := p.Callers.Clock()
 	for going() {
 		order := p.draft(p.current)
-		if p.send(order, func() []*Machine { return p.Cores }, p.World.now+cutSpan*2) && p.from > 0 && p.run.Everywhere == 0 {
+		if p.send(order, func() []*Machine { return p.Cores }, p.World.now+p.run.Span*2) && p.from > 0 && p.run.Everywhere == 0 {
 			p.run.Everywhere = p.World.now - p.from
 		}
 		clock.Sleep(p.World.Between(50*time.Millisecond, 600*time.Millisecond))
--- a/internal/simulate/cutoff_test.go
+++ b/internal/simulate/cutoff_test.go
@@ -37,17 +37,48 @@
 			var runs []*CutRun
 			for seed := range uint64(count) {
 				target, way := cutDeal(seed)
-				run := PlayCut(size, target, way, seed+1, nil)
-				runs = append(runs, run)
-				for _, breach := range run.Breaches[:min(5, len(run.Breaches))] {
-					t.Errorf("seed %d, %s, %s: %s", seed+1, target, way, breach)
-				}
+				runs = append(runs, played(t, CutPlan{Size: size, Target: target, Way: way, Span: 20 * time.Second, Seed: seed + 1}))
 			}
 			report(t, runs)
 		})
 	}
 }
 
+func played(t *testing.T, plan CutPlan) *CutRun {
+	t.Helper()
+	run := plan.Play(nil)
+	for _, breach := range run.Breaches[:min(5, len(run.Breaches))] {
+		t.Errorf("%s: %s", plan, breach)
+	}
+	return run
+}
+
+// TestTheNextAcknowledgementComesSoon has the owner of the feed's shard fall
+// silent or end in each way, and wants a change acknowledged on the others' side
+// soon after.
+func TestTheNextAcknowledgementComesSoon(t *testing.T) {
+	t.Parallel()
+	log.SetLevel(log.ErrorLevel)
+	few := map[string]int{"tills": 4, "pay": 4, "grown tills": 1, "grown pay": 1}
+	for _, size := range []string{"tills", "pay", "grown tills", "grown pay"} {
+		for _, way := range []CutWay{CutKilled, CutDark, CutFrozen, CutSilent} {
+			t.Run(size+", "+string(way), func(t *testing.T) {
+				t.Parallel()
+				var runs []*CutRun
+				for seed := range uint64(max(few[size], *cutSeeds)) {
+					runs = append(runs, played(t, CutPlan{Size: size, Target: CutOwner, Way: way, Span: 6 * time.Second, Seed: seed + 1}))
+				}
+				report(t, runs)
+				for _, run := range runs {
+					if bound := CutShape(size).Site.Bounds.Recovery / 6; run.Acked > bound {
+						t.Errorf("%s: acknowledged after %v, %v at the most", run.CutPlan, run.Acked, bound)
+					}
+				}
+			})
+		}
+	}
+}
+
 // report prints the times to the next acknowledgement: the median and the worst.
 func report(t *testing.T, runs []*CutRun) {
 	t.Helper()
