--- a/internal/simulate/orders.go
+++ b/internal/simulate/orders.go
@@ -3,6 +3,7 @@
 // and read back from any core, while the leader of the configuration's shard is
 // killed between its steps. What they were told is a history, and is checked
 // against a register with compare-and-set and idempotent repeats.
+
 package simulate
 
 import (
--- a/internal/simulate/orders_faults.go
+++ b/internal/simulate/orders_faults.go
@@ -1,6 +1,7 @@
 // The trouble of a day of orders: the leader of the configuration's shard is
 // killed right before or after any of its messages, and machines are cut off,
 // frozen, killed and lose their power meanwhile.
+
 package simulate
 
 import (
--- a/internal/simulate/orders_model.go
+++ b/internal/simulate/orders_model.go
@@ -1,5 +1,6 @@
 // What a history of orders is checked against: a register that holds one
 // configuration and changes by compare-and-set, with idempotent repeats.
+
 package simulate
 
 import (
