Split the stand-in caller, worker, simulated fleet and picker by job

What callers saw (tally.go) and the form of answers (answer.go) are apart from the caller; a model worker's streams from the worker; shapes and what a simulated fleet is asked from the fleet itself; the roster and a request's needs from the picker.

Declarations were moved whole: the sorted lines of code before and after are the same, imports and file comments aside. The tests of standin, its platform part and worker pass; vet is clean.

--- a/internal/session/record.go
+++ b/internal/session/record.go
@@ -125,7 +125,7 @@
 	At       int64           `json:"at"`
 }
 
-func recordKey(id string) string           { return "session/" + id }
+func recordKey(id string) string { return "session/" + id }
 
 func turnKey(id string, num uint64) string { return fmt.Sprintf("turn/%s/%016x", id, num) }
 
--- /dev/null
+++ b/internal/simulate/fleet_report.go
@@ -0,0 +1,70 @@
+// What a simulated fleet is asked after or while it runs: conversations, counters
+// and breaches.
+
+package simulate
+
+import (
+	"fmt"
+	"time"
+
+	"fordseam/internal/base"
+	"fordseam/internal/standin"
+)
+
+// Report has each model worker tell its load now and then, to one gateway
+// after another.
+func (f *Fleet) Report(every time.Duration) {
+	ask := f.Asker(f.Callers)
+	for _, model := range f.Models {
+		f.Callers.Go(func() {
+			for turn := int(f.World.Int64N(int64(len(f.Edges)))); ; turn++ {
+				f.Callers.Clock().Sleep(every)
+				if f.World.Hosts[model.ID].alive {
+					_, _ = ask(turn, "POST", "/v1/platform/workers/"+model.ID+"/usage", nil, base.Encode(f.usage(model.ID)))
+				}
+			}
+		})
+	}
+}
+
+// Converse starts callers and returns a function telling how many are left.
+func (f *Fleet) Converse(callers, turns int, tools bool, prepare func(*standin.Caller)) func() int {
+	left := callers
+	for caller := 0; caller < callers; caller++ {
+		c := f.caller(fmt.Sprintf("c%d", caller), caller)
+		if prepare != nil {
+			prepare(c)
+		}
+		f.Callers.Go(func() {
+			if c.Start(int64(turns * f.Shape.Pieces * 8)) {
+				c.Converse(turns, tools)
+			}
+			left--
+		})
+	}
+	return func() int { return left }
+}
+
+// Total adds up a counter over the living machines.
+func (f *Fleet) Total(name string) int64 {
+	total := int64(0)
+	for _, m := range f.All() {
+		total += m.Count.Frame()[name]
+	}
+	return total
+}
+
+// Syncs adds up the disks' syncs.
+func (f *Fleet) Syncs() int {
+	total := 0
+	for _, m := range f.Storage {
+		total += m.Files.Syncs
+	}
+	return total
+}
+
+// Check looks over callers' and workers' records.
+func (f *Fleet) Check() []string {
+	f.Tally.Check(f.Models, f.Tools, int64(f.Shape.Pieces))
+	return f.Tally.Breaches
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -11,82 +11,11 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"fordseam/internal/base"
 )
 
-// Event is one server-sent event as a caller reads it.
-type Event struct {
-	ID   string
-	Kind string
-	Data []byte
-}
-
-// Answer is a response as a caller reads it: whole, or events one by one.
-// NextEvent gives ok=false at the end of the stream.
-type Answer struct {
-	Status    int
-	Header    map[string]string
-	Body      []byte
-	NextEvent func() (Event, bool)
-}
-
-// Asker sends a request to a gateway, by number; an error says that the
-// gateway could not be reached or its answer was lost.
-type Asker func(gateway int, method, path string, header map[string]string, body []byte) (*Answer, error)
-
-// Tally is what callers saw, and every breach they found.
-type Tally struct {
-	mu       sync.Mutex
-	Counts   map[string]int
-	Breaches []string
-	Refused  map[string]string
-	Budgets  map[string]int64
-	Slowest  time.Duration
-	Keys     map[string]bool
-	Turns    []TurnTime
-	Refusals []TurnTime
-	// Seen, when set, is told of each count as it happens.
-	Seen   func(name string)
-	ledger ledger
-}
-
-// TurnTime is when a turn was begun and how long it took to be whole.
-type TurnTime struct{ At, Took time.Duration }
-
-func NewTally() *Tally {
-	return &Tally{Counts: map[string]int{}, Refused: map[string]string{}, Budgets: map[string]int64{}, Keys: map[string]bool{}, ledger: newLedger()}
-}
-
-// Count adds one to a named count.
-func (t *Tally) Count(name string) {
-	t.mu.Lock()
-	t.Counts[name]++
-	t.mu.Unlock()
-	if t.Seen != nil {
-		t.Seen(name)
-	}
-}
-
-// Breach records that something happened which must never happen.
-func (t *Tally) Breach(format string, args ...any) {
-	t.mu.Lock()
-	t.breach(format, args...)
-	t.mu.Unlock()
-}
-
-const breachLimit = 100
-
-// breach keeps a breach once; the caller holds the lock.
-func (t *Tally) breach(format string, args ...any) {
-	word := fmt.Sprintf(format, args...)
-	if len(t.Breaches) < breachLimit && !slices.Contains(t.Breaches, word) {
-		t.Breaches = append(t.Breaches, word)
-	}
-}
-
 // Caller is one program's party.
 type Caller struct {
 	Name     string
@@ -121,15 +50,6 @@
 	last    string
 }
 
-type failure struct {
-	Error struct {
-		Code       string   `json:"code"`
-		Message    string   `json:"message"`
-		Ran        base.Ran `json:"request"`
-		RetryAfter int      `json:"retry_after_s"`
-	} `json:"error"`
-}
-
 func (c *Caller) header(secret string, more map[string]string) map[string]string {
 	header := map[string]string{"authorization": "Bearer " + secret}
 	for name, value := range more {
@@ -370,13 +290,6 @@
 	c.Tally.Count("turns_refused")
 }
 
-// Refuse notes that a program's turn was told as not run: it must never run.
-func (t *Tally) Refuse(program, turn, code string) {
-	t.mu.Lock()
-	t.Refused[program+"|"+turn] = code
-	t.mu.Unlock()
-}
-
 // readTurn reads a stream to its end and checks every piece.
 func (c *Caller) readTurn(id string, answer *Answer, expected []string) (verdict, said string) {
 	pieces, leg := []string{}, ""
@@ -460,41 +373,3 @@
 		c.Tally.Count("tools_refused")
 	}
 }
-
-// Check looks over the workers' own records.
-func (t *Tally) Check(models []*Model, tools []*Tool, oneTurn int64) {
-	perKey, perProgram, turnRuns := map[string]int{}, map[string]int64{}, map[string]int{}
-	for _, tool := range tools {
-		for key, runs := range tool.Runs() {
-			perKey[key] += runs
-		}
-	}
-	for _, key := range base.SortedKeys(perKey) {
-		if perKey[key] > 1 {
-			t.Breach("call %s ran %d times", key, perKey[key])
-		}
-	}
-	for _, model := range models {
-		runs, tokens, _, _ := model.Record()
-		for turn, n := range runs {
-			turnRuns[turn] += n
-		}
-		for program, n := range tokens {
-			root, _, _ := strings.Cut(program, ".")
-			perProgram[root] += n
-		}
-	}
-	t.mu.Lock()
-	refused, budgets := t.Refused, t.Budgets
-	t.mu.Unlock()
-	for _, turn := range base.SortedKeys(refused) {
-		if turnRuns[turn] > 0 {
-			t.Breach("turn %s was refused (%s) and ran %d times", turn, refused[turn], turnRuns[turn])
-		}
-	}
-	for _, program := range base.SortedKeys(budgets) {
-		if perProgram[program] > budgets[program]+oneTurn {
-			t.Breach("program %s put out %d of %d", program, perProgram[program], budgets[program])
-		}
-	}
-}
--- a/internal/worker/nominate.go
+++ b/internal/worker/nominate.go
@@ -11,10 +11,8 @@
 package worker
 
 import (
-	"encoding/json"
 	"math"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,52 +22,6 @@
 
 const spillRatio = 1.25
 
-// Roster is what a node holds of the platform's list, swapped whole.
-type Roster struct {
-	Stamp   uint64
-	Pools   map[string][]Worker
-	Leaving map[string]Notice
-}
-
-// RosterOf reads the feed's frame.
-func RosterOf(values map[string][]byte) *Roster {
-	roster := &Roster{Pools: map[string][]Worker{}, Leaving: map[string]Notice{}}
-	var list List
-	if raw, ok := values[ListKey]; ok {
-		_ = json.Unmarshal(raw, &list)
-	}
-	roster.Stamp = list.Stamp
-	for _, one := range list.Workers {
-		roster.Pools[one.Pool] = append(roster.Pools[one.Pool], one)
-	}
-	for _, key := range base.SortedKeys(values) {
-		if id, ok := strings.CutPrefix(key, LeavingPrefix); ok {
-			var notice Notice
-			_ = json.Unmarshal(values[key], &notice)
-			roster.Leaving[id] = notice
-		}
-	}
-	return roster
-}
-
-// Need is what a leg asks for.
-type Need struct {
-	Pool     string
-	Affinity string
-	Former   string
-	Program  string
-	Site     string
-	Urgency  string
-	Waiting  int
-	Tried    map[string]bool
-	Policy   *policy.Policy
-}
-
-var urgencies = map[string]int{"low": 0, "normal": 1, "": 1, "urgent": 2}
-
-// KnownUrgency reports whether a word names an urgency.
-func KnownUrgency(word string) bool { _, ok := urgencies[word]; return ok }
-
 // mark is a worker's own notice as this node saw it.
 type mark struct {
 	incarnation string
