Call the choice of a worker a pick, and set the vocabulary down

Cause: the project had words of its own for what the field has names for.

The scenario command of fordseam-fleet is chaos.

The tests of worker, policy, session and node pass; vet is clean.

--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -40,7 +40,7 @@
 					&cli.IntFlag{Name: "conversations", Value: 4, Usage: "`CONVERSATIONS` each"},
 					&cli.StringSliceFlag{Name: "kill", Usage: "kill and later restart a machine, as `NAME@SECONDS`, such as edge-2@3"},
 					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
-			{Name: "badday", Usage: "start a fleet and put it through a scripted bad day under load", Action: badday,
+			{Name: "chaos", Usage: "start a fleet and put it through a scripted chaos scenario under load", Action: chaos,
 				Flags: append(shared(),
 					&cli.IntFlag{Name: "callers", Value: 24, Usage: "`CALLERS` at once"},
 					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
@@ -128,9 +128,9 @@
 	})
 }
 
-func badday(_ context.Context, command *cli.Command) error {
+func chaos(_ context.Context, command *cli.Command) error {
 	return observed(command, func(f *fleet.Fleet, parties *fleet.Parties, tally *standin.Tally) (map[string]int64, error) {
-		return nil, f.BadDay(parties, tally, command.Int("callers"), command.Int("pieces"), os.Stderr)
+		return nil, f.Chaos(parties, tally, command.Int("callers"), command.Int("pieces"), os.Stderr)
 	})
 }
 
--- a/internal/fleet/badday.go
+++ b/internal/fleet/chaos.go
@@ -1,4 +1,4 @@
-// A bad day: under callers' load, workers are replaced, machines are frozen,
+// A chaos scenario: under callers' load, workers are replaced, machines are frozen,
 // killed and told to stop, a disk is lost and replaced, operators collide, and
 // at last everything falls at once. What callers and workers saw is checked
 // from the outside, and so are the settings that gateways show.
@@ -41,8 +41,8 @@
 	return &day{fleet: f, parties: parties, tally: tally, out: out, clock: parties.Clock}
 }
 
-// BadDay runs the whole script and waits for the callers' last words.
-func (f *Fleet) BadDay(parties *Parties, tally *standin.Tally, callers, pieces int, out io.Writer) error {
+// Chaos runs the whole script and waits for the callers' last words.
+func (f *Fleet) Chaos(parties *Parties, tally *standin.Tally, callers, pieces int, out io.Writer) error {
 	d := newDay(f, parties, tally, out)
 	var group sync.WaitGroup
 	group.Add(2)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,19 +22,19 @@
 
 // Front is what a gateway shows.
 type Front struct {
-	Clock     base.Clock
-	Bounds    *base.Table[base.Bounds]
-	Counters  *base.Counters
-	Follower  *feed.Follower
-	Tree      *base.Table[settings.Tree]
-	Budget    *budget.Client
-	Keeper    *session.Keeper
-	Tools     *toolcall.Client
-	Workers   *worker.Client
-	Book      *worker.Book
-	Nominator *worker.Nominator
-	Backends  base.Backends
-	Access    *access.Guard
+	Clock    base.Clock
+	Bounds   *base.Table[base.Bounds]
+	Counters *base.Counters
+	Follower *feed.Follower
+	Tree     *base.Table[settings.Tree]
+	Budget   *budget.Client
+	Keeper   *session.Keeper
+	Tools    *toolcall.Client
+	Workers  *worker.Client
+	Book     *worker.Book
+	Picker   *worker.Picker
+	Backends base.Backends
+	Access   *access.Guard
 
 	known sync.Map
 	open  atomic.Int64
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -147,9 +147,9 @@
 			f.Counters.Add("usage_stale", 1)
 			return answer(200, map[string]any{"taken": false}), nil
 		}
-		notice, marked := f.Nominator.Roster().Leaving[id]
+		notice, marked := f.Picker.Roster().Leaving[id]
 		if !usage.Leaving {
-			f.Nominator.Back(id)
+			f.Picker.Back(id)
 		}
 		if usage.Leaving != marked || (marked && notice.Incarnation != usage.Incarnation) {
 			err := f.Workers.Notice(ctx.Within(f.Bounds.Load().Recover), worker.Notice{Worker: id, Incarnation: usage.Incarnation,
--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -152,16 +152,16 @@
 	f := t.front
 	var cleanup base.Cleanup
 	defer cleanup.Run()
-	chosenWorker, err := f.Nominator.Hold(t.ctx, need)
+	chosenWorker, err := f.Picker.Hold(t.ctx, need)
 	if err != nil {
 		return nil, err, false
 	}
 	held := f.Clock.Now()
-	cleanup.Push(func() { f.Nominator.Release(chosenWorker, need, f.Clock.Now()-held) })
+	cleanup.Push(func() { f.Picker.Release(chosenWorker, need, f.Clock.Now()-held) })
 	if err := f.Follower.Permit(t.ctx); err != nil {
 		return nil, err, false
 	}
-	if !f.Nominator.Stays(chosenWorker, need) {
+	if !f.Picker.Stays(chosenWorker, need) {
 		f.Counters.Add("legs_turned_back", 1)
 		return nil, base.Busy(503, "worker_leaving", 1, "the worker is leaving"), true
 	}
@@ -180,7 +180,7 @@
 	reply, err := f.Backends.Call(t.ctx, chosenWorker.Addr, &base.BackRequest{Method: "POST", Path: path, Header: header, Body: t.request.Body})
 	need.Tried[chosenWorker.ID] = true
 	if err != nil {
-		f.Nominator.Shun(chosenWorker.ID)
+		f.Picker.Shun(chosenWorker.ID)
 		if base.WasNotSent(err) {
 			return nil, base.Busy(503, "worker_unreachable", 1, "no worker could be reached"), true
 		}
@@ -194,7 +194,7 @@
 		}
 		return nil, base.Unsure(502, "worker_leaving", "the worker refused the call as it leaves, but bytes had gone out"), false
 	}
-	if f.Nominator.Answered(chosenWorker, reply.Closes()) {
+	if f.Picker.Answered(chosenWorker, reply.Closes()) {
 		f.Keeper.WorkerLeaves(chosenWorker)
 	}
 	body, err := reply.Body(t.ctx.Left(), toolBodyLimit)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,22 +162,22 @@
 	place.Role = membership.RoleEdge
 	bounds, tree := newBounds(place), &base.Table[settings.Tree]{}
 	book := worker.NewBook(env.Clock, bounds)
-	nominator := worker.NewNominator(env.Clock, bounds, env.Counters, book, place.Zone)
+	picker := worker.NewPicker(env.Clock, bounds, env.Counters, book, place.Zone)
 	c := newCommon(env, place, book, bounds)
 	g := &Gateway{common: c, Access: access.NewGuard(env.Clock, bounds, env.Counters)}
 	env.Counters.Also(g.Access.Counts)
 	client, follower := c.follow(tree, g.Access, func(frame *feed.Frame) {
-		nominator.Swap(worker.RosterOf(frame.Values))
+		picker.Swap(worker.RosterOf(frame.Values))
 		g.Keeper.Ended(endedIn(frame.Values))
 		g.learn(frame)
 	})
 	g.Follower = follower
 	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, nil, follower)))
 	g.Keeper = session.NewKeeper(session.Parts{Clock: env.Clock, Wire: env.Wire, View: c.view, Bounds: bounds, Counters: env.Counters,
-		Register: client, Follower: follower, Nominator: nominator, Backends: env.Backends, Tree: tree})
+		Register: client, Follower: follower, Picker: picker, Backends: env.Backends, Tree: tree})
 	g.Front = &front.Front{Clock: env.Clock, Bounds: bounds, Counters: env.Counters, Follower: follower, Tree: tree,
 		Budget: &budget.Client{Register: client}, Keeper: g.Keeper, Tools: &toolcall.Client{Register: client},
-		Workers: &worker.Client{Register: client}, Book: book, Nominator: nominator, Backends: env.Backends, Access: g.Access}
+		Workers: &worker.Client{Register: client}, Book: book, Picker: picker, Backends: env.Backends, Access: g.Access}
 	c.mount(session.NewOwnerServer(g.Keeper))
 	g.Routes, g.routed = &base.Table[route.Table]{}, base.NewBell(env.Clock)
 	g.Relay = relay.New(relay.Parts{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: place.Zone, ConnShare: g.connShare, AnswerLimit: answerLimit})
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -67,7 +67,7 @@
 		return nil, errors.New("must define nominate(leg, workers) or admit(session)")
 	}
 	trial := []Candidate{{"worker-1", "zone-1", 1, 4, true}, {"worker-2", "zone-2", 4, 4, false}}
-	if _, err := p.Nominate("normal", "zone-1", trial); err != nil {
+	if _, err := p.Pick("normal", "zone-1", trial); err != nil {
 		return nil, errors.Annotate(err, "nominate, tried on two workers")
 	}
 	if _, err := p.Admit("normal", "route", 3); err != nil {
@@ -106,9 +106,9 @@
 	return starlark.Call(thread(), function, args, nil)
 }
 
-// Nominate gives the id of the chosen worker, or nothing when the policy
+// Pick gives the id of the chosen worker, or nothing when the policy
 // leaves the choice to the built-in rule.
-func (p *Policy) Nominate(urgency, zone string, candidates []Candidate) (string, error) {
+func (p *Policy) Pick(urgency, zone string, candidates []Candidate) (string, error) {
 	if p.nominate == nil {
 		return "", nil
 	}
--- a/internal/session/held.go
+++ b/internal/session/held.go
@@ -268,7 +268,7 @@
 	record := h.snapshot()
 	chosen := record.Understudy
 	if member, alive := k.view.Find(chosen); !alive || member.Leaving {
-		chosen = k.nominateUnderstudy(record.ID, chosen)
+		chosen = k.pickStandby(record.ID, chosen)
 	}
 	member, alive := k.view.Find(chosen)
 	if !alive {
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -65,21 +65,21 @@
 
 // Keeper holds what this gateway owns, understudies and remembers.
 type Keeper struct {
-	clock     base.Clock
-	wire      base.Wire
-	view      *membership.View
-	bounds    *base.Table[base.Bounds]
-	counters  *base.Counters
-	register  *register.Client
-	follower  *feed.Follower
-	nominator *worker.Nominator
-	workers   *worker.Client
-	backends  base.Backends
-	tree      *base.Table[settings.Tree]
+	clock    base.Clock
+	wire     base.Wire
+	view     *membership.View
+	bounds   *base.Table[base.Bounds]
+	counters *base.Counters
+	register *register.Client
+	follower *feed.Follower
+	picker   *worker.Picker
+	workers  *worker.Client
+	backends base.Backends
+	tree     *base.Table[settings.Tree]
 
 	mu       sync.Mutex
 	held     map[string]*held
-	copies   map[string]*understudyCopy
+	copies   map[string]*standbyCopy
 	cache    map[string]*Record
 	streams  map[string]*Stream
 	declined map[string]*declinedVisit
@@ -99,22 +99,22 @@
 
 // Parts are what a keeper is built from.
 type Parts struct {
-	Clock     base.Clock
-	Wire      base.Wire
-	View      *membership.View
-	Bounds    *base.Table[base.Bounds]
-	Counters  *base.Counters
-	Register  *register.Client
-	Follower  *feed.Follower
-	Nominator *worker.Nominator
-	Backends  base.Backends
-	Tree      *base.Table[settings.Tree]
+	Clock    base.Clock
+	Wire     base.Wire
+	View     *membership.View
+	Bounds   *base.Table[base.Bounds]
+	Counters *base.Counters
+	Register *register.Client
+	Follower *feed.Follower
+	Picker   *worker.Picker
+	Backends base.Backends
+	Tree     *base.Table[settings.Tree]
 }
 
 func NewKeeper(p Parts) *Keeper {
 	return &Keeper{clock: p.Clock, wire: p.Wire, view: p.View, bounds: p.Bounds, counters: p.Counters, register: p.Register,
-		follower: p.Follower, nominator: p.Nominator, workers: &worker.Client{Register: p.Register}, backends: p.Backends, tree: p.Tree,
-		held: map[string]*held{}, copies: map[string]*understudyCopy{}, cache: map[string]*Record{}, streams: map[string]*Stream{},
+		follower: p.Follower, picker: p.Picker, workers: &worker.Client{Register: p.Register}, backends: p.Backends, tree: p.Tree,
+		held: map[string]*held{}, copies: map[string]*standbyCopy{}, cache: map[string]*Record{}, streams: map[string]*Stream{},
 		declined: map[string]*declinedVisit{}, ended: map[string]budget.Termination{}, repeats: repeatMost}
 }
 
@@ -134,7 +134,7 @@
 	record.Run = base.NewID(k.clock, "run-")
 	record.Epoch = 1
 	record.Owner = k.me()
-	record.Understudy = k.nominateUnderstudy(record.ID, "")
+	record.Understudy = k.pickStandby(record.ID, "")
 	record.Phase = Ready
 	if k.isDraining() {
 		return nil, base.Busy(503, "draining", 1, "this node is leaving")
--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -165,7 +165,7 @@
 func (k *Keeper) runLeg(ctx *base.Ctx, h *held, op *operation, made *plan) legOutcome {
 	var cleanup base.Cleanup
 	defer cleanup.Run()
-	chosenWorker, err := k.nominator.Hold(ctx, made.need)
+	chosenWorker, err := k.picker.Hold(ctx, made.need)
 	if err != nil {
 		if made.fallback != nil && base.IsCode(err, "no_worker") {
 			made.route, made.need.Pool, made.fallback = made.fallback, made.fallback.Pool, nil
@@ -174,7 +174,7 @@
 		return legOutcome{base.FromWire(err), legFinal}
 	}
 	held := k.clock.Now()
-	cleanup.Push(func() { k.nominator.Release(chosenWorker, made.need, k.clock.Now()-held) })
+	cleanup.Push(func() { k.picker.Release(chosenWorker, made.need, k.clock.Now()-held) })
 	record := h.snapshot()
 	h.mu.Lock()
 	h.legs++
@@ -204,7 +204,7 @@
 		settle(0)
 		return legOutcome{base.FromWire(err), legFinal}
 	}
-	if !k.nominator.Stays(chosenWorker, made.need) {
+	if !k.picker.Stays(chosenWorker, made.need) {
 		settle(0)
 		k.counters.Add("legs_turned_back", 1)
 		return legOutcome{base.Busy(503, "worker_leaving", 1, "the worker is leaving"), legFree}
@@ -214,7 +214,7 @@
 	reply, err := k.backends.Call(ctx, chosenWorker.Addr, modelRequest(made, answer.Granted))
 	if err != nil {
 		made.need.Tried[chosenWorker.ID] = true
-		k.nominator.Shun(chosenWorker.ID)
+		k.picker.Shun(chosenWorker.ID)
 		if base.WasNotSent(err) {
 			k.counters.Add("legs_not_sent", 1)
 			settle(0)
@@ -227,7 +227,7 @@
 	if reply.Status() != 200 {
 		return k.refusedLeg(h, made, chosenWorker, reply, settle)
 	}
-	if k.nominator.Answered(chosenWorker, reply.Closes()) {
+	if k.picker.Answered(chosenWorker, reply.Closes()) {
 		k.WorkerLeaves(chosenWorker)
 	}
 	h.abortable(op, reply.Close)
@@ -279,7 +279,7 @@
 		settle(0)
 		return legOutcome{base.Busy(503, "worker_leaving", 1, "the worker is leaving"), legFree}
 	case status == 429:
-		k.nominator.Shun(chosen.ID)
+		k.picker.Shun(chosen.ID)
 		settle(0)
 		return legOutcome{base.Busy(429, "worker_busy", 1, "the worker is busy"), legFree}
 	case status >= 400 && status < 500:
@@ -294,9 +294,9 @@
 // WorkerLeaves takes a worker's own notice: no new work here at once, and
 // everywhere once the notice is told.
 func (k *Keeper) WorkerLeaves(chosen *worker.Worker) {
-	k.nominator.LeftNow(chosen)
+	k.picker.LeftNow(chosen)
 	k.counters.Add("workers_seen_leaving", 1)
-	incarnation := k.nominator.Incarnation(chosen)
+	incarnation := k.picker.Incarnation(chosen)
 	k.clock.Go(func() {
 		_ = k.workers.Notice(base.NewCtx(k.clock, k.bounds.Load().Leave), worker.Notice{Worker: chosen.ID, Incarnation: incarnation, Leaving: true, Source: "refusal"})
 	})
--- a/internal/session/succession.go
+++ b/internal/session/succession.go
@@ -13,13 +13,13 @@
 	"fordseam/internal/membership"
 )
 
-type understudyCopy struct {
+type standbyCopy struct {
 	turns []Turn
 	at    time.Duration
 }
 
-// nominateUnderstudy prefers another zone.
-func (k *Keeper) nominateUnderstudy(session, not string) string {
+// pickStandby prefers another zone.
+func (k *Keeper) pickStandby(session, not string) string {
 	self := k.view.Self()
 	near, far := []string{}, []string{}
 	for _, member := range k.view.Alive(membership.RoleEdge) {
@@ -77,7 +77,7 @@
 	}
 	began := k.clock.Now()
 	answer, err := k.change(ctx, request.Program, "session.succeed", ask{Session: request.Session, Run: request.Assignment.Run,
-		NewRun: base.NewID(k.clock, "run-"), Owner: k.me(), Understudy: k.nominateUnderstudy(request.Session, request.Assignment.Owner), Why: request.Why})
+		NewRun: base.NewID(k.clock, "run-"), Owner: k.me(), Understudy: k.pickStandby(request.Session, request.Assignment.Owner), Why: request.Why})
 	if err != nil {
 		return nil, err
 	}
@@ -139,7 +139,7 @@
 	defer k.mu.Unlock()
 	copied := k.copies[request.Session]
 	if copied == nil {
-		copied = &understudyCopy{}
+		copied = &standbyCopy{}
 		k.copies[request.Session] = copied
 	}
 	copied.at = k.clock.Now()
@@ -169,7 +169,7 @@
 	}
 	request := &SucceedRequest{Session: record.ID, Program: record.Program, Assignment: record.assignment(), Why: "owner_leaving"}
 	tried := map[string]bool{k.me(): true}
-	for _, id := range []string{record.Understudy, k.nominateUnderstudy(record.ID, record.Understudy)} {
+	for _, id := range []string{record.Understudy, k.pickStandby(record.ID, record.Understudy)} {
 		member, alive := k.view.Find(id)
 		if !alive || member.Leaving || tried[id] {
 			continue
--- a/internal/worker/nominate.go
+++ b/internal/worker/picker.go
@@ -1,4 +1,4 @@
-// Nominating a worker keeps a chain where its prefix is cached, as long as
+// Picking a worker keeps a chain where its prefix is cached, as long as
 // that worker has room. A chain without such a worker goes to the first in
 // the session's own order whose load is below a ratio of the mean, so that
 // sessions spread and a burst spills over. A leg that finds every worker full waits in a bounded line:
@@ -41,8 +41,8 @@
 	gone    bool
 }
 
-// Nominator hands out workers on one node.
-type Nominator struct {
+// Picker hands out workers on one node.
+type Picker struct {
 	clock    base.Clock
 	bounds   *base.Table[base.Bounds]
 	counters *base.Counters
@@ -67,15 +67,15 @@
 	served  map[string]time.Duration
 }
 
-func NewNominator(clock base.Clock, bounds *base.Table[base.Bounds], counters *base.Counters, book *Book, zone string) *Nominator {
-	n := &Nominator{zone: zone, clock: clock, bounds: bounds, counters: counters, book: book,
+func NewPicker(clock base.Clock, bounds *base.Table[base.Bounds], counters *base.Counters, book *Book, zone string) *Picker {
+	n := &Picker{zone: zone, clock: clock, bounds: bounds, counters: counters, book: book,
 		busy: map[string]int{}, programs: map[string]int{}, shunned: map[string]time.Duration{}, left: map[string]mark{}, kept: map[string]bool{}, sites: map[string]int{}, lasting: map[string]time.Duration{}, spacing: map[string]time.Duration{}, granted: map[string]time.Duration{}, booked: map[string]time.Duration{}, served: map[string]time.Duration{}}
 	n.roster.Swap(&Roster{Pools: map[string][]Worker{}})
 	return n
 }
 
 // Swap takes a new roster and looks at who waits.
-func (n *Nominator) Swap(roster *Roster) {
+func (n *Picker) Swap(roster *Roster) {
 	n.roster.Swap(roster)
 	n.mu.Lock()
 	listed := map[string]bool{}
@@ -93,10 +93,10 @@
 	n.mu.Unlock()
 }
 
-func (n *Nominator) Roster() *Roster { return n.roster.Load() }
+func (n *Picker) Roster() *Roster { return n.roster.Load() }
 
 // Hold takes a worker for a leg; Release gives it back.
-func (n *Nominator) Hold(ctx *base.Ctx, need *Need) (*Worker, error) {
+func (n *Picker) Hold(ctx *base.Ctx, need *Need) (*Worker, error) {
 	n.mu.Lock()
 	chosen, possible := n.choose(need)
 	if chosen != nil {
@@ -140,7 +140,7 @@
 // passed, and after those who were refused before, one by one as workers have
 // come free here. So the refused return spread out, at the pace at which they
 // can be served. The caller holds the lock.
-func (n *Nominator) comeBack(pool string, line int) int {
+func (n *Picker) comeBack(pool string, line int) int {
 	now, spacing := n.clock.Now(), n.spacing[pool]
 	longest := n.bounds.Load().Recover * 5 / 2
 	next := max(n.booked[pool], now+spacing*time.Duration(line)) + spacing
@@ -158,7 +158,7 @@
 	return max(1, after)
 }
 
-func (n *Nominator) size(pool string) int {
+func (n *Picker) size(pool string) int {
 	total := 0
 	for _, one := range n.roster.Load().Pools[pool] {
 		total += one.Capacity
@@ -166,7 +166,7 @@
 	return total
 }
 
-func (n *Nominator) take(chosen *Worker, need *Need) {
+func (n *Picker) take(chosen *Worker, need *Need) {
 	n.busy[chosen.ID]++
 	n.programs[need.Program]++
 	n.sites[need.Site]++
@@ -178,7 +178,7 @@
 }
 
 // Release ends a leg's hold and learns how long such legs last.
-func (n *Nominator) Release(held *Worker, need *Need, lasted time.Duration) {
+func (n *Picker) Release(held *Worker, need *Need, lasted time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lasting[need.Pool] += (lasted - n.lasting[need.Pool]) / 8
@@ -197,7 +197,7 @@
 
 // Shun keeps off a worker for a little after it could not be reached or was
 // busy; whoever waits for it is looked at again then.
-func (n *Nominator) Shun(id string) {
+func (n *Picker) Shun(id string) {
 	span := n.bounds.Load().Leave / 3
 	n.mu.Lock()
 	n.shunned[id] = n.clock.Now() + span
@@ -211,7 +211,7 @@
 }
 
 // Incarnation is the life of a worker that this node knows of.
-func (n *Nominator) Incarnation(one *Worker) string {
+func (n *Picker) Incarnation(one *Worker) string {
 	if _, incarnation, _ := n.book.Load(one.ID); incarnation != "" {
 		return incarnation
 	}
@@ -219,7 +219,7 @@
 }
 
 // LeftNow stops new work for this life of a worker at once on this node.
-func (n *Nominator) LeftNow(one *Worker) {
+func (n *Picker) LeftNow(one *Worker) {
 	n.mu.Lock()
 	n.left[one.ID] = mark{n.Incarnation(one), n.clock.Now()}
 	n.mu.Unlock()
@@ -228,7 +228,7 @@
 // Answered looks at how a worker answered. One that used to keep connections
 // and now closes them says that it is leaving; one that never kept any says
 // nothing by it.
-func (n *Nominator) Answered(one *Worker, closes bool) (leaving bool) {
+func (n *Picker) Answered(one *Worker, closes bool) (leaving bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	life := one.ID + " " + n.Incarnation(one)
@@ -239,7 +239,7 @@
 }
 
 // Back takes a local leaving mark away again.
-func (n *Nominator) Back(id string) {
+func (n *Picker) Back(id string) {
 	n.mu.Lock()
 	delete(n.left, id)
 	n.pump()
@@ -248,7 +248,7 @@
 
 // Stays is the last look at a worker before a leg goes out: whoever holds it
 // may have waited since, and the news come meanwhile.
-func (n *Nominator) Stays(held *Worker, need *Need) bool {
+func (n *Picker) Stays(held *Worker, need *Need) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	listed := false
@@ -258,7 +258,7 @@
 	return listed && n.open(held, need)
 }
 
-func (n *Nominator) open(one *Worker, need *Need) bool {
+func (n *Picker) open(one *Worker, need *Need) bool {
 	if need.Tried[one.ID] {
 		return false
 	}
@@ -275,14 +275,14 @@
 	return !noticed
 }
 
-func (n *Nominator) usage(one *Worker) int {
+func (n *Picker) usage(one *Worker) int {
 	reported, _, _ := n.book.Load(one.ID)
 	return max(n.busy[one.ID], int(reported))
 }
 
 // choose looks for a worker with room; possible says whether any worker
 // would do once it has room. The caller holds the lock.
-func (n *Nominator) choose(need *Need) (chosen *Worker, possible bool) {
+func (n *Picker) choose(need *Need) (chosen *Worker, possible bool) {
 	candidates := map[string]*Worker{}
 	ids, total := []string{}, 0
 	for _, one := range n.roster.Load().Pools[need.Pool] {
@@ -303,7 +303,7 @@
 		return one, true
 	}
 	if former := candidates[need.Former]; former != nil && n.usage(former) < former.Capacity {
-		n.counters.Add("nominated_at_prefix", 1)
+		n.counters.Add("picked_at_prefix", 1)
 		return former, true
 	}
 	order := base.Rendezvous(need.Affinity, ids)
@@ -313,9 +313,9 @@
 			one := candidates[id]
 			if used := n.usage(one); used < min(allowed, one.Capacity) {
 				if place == 0 && need.Former == "" {
-					n.counters.Add("nominated_first", 1)
+					n.counters.Add("picked_first", 1)
 				} else {
-					n.counters.Add("nominated_spilled", 1)
+					n.counters.Add("picked_spilled", 1)
 				}
 				return one, true
 			}
@@ -326,7 +326,7 @@
 
 // byPolicy asks the operators' policy, if there is one; it may name a worker
 // that has room, or leave the choice to the rule.
-func (n *Nominator) byPolicy(need *Need, ids []string, candidates map[string]*Worker) *Worker {
+func (n *Picker) byPolicy(need *Need, ids []string, candidates map[string]*Worker) *Worker {
 	if need.Policy == nil {
 		return nil
 	}
@@ -334,7 +334,7 @@
 		one := candidates[id]
 		return policy.Candidate{ID: id, Zone: one.Zone, Load: n.usage(one), Capacity: one.Capacity, Former: id == need.Former}
 	})
-	id, err := need.Policy.Nominate(need.Urgency, n.zone, offered)
+	id, err := need.Policy.Pick(need.Urgency, n.zone, offered)
 	if err != nil {
 		n.counters.Add("policy_faults", 1)
 		return nil
@@ -343,17 +343,17 @@
 	if one == nil || n.usage(one) >= one.Capacity {
 		return nil
 	}
-	n.counters.Add("nominated_by_policy", 1)
+	n.counters.Add("picked_by_policy", 1)
 	return one
 }
 
-func (n *Nominator) rank(w *waiter) float64 {
+func (n *Picker) rank(w *waiter) float64 {
 	aged := float64(n.clock.Now()-max(w.since, n.served[w.need.Program])) / float64(n.bounds.Load().Recover/6)
 	return float64(urgencies[w.need.Urgency]) + aged
 }
 
 // pump gives free workers to those who wait; the caller holds the lock.
-func (n *Nominator) pump() {
+func (n *Picker) pump() {
 	slices.SortStableFunc(n.waiting, func(a, b *waiter) int {
 		if first, second := math.Floor(n.rank(a)), math.Floor(n.rank(b)); first != second {
 			return int(second - first)
--- a/internal/worker/nominate_test.go
+++ b/internal/worker/picker_test.go
@@ -12,11 +12,11 @@
 	"github.com/matryer/is"
 )
 
-func bench(values map[string][]byte) (*Nominator, *Book) {
+func bench(values map[string][]byte) (*Picker, *Book) {
 	clock, bounds := base.NewRealClock(), &base.Table[base.Bounds]{}
 	bounds.Swap(base.DefaultBounds())
 	book := NewBook(clock, bounds)
-	n := NewNominator(clock, bounds, base.NewCounters(), book, "z")
+	n := NewPicker(clock, bounds, base.NewCounters(), book, "z")
 	n.Swap(RosterOf(values))
 	return n, book
 }
@@ -29,23 +29,23 @@
 	rows := []struct {
 		name   string
 		values map[string][]byte
-		do     func(n *Nominator, book *Book)
+		do     func(n *Picker, book *Book)
 		open   bool
 	}{
-		{"nothing", map[string][]byte{ListKey: list}, func(*Nominator, *Book) {}, true},
-		{"the feed's notice", map[string][]byte{ListKey: list, LeavingPrefix + "a": notice("one")}, func(*Nominator, *Book) {}, false},
-		{"a notice of a life this node has not heard of", map[string][]byte{ListKey: list, LeavingPrefix + "a": notice("life-1")}, func(*Nominator, *Book) {}, false},
-		{"its own report", map[string][]byte{ListKey: list}, func(_ *Nominator, book *Book) {
+		{"nothing", map[string][]byte{ListKey: list}, func(*Picker, *Book) {}, true},
+		{"the feed's notice", map[string][]byte{ListKey: list, LeavingPrefix + "a": notice("one")}, func(*Picker, *Book) {}, false},
+		{"a notice of a life this node has not heard of", map[string][]byte{ListKey: list, LeavingPrefix + "a": notice("life-1")}, func(*Picker, *Book) {}, false},
+		{"its own report", map[string][]byte{ListKey: list}, func(_ *Picker, book *Book) {
 			book.Tell(&membership.Usage{Worker: "a", Number: 1, Leaving: true})
 		}, false},
-		{"its refusal here", map[string][]byte{ListKey: list}, func(n *Nominator, _ *Book) {
+		{"its refusal here", map[string][]byte{ListKey: list}, func(n *Picker, _ *Book) {
 			n.LeftNow(&Worker{ID: "a", Incarnation: "one"})
 		}, false},
-		{"not listed", map[string][]byte{ListKey: base.Encode(List{Stamp: 2, Workers: []Worker{{ID: "b", Pool: "p", Capacity: 1}}})}, func(*Nominator, *Book) {}, false},
-		{"full by its report", map[string][]byte{ListKey: list}, func(_ *Nominator, book *Book) {
+		{"not listed", map[string][]byte{ListKey: base.Encode(List{Stamp: 2, Workers: []Worker{{ID: "b", Pool: "p", Capacity: 1}}})}, func(*Picker, *Book) {}, false},
+		{"full by its report", map[string][]byte{ListKey: list}, func(_ *Picker, book *Book) {
 			book.Tell(&membership.Usage{Worker: "a", Incarnation: "one", Number: 2, Load: 1})
 		}, false},
-		{"an older report is dropped", map[string][]byte{ListKey: list}, func(_ *Nominator, book *Book) {
+		{"an older report is dropped", map[string][]byte{ListKey: list}, func(_ *Picker, book *Book) {
 			book.Tell(&membership.Usage{Worker: "a", Incarnation: "one", Number: 2})
 			book.Tell(&membership.Usage{Worker: "a", Incarnation: "one", Number: 1, Leaving: true})
 		}, true},
