--- a/cmd/fordseam-fleet/days.go
+++ b/cmd/fordseam-fleet/days.go
@@ -22,6 +22,7 @@
 			&cli.StringFlag{Name: "theme", Value: chaosday.ThemeMixed, Usage: "`THEME`: " + strings.Join(chaosday.Themes(), ", ")},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of all draws"},
 			&cli.IntFlag{Name: "count", Value: 1, Usage: "`COUNT` of days; 0: for mixed, as many as hold every kind once"},
+			&cli.IntFlag{Name: "events", Value: chaosday.DefaultEvents, Usage: "`COUNT` of events of a mixed day"},
 			&cli.StringFlag{Name: "out", Value: "target/days", Usage: "`FOLDER` for the files"},
 			&cli.StringFlag{Name: "kinds", Usage: "`FILE` with the bench's list of the kinds that the site takes; without it all kinds"},
 			&cli.StringFlag{Name: "model-service", Usage: "`NAME` of the service of model workers"},
@@ -42,6 +43,7 @@
 	site := &chaosday.Site{
 		ModelService: command.String("model-service"), ToolService: command.String("tool-service"),
 		Class: command.String("class"), Tolerate: command.Int("tolerate"), CatchUp: command.Float("catch-up"),
+		Events: command.Int("events"),
 	}
 	if path := command.String("kinds"); path != "" {
 		list, err := os.ReadFile(path)
--- a/internal/chaosday/chaosday_test.go
+++ b/internal/chaosday/chaosday_test.go
@@ -97,7 +97,7 @@
 	seen := map[variant]bool{}
 	site := exampleSite()
 	for _, day := range Draw(ThemeMixed, site, 3, DaysForAll(site)+1) {
-		is.True(len(day.Events) >= eventsPerDay-1)
+		is.Equal(len(day.Events), DefaultEvents)
 		for _, e := range day.Events {
 			seen[variant{e.Kind, e.On, e.How}] = true
 		}
@@ -113,6 +113,16 @@
 	}
 }
 
+// A site may ask for more events a day.
+func TestEventsPerDay(t *testing.T) {
+	is := is.New(t)
+	site := exampleSite()
+	site.Events = 30
+	for _, day := range Draw(ThemeMixed, site, 2, 12) {
+		is.Equal(len(day.Events), 30)
+	}
+}
+
 // Only kinds that the site takes are drawn, and those that the catalogue lacks
 // are named.
 func TestKindsOfASite(t *testing.T) {
--- a/internal/chaosday/day.go
+++ b/internal/chaosday/day.go
@@ -14,12 +14,20 @@
 
 // Site is what a day has to know of the deployment that it is for.
 type Site struct {
-	ModelService string // the service of model workers; empty: the bench picks one
-	ToolService  string // the service of plain workers; empty: the bench picks one
-	Class        string // a kind of request for bursts; empty: all kinds
-	Tolerate     int    // machines that may be lost at once
-	CatchUp      float64
+	ModelService string   // the service of model workers; empty: the bench picks one
+	ToolService  string   // the service of plain workers; empty: the bench picks one
+	Class        string   // a kind of request for bursts; empty: all kinds
+	Tolerate     int      // machines that may be lost at once
+	CatchUp      float64  // seconds for which a machine counts as lost after its return
 	Kinds        []string // kinds that the site takes; empty: all that are known
+	Events       int      // events of a mixed day; 0: DefaultEvents
+}
+
+func (s *Site) eventsPerDay() int {
+	if s.Events > 0 {
+		return s.Events
+	}
+	return DefaultEvents
 }
 
 // allows tells whether the site takes a kind.
--- a/internal/chaosday/draw.go
+++ b/internal/chaosday/draw.go
@@ -8,10 +8,12 @@
 	"slices"
 )
 
+// DefaultEvents is how many events a mixed day has, unless the site says more.
+const DefaultEvents = 9
+
 // The shape of a mixed day. Traffic of the bench's days lasts some 34 s; what
 // starts by lastMoment can end and be recovered from before the closing fault.
 const (
-	eventsPerDay  = 9
 	momentsPerDay = 3
 	firstMoment   = 2.0
 	lastMoment    = 24.0
@@ -101,16 +103,17 @@
 // variant in a shuffled order, several at once, and then through them again.
 func mixed(site *Site, seed uint64, count int) []Day {
 	d := newDrawer(site, seed, 0)
+	perDay := site.eventsPerDay()
 	var waiting []Event
 	days := make([]Day, 0, count)
 	for number := range count {
-		if len(waiting) < eventsPerDay {
+		if len(waiting) < perDay {
 			waiting = append(waiting, d.variants()...)
 		}
 		if len(waiting) == 0 {
 			return nil
 		}
-		taken := min(eventsPerDay, len(waiting))
+		taken := min(perDay, len(waiting))
 		days = append(days, d.mixedDay(seed, number, slices.Clone(waiting[:taken])))
 		waiting = waiting[taken:]
 	}
@@ -120,7 +123,8 @@
 // DaysForAll returns how many mixed days it takes to go through everything once.
 func DaysForAll(site *Site) int {
 	all := len(newDrawer(site, 0, 0).variants())
-	return (all + eventsPerDay - 1) / eventsPerDay
+	perDay := site.eventsPerDay()
+	return (all + perDay - 1) / perDay
 }
 
 func (d *drawer) mixedDay(seed uint64, number int, events []Event) Day {
