--- a/internal/session/leg.go
+++ b/internal/session/leg.go
@@ -10,10 +10,7 @@
 
 import (
 	"encoding/json"
-	"io"
 	"strconv"
-	"strings"
-	"time"
 
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
@@ -21,177 +18,6 @@
 	"fordseam/internal/worker"
 )
 
-// submit accepts a turn, joins it, or replays it.
-func (k *Keeper) submit(ctx *base.Ctx, h *held, v *Visit) (*Reply, error) {
-	digest := base.Digest(append([]byte(v.Previous+"\n"+strconv.FormatInt(v.MaxTokens, 10)+"\n"), v.Messages...))
-	reply, err := k.accept(h, v, digest)
-	if verdict, ok := err.(*base.Verdict); ok && verdict.Code == "run_over" {
-		if v.Previous == "" {
-			return nil, verdict
-		}
-		record := h.snapshot()
-		_, err := k.succeedHere(ctx, &SucceedRequest{Session: record.ID, Program: record.Program, Assignment: record.assignment(), Why: "after_" + strings.ToLower(string(record.Phase))})
-		if err != nil {
-			return nil, err
-		}
-		return nil, staleRun()
-	}
-	return reply, err
-}
-
-func (k *Keeper) reader(stream *Stream, v *Visit) (*Reply, error) {
-	reader := &Reader{keeper: k, turn: v.Turn, local: stream}
-	if v.LastLeg != "" {
-		if leg := stream.legID(); leg != v.LastLeg {
-			return nil, base.Unsure(409, "leg_changed", "the pieces seen are of another run of this turn; read it from the start")
-		}
-		reader.place = min(v.LastPlace, uint64(stream.count()))
-		reader.given = reader.place
-	}
-	return &Reply{Status: 200, Stream: reader}, nil
-}
-
-func (k *Keeper) accept(h *held, v *Visit, digest string) (*Reply, error) {
-	h.mu.Lock()
-	if turn := h.whole(v.Turn); turn != nil {
-		run := h.record.Run
-		h.mu.Unlock()
-		if turn.Digest != digest {
-			return nil, turnReused()
-		}
-		k.counters.Add("turns_replayed", 1)
-		return k.reader(replayStream(k.clock, turn, run), v)
-	}
-	if op := h.ops[v.Turn]; op != nil {
-		again := (op.state == OpFailed || op.state == OpTimedOut) && op.verdict.Ran == base.MayHaveRun
-		if op.digest != digest {
-			h.mu.Unlock()
-			return nil, turnReused()
-		}
-		if !again {
-			h.mu.Unlock()
-			k.counters.Add("turns_joined", 1)
-			return k.reader(op.stream, v)
-		}
-	}
-	if refused := h.refused[v.Turn]; refused != nil {
-		h.mu.Unlock()
-		return nil, refused.verdict
-	}
-	if v.LastLeg != "" {
-		h.mu.Unlock()
-		return nil, base.Unsure(409, "leg_changed", "the pieces seen are of a run of this turn that was lost; read it from the start")
-	}
-	if h.gone {
-		h.mu.Unlock()
-		return nil, staleRun()
-	}
-	if h.record.Phase.Terminal() {
-		h.mu.Unlock()
-		return nil, base.Decline(409, "run_over", "the session's Run has ended; name the Previous-Turn to go on")
-	}
-	h.mu.Unlock()
-	if err := k.admit(v); err != nil {
-		return nil, err
-	}
-	h.mu.Lock()
-	var verdict *base.Verdict
-	if h.record.Phase != Ready {
-		verdict = base.Decline(503, "session_draining", "the session takes no new turns")
-	} else if len(h.queue) >= h.record.QueueSize {
-		verdict = base.Busy(429, "queue_full", 1, "the session's queue of %d is full", h.record.QueueSize)
-	}
-	if verdict != nil {
-		if h.record.unsure(v.Turn) {
-			verdict = afterLostLeg(verdict)
-		}
-		h.refused[v.Turn] = &declinedVisit{verdict: verdict, at: k.clock.Now()}
-		h.mu.Unlock()
-		k.counters.Add("turns_declined", 1)
-		if verdict.Ran == base.NotRun {
-			if verdict = k.refuseForGood(h, v.Turn, verdict); verdict.Ran != base.NotRun {
-				h.forgetRefusal(v.Turn)
-			}
-		}
-		return nil, k.decline(v, verdict)
-	}
-	op := &operation{id: v.Turn, digest: digest, visit: v, state: OpQueued, stream: newStream(k.clock), cancelled: k.clock.NewSignal(),
-		until: k.clock.Now() + time.Duration(h.record.TimeoutMs)*time.Millisecond}
-	h.ops[v.Turn] = op
-	h.queue = append(h.queue, op)
-	starts := !h.busy
-	h.busy = true
-	h.mu.Unlock()
-	k.accepted(v)
-	k.counters.Add("turns_accepted", 1)
-	if starts {
-		k.clock.Go(func() { k.work(h) })
-	}
-	return k.reader(op.stream, v)
-}
-
-func turnReused() *base.Verdict {
-	return base.Decline(409, "turn_id_reused", "this Turn-Id was used with another body")
-}
-
-// work runs the queue, one turn at a time, until it is empty.
-func (k *Keeper) work(h *held) {
-	for {
-		h.mu.Lock()
-		if len(h.queue) == 0 || h.gone {
-			h.busy, h.running = false, nil
-			h.mu.Unlock()
-			h.bell.Ring()
-			_ = k.closeIfQuiet(base.NewCtx(k.clock, k.bounds.Load().Call()), h)
-			return
-		}
-		op := h.queue[0]
-		h.queue = h.queue[1:]
-		op.state = OpRunning
-		h.running = op
-		h.mu.Unlock()
-		state, verdict := k.runTurn(h, op)
-		if verdict != nil {
-			if verdict.Code == "stale_assignment" {
-				h.lose()
-				continue
-			}
-			k.counters.Add("turns_"+strings.ToLower(string(state)), 1)
-			k.conclude(h, op, state, verdict)
-		}
-	}
-}
-
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-// prompt is the chain so far and the turn's own messages.
-func (h *held) prompt(op *operation) ([]json.RawMessage, *base.Verdict) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if previous := op.visit.Previous; previous != "" && previous != h.record.LastTurn {
-		if h.whole(previous) != nil {
-			return nil, base.Decline(409, "previous_turn_not_latest", "the chain has gone on past that Previous-Turn")
-		}
-		return nil, base.Decline(404, "previous_turn_unknown", "that Previous-Turn was not answered whole in this session")
-	}
-	chain := []json.RawMessage{}
-	add := func(raw json.RawMessage) {
-		var list []json.RawMessage
-		if json.Unmarshal(raw, &list) == nil {
-			chain = append(chain, list...)
-		}
-	}
-	for place := range h.turns {
-		add(h.turns[place].Messages)
-		chain = append(chain, base.Encode(message{"assistant", strings.Join(h.turns[place].Pieces, "")}))
-	}
-	add(op.visit.Messages)
-	return chain, nil
-}
-
 // plan is all that a turn's legs need, made before any goes out.
 type plan struct {
 	route    *settings.Route
@@ -339,7 +165,7 @@
 func (k *Keeper) runLeg(ctx *base.Ctx, h *held, op *operation, made *plan) legOutcome {
 	var cleanup base.Cleanup
 	defer cleanup.Run()
-	chosenWorker, err := k.nominator.Hold(ctx, made.need)
+	chosenWorker, err := k.picker.Hold(ctx, made.need)
 	if err != nil {
 		if made.fallback != nil && base.IsCode(err, "no_worker") {
 			made.route, made.need.Pool, made.fallback = made.fallback, made.fallback.Pool, nil
@@ -348,7 +174,7 @@
 		return legOutcome{base.FromWire(err), legFinal}
 	}
 	held := k.clock.Now()
-	cleanup.Push(func() { k.nominator.Release(chosenWorker, made.need, k.clock.Now()-held) })
+	cleanup.Push(func() { k.picker.Release(chosenWorker, made.need, k.clock.Now()-held) })
 	record := h.snapshot()
 	h.mu.Lock()
 	h.legs++
@@ -378,7 +204,7 @@
 		settle(0)
 		return legOutcome{base.FromWire(err), legFinal}
 	}
-	if !k.nominator.Stays(chosenWorker, made.need) {
+	if !k.picker.Stays(chosenWorker, made.need) {
 		settle(0)
 		k.counters.Add("legs_turned_back", 1)
 		return legOutcome{base.Busy(503, "worker_leaving", 1, "the worker is leaving"), legFree}
@@ -388,7 +214,7 @@
 	reply, err := k.backends.Call(ctx, chosenWorker.Addr, modelRequest(made, answer.Granted))
 	if err != nil {
 		made.need.Tried[chosenWorker.ID] = true
-		k.nominator.Shun(chosenWorker.ID)
+		k.picker.Shun(chosenWorker.ID)
 		if base.WasNotSent(err) {
 			k.counters.Add("legs_not_sent", 1)
 			settle(0)
@@ -401,7 +227,7 @@
 	if reply.Status() != 200 {
 		return k.refusedLeg(h, made, chosenWorker, reply, settle)
 	}
-	if k.nominator.Answered(chosenWorker, reply.Closes()) {
+	if k.picker.Answered(chosenWorker, reply.Closes()) {
 		k.WorkerLeaves(chosenWorker)
 	}
 	h.abortable(op, reply.Close)
@@ -453,7 +279,7 @@
 		settle(0)
 		return legOutcome{base.Busy(503, "worker_leaving", 1, "the worker is leaving"), legFree}
 	case status == 429:
-		k.nominator.Shun(chosen.ID)
+		k.picker.Shun(chosen.ID)
 		settle(0)
 		return legOutcome{base.Busy(429, "worker_busy", 1, "the worker is busy"), legFree}
 	case status >= 400 && status < 500:
@@ -468,95 +294,14 @@
 // WorkerLeaves takes a worker's own notice: no new work here at once, and
 // everywhere once the notice is told.
 func (k *Keeper) WorkerLeaves(chosen *worker.Worker) {
-	k.nominator.LeftNow(chosen)
+	k.picker.LeftNow(chosen)
 	k.counters.Add("workers_seen_leaving", 1)
-	incarnation := k.nominator.Incarnation(chosen)
+	incarnation := k.picker.Incarnation(chosen)
 	k.clock.Go(func() {
 		_ = k.workers.Notice(base.NewCtx(k.clock, k.bounds.Load().Leave), worker.Notice{Worker: chosen.ID, Incarnation: incarnation, Leaving: true, Source: "refusal"})
 	})
 }
 
-type completionRequest struct {
-	Model         string            `json:"model"`
-	Messages      []json.RawMessage `json:"messages"`
-	MaxTokens     int64             `json:"max_tokens"`
-	Stream        bool              `json:"stream"`
-	StreamOptions map[string]bool   `json:"stream_options"`
-}
-
-type completionChunk struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason string `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *struct {
-		CompletionTokens int64 `json:"completion_tokens"`
-	} `json:"usage"`
-}
-
-func modelRequest(made *plan, granted int64) *base.BackRequest {
-	return &base.BackRequest{Method: "POST", Path: "/v1/chat/completions", Header: map[string]string{"Content-Type": "application/json"},
-		Body: base.Encode(completionRequest{Model: made.route.Model, Messages: made.chain, MaxTokens: granted, Stream: true,
-			StreamOptions: map[string]bool{"include_usage": true}})}
-}
-
-type received struct {
-	pieces []string
-	finish string
-	tokens int64
-}
-
-// receive passes a worker's chunks on as pieces. An answer that lacks its
-// finish reason or end mark, is malformed, stalls or overruns what was
-// granted is never a success.
-func (k *Keeper) receive(ctx *base.Ctx, op *operation, reply base.BackReply, granted int64) (*received, *base.Verdict) {
-	got := &received{}
-	stall := k.bounds.Load().Recover * 5 / 2
-	for {
-		line, err := reply.Line(min(ctx.Left(), stall))
-		if err != nil {
-			word := "the worker's answer was cut short"
-			if err != io.EOF && !op.cancelled.Fired() {
-				word = "the worker's answer stopped coming"
-			}
-			return nil, base.Unsure(502, "worker_cut", "%s", word)
-		}
-		data, ok := strings.CutPrefix(strings.TrimRight(string(line), "\r\n"), "data:")
-		if !ok {
-			continue
-		}
-		data = strings.TrimSpace(data)
-		if data == "[DONE]" {
-			if got.finish == "" {
-				return nil, base.Unsure(502, "worker_cut", "the worker ended without a finish reason")
-			}
-			return got, nil
-		}
-		var chunk completionChunk
-		if json.Unmarshal([]byte(data), &chunk) != nil {
-			return nil, base.Unsure(502, "worker_malformed", "the worker's answer could not be read")
-		}
-		if chunk.Usage != nil {
-			got.tokens = max(got.tokens, chunk.Usage.CompletionTokens)
-		}
-		for _, choice := range chunk.Choices {
-			if choice.Delta.Content != "" {
-				if got.finish != "" || int64(len(got.pieces)) >= granted {
-					return nil, base.Unsure(502, "worker_overran", "the worker put out more than it was granted")
-				}
-				got.pieces = append(got.pieces, choice.Delta.Content)
-				got.tokens = max(got.tokens, int64(len(got.pieces)))
-				op.stream.put([]byte(choice.Delta.Content), false)
-			}
-			if choice.FinishReason != "" {
-				got.finish = choice.FinishReason
-			}
-		}
-	}
-}
-
 // finishTurn makes the answer whole: the chain goes to a majority, with the
 // budget settled in the same change, and to the understudy meanwhile.
 func (k *Keeper) finishTurn(h *held, op *operation, record *Record, turn *Turn) legOutcome {
