--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -36,5 +36,7 @@
 }
 
 // TakesAnswer reports whether an answer with this revision may count for a
-// follower: its revision never falls, and an answer from before renews nothing.
+// follower at the current one: its revision never falls, and an answer from
+// before renews nothing. A relay gives no such answer, and a follower that gets
+// one drops it.
 func TakesAnswer(revision, current uint64) bool { return revision >= current }
