Check changes of the replica set by explicit states; fordseam-sim model

The world of a shard whose set changes: blank replicas added, filled, promoted, voters dropped, a lost disk replaced at its address, sets of three, four and five, an older leader beside a newer one, answers that come late, messages lost. It calls what the record, the replicas and the leaders call.

fordseam-sim model searches larger worlds within limits of states, depth and time, and prints the shortest trace of a violation.

--- /dev/null
+++ b/cmd/fordseam-sim/model_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"fordseam/internal/base"
+	"fordseam/internal/model"
+
+	"github.com/matryer/is"
+)
+
+func TestModelPrintsWhatItSearched(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	is.NoErr(checkWorlds(&out, base.NewRealClock(), "bootstrap", model.Limits{Depth: 4}))
+	is.True(strings.Contains(out.String(), "depth   4"))
+	is.True(strings.Contains(out.String(), "stopped at a limit"))
+}
+
+func TestModelNamesAnUnknownWorld(t *testing.T) {
+	err := checkWorlds(&strings.Builder{}, base.NewRealClock(), "none", model.Limits{})
+	is.New(t).True(err != nil)
+}
+
+func TestModelPrintsAViolationsTrace(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	is.NoErr(printResult(&out, "world", model.Result{Violation: model.NothingLost, Trace: []string{"first", "second"}}))
+	is.True(strings.Contains(out.String(), "violated: "+model.NothingLost))
+	is.True(strings.Contains(out.String(), "   1. first\n   2. second\n"))
+}
--- a/internal/model/replication_test.go
+++ b/internal/model/replication_test.go
@@ -11,10 +11,16 @@
 	"github.com/matryer/is"
 )
 
-// check searches a world and logs how much of it there is.
+// check searches a whole world.
 func check[S any](t *testing.T, world model.World[S]) model.Result {
 	t.Helper()
-	result := model.Check(base.NewRealClock(), world, model.Limits{})
+	return checkWithin(t, world, model.Limits{})
+}
+
+// checkWithin searches a world up to limits and logs how much of it there is.
+func checkWithin[S any](t *testing.T, world model.World[S], limits model.Limits) model.Result {
+	t.Helper()
+	result := model.Check(base.NewRealClock(), world, limits)
 	t.Logf("%d states, depth %d, %v, complete %v", result.States, result.Depth, result.Time, result.Complete)
 	if result.Violation != "" {
 		t.Logf("%s after %d steps:\n%s", result.Violation, len(result.Trace), strings.Join(result.Trace, "\n"))
