Give up the place of a storage machine that was told to stop and stays away

When the old one stops, no vote is missing, so nothing took its place: its disk stayed in the set, silent, for recover_bound_s (15 s), long after its successor had had catch_up_s (6 s). Turns on it and two others lost their copies at the closing wipe of two, and since three disks of the set could not be heard out, no store became whole again: every later turn of those programs was held until its deadline. At three machines the register itself lost its majority. Ruled out: a false wholeness of stores (they stay at the former set), torn logs at the loss of power, the wait for copies (the set was whole before the machine stopped).

A machine that announced that it leaves, and is silent for longer than recover_bound_s/8, gives its place up; fewer votes are wanted then, so that a later loss is replaced as usual.

The check now also wants every program to go on.

--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -103,6 +103,8 @@
 	gone   bool // another disk answers at its address
 	silent time.Duration
 	alive  bool // membership hears its machine
+	// departed tells that its machine said that it leaves.
+	departed bool
 }
 
 func (c condition) well() bool { return c.known && !c.gone && c.silent == 0 }
@@ -130,6 +132,7 @@
 	for _, member := range o.view.Present(membership.RoleStorage) {
 		lives[member.Addr] = member
 	}
+	departed := departedAddresses(o.view)
 	wanted := map[string]bool{}
 	for _, entry := range set.Disks {
 		wanted[entry.Addr] = true
@@ -161,7 +164,7 @@
 		}
 		every := o.bounds.Load().Recover / 4
 		switch {
-		case seen.state == nil || seen.silent || life == nil:
+		case seen.state == nil || seen.silent || life == nil || departed[addr]:
 			every = beat / 2
 		case seen.asked < m.since:
 			every = 0
@@ -180,7 +183,7 @@
 	}
 	for _, entry := range set.Disks {
 		seen := m.seen[entry.Addr]
-		stands := condition{known: seen.state != nil, alive: lives[entry.Addr] != nil}
+		stands := condition{known: seen.state != nil, alive: lives[entry.Addr] != nil, departed: departed[entry.Addr]}
 		stands.fresh = seen.silent || seen.state != nil && seen.asOf >= m.since
 		stands.gone = seen.state != nil && seen.asOf >= m.since && seen.state.Id != entry.Id
 		if seen.silent {
@@ -202,6 +205,21 @@
 	return view
 }
 
+// departedAddresses are those of storage machines that said that they leave and
+// at which no other life has begun.
+func departedAddresses(view *membership.View) map[string]bool {
+	departed := map[string]bool{}
+	for _, member := range view.Known(membership.RoleStorage) {
+		departed[member.Addr] = departed[member.Addr] || member.Leaving
+	}
+	for _, member := range view.Present(membership.RoleStorage) {
+		if !member.Leaving {
+			departed[member.Addr] = false
+		}
+	}
+	return departed
+}
+
 // see asks one disk how it stands and formats a blank one.
 func (o *Owner) see(seen *sighting, life, addr string, present bool, leaving map[string]bool) {
 	ctx := base.NewCtx(o.clock, o.bounds.Load().DiskLimit())
@@ -289,6 +307,11 @@
 	anyChange
 )
 
+// restartShare is the part of the recovery bound that a planned restart of a
+// storage machine may take. It leaves enough of the time to catch up to fill
+// the disks that take over its copies.
+const restartShare = 8
+
 // setPlan is the next change of the set.
 type setPlan struct {
 	// set is nil where nothing changes.
@@ -361,6 +384,7 @@
 // necessary, then machines that come, then those that leave.
 func (p *planner) choose() {
 	p.pickDrop(func(_ *DiskEntry, stands condition) bool { return stands.gone })
+	p.pickDrop(func(_ *DiskEntry, stands condition) bool { return p.stoppedForGood(stands) })
 	p.pickDrop(func(_ *DiskEntry, stands condition) bool {
 		return p.replaceable(stands) && p.votes-1+p.whole >= p.wanted
 	})
@@ -388,6 +412,13 @@
 	return stands.silent >= p.bounds.Recover/16 || !stands.alive && stands.silent >= p.bounds.Beat()
 }
 
+// stoppedForGood tells that a machine was told to stop and has not begun again
+// for longer than a restart takes. Its successor may have come before it went,
+// and then nothing else shows that its copies are missing.
+func (p *planner) stoppedForGood(stands condition) bool {
+	return stands.departed && stands.silent >= p.bounds.Recover/restartShare
+}
+
 // others tells that all other voters are well.
 func (p *planner) others(id string) bool {
 	for _, entry := range voters(p.current) {
@@ -440,7 +471,7 @@
 	for _, entry := range p.current.Disks {
 		if entry == p.drop {
 			p.dropped++
-			if p.view.leaving[entry.Node] {
+			if p.view.leaving[entry.Node] || p.stoppedForGood(p.view.conditions[entry.Id]) {
 				p.wanted = max(p.need, min(p.wanted, p.votes-1))
 			}
 			continue
--- a/internal/simulate/history_test.go
+++ b/internal/simulate/history_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	historyPrograms = 24
+	historyPrograms = 60
 	historyRetain   = 10 * time.Minute
 )
 
@@ -25,6 +25,8 @@
 	turns    [][]string // those acknowledged, by program
 	attempts int
 	epochs   []uint64
+	paused   bool
+	writing  bool // a round is under way
 	stopped  bool
 }
 
@@ -73,6 +75,9 @@
 // round takes one turn of each program.
 func (w *historyWriter) round() {
 	for place := range w.turns {
+		if w.paused {
+			return
+		}
 		w.turn(place)
 	}
 }
@@ -81,7 +86,11 @@
 func (w *historyWriter) keepWriting() {
 	w.fleet.Callers.Go(func() {
 		for !w.stopped {
-			w.round()
+			if !w.paused {
+				w.writing = true
+				w.round()
+				w.writing = false
+			}
 			w.fleet.Callers.Clock().Sleep(200 * time.Millisecond)
 		}
 	})
@@ -105,6 +114,32 @@
 	return lost
 }
 
+// nextTurnTries is how often a program tries to go on, as clients do that are
+// told to come back.
+const nextTurnTries = 3
+
+// stuck says which programs cannot go on.
+func (w *historyWriter) stuck() (stuck []string) {
+	for place := range w.turns {
+		taken := false
+		for try := 0; try < nextTurnTries && !taken; try++ {
+			taken = w.turn(place)
+		}
+		if !taken {
+			stuck = append(stuck, fmt.Sprintf("%s: cannot go on", programName(place)))
+		}
+	}
+	return stuck
+}
+
+// pause ends the round that is under way and begins no other.
+func (w *historyWriter) pause() {
+	w.paused = true
+	for w.writing {
+		w.fleet.Callers.Clock().Sleep(5 * time.Millisecond)
+	}
+}
+
 // slowHistory makes stores fill slowly: each request for what is missing takes
 // a while, as it does with a whole retention window of turns.
 func slowHistory(f *Fleet, span time.Duration) {
--- a/internal/simulate/redundancy_test.go
+++ b/internal/simulate/redundancy_test.go
@@ -31,8 +31,8 @@
 
 var lossSizes = []lossSize{{3, 1}, {4, 1}, {9, 2}}
 
-// loseSome has as many machines as may be lost at once go in one way and come
-// back or be replaced; it returns when the last is back.
+// lossWays have machines go in one way and come back or be replaced; they end
+// when the last is back.
 var lossWays = map[string]func(f *Fleet, lost []*Machine, call *talker){
 	"wiped": func(f *Fleet, lost []*Machine, call *talker) {
 		for _, m := range lost {
@@ -90,14 +90,18 @@
 	return chosen
 }
 
-// checkHistory fails the test where an acknowledged turn is not found.
+// checkHistory fails the test where an acknowledged turn is not found, or a
+// program whose turns are all found cannot go on.
 func checkHistory(t *testing.T, is *is.I, f *Fleet, w *historyWriter) {
 	t.Helper()
-	lost := w.missing()
+	w.pause()
+	lost := append(w.missing(), w.stuck()...)
+	w.paused = false
 	for _, one := range lost {
 		t.Logf("seed %d at %v: %s", f.World.Seed, f.World.Now(), one)
 	}
 	if len(lost) > 0 {
+		t.Logf("gaps: %v", w.client.Gaps(w.ctx(), f.set()))
 		f.explain(t)
 	}
 	is.Equal(len(lost), 0)
@@ -222,6 +226,36 @@
 	}
 }
 
+// A machine is replaced as planned work: the new one comes first, then the old
+// one is told to stop and never comes back. Once its successor has had the time
+// to catch up, all lose power and as many as may be lost come back empty.
+func TestASuccessorThatCameFirst(t *testing.T) {
+	for _, size := range lossSizes {
+		t.Run(fmt.Sprint(size.storage), func(t *testing.T) {
+			t.Parallel()
+			mendingOver(t, lossSeeds, mendingShape(size.storage, size.tolerate), func(is *is.I, f *Fleet, call *talker) {
+				is.True(f.until(10*time.Second, f.whole) < 10*time.Second)
+				w := newHistoryWriter(f)
+				w.keepWriting()
+				for range 4 {
+					call.sleep(f.World.Between(0, time.Second))
+					out := f.pick(f.disks())
+					f.Add("storage")
+					call.sleep(f.World.Between(500*time.Millisecond, 4*time.Second))
+					w.pause() // the next turn of a program would copy those before it
+					f.Stop(out)
+					f.lose(out, false)
+					call.sleep(catchUp)
+					lossWays["power lost everywhere, some wiped"](f, f.drawn(size.tolerate), call)
+					call.sleep(catchUp)
+					checkHistory(t, is, f, w)
+				}
+				w.stopped = true
+			})
+		})
+	}
+}
+
 // noContent is content that always has its copies: what planned changes waited
 // for is taken away.
 type noContent struct{}
