--- /dev/null
+++ b/internal/simulate/tier_day.go
@@ -0,0 +1,162 @@
+// A day of the simulated tier: traffic, troubles, a closing fault, and the judgement
+// of what clients and operators saw.
+
+package simulate
+
+import (
+	"fmt"
+	"time"
+
+	"fordseam/internal/base"
+	parties "fordseam/internal/standin/platform"
+)
+
+// TierDay is a day with its troubles, named after them.
+type TierDay struct {
+	Name string
+	// Fit changes the deployment that the day is played on.
+	Fit func(site *parties.Site)
+	// Deeds bring the day's troubles about while traffic goes on.
+	Deeds []func(t *Tier)
+	// Closing, when set, is the fault that ends the day.
+	Closing func(t *Tier)
+	// Traffic is how long clients come, tierTraffic unless set.
+	Traffic time.Duration
+}
+
+const tierTraffic = 12 * time.Second
+
+// Run plays the day with a seed.
+func (d *TierDay) Run(seed uint64, form TierShape) *Outcome { return d.RunWith(seed, form, nil) }
+
+// RunWith lets a test change the tier before it starts.
+func (d *TierDay) RunWith(seed uint64, form TierShape, change func(t *Tier)) *Outcome {
+	if d.Fit != nil {
+		d.Fit(form.Site)
+	}
+	t := NewTier(seed, form, change)
+	defer t.World.Close()
+	over := false
+	t.Callers.Go(func() {
+		d.play(t)
+		over = true
+	})
+	out := &Outcome{Scenario: d.Name, Tier: true, Shape: form.Name, Seed: seed}
+	if !t.World.Run(4*time.Minute, func() bool { return over }) {
+		out.Breaches = append(out.Breaches, "FAULT: the day does not end")
+	}
+	t.list.Settle()
+	t.record.Note(func(r *parties.Record) { r.Over = t.World.now })
+	record := t.record.Record()
+	out.VirtualS, out.Counts = t.World.now.Seconds(), countsOf(record)
+	for _, try := range record.Tries {
+		if try.Retain > 0 && try.OK() {
+			out.Turns = append(out.Turns, try.Ended-try.Sent)
+		}
+	}
+	for _, m := range t.All() {
+		if m.Broken != nil {
+			out.Breaches = append(out.Breaches, fmt.Sprintf("FAULT: %s does not open: %v", m.Host.Name, m.Broken))
+		}
+	}
+	if t.config.newest == nil || t.entry.Ready() == 0 && out.Counts["served"] == 0 {
+		out.Breaches = append(out.Breaches, "FAULT: the tier did not form")
+		return out
+	}
+	if 2*out.Counts["served"] < out.Counts["tries"] {
+		out.Breaches = append(out.Breaches, fmt.Sprintf("FAULT: %d of %d tries were served", out.Counts["served"], out.Counts["tries"]))
+	}
+	for _, breach := range record.Check() {
+		out.Breaches = append(out.Breaches, breach.String())
+	}
+	return out
+}
+
+func (d *TierDay) play(t *Tier) {
+	if !t.form() {
+		return
+	}
+	span := d.Traffic
+	if span == 0 {
+		span = tierTraffic
+	}
+	end := t.World.now + span
+	for _, deed := range d.Deeds {
+		t.deeds++
+		t.Callers.Go(func() {
+			deed(t)
+			t.deeds--
+		})
+	}
+	t.traffic(end)
+	t.until(time.Minute, func() bool { return t.deeds == 0 })
+	if d.Closing != nil {
+		t.closing(d.Closing)
+	}
+	t.until(2*time.Minute, func() bool { return t.programs == 0 && t.deeds == 0 })
+	t.config.operator.ReadBack(t.Site.Bounds.Contact, t.Site.Bounds.Contact+20*time.Second)
+}
+
+// until waits for a condition within a bound.
+func (t *Tier) until(limit time.Duration, met func() bool) {
+	for end := t.World.now + limit; !met() && t.World.now < end; {
+		t.Callers.Clock().Sleep(20 * time.Millisecond)
+	}
+}
+
+// closing brings the fault at the end of a day about, right after a
+// configuration was acknowledged, and has programs continue from before it.
+func (t *Tier) closing(fault func(t *Tier)) {
+	t.change()
+	before := t.endedTurns()
+	closing := &parties.Closing{From: t.World.now, Back: 1 << 59}
+	t.record.Note(func(r *parties.Record) { r.Closing = closing })
+	fault(t)
+	closing.Back = t.World.now
+	t.persist = closing.Back + t.Site.Bounds.Recovery
+	end := t.persist + 6*time.Second
+	for _, turn := range before {
+		t.program(t.Site.Class(turn.Class), turn.Zone, t.rng.IntN(t.Site.Clients), end, turn.ID)
+	}
+	t.traffic(end)
+}
+
+// endedTurns gives some turns that were answered whole and are still kept.
+func (t *Tier) endedTurns() (turns []*parties.Try) {
+	last := map[string]*parties.Try{}
+	record := t.record.Record()
+	for _, try := range record.Tries {
+		if try.Retain > 0 && try.OK() && t.World.now-try.Ended < try.Retain/2 {
+			last[try.Program] = try
+		}
+	}
+	for _, program := range base.SortedKeys(last) {
+		if turns = append(turns, last[program]); len(turns) >= 8 {
+			break
+		}
+	}
+	return turns
+}
+
+func countsOf(r *parties.Record) map[string]int {
+	counts := map[string]int{"tries": len(r.Tries), "arrivals": len(r.Arrivals), "orders": len(r.Orders)}
+	for _, try := range r.Tries {
+		switch {
+		case try.Probe:
+			counts["tries"]--
+		case try.OK():
+			counts["served"]++
+			if try.Retain > 0 {
+				counts["turns_whole"]++
+			}
+		case try.Status != 0:
+			counts[fmt.Sprintf("status_%d", try.Status)]++
+		default:
+			counts["unanswered"]++
+		}
+	}
+	for _, o := range r.Outcomes {
+		counts["programs "+string(o.Ending)]++
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/simulate/tier_operators.go
@@ -0,0 +1,118 @@
+// The operators of the simulated tier and the changes that they send.
+
+package simulate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"fordseam/internal/base"
+	parties "fordseam/internal/standin/platform"
+)
+
+// tierConfig is the operators' view of the configuration.
+type tierConfig struct {
+	operator *parties.Operator
+	newest   *parties.Order
+	added    []parties.Route
+	dropped  []parties.Route
+	busy     bool // one change at a time
+}
+
+func (c *tierConfig) took(order *parties.Order) {
+	if c.newest != nil {
+		c.added, c.dropped = nil, nil
+		for _, r := range order.Config.Routes {
+			if was := c.newest.Config.Match(r.Host, r.Prefix); was == nil || was.Prefix != r.Prefix {
+				c.added = append(c.added, r)
+			}
+		}
+		for _, r := range c.newest.Config.Routes {
+			if order.Config.Match(r.Host, r.Prefix) == nil {
+				c.dropped = append(c.dropped, r)
+			}
+		}
+	}
+	c.newest = order
+}
+
+func (t *Tier) operator(name string) *parties.Operator {
+	return &parties.Operator{Name: name, Clock: t.Callers.Clock(), Ledger: t.record, Call: t.control, Rng: rand.New(rand.NewPCG(t.World.Seed, base.Hash64(name))),
+		Control: func() []string {
+			return base.Map(base.Filter(t.Cores, func(m *Machine) bool { return !m.gone }), func(m *Machine) string { return m.Host.Name })
+		}}
+}
+
+// alone has one change of the configuration at a time.
+func (t *Tier) alone(step func()) {
+	for t.config.busy {
+		t.Callers.Clock().Sleep(20 * time.Millisecond)
+	}
+	t.config.busy = true
+	step()
+	t.config.busy = false
+}
+
+// change sends one valid configuration on top of the newest.
+func (t *Tier) change() (order *parties.Order) {
+	t.alone(func() {
+		newest := t.config.newest.Config
+		next := t.drafts.Next(newest)
+		order = t.config.operator.Put(newest.Generation, next, next.Encode(), "", 30*time.Second)
+		if order.Acked() {
+			t.config.took(order)
+		}
+	})
+	return order
+}
+
+// race has two operators build on the same version at once.
+func (t *Tier) race() {
+	t.alone(func() {
+		newest := t.config.newest.Config
+		drafts := []*parties.Config{t.drafts.Next(newest), t.drafts.Next(newest)}
+		if drafts[0].Generation == drafts[1].Generation {
+			drafts[1].Generation++
+		}
+		orders := make([]*parties.Order, len(drafts))
+		t.together(len(drafts), func(place int) {
+			operator := t.operator(fmt.Sprintf("racer-%d-%d", place, drafts[place].Generation))
+			orders[place] = operator.Put(newest.Generation, drafts[place], drafts[place].Encode(), "", 30*time.Second)
+		})
+		for _, order := range orders {
+			if order.Acked() {
+				t.config.took(order)
+			}
+		}
+	})
+}
+
+func (t *Tier) badConfigs(gap time.Duration) {
+	for _, kind := range parties.InvalidKinds {
+		t.alone(func() {
+			newest := t.config.newest.Config
+			config, raw, fault := t.drafts.Invalid(newest, kind)
+			if order := t.config.operator.Put(newest.Generation, config, raw, fault, 10*time.Second); order.Acked() && config != nil {
+				t.config.took(order)
+			}
+		})
+		t.Callers.Clock().Sleep(gap)
+	}
+}
+
+// together runs steps at once and waits for all.
+func (t *Tier) together(count int, step func(place int)) {
+	left := count
+	bell := base.NewBell(t.Callers.Clock())
+	for place := range count {
+		t.Callers.Go(func() {
+			step(place)
+			left--
+			bell.Ring()
+		})
+	}
+	for left > 0 {
+		bell.Next().Wait(-1)
+	}
+}
