--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"fordseam/internal/base"
 
@@ -64,16 +65,16 @@
 	v.trust(id)
 	is.Equal(count(), all)
 	v.mu.Lock()
-	v.accuse(v.known[id], 1)
+	v.suspectPublicly(v.known[id], 1)
 	v.mu.Unlock()
 	is.Equal(count(), all)
-	v.clock.Sleep(v.ripens() + v.ripens()/10)
+	v.clock.Sleep(v.suspicionHolds() + v.suspicionHolds()/10)
 	is.Equal(count(), all-1)
 	v.mu.Lock()
-	v.bury(id, 1)
+	v.endLife(id, 1)
 	v.mu.Unlock()
 	is.Equal(len(v.Known(RoleEdge)), all-1)
-	v.mend("busy")
+	v.setUnwell("busy")
 	is.Equal(v.Self().Unwell, "busy")
 }
 
@@ -132,7 +133,7 @@
 	_, alive := v.Find("other:1/a")
 	is.True(!alive)
 	v.mu.Lock()
-	v.accuse(v.known["other:1/a"], 1)
+	v.suspectPublicly(v.known["other:1/a"], 1)
 	v.mu.Unlock()
 	reply := said(t, v, &Member{Id: "other:1/a", Incarnation: 1})
 	is.Equal(reply.Members[1].Id, "other:1/a")
@@ -171,7 +172,7 @@
 	}
 	near, met := 0, map[string]bool{}
 	for range 300 {
-		partner, _, _ := v.nominate()
+		partner, _, _ := v.pickPartners()
 		member, _ := v.Find(partner)
 		met[partner] = true
 		if member.Zone == "z0" {
@@ -181,3 +182,26 @@
 	is.Equal(near, 200)
 	is.Equal(len(met), 12)
 }
+
+// Whether a member answered this node is this node's own finding: the word of
+// others that it lives takes back a doubt, not this.
+func TestUnheardIsANodesOwnFinding(t *testing.T) {
+	is := is.New(t)
+	bounds := &base.Table[base.Bounds]{}
+	bounds.Swap(base.DefaultBounds())
+	v := NewView(base.NewRealClock(), nil, bounds, base.NewCounters(), &Member{Id: "me:1/a", Addr: "me:1", Role: RoleCore}, nil, nil)
+	const id = "other:1/a"
+	_, err := v.Shuffle(context.Background(), &ShuffleMessage{Members: []*Member{{Id: id, Addr: "other:1", Role: RoleCore, Incarnation: 1}}})
+	is.NoErr(err)
+	is.True(!v.Unheard(id, time.Hour))
+	v.hear(id, false)
+	v.doubt(id)
+	v.trust(id)
+	_, alive := v.Find(id)
+	is.True(alive)
+	is.True(v.Unheard(id, time.Hour))
+	is.True(!v.Unheard(id, -1)) // found longer ago than that
+	v.hear(id, true)
+	is.True(!v.Unheard(id, time.Hour))
+	is.True(!v.Unheard("nobody", time.Hour))
+}
