--- a/internal/simulate/tier_days.go
+++ b/internal/simulate/tier_days.go
@@ -61,6 +61,32 @@
 	}
 }
 
+// succeeded replaces a machine as planned work.
+func succeeded(list func(t *Tier) []*Machine) func(t *Tier) {
+	return func(t *Tier) {
+		t.each(t.some(list(t), 1), func(m *Machine) { t.succeed(m, t.World.Between(second, 4*second)) })
+	}
+}
+
+// secondLosses lose storage machines in one way after another, each when the
+// last has caught up: one is retired and others lose their disks right then, two
+// are wiped apart, one is replaced as planned work.
+func secondLosses(t *Tier) {
+	clock, catchUp := t.Callers.Clock(), t.Site.Bounds.CatchUp
+	wiped := func(count int) {
+		t.each(t.some(t.Storage, count), func(m *Machine) { t.fall(m, "node_kill", short, true, true) })
+		clock.Sleep(catchUp)
+	}
+	t.add("storage")
+	clock.Sleep(2 * second)
+	t.each(t.some(t.Storage, 1), func(m *Machine) { t.retire(m) })
+	wiped(t.Plan.Tolerate)
+	wiped(1)
+	wiped(1)
+	succeeded(stores)(t)
+	clock.Sleep(catchUp)
+}
+
 func cut(list func(t *Tier) []*Machine, half bool) func(t *Tier) {
 	return func(t *Tier) {
 		count := 1
@@ -230,6 +256,11 @@
 		t.each(t.some(t.Storage, 1), func(m *Machine) { t.retire(m) })
 	}), at(13, wipedAfterAck)}},
 
+	{Name: "stores replaced, the successor first", Traffic: 22 * second, Deeds: []func(t *Tier){at(1, succeeded(stores)), at(2, replaced(cores)), at(8, succeeded(stores))},
+		Closing: func(t *Tier) { t.all(true, t.some(t.Storage, t.Plan.Tolerate)) }},
+	{Name: "stores retired, wiped, and replaced with the successor first", Traffic: 40 * second, Deeds: []func(t *Tier){secondLosses, at(4, replaced(cores)), at(14, replaced(cores))},
+		Closing: func(t *Tier) { t.all(true, t.some(t.Storage, t.Plan.Tolerate)) }},
+
 	{Name: "closing power", Closing: func(t *Tier) { t.all(true, nil) }},
 	{Name: "closing kill", Closing: func(t *Tier) { t.all(false, nil) }},
 	{Name: "closing wipe", Closing: func(t *Tier) {
