Tell the roster by its changes, in parts, and leave known disk sets out

The duty now sends what a list changes, at most 200 workers a change, those that are to get no more requests first; a configuration goes between two parts. A replica that is asked for its state leaves out the set that the asker knows.

--- a/internal/disk/service.go
+++ b/internal/disk/service.go
@@ -27,11 +27,15 @@
 	return &Service{store: store, limit: limit}
 }
 
-func (v *Service) Describe(context.Context, *register.DescribeRequest) (*register.DiskState, error) {
+func (v *Service) Describe(_ context.Context, request *register.DescribeRequest) (*register.DiskState, error) {
 	s := v.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return v.describe(), nil
+	state := v.describe()
+	if state.Set != nil && state.Set.Cluster == request.GetKnownCluster() && state.Set.Stamp == request.GetKnownStamp() {
+		state.Set = nil
+	}
+	return state, nil
 }
 
 func (v *Service) describe() *register.DiskState {
--- a/internal/register/diskset.go
+++ b/internal/register/diskset.go
@@ -87,3 +87,9 @@
 	}
 	return false
 }
+
+// describeBeyond asks a disk for its state without a set that is known already:
+// a set names all disks, and an owner asks all of them.
+func describeBeyond(set *DiskSet) *DescribeRequest {
+	return &DescribeRequest{KnownCluster: set.GetCluster(), KnownStamp: set.GetStamp()}
+}
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -174,7 +174,7 @@
 		if !seen.busy && (seen.asked == 0 || now-seen.asked >= every) {
 			seen.busy, seen.asked = true, now
 			asked := seen.life
-			o.clock.Go(func() { o.see(seen, asked, addr, life != nil && !life.Leaving, view.leaving) })
+			o.clock.Go(func() { o.see(seen, asked, addr, life != nil && !life.Leaving, view.leaving, set) })
 		}
 		view.asking = view.asking || seen.busy && seen.state == nil && life != nil
 		if seen.busy && !seen.silent && now-seen.asked > beat/2 {
@@ -221,10 +221,10 @@
 }
 
 // see asks one disk how it stands and formats a blank one.
-func (o *Owner) see(seen *sighting, life, addr string, present bool, leaving map[string]bool) {
+func (o *Owner) see(seen *sighting, life, addr string, present bool, leaving map[string]bool, set *DiskSet) {
 	ctx := base.NewCtx(o.clock, o.bounds.Load().DiskLimit())
 	disk := NewDiskProtobufClient("http://"+addr, o.wire)
-	state, err := disk.Describe(ctx, &DescribeRequest{})
+	state, err := disk.Describe(ctx, describeBeyond(set))
 	if err == nil && state.Id == "" && present && !leaving[state.Node] {
 		if formatted, failed := disk.Format(ctx, &FormatRequest{}); failed == nil {
 			state = formatted
--- a/internal/register/quorum.go
+++ b/internal/register/quorum.go
@@ -77,7 +77,7 @@
 	}
 	o.clock.Go(func() {
 		reached := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
-			state, err := o.disk(entry).Describe(ctx, &DescribeRequest{})
+			state, err := o.disk(entry).Describe(ctx, describeBeyond(set))
 			return err == nil && state.Id == entry.Id
 		})
 		if reached {
--- a/internal/relay/duty.go
+++ b/internal/relay/duty.go
@@ -17,6 +17,9 @@
 	"github.com/apex/log"
 )
 
+// rosterPart is how many workers one change of the roster speaks of: some 20 KB.
+const rosterPart = 200
+
 // Lister asks for the whole list of workers.
 type Lister func(limit time.Duration) ([]Worker, error)
 
@@ -59,16 +62,65 @@
 	}
 }
 
+// tell puts what the list changes into the roster, part by part, so that another
+// change of the same slot goes between two parts. What a part that failed would
+// have changed is found again with the next list.
 func (d *Duty) tell(list []Worker) {
 	now, _ := d.roster.Read(d.Follower.Frame().Values)
-	if sameWorkers(now, list) {
-		return
+	for _, change := range changesTo(now, list) {
+		if err := Amend(base.NewCtx(d.Clock, d.Bounds.Load().Call()), d.Register, change); err != nil {
+			d.Counters.Add("roster_changes_failed", 1)
+			return
+		}
+		d.Counters.Add("roster_changes", 1)
+	}
+}
+
+// changesTo gives the changes that make a list, in any order, of the roster;
+// where it names a worker twice, the last counts. Workers that are to get no more
+// requests come before new ones.
+func changesTo(roster Workers, list []Worker) (changes []RosterChange) {
+	if sameWorkers(roster, list) {
+		return nil
+	}
+	next := map[string]Worker{}
+	for _, one := range list {
+		next[one.ID] = one
+	}
+	known := map[string]bool{}
+	parts := rosterParts{}
+	for _, one := range roster {
+		known[one.ID] = true
+		if now, stays := next[one.ID]; !stays {
+			parts.add(one.ID, nil)
+		} else if now != one {
+			parts.add(one.ID, &now)
+		}
+	}
+	for _, id := range base.SortedKeys(next) {
+		if one := next[id]; !known[id] {
+			parts.add(id, &one)
+		}
+	}
+	return parts
+}
+
+// rosterParts are changes of the roster, none of more workers than a part holds.
+type rosterParts []RosterChange
+
+// add takes a worker in, or out where it is nil.
+func (p *rosterParts) add(id string, worker *Worker) {
+	last := len(*p) - 1
+	if last < 0 || (*p)[last].workers() == rosterPart {
+		*p = append(*p, RosterChange{Put: map[string]Worker{}})
+		last++
 	}
-	if err := Replace(base.NewCtx(d.Clock, d.Bounds.Load().Call()), d.Register, list); err != nil {
-		d.Counters.Add("roster_changes_failed", 1)
-		return
+	part := &(*p)[last]
+	if worker == nil {
+		part.Gone = append(part.Gone, id)
+	} else {
+		part.Put[id] = *worker
 	}
-	d.Counters.Add("roster_changes", 1)
 }
 
 // sameWorkers tells whether a list, in any order, is the roster; where it names
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -43,3 +43,11 @@
 	}
 	return all
 }
+
+// The changes of the roster as the duty cuts them.
+var (
+	ChangesTo = changesTo
+	InOrder   = inOrder
+)
+
+const RosterPart = rosterPart
--- a/internal/relay/roster.go
+++ b/internal/relay/roster.go
@@ -110,8 +110,8 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0] || string(a) == string(b))
 }
 
-// Serve adds the roster's op to a core: it puts what changed and takes out
-// what is gone.
+// Serve adds the roster's ops to a core: to read it, and to change it, where
+// keys that stay as they were are not written again.
 func Serve(owner *register.Owner) {
 	owner.Handle("roster.read", func(tx *register.Tx, _ []byte) (any, error) {
 		found := map[string]Worker{}
@@ -124,19 +124,18 @@
 		})
 		return found, nil
 	})
-	owner.Handle("roster.replace", func(tx *register.Tx, args []byte) (any, error) {
-		var next map[string]Worker
-		if err := json.Unmarshal(args, &next); err != nil {
+	owner.Handle("roster.amend", func(tx *register.Tx, args []byte) (any, error) {
+		var change RosterChange
+		if err := json.Unmarshal(args, &change); err != nil {
 			return nil, base.DeclineField("roster", "%v", err)
 		}
-		tx.Walk(RosterPrefix, "", func(key string, _ []byte) bool {
-			if _, stays := next[strings.TrimPrefix(key, RosterPrefix)]; !stays {
-				tx.Gone(key)
+		for _, id := range change.Gone {
+			if tx.Get(RosterPrefix+id) != nil {
+				tx.Gone(RosterPrefix + id)
 			}
-			return true
-		})
-		for _, id := range base.SortedKeys(next) {
-			if raw := base.Encode(next[id]); string(tx.Get(RosterPrefix+id)) != string(raw) {
+		}
+		for _, id := range base.SortedKeys(change.Put) {
+			if raw := base.Encode(change.Put[id]); string(tx.Get(RosterPrefix+id)) != string(raw) {
 				tx.Put(RosterPrefix+id, raw)
 			}
 		}
@@ -144,11 +143,16 @@
 	})
 }
 
-// Replace makes a list the roster.
-func Replace(ctx *base.Ctx, client *register.Client, list []Worker) error {
-	next := map[string]Worker{}
-	for _, one := range list {
-		next[one.ID] = one
-	}
-	return client.Change(ctx, register.FeedGroup, "roster.replace", next, nil)
+// RosterChange is what becomes of some workers; the others stay as they are.
+type RosterChange struct {
+	Put  map[string]Worker `json:"put,omitempty"`
+	Gone []string          `json:"gone,omitempty"`
+}
+
+// workers is how many it speaks of.
+func (c *RosterChange) workers() int { return len(c.Put) + len(c.Gone) }
+
+// Amend makes one change of the roster.
+func Amend(ctx *base.Ctx, client *register.Client, change RosterChange) error {
+	return client.Change(ctx, register.FeedGroup, "roster.amend", change, nil)
 }
--- a/internal/relay/roster_test.go
+++ b/internal/relay/roster_test.go
@@ -51,6 +51,45 @@
 	}
 }
 
+// The changes from one roster to a list make that list, and none speaks of more
+// workers than a part holds.
+func TestChangesOfARosterMakeTheList(t *testing.T) {
+	is := is.New(t)
+	world := newFleet(t, 17).world
+	held := map[string]relay.Worker{}
+	for step := range 60 {
+		var list []relay.Worker
+		for place := range world.Int64N(1000) {
+			if world.Int64N(4) > 0 {
+				list = append(list, relay.Worker{ID: fmt.Sprintf("w%03d", place), Service: "s", Addr: fmt.Sprint("a", world.Int64N(3)), Draining: world.Int64N(3) == 0})
+			}
+		}
+		if step%7 == 0 && len(list) > 0 { // named twice: the last counts
+			again := list[0]
+			again.Draining = !again.Draining
+			list = append(list, again)
+		}
+		before := slices.SortedFunc(maps.Values(held), relay.InOrder)
+		changes := relay.ChangesTo(before, list)
+		for _, change := range changes {
+			is.True(len(change.Put)+len(change.Gone) <= relay.RosterPart)
+			for _, id := range change.Gone {
+				delete(held, id)
+			}
+			for id, one := range change.Put {
+				is.True(held[id] != one)
+				held[id] = one
+			}
+		}
+		want := map[string]relay.Worker{}
+		for _, one := range list {
+			want[one.ID] = one
+		}
+		is.Equal(held, want)
+		is.Equal(len(relay.ChangesTo(slices.SortedFunc(maps.Values(held), relay.InOrder), list)), 0)
+	}
+}
+
 // A relay that was given one list after another sends to the same workers as
 // one that was given the last only.
 func TestChangesOfTheListReachTheirServicesOnly(t *testing.T) {
--- a/internal/simulate/talk_churn_test.go
+++ b/internal/simulate/talk_churn_test.go
@@ -42,14 +42,20 @@
 	is.True(c.Total("roster_changes") > before)
 	owner := c.feeds()
 	asked := float64(c.Net.By[owner.Host.Name].Served) / took.Seconds()
-	t.Logf("%d changes in force: %v; the owner serves %.0f calls a second", len(changes), changes, asked)
+	said := float64(c.Net.By[owner.Host.Name].Bytes) / took.Seconds()
+	t.Logf("%d changes in force: %v; the owner serves %.0f calls a second and says %.0f bytes", len(changes), changes, asked, said)
 	is.True(asked < 150)
+	is.True(said < ownerBytes)
 	is.True(len(c.Edges) > 200)
 	for _, m := range c.Edges {
 		is.Equal(m.gateway.Follower.Gateways(), len(c.Edges))
 	}
 }
 
+// ownerBytes bounds what the owner of the feed says a second at 300 machines: most
+// of it are the changes of the roster to 90 replicas.
+const ownerBytes = 350e3
+
 // directMostGateways is about how many gateways a view shows of a small fleet.
 const directMostGateways = 20
 
