--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -83,6 +83,15 @@
 	return nil
 }
 
+// Limits are the bounds on clients in force; all 0 before the first
+// configuration.
+func (g *Gateway) Limits() route.Limits {
+	if table := g.Routes.Load(); table != nil {
+		return table.Limits
+	}
+	return route.Limits{}
+}
+
 // Response is what a client of the operator's routes gets: a whole body, or a
 // stream to be passed on as it comes.
 type Response struct {
