Name the proofs that a request has not run, and run a forwarded turn once

A Forward that comes once more for a turn that is here gives that turn's answer instead of running it again (without the guard the test sees it run twice or cut).

Tests: TestAForwardThatComesTwiceRunsOnce, TestOnlyTheOwnersWordProvesThatATurnHasNotRun; the relay's own unchanged.

--- a/internal/line/carry.go
+++ b/internal/line/carry.go
@@ -50,7 +50,7 @@
 	if k.streams == nil {
 		k.streams = map[string]*Stream{}
 	}
-	id := lineOf(call) + " " + call.ID
+	id := streamID(call)
 	k.streams[id] = stream
 	k.Clock.Go(func() {
 		k.Clock.Sleep(call.Deadline + k.Bounds.Load().Recover/4)
@@ -60,6 +60,17 @@
 	})
 }
 
+// streamID is what a forwarded turn's stream goes by.
+func streamID(call *relay.Call) string { return lineOf(call) + " " + call.ID }
+
+// forwarded is the stream of a turn that was forwarded here before, or nil: a
+// message that comes once more runs nothing.
+func (k *Keeper) forwarded(call *relay.Call) *Stream {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.streams[streamID(call)]
+}
+
 // owing counts the forwarded turns whose end has not been pulled.
 func (k *Keeper) owing() int {
 	k.mu.Lock()
--- a/internal/line/forward.go
+++ b/internal/line/forward.go
@@ -87,6 +87,9 @@
 	case leaving:
 		return nil, base.ToWire(base.Busy(503, "handing_over", 1, "this node is leaving"))
 	}
+	if known := k.forwarded(call); known != nil { // the message came twice
+		return k.news(arrived, known, 0, k.Bounds.Load().Recover/24)
+	}
 	ctx := base.NewCtx(k.Clock, call.Deadline)
 	stream, _, err := k.accept(ctx, call, found, nil, true)
 	if err != nil {
@@ -97,3 +100,13 @@
 	k.mu.Unlock()
 	return k.news(arrived, stream, 0, k.Bounds.Load().Recover/24)
 }
+
+// pullFailed judges a pull without an answer. That it was not sent says nothing
+// of the turn, which the owner has; the owner's own word does.
+func pullFailed(err error) *base.Verdict {
+	v := base.FromWire(err)
+	if base.WasNotSent(err) {
+		return base.Unsure(502, "owner_lost", "the session's owner was lost: %s", v.Message)
+	}
+	return v
+}
--- a/internal/line/keeper.go
+++ b/internal/line/keeper.go
@@ -269,13 +269,3 @@
 	recover := k.Bounds.Load().Recover
 	return min(max(left, recover/60), recover/4)
 }
-
-// pullFailed judges a pull without an answer. That it was not sent says nothing
-// of the turn, which the owner has; the owner's own word does.
-func pullFailed(err error) *base.Verdict {
-	v := base.FromWire(err)
-	if base.WasNotSent(err) {
-		return base.Unsure(502, "owner_lost", "the session's owner was lost: %s", v.Message)
-	}
-	return v
-}
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -422,6 +422,43 @@
 	w.is.Equal(len(w.bench.ran), 2)
 }
 
+// A forwarded turn whose message comes once more runs once, and both get its
+// answer.
+func TestAForwardThatComesTwiceRunsOnce(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.node("a:1", "b:1"), w.node("b:1", "a:1")
+	w.meet(a, b)
+	defer a.View.Close()
+	defer b.View.Close()
+	_, err := w.take(a, w.call("s1", "t1", ""))
+	w.is.NoErr(err)
+	ctx := base.NewCtx(w.clock, 10*time.Second)
+	asked := &ForwardRequest{From: b.me(), Forwarded: true, Assignment: w.book.sessions["ps1"], Call: packCall(w.call("s1", "t2", "t1"), ctx)}
+	owner := NewOwnerProtobufClient("http://a:1", w.wire)
+	for range 2 {
+		reply, err := owner.Forward(ctx, asked)
+		w.is.NoErr(err)
+		for place := uint64(len(reply.Pieces)); !reply.Done; place += uint64(len(reply.Pieces)) {
+			reply, err = owner.Pull(ctx, &PullRequest{Program: "p", Session: "s1", Turn: "t2", Place: place, HoldMs: 1000, Assignment: asked.Assignment})
+			w.is.NoErr(err)
+		}
+		w.is.True(!reply.Cut)
+	}
+	w.is.Equal(len(w.bench.ran), 2) // t1 and t2
+}
+
+// That a pull was not sent proves nothing of the turn; the owner's own word that
+// it has not run does.
+func TestOnlyTheOwnersWordProvesThatATurnHasNotRun(t *testing.T) {
+	is := is.New(t)
+	lost := pullFailed(&base.NotSent{Cause: io.EOF})
+	is.Equal(lost.Ran, base.MayHaveRun)
+	is.Equal(lost.Status, 502)
+	told := pullFailed(base.ToWire(base.BusyFor(503, "workers_full", time.Second, "no worker has room")))
+	is.Equal(told.Ran, base.NotRun)
+	is.Equal(told.RetryAfterMs, int64(1000))
+}
+
 func TestALostOwnerIsSucceededAndADrainingOneLetsGo(t *testing.T) {
 	w := newWorld(t)
 	a, b := w.node("a:1", "b:1"), w.node("b:1", "a:1")
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -20,10 +20,10 @@
 
 // attemptLimit is how long the answer of the chosen worker is waited for.
 //
-// A request that may be repeated does not
-// wait for a silent worker until its time is over: while there are tries and
-// time left for a whole second attempt, it goes on to another worker. Any other
-// request waits, since a worker's silence proves nothing.
+// A request that may be repeated does not wait for a silent worker until its
+// time is over: while there are tries and time left for a whole second attempt,
+// it goes on to another worker. Any other request waits, since a worker's
+// silence proves nothing.
 func (r *Relay) attemptLimit(o *offer, chosen *state, left time.Duration) time.Duration {
 	whole := left + min(left/lastWordShare, lastWordMost)
 	if o.route.Kind != route.Repeatable || o.sent+1 >= max(1, o.route.Tries) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,8 +15,6 @@
 
 	"fordseam/internal/base"
 	"fordseam/internal/route"
-
-	"github.com/juju/errors"
 )
 
 // Workers is the list, swapped whole.
@@ -246,9 +244,10 @@
 	o.sent++
 	reply := &Reply{Status: under.Status(), Worker: chosen.ID, relay: r, offer: o, state: chosen, under: under, sentAt: sentAt}
 	r.heard(chosen, under.Header(r.Names.Load))
-	switch notRun := under.Header(r.Names.NotRun) != ""; {
-	case notRun || reply.Status == 421:
-		return nil, r.turnedAway(reply)
+	proven := proofOfAnswer(reply.Status, under.Header(r.Names.NotRun))
+	switch {
+	case proven != proofNone:
+		return nil, r.turnedAway(reply, proven)
 	case reply.Status == 408 || reply.Status == 429 || reply.Status == 503:
 		// To the client these would promise what this worker has not.
 		reply.end(failed)
@@ -274,17 +273,12 @@
 
 // unsent judges a call that gave no reply.
 func (r *Relay) unsent(o *offer, chosen *state, err error) error {
-	switch {
-	case errors.Is(err, base.ErrLeaves):
-		r.release(o, chosen, turnedBack)
-		return base.Decline(503, "worker_leaving", "the worker is leaving")
-	case errors.Is(err, base.ErrNoConnection):
-		r.release(o, chosen, full)
-		return base.Decline(503, "worker_full", "the worker's connections are taken")
-	case base.WasNotSent(err):
-		r.release(o, chosen, unreached)
-		r.count("workers_unreached")
-		return base.Decline(503, "worker_unreachable", "the worker could not be reached")
+	if proven := proofOfError(err); proven != proofNone {
+		r.release(o, chosen, consequences[proven].outcome)
+		if proven == proofUnreached {
+			r.count("workers_unreached")
+		}
+		return proven.verdict()
 	}
 	o.sent++
 	r.release(o, chosen, failed)
@@ -295,17 +289,13 @@
 	return base.Unsure(502, "worker_lost", "the worker's answer was lost")
 }
 
-// turnedAway is for an answer that says the request did not run. The few
+// turnedAway is for an answer that proves that the request did not run. The few
 // bytes of its body are read, so that the connection can be kept.
-func (r *Relay) turnedAway(reply *Reply) error {
-	_, _ = reply.under.Body(reply.offer.least(), r.AnswerLimit)
+func (r *Relay) turnedAway(reply *Reply, proven proof) error {
+	_, _ = reply.under.Body(reply.offer.least(), r.AnswerLimit) // what fails here only costs the connection
 	r.count("workers_turned_away")
-	if reply.Status == 421 {
-		reply.end(stranger)
-	} else {
-		reply.end(full)
-	}
-	return base.Decline(503, "worker_full", "the worker took no more")
+	reply.end(consequences[proven].outcome)
+	return proven.verdict()
 }
 
 func (r *Relay) share(service *route.Service) int {
