Call a session's calls to workers attempts

Cause: leg is a word of this project's own for what the field calls an attempt.

session/leg.go is attempt.go, and its types, fields and comments follow; the durable records, the setting legs and the counters legs_* keep their names, as the vocabulary table says.

The tests of session and worker and the simulator's TestOrdinaryPath, TestUnderstudy and TestPolicies pass.

--- a/internal/session/accept.go
+++ b/internal/session/accept.go
@@ -93,7 +93,7 @@
 	}
 	if verdict != nil {
 		if h.record.unsure(v.Turn) {
-			verdict = afterLostLeg(verdict)
+			verdict = afterLostAttempt(verdict)
 		}
 		h.refused[v.Turn] = &declinedVisit{verdict: verdict, at: k.clock.Now()}
 		h.mu.Unlock()
--- a/internal/session/leg.go
+++ b/internal/session/attempt.go
@@ -1,8 +1,8 @@
-// Turns and their legs. A turn is accepted once by its Turn-Id; the same id
-// again joins it or replays its answer. A leg reserves its tokens durably,
+// Turns and their attempts. A turn is accepted once by its Turn-Id; the same id
+// again joins it or replays its answer. An attempt reserves its tokens durably,
 // checks the permit once more, and only then goes out; what it streams is
-// passed on piece by piece. Before any piece is out another leg may follow;
-// after that a lost leg ends the stream as cut. Success needs the worker's
+// passed on piece by piece. Before any piece is out another attempt may follow;
+// after that a lost attempt ends the stream as cut. Success needs the worker's
 // finish reason and its end mark, the chain on a majority, and the offer to
 // the understudy.
 
@@ -18,13 +18,13 @@
 	"fordseam/internal/worker"
 )
 
-// plan is all that a turn's legs need, made before any goes out.
+// plan is all that a turn's attempts need, made before any goes out.
 type plan struct {
 	route    *settings.Route
 	chain    []json.RawMessage
 	wanted   int64
 	need     *worker.Need
-	legs     int
+	attempts int
 	fallback *settings.Route
 }
 
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, base.FromWire(err)
 	}
-	made := &plan{route: route, chain: chain, wanted: route.MaxOutputTokens, legs: route.Legs}
+	made := &plan{route: route, chain: chain, wanted: route.MaxOutputTokens, attempts: route.Legs}
 	if op.visit.MaxTokens > 0 {
 		made.wanted = min(made.wanted, op.visit.MaxTokens)
 	}
@@ -66,7 +66,7 @@
 		return OpFailed, verdict
 	}
 	ran := base.NotRun
-	for leg := 1; ; {
+	for number := 1; ; {
 		ctx := base.NewCtx(k.clock, max(0, op.until-k.clock.Now()))
 		switch {
 		case op.cancelled.Fired():
@@ -74,7 +74,7 @@
 		case ctx.Over():
 			return OpTimedOut, &base.Verdict{Status: 504, Code: "timed_out", Message: "the turn's time is over", Ran: ran}
 		}
-		outcome := k.runLeg(ctx, h, op, made)
+		outcome := k.runAttempt(ctx, h, op, made)
 		if outcome.verdict == nil {
 			return OpSucceeded, nil
 		}
@@ -84,32 +84,32 @@
 		if outcome.verdict.Ran != base.NotRun {
 			ran = base.MayHaveRun
 		} else if ran != base.NotRun {
-			outcome.verdict = afterLostLeg(outcome.verdict)
+			outcome.verdict = afterLostAttempt(outcome.verdict)
 		}
 		if op.stream.count() > 0 {
 			outcome.verdict.Code = "cut"
 			return k.stateOf(op, ctx), outcome.verdict
 		}
-		if outcome.next == legFinal {
+		if outcome.next == attemptFinal {
 			return k.stateOf(op, ctx), outcome.verdict
 		}
-		if outcome.next == legCounts {
+		if outcome.next == attemptCounted {
 			if !k.mayRepeat() {
 				k.counters.Add("legs_not_repeated", 1)
 				return k.stateOf(op, ctx), outcome.verdict
 			}
-			leg++
+			number++
 			k.counters.Add("legs_repeated", 1)
 		}
-		if leg > made.legs {
+		if number > made.attempts {
 			return k.stateOf(op, ctx), outcome.verdict
 		}
 	}
 }
 
-// afterLostLeg is the word on a turn that can have no other leg after one
+// afterLostAttempt is the word on a turn that can have no other attempt after one
 // whose end is not known: not a refusal, whatever stopped it.
-func afterLostLeg(refused *base.Verdict) *base.Verdict {
+func afterLostAttempt(refused *base.Verdict) *base.Verdict {
 	v := base.Unsure(502, "worker_lost", "an earlier run of this turn was lost and there can be no other now: %s", refused.Message)
 	v.RetryAfter = refused.RetryAfter
 	return v
@@ -120,7 +120,7 @@
 	repeatMost  = 10
 )
 
-// Repeated legs are a bounded share of all legs on this node, so that workers
+// Repeated attempts are a bounded share of all attempts on this node, so that workers
 // in trouble are not buried under them.
 func (k *Keeper) earnRepeat() {
 	k.mu.Lock()
@@ -148,52 +148,52 @@
 	return OpFailed
 }
 
-type legNext int
+type attemptNext int
 
 const (
-	legFinal  legNext = iota // no other leg
-	legCounts                // another leg, counted
-	legFree                  // never left: another worker, not counted
+	attemptFinal   attemptNext = iota // no other attempt
+	attemptCounted                    // another attempt, counted
+	attemptFree                       // never left: another worker, not counted
 )
 
-type legOutcome struct {
+type attemptOutcome struct {
 	verdict *base.Verdict
-	next    legNext
+	next    attemptNext
 }
 
-// runLeg takes one leg from nomination to its end.
-func (k *Keeper) runLeg(ctx *base.Ctx, h *held, op *operation, made *plan) legOutcome {
+// runAttempt takes one attempt from the pick of a worker to its end.
+func (k *Keeper) runAttempt(ctx *base.Ctx, h *held, op *operation, made *plan) attemptOutcome {
 	var cleanup base.Cleanup
 	defer cleanup.Run()
 	chosenWorker, err := k.picker.Hold(ctx, made.need)
 	if err != nil {
 		if made.fallback != nil && base.IsCode(err, "no_worker") {
 			made.route, made.need.Pool, made.fallback = made.fallback, made.fallback.Pool, nil
-			return legOutcome{base.FromWire(err), legFree}
+			return attemptOutcome{base.FromWire(err), attemptFree}
 		}
-		return legOutcome{base.FromWire(err), legFinal}
+		return attemptOutcome{base.FromWire(err), attemptFinal}
 	}
 	held := k.clock.Now()
 	cleanup.Push(func() { k.picker.Release(chosenWorker, made.need, k.clock.Now()-held) })
 	record := h.snapshot()
 	h.mu.Lock()
-	h.legs++
-	legNum := h.legs
+	h.attempts++
+	attemptNumber := h.attempts
 	h.mu.Unlock()
-	legID := record.Run + "/" + op.id + "/" + strconv.FormatUint(legNum, 10)
+	attemptID := record.Run + "/" + op.id + "/" + strconv.FormatUint(attemptNumber, 10)
 	reserveCtx := base.NewCtx(k.clock, max(ctx.Left(), k.bounds.Load().Call()))
-	answer, err := k.change(reserveCtx, record.Program, "session.reserve", ask{Session: record.ID, Run: record.Run, Leg: legID, LegNum: legNum, Tokens: made.wanted})
+	answer, err := k.change(reserveCtx, record.Program, "session.reserve", ask{Session: record.ID, Run: record.Run, Leg: attemptID, LegNum: attemptNumber, Tokens: made.wanted})
 	if err != nil {
 		v := base.FromWire(err)
 		if v.Ran != base.NotRun {
-			// The reservation may stand and counts as spent; the leg itself never left.
+			// The reservation may stand and counts as spent; the attempt itself never left.
 			v = base.Busy(503, "budget_unconfirmed", 1, "the budget could not be confirmed in time")
 		}
-		return legOutcome{v, legFinal}
+		return attemptOutcome{v, attemptFinal}
 	}
 	settle := func(used int64) {
 		answer, err := k.change(base.NewCtx(k.clock, k.bounds.Load().Recover), record.Program, "session.settle",
-			ask{Session: record.ID, Run: record.Run, Leg: legID, Tokens: used})
+			ask{Session: record.ID, Run: record.Run, Leg: attemptID, Tokens: used})
 		if err != nil {
 			k.counters.Add("settles_lost", 1)
 			return
@@ -202,12 +202,12 @@
 	}
 	if err := k.stillOwns(ctx, h, record.Run); err != nil {
 		settle(0)
-		return legOutcome{base.FromWire(err), legFinal}
+		return attemptOutcome{base.FromWire(err), attemptFinal}
 	}
 	if !k.picker.Stays(chosenWorker, made.need) {
 		settle(0)
 		k.counters.Add("legs_turned_back", 1)
-		return legOutcome{base.Busy(503, "worker_leaving", 1, "the worker is leaving"), legFree}
+		return attemptOutcome{base.Busy(503, "worker_leaving", 1, "the worker is leaving"), attemptFree}
 	}
 	k.counters.Add("legs_sent", 1)
 	k.earnRepeat()
@@ -218,23 +218,23 @@
 		if base.WasNotSent(err) {
 			k.counters.Add("legs_not_sent", 1)
 			settle(0)
-			return legOutcome{base.Busy(503, "worker_unreachable", 1, "no worker could be reached"), legFree}
+			return attemptOutcome{base.Busy(503, "worker_unreachable", 1, "no worker could be reached"), attemptFree}
 		}
 		settle(-1)
-		return legOutcome{base.Unsure(502, "worker_lost", "the worker's answer was lost"), legCounts}
+		return attemptOutcome{base.Unsure(502, "worker_lost", "the worker's answer was lost"), attemptCounted}
 	}
 	cleanup.Push(reply.Close)
 	if reply.Status() != 200 {
-		return k.refusedLeg(h, made, chosenWorker, reply, settle)
+		return k.refusedAttempt(h, made, chosenWorker, reply, settle)
 	}
 	if k.picker.Answered(chosenWorker, reply.Closes()) {
 		k.WorkerLeaves(chosenWorker)
 	}
 	h.abortable(op, reply.Close)
 	cleanup.Push(func() { h.abortable(op, nil) })
-	if !op.stream.begin(legID) {
+	if !op.stream.begin(attemptID) {
 		settle(-1)
-		return legOutcome{staleRun(), legFinal}
+		return attemptOutcome{staleRun(), attemptFinal}
 	}
 	got, verdict := k.receive(ctx, op, reply, answer.Granted)
 	if verdict != nil {
@@ -242,19 +242,19 @@
 		settle(-1)
 		if op.cancelled.Fired() {
 			verdict = base.Unsure(409, "cancelled", "the turn was cancelled while it ran")
-			return legOutcome{verdict, legFinal}
+			return attemptOutcome{verdict, attemptFinal}
 		}
-		return legOutcome{verdict, legCounts}
+		return attemptOutcome{verdict, attemptCounted}
 	}
 	h.mu.Lock()
 	h.worker = chosenWorker.ID
 	h.mu.Unlock()
 	turn := &Turn{ID: op.id, Previous: op.visit.Previous, Digest: op.digest, Messages: op.visit.Messages, Pieces: got.pieces,
-		Leg: legID, Finish: got.finish, Tokens: got.tokens, Worker: chosenWorker.ID}
+		Leg: attemptID, Finish: got.finish, Tokens: got.tokens, Worker: chosenWorker.ID}
 	return k.finishTurn(h, op, record, turn)
 }
 
-// stillOwns is the last look before a leg goes out: the permit on the
+// stillOwns is the last look before an attempt goes out: the permit on the
 // monotonic clock, and the register's word if the permit had lapsed since.
 func (k *Keeper) stillOwns(ctx *base.Ctx, h *held, run string) error {
 	if err := k.follower.Permit(ctx); err != nil {
@@ -269,25 +269,25 @@
 	return nil
 }
 
-// refusedLeg reads a worker's refusal. 503 is a worker's notice that it is
+// refusedAttempt reads a worker's refusal. 503 is a worker's notice that it is
 // leaving; 429 and 503 say that nothing ran.
-func (k *Keeper) refusedLeg(h *held, made *plan, chosen *worker.Worker, reply base.BackReply, settle func(int64)) legOutcome {
+func (k *Keeper) refusedAttempt(h *held, made *plan, chosen *worker.Worker, reply base.BackReply, settle func(int64)) attemptOutcome {
 	made.need.Tried[chosen.ID] = reply.Status() != 429
 	switch status := reply.Status(); {
 	case status == 503:
 		k.WorkerLeaves(chosen)
 		settle(0)
-		return legOutcome{base.Busy(503, "worker_leaving", 1, "the worker is leaving"), legFree}
+		return attemptOutcome{base.Busy(503, "worker_leaving", 1, "the worker is leaving"), attemptFree}
 	case status == 429:
 		k.picker.Shun(chosen.ID)
 		settle(0)
-		return legOutcome{base.Busy(429, "worker_busy", 1, "the worker is busy"), legFree}
+		return attemptOutcome{base.Busy(429, "worker_busy", 1, "the worker is busy"), attemptFree}
 	case status >= 400 && status < 500:
 		settle(0)
-		return legOutcome{base.Decline(502, "worker_refused", "the worker refused the prompt with status %d", status), legFinal}
+		return attemptOutcome{base.Decline(502, "worker_refused", "the worker refused the prompt with status %d", status), attemptFinal}
 	default:
 		settle(-1)
-		return legOutcome{base.Unsure(502, "worker_failed", "the worker failed with status %d", status), legCounts}
+		return attemptOutcome{base.Unsure(502, "worker_failed", "the worker failed with status %d", status), attemptCounted}
 	}
 }
 
@@ -304,7 +304,7 @@
 
 // finishTurn makes the answer whole: the chain goes to a majority, with the
 // budget settled in the same change, and to the understudy meanwhile.
-func (k *Keeper) finishTurn(h *held, op *operation, record *Record, turn *Turn) legOutcome {
+func (k *Keeper) finishTurn(h *held, op *operation, record *Record, turn *Turn) attemptOutcome {
 	h.mu.Lock()
 	turn.Num = uint64(len(h.turns)) + 1
 	h.mu.Unlock()
@@ -321,9 +321,9 @@
 		h.unsure = turn.Leg
 		h.mu.Unlock()
 		if v.Code == "stale_assignment" {
-			return legOutcome{v, legFinal}
+			return attemptOutcome{v, attemptFinal}
 		}
-		return legOutcome{base.Unsure(502, "cut", "the answer could not be kept: %s", v.Message), legFinal}
+		return attemptOutcome{base.Unsure(502, "cut", "the answer could not be kept: %s", v.Message), attemptFinal}
 	}
 	offered.Wait(k.bounds.Load().Beat() * 2)
 	h.take(answer.Record)
@@ -336,7 +336,7 @@
 	h.mu.Unlock()
 	k.counters.Add("turns_succeeded", 1)
 	op.stream.finish(&Final{Verdict: "success", Ran: base.DidRun, Turn: op.id, Run: record.Run, Finish: turn.Finish, Tokens: turn.Tokens})
-	return legOutcome{}
+	return attemptOutcome{}
 }
 
 // offer sends one turn to the understudy; a gap is filled by catchUp.
--- a/internal/session/ending.go
+++ b/internal/session/ending.go
@@ -56,7 +56,7 @@
 // that no earlier Run may have run, and that no later one will.
 func (k *Keeper) conclude(h *held, op *operation, state OperationState, verdict *base.Verdict) {
 	if verdict.Ran == base.NotRun && h.mayHaveRun(op.id) {
-		verdict = afterLostLeg(verdict)
+		verdict = afterLostAttempt(verdict)
 	}
 	if verdict.Ran == base.NotRun && verdict.Code != "turn_refused" {
 		verdict = k.refuseForGood(h, op.id, verdict)
--- a/internal/session/held.go
+++ b/internal/session/held.go
@@ -41,7 +41,7 @@
 	busy     bool
 	gone     bool
 	unsure   string
-	legs     uint64
+	attempts uint64
 	lapses   uint64
 	lastSeen time.Duration
 	offered  map[string]uint64
@@ -52,7 +52,7 @@
 
 func newHeld(clock base.Clock, record *Record, turns []Turn, lapses uint64) *held {
 	return &held{program: record.Program, bell: base.NewBell(clock), handed: clock.NewSignal(), clock: clock, record: record,
-		turns: turns, ops: map[string]*operation{}, lapses: lapses, legs: record.Legs, lastSeen: clock.Now(), offered: map[string]uint64{},
+		turns: turns, ops: map[string]*operation{}, lapses: lapses, attempts: record.Legs, lastSeen: clock.Now(), offered: map[string]uint64{},
 		refused: map[string]*declinedVisit{}}
 }
 
