Send and read a slot's content in parts that resume

Cause: a take-over read the whole slot in one message of every disk, and a disk that was behind was given the whole slot in one message; a content larger than a message could take neither way. Nothing was kept of what follows an Install under way, so a slot that changes faster than one answer of a disk could be sent anew for ever (the feed's slot was saved by what it keeps for followers).

A promise now tells epoch and number, and the content only up to 16 KiB. A larger one is read in parts of 256 KiB under the promised epoch from a disk that has the newest; where that disk is lost another with the same mark goes on from the same byte. A disk is sent an immutable copy in parts, which are staged as log records with epoch, number and digest: it counts once it is whole, right and synced. Parts go on after a lost message, a restart of the disk, and under the next owner; a disk that holds the very content takes it over without any part. What follows the copy is kept up to max(4 MiB, twice the copy) until the disk has caught up; if that is outgrown the copy is taken anew and its rate (16 MiB/s) is lifted. Queued changes go in messages of 1 MiB at most.

A Meddle that drops a message gave neither answer nor error; it gives the wire's error.

--- a/internal/disk/service.go
+++ b/internal/disk/service.go
@@ -123,7 +123,12 @@
 	}
 	put, why := s.enqueue(kindPromise, request.Claim, true)
 	held := s.replicaOf(request.Claim.Slot)
-	reply := &register.PromiseReply{Ack: ack, Installed: held.Installed, Seq: held.Seq, Puts: held.puts(), AgeMs: (s.clock.Now() - held.touched).Milliseconds()}
+	reply := &register.PromiseReply{Ack: ack, Installed: held.Installed, Seq: held.Seq, AgeMs: (s.clock.Now() - held.touched).Milliseconds()}
+	if puts := held.puts(); register.Weight(puts) <= inlineBytes {
+		reply.Puts = puts
+	} else {
+		reply.Apart = true
+	}
 	s.mu.Unlock()
 	v.finish(ack, put, why)
 	return reply, nil
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -38,6 +38,7 @@
 	kindInstall
 	kindAppend
 	kindAdopt
+	kindPart
 )
 
 // replica is this machine's copy of one shard.
@@ -46,6 +47,10 @@
 	values map[string][]byte
 	// touched is when this process took in the newest of it.
 	touched time.Duration
+	// staged is what has come of a content that is being sent in parts, encoded
+	// the content as it is being read in parts.
+	staged  *Staged
+	encoded *encoding
 }
 
 type pending struct {
@@ -279,13 +284,13 @@
 		if !taken {
 			return nil
 		}
-		was := replicaTime(held)
-		held.Shard = next
-		held.values = map[string][]byte{}
-		held.put(message.Puts)
-		if replicaTime(held) != was {
-			held.touched = s.clock.Now() // another change than the one it had
+		s.install(held, next, message.Puts)
+	case kindPart:
+		var message register.InstallPartRequest
+		if err := proto.Unmarshal(payload, &message); err != nil {
+			return errors.Trace(err)
 		}
+		s.applyPart(&message)
 	case kindAppend:
 		var message register.AppendRequest
 		if err := proto.Unmarshal(payload, &message); err != nil {
@@ -297,7 +302,7 @@
 			if !taken {
 				continue
 			}
-			held.Shard = next
+			held.Shard, held.encoded = next, nil
 			held.put(entry.Puts)
 			held.touched = s.clock.Now()
 		}
@@ -332,7 +337,7 @@
 	s.mu.Unlock()
 	for place, held := range copies {
 		frame.Replicas = append(frame.Replicas, &Replica{Slot: slots[place], Promised: held.Promised, Owner: held.Leader,
-			Installed: held.Installed, Seq: held.Seq, Puts: held.puts()})
+			Installed: held.Installed, Seq: held.Seq, Puts: held.puts(), Staged: held.staged})
 	}
 	payload, err := proto.Marshal(frame)
 	if err != nil {
@@ -350,6 +355,7 @@
 	for _, found := range frame.Replicas {
 		held := s.replicaOf(found.Slot)
 		held.Shard = consensus.Shard{Promised: found.Promised, Leader: found.Owner, Installed: found.Installed, Seq: found.Seq}
+		held.staged = found.Staged
 		held.put(found.Puts)
 	}
 	return nil
--- a/internal/register/replicate.go
+++ b/internal/register/replicate.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// send keeps one disk up with one slot: a frame first, then what follows.
+// send keeps one disk up with one slot: its content first, then what follows.
 func (o *Owner) send(s *slot, epoch uint64, entry *DiskEntry) {
 	for {
 		next := s.bell.Next()
@@ -39,6 +39,7 @@
 		set := o.knownSet()
 		if !inSet(set, entry.Id) {
 			delete(s.progress, entry.Id)
+			delete(s.transfers, entry.Id)
 			s.mu.Unlock()
 			return
 		}
@@ -50,26 +51,45 @@
 				continue
 			}
 		}
-		install, appended := s.outstanding(o.claim(s, epoch, set, entry), entry.Id)
+		sent := s.outstanding(o.claim(s, epoch, set, entry), entry.Id)
 		s.mu.Unlock()
-		if install == nil && appended == nil {
+		if sent == nil {
 			next.Wait(-1)
 			continue
 		}
-		ack, err := o.deliver(entry, install, appended)
+		ack, pause, err := o.carry(s, epoch, entry, sent, set.Stamp)
 		if repair {
+			if pause > 0 {
+				o.clock.Sleep(pause)
+			}
 			o.endRepair(entry.Id)
 		}
 		if err != nil || !ack.Ok {
 			if !o.mend(s, epoch, entry, ack) {
 				return
 			}
-			continue
 		}
-		o.acknowledge(s, epoch, entry.Id, ack.Seq, set.Stamp)
 	}
 }
 
+// carry delivers a message, notes what the disk has of it, and tells how long to
+// wait after it if it is a repair's.
+func (o *Owner) carry(s *slot, epoch uint64, entry *DiskEntry, sent *delivery, setStamp uint64) (ack *Ack, pause time.Duration, err error) {
+	if ack, err = o.deliver(entry, sent); err != nil || !ack.Ok {
+		return ack, 0, err
+	}
+	s.mu.Lock()
+	staged := s.stagedPart(entry.Id, sent, ack)
+	pause = s.pauseAfter(entry.Id, sent)
+	s.mu.Unlock()
+	if staged {
+		s.bell.Ring()
+	} else {
+		o.acknowledge(s, epoch, entry.Id, ack.Seq, setStamp)
+	}
+	return ack, pause, nil
+}
+
 // repairsAtOnce bounds the frames that one core sends to each disk that is
 // behind while its slots are served without it, so that repair stays below the
 // live traffic, and a disk that falls silent does not hold up another's. A take-over's own frames are not held back.
@@ -98,14 +118,18 @@
 	freed.Fire()
 }
 
-func (o *Owner) deliver(entry *DiskEntry, install *InstallRequest, appended *AppendRequest) (*Ack, error) {
-	ctx := base.NewCtx(o.clock, o.bounds.Load().DiskLimit())
-	if install != nil {
+func (o *Owner) deliver(entry *DiskEntry, sent *delivery) (*Ack, error) {
+	ctx, disk := base.NewCtx(o.clock, o.bounds.Load().DiskLimit()), o.disk(entry)
+	switch {
+	case sent.install != nil:
 		o.counters.Add("disk_installs_sent", 1)
-		return o.disk(entry).Install(ctx, install)
+		return disk.Install(ctx, sent.install)
+	case sent.part != nil:
+		o.counters.Add("disk_parts_sent", 1)
+		return disk.InstallPart(ctx, sent.part)
 	}
 	o.counters.Add("disk_appends_sent", 1)
-	return o.disk(entry).Append(ctx, appended)
+	return disk.Append(ctx, sent.appended)
 }
 
 // mend reacts to a disk that did not take what it was sent, and says whether
@@ -133,6 +157,9 @@
 	s.mu.Lock()
 	if mark := s.progress[entry.Id]; s.epoch == epoch && mark != nil {
 		mark.Mute = ack == nil
+		if ack != nil && ack.Why == "damaged" {
+			delete(s.transfers, entry.Id)
+		}
 	}
 	s.mu.Unlock()
 	o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
--- a/internal/register/slot.go
+++ b/internal/register/slot.go
@@ -42,18 +42,22 @@
 	num  uint32
 	bell *base.Bell
 
-	mu         sync.Mutex
-	phase      phase
-	epoch      uint64
-	highest    uint64
-	held       *treemap.Map
-	time       int64
-	timeFrom   time.Duration
-	tail       uint64
-	commit     uint64
-	based      bool
-	buffer     []*Entry
-	progress   map[string]*consensus.Progress
+	mu       sync.Mutex
+	phase    phase
+	epoch    uint64
+	highest  uint64
+	held     *treemap.Map
+	time     int64
+	timeFrom time.Duration
+	tail     uint64
+	commit   uint64
+	based    bool
+	buffer   []*Entry
+	progress map[string]*consensus.Progress
+	// transfers are the contents on their way to disks.
+	transfers map[string]*transfer
+	// partsTaken counts the parts of transfers that disks took.
+	partsTaken int
 	nextRound  *round
 	roundsBusy bool
 }
@@ -92,31 +96,6 @@
 	return base.Map(voters(set), func(entry *DiskEntry) consensus.Progress { return s.progressOf(entry.Id) })
 }
 
-// outstanding builds what a disk lacks; the caller holds the lock.
-func (s *slot) outstanding(claim *Claim, diskID string) (*InstallRequest, *AppendRequest) {
-	known := s.progress[diskID]
-	switch known.Next(s.first(), s.tail, claim.SetStamp) {
-	case consensus.SendProbe:
-		return nil, &AppendRequest{Claim: claim}
-	case consensus.SendSnapshot:
-		known.Installed = false
-		return s.snapshot(claim), nil
-	case consensus.SendEntries:
-		entries := append([]*Entry(nil), s.buffer[known.Acked+1-s.first():]...)
-		return nil, &AppendRequest{Claim: claim, Entries: entries}
-	}
-	return nil, nil
-}
-
-// snapshot is the whole content for a disk; the caller holds the lock.
-func (s *slot) snapshot(claim *Claim) *InstallRequest {
-	install := &InstallRequest{Claim: claim, Seq: s.tail}
-	s.held.Each(func(key, value any) {
-		install.Puts = append(install.Puts, &Put{Key: key.(string), Value: value.([]byte)})
-	})
-	return install
-}
-
 // acknowledge takes in a disk's answer to a message that was sent under a set.
 // It is counted by the newest set that this core knows: the one that the
 // message was sent under may be out of force since, and its majorities need not
@@ -125,6 +104,7 @@
 	s.mu.Lock()
 	if known := s.progress[diskID]; s.epoch == epoch && known != nil {
 		*known = known.Acknowledge(seq, sentStamp)
+		s.endTransfer(diskID)
 		s.recount(o.knownSet())
 	}
 	s.mu.Unlock()
--- a/internal/register/tail.go
+++ b/internal/register/tail.go
@@ -9,7 +9,7 @@
 const (
 	// tailEntries bounds how many committed changes are kept.
 	tailEntries = 4096
-	// tailBytes bounds their weight while no disk is being sent the content.
+	// tailBytes bounds their weight while no disk is being sent a large content.
 	tailBytes = 4 << 20
 	// feedBytes bounds the committed changes kept for followers of the feed; who
 	// is further behind is given the frame.
@@ -20,10 +20,10 @@
 // caller holds the lock.
 func (s *slot) trim() {
 	first, keep := s.first(), s.uncommitted()
-	reach := s.newest(tailBytes)
-	for _, mark := range s.progress {
-		if mark.Installed && mark.Acked+1 >= reach {
-			keep = min(keep, mark.Acked+1)
+	reach := s.newest(s.tailLimit())
+	for diskID := range s.progress {
+		if from, known := s.tailFrom(diskID); known && from >= reach {
+			keep = min(keep, from)
 		}
 	}
 	if s.num == 0 {
--- a/internal/register/takeover.go
+++ b/internal/register/takeover.go
@@ -99,8 +99,8 @@
 	epoch := s.highest
 	s.mu.Unlock()
 	began := o.clock.Now()
+	var promises promises
 	var mu sync.Mutex
-	var newest *PromiseReply
 	taken := false // a disk has promised this epoch or a higher one to another core
 	promised := base.Ask(o.clock, voters(set), majority(set), o.bounds.Load().DiskLimit(), func(ctx *base.Ctx, entry *DiskEntry) bool {
 		reply, err := o.promise(ctx, entry, &PromiseRequest{Claim: o.claim(s, epoch, set, entry)})
@@ -117,14 +117,7 @@
 			mu.Unlock()
 			return false
 		}
-		mu.Lock()
-		defer mu.Unlock()
-		switch {
-		case newest == nil || reply.position().Newer(newest.position()):
-			newest = reply
-		case reply.position() == newest.position():
-			newest.AgeMs = max(newest.AgeMs, reply.AgeMs)
-		}
+		promises.add(entry, reply)
 		return true
 	})
 	if !promised {
@@ -138,11 +131,13 @@
 		return base.Busy(503, "no_majority", 1, "no majority of disks")
 	}
 	o.noteQuorum(true, began)
-	mu.Lock()
-	content, age := newest, newest.AgeMs
-	mu.Unlock()
+	content, age, holders := promises.newest()
+	puts, err := o.readContent(s, epoch, set, content, holders)
+	if err != nil {
+		return err
+	}
 	held := treemap.NewWithStringComparator()
-	for _, put := range content.Puts {
+	for _, put := range puts {
 		held.Put(put.Key, put.Value)
 	}
 	s.mu.Lock()
@@ -152,13 +147,16 @@
 		kept, _ := binary.Varint(raw.([]byte))
 		s.time = kept + age // no disk has held it for longer than it is old
 	}
-	s.progress = map[string]*consensus.Progress{}
+	s.progress, s.transfers = map[string]*consensus.Progress{}, map[string]*transfer{}
 	s.mu.Unlock()
 	o.refit(s)
-	end := o.clock.Now() + o.bounds.Load().Call()
+	end, partsTaken := o.clock.Now()+o.bounds.Load().Call(), 0
 	for {
 		next := s.bell.Next()
 		s.mu.Lock()
+		if s.partsTaken != partsTaken {
+			end, partsTaken = o.clock.Now()+o.bounds.Load().Call(), s.partsTaken
+		}
 		if s.epoch != epoch {
 			s.mu.Unlock()
 			return base.Busy(503, "fenced", 1, "another core took the slot")
@@ -199,7 +197,7 @@
 			s.phase = idle
 			o.counters.Add("slots_lost", 1)
 		}
-		s.epoch, s.held, s.buffer, s.progress = 0, nil, nil, nil
+		s.epoch, s.held, s.buffer, s.progress, s.transfers = 0, nil, nil, nil, nil
 	}
 	s.mu.Unlock()
 	s.bell.Ring()
--- a/internal/simulate/net.go
+++ b/internal/simulate/net.go
@@ -183,8 +183,11 @@
 			response, failed = x.carry(request, body, left)
 			return response, failed
 		}})
-	if response != nil {
+	switch {
+	case response != nil:
 		return response, nil
+	case failed == nil:
+		return nil, errLost // it was not passed on
 	}
 	return nil, failed
 }
--- /dev/null
+++ b/internal/simulate/transfer_test.go
@@ -0,0 +1,291 @@
+// Contents larger than one message: lost parts, restarts of either side, disks
+// lost while the newest content is read, and changes that go on meanwhile.
+package simulate
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fordseam/internal/register"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+)
+
+// largePlan is a configuration of some 2 MB, with changes far apart.
+func largePlan(t *testing.T, size string, changes int) ChangesPlan {
+	plan := planOf(t, size, changes)
+	plan.Padding, plan.Every, plan.BytesPerSecond = 1500<<10, 500*time.Millisecond, 100<<20
+	return plan
+}
+
+func TestMembersAreCurrentWithALargeConfiguration(t *testing.T) {
+	t.Parallel()
+	changesOf(t, largePlan(t, ChangesSizes[0], 12), uint64(*seeds))
+}
+
+// partTalk is what was said about parts to and from one machine.
+type partTalk struct {
+	carried, lost  int
+	bytes, restart int
+}
+
+// onParts stands between owners and disks where content goes in parts; fails
+// says whether a message, or its answer, is lost.
+func onParts(f *Fleet, fails func(m *Message, part *register.InstallPartRequest) (before, after bool)) {
+	f.Net.Meddle = func(m *Message) *http.Response {
+		var part register.InstallPartRequest
+		if !strings.HasSuffix(m.Path, "Disk/InstallPart") || proto.Unmarshal(m.Body, &part) != nil {
+			response, _ := m.Pass(m.Body)
+			return response
+		}
+		before, after := fails(m, &part)
+		if before {
+			return nil
+		}
+		response, _ := m.Pass(m.Body)
+		if after {
+			return nil
+		}
+		return response
+	}
+}
+
+// A disk that comes back empty is filled though every third part or its answer
+// is lost and its process is killed in the middle; what was staged is not sent
+// again.
+func TestATransferGoesOnWhereItBrokeOff(t *testing.T) {
+	t.Parallel()
+	plan := largePlan(t, "2/3/4", 3)
+	plan.Calm = true
+	for seed := uint64(1); seed <= 3*uint64(*seeds); seed++ {
+		is := is.New(t)
+		var filled *Machine
+		var talk partTalk
+		killed := false
+		plan.Meddle = func(f *Fleet) {
+			onParts(f, func(m *Message, part *register.InstallPartRequest) (before, after bool) {
+				if filled == nil || m.To != filled.Host || len(part.Data) == 0 {
+					return false, false
+				}
+				talk.carried++
+				talk.bytes += len(part.Data)
+				if talk.carried == 4 && !killed {
+					killed = true
+					f.PowerLoss(filled)
+					f.Callers.Go(func() {
+						f.Callers.Clock().Sleep(50 * time.Millisecond)
+						f.Start(filled)
+					})
+				}
+				lost := talk.carried%3 == 0
+				if lost {
+					talk.lost++
+				}
+				return lost && talk.carried%2 == 0, lost && talk.carried%2 == 1
+			})
+			f.Callers.Go(func() {
+				f.wipeLater(f.Storage[1])
+				filled = f.Storage[1]
+			})
+		}
+		report := RunChanges(seed, plan)
+		t.Logf("seed %d: %+v, killed %v, breaches %v", seed, talk, killed, report.Breaches)
+		is.Equal(len(report.Breaches), 0)
+		is.True(killed && talk.lost > 0)
+		// The copy may be taken anew once for each of the changes that came
+		// meanwhile, never for each loss.
+		is.True(talk.carried < 40)
+	}
+}
+
+// wipeLater has a disk come back empty once some changes were made.
+func (f *Fleet) wipeLater(m *Machine) {
+	for versionAt(f) < 3 {
+		f.Callers.Clock().Sleep(20 * time.Millisecond)
+	}
+	f.wipe(m)
+	f.Callers.Clock().Sleep(100 * time.Millisecond)
+	f.Start(m)
+}
+
+// versionAt is the newest version that a gateway shows.
+func versionAt(f *Fleet) (newest uint64) {
+	for _, m := range f.Edges {
+		if follower := m.feedFollower(); follower != nil {
+			newest = max(newest, versionOf(follower.Frame().Values))
+		}
+	}
+	return newest
+}
+
+// The disk from which the newest content is read is lost in the middle, at every
+// take-over: another that has the same goes on, and nothing is lost.
+func TestADiskIsLostWhileTheNewestContentIsRead(t *testing.T) {
+	t.Parallel()
+	plan := largePlan(t, "2/3/4", 12)
+	plan.Calm = true
+	for seed := uint64(1); seed <= 2*uint64(*seeds); seed++ {
+		is := is.New(t)
+		reads, lost := 0, 0
+		plan.Meddle = func(f *Fleet) {
+			down := false
+			f.Net.Meddle = func(m *Message) *http.Response {
+				if strings.HasSuffix(m.Path, "Disk/Read") {
+					if reads++; reads%9 == 3 && !down {
+						lost++
+						down = true
+						for _, one := range f.Storage {
+							if one.Host == m.To {
+								f.PowerLoss(one)
+								f.Callers.Go(func() {
+									f.Callers.Clock().Sleep(time.Second)
+									f.Start(one)
+									f.Callers.Clock().Sleep(4 * time.Second)
+									down = false
+								})
+							}
+						}
+					}
+				}
+				response, _ := m.Pass(m.Body)
+				return response
+			}
+			f.Callers.Go(func() {
+				for {
+					f.Callers.Clock().Sleep(2500 * time.Millisecond)
+					for _, m := range f.Cores {
+						if versionAt(f) > 2 && m.Host.alive && m.core != nil && m.core.Owner.ServesFeed() {
+							f.crash(m, 500*time.Millisecond, false)
+							break
+						}
+					}
+				}
+			})
+		}
+		report := RunChanges(seed, plan)
+		t.Logf("seed %d: %d parts read, %d disks lost meanwhile, breaches %v", seed, reads, lost, report.Breaches)
+		is.Equal(len(report.Breaches), 0)
+		is.True(lost > 0)
+	}
+}
+
+// A part that is damaged on its way is never installed.
+func TestADamagedPartIsSentAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	plan := largePlan(t, "2/3/4", 4)
+	plan.Calm = true
+	parts, damaged := 0, 0
+	plan.Meddle = func(f *Fleet) {
+		f.Callers.Go(func() { f.wipeLater(f.Storage[1]) })
+		f.Net.Meddle = func(m *Message) *http.Response {
+			var part register.InstallPartRequest
+			body := m.Body
+			if strings.HasSuffix(m.Path, "Disk/InstallPart") && proto.Unmarshal(m.Body, &part) == nil && len(part.Data) > 0 {
+				parts++
+			}
+			if len(part.Data) > 0 && parts%4 == 2 && damaged < 3 {
+				damaged++
+				part.Data[f.World.Int64N(int64(len(part.Data)))] ^= 1
+				body, _ = proto.Marshal(&part)
+			}
+			response, _ := m.Pass(body)
+			return response
+		}
+	}
+	changesOf(t, plan, uint64(*seeds))
+	is.True(damaged > 0)
+}
+
+// ownersLostBesideALaggard kills the feed's owner whenever a disk that was cut
+// off is back.
+func (f *Fleet) ownersLostBesideALaggard() {
+	clock := f.Callers.Clock()
+	for {
+		clock.Sleep(2 * time.Second)
+		f.Net.CutOff(map[string]bool{f.Storage[0].Host.Name: true})
+		clock.Sleep(1500 * time.Millisecond)
+		f.Net.Heal()
+		for _, m := range f.Cores {
+			if m.Host.alive && m.core != nil && m.core.Owner.ServesFeed() {
+				f.crash(m, 400*time.Millisecond, false)
+			}
+		}
+	}
+}
+
+// The newest content is confirmed before an owner leads, also when a disk that
+// lacks it is among those that promise.
+func TestAnOwnerLeadsByTheNewestContent(t *testing.T) {
+	t.Parallel()
+	plan := planOf(t, "2/3/4", 60)
+	plan.Calm = true
+	plan.Meddle = func(f *Fleet) { f.Callers.Go(f.ownersLostBesideALaggard) }
+	changesOf(t, plan, 4*uint64(*seeds))
+}
+
+// Mechanisms taken away from owners and disks, and what then shows.
+func TestEachMechanismOfManyChangesTakenAwayIsCaught(t *testing.T) {
+	for _, row := range []struct {
+		mechanism string
+		plan      func() ChangesPlan
+		take      func(f *Fleet)
+		word      string
+	}{
+		{"the promises of a majority", func() ChangesPlan {
+			plan := planOf(t, "2/3/4", 60)
+			plan.Calm = true
+			return plan
+		}, func(f *Fleet) {
+			f.Callers.Go(f.ownersLostBesideALaggard)
+			f.Net.Meddle = func(m *Message) *http.Response {
+				if !strings.HasSuffix(m.Path, "Disk/Promise") || m.To == f.Storage[0].Host {
+					response, _ := m.Pass(m.Body)
+					return response
+				}
+				reply, response := passed(m, m.Body, &register.PromiseReply{})
+				if response == nil || reply.Ack == nil || !reply.Ack.Ok {
+					return response
+				}
+				return replied(&register.PromiseReply{Ack: reply.Ack}) // as if it held nothing
+			}
+		}, "had been acknowledged"},
+		{"the confirmation of the epoch before a read", func() ChangesPlan { return planOf(t, "2/3/4", 150) }, onPath("Disk/Confirm", func(*Message) *http.Response {
+			return replied(&register.Ack{Ok: true})
+		}), "had been acknowledged"},
+		{"the wholeness of a content in parts", func() ChangesPlan { return largePlan(t, "2/3/4", 16) }, func(f *Fleet) {
+			f.Net.Meddle = func(m *Message) *http.Response {
+				var part register.InstallPartRequest
+				if strings.HasSuffix(m.Path, "Disk/InstallPart") && proto.Unmarshal(m.Body, &part) == nil && len(part.Data) > 0 {
+					// a disk that counts the first part as all
+					response, _ := m.Pass(m.Body)
+					if response == nil {
+						return nil
+					}
+					return replied(&register.Ack{Ok: true, Seq: part.Snapshot.Seq, Staged: part.Snapshot.Size})
+				}
+				response, _ := m.Pass(m.Body)
+				return response
+			}
+		}, "is not current"},
+	} {
+		t.Run(row.mechanism, func(t *testing.T) {
+			t.Parallel()
+			const most = 8
+			for seed := uint64(1); seed <= most; seed++ {
+				plan := row.plan()
+				plan.Meddle = row.take
+				for _, breach := range RunChanges(seed, plan).Breaches {
+					if strings.Contains(breach, row.word) {
+						t.Logf("without %s: seed %d: %s", row.mechanism, seed, breach)
+						return
+					}
+				}
+			}
+			t.Errorf("none of %d seeds was caught with %q", most, row.word)
+		})
+	}
+}
