Refuse changes while too many wait for a majority of the disks

Cause: an owner that is cut off from the disks went on deciding changes and kept all of them until it was fenced. Beyond 4,096 changes or 32 MiB in a slot a further one is now refused as not run, which its client asks for again.

--- a/internal/register/decide.go
+++ b/internal/register/decide.go
@@ -68,6 +68,10 @@
 		s.mu.Unlock()
 		return nil, base.Busy(503, "slot_not_ready", 1, "the slot is changing hands")
 	}
+	if s.crowded() {
+		s.mu.Unlock()
+		return nil, base.Busy(503, "slot_not_ready", 1, "too many changes wait for a majority of the disks")
+	}
 	epoch := s.epoch
 	tx := &Tx{Now: s.now(o.clock), Bounds: o.bounds.Load(), Group: group, Epoch: epoch, held: s.held}
 	result, declined := decide(tx)
--- a/internal/register/owner_test.go
+++ b/internal/register/owner_test.go
@@ -89,3 +89,20 @@
 	owner.acknowledge(s, 1, "a", 1, newest.Stamp)
 	is.Equal(s.commit, uint64(1))
 }
+
+// What waits for a majority is bounded, in number and in bytes.
+func TestTooManyChangesThatWaitAreRefused(t *testing.T) {
+	for name, size := range map[string]int{"small": 40, "documents": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &slot{num: 1}
+			for !s.crowded() {
+				s.tail++
+				s.buffer = append(s.buffer, &Entry{Seq: s.tail, Puts: []*Put{{Key: "k", Value: make([]byte, size)}}})
+			}
+			is.True(len(s.buffer) == waitingEntries+1 || tailWeight(s) <= waitingBytes+size+256)
+			s.commit = s.tail - 1
+			is.True(!s.crowded())
+		})
+	}
+}
--- a/internal/register/tail.go
+++ b/internal/register/tail.go
@@ -11,11 +11,25 @@
 	tailEntries = 4096
 	// tailBytes bounds their weight while no disk is being sent a large content.
 	tailBytes = 4 << 20
+	// waitingBytes and waitingEntries bound the changes that no majority has yet.
+	waitingBytes   = 32 << 20
+	waitingEntries = 1 << 12
 	// feedBytes bounds the committed changes kept for followers of the feed; who
 	// is further behind is given the frame.
 	feedBytes = 4 << 20
 )
 
+// crowded tells that too much waits for a majority of the disks to take more;
+// the caller holds the lock.
+func (s *slot) crowded() bool {
+	waiting := s.buffer[s.uncommitted()-s.first():]
+	sum := 0
+	for place := 0; place < len(waiting) && sum <= waitingBytes; place++ {
+		sum += waiting[place].weight()
+	}
+	return sum > waitingBytes || len(waiting) > waitingEntries
+}
+
 // trim drops the changes that nobody needs any more, or that are too many; the
 // caller holds the lock.
 func (s *slot) trim() {
--- a/internal/register/transfer.go
+++ b/internal/register/transfer.go
@@ -152,7 +152,7 @@
 	if sent.part == nil || ack.Staged >= sent.part.Snapshot.Size {
 		return false
 	}
-	if t := s.transfers[diskID]; t != nil {
+	if t := s.transfers[diskID]; t != nil && t.snapshotCopy != nil && t.snapshot.Same(sent.part.Snapshot) {
 		t.asked, t.offset = true, ack.Staged
 	}
 	s.partsTaken++
