--- a/internal/disk/install_test.go
+++ b/internal/disk/install_test.go
@@ -275,13 +275,16 @@
 		tell(kindPart, &register.InstallPartRequest{Claim: b.claim(x.epoch, x.owner), Snapshot: x.snapshot, Offset: offset,
 			Data: x.data[offset:min(offset+register.PartBytes, x.snapshot.Size)]})
 	}
-	outgrown, first, second := b.sending(1, 4, largeContent(1, 2)), b.sending(1, 7, largeContent(2, 1)), b.sending(2, 9, largeContent(3, 3))
+	outgrown, first := b.sending(1, 4, largeContent(1, 2)), b.sending(1, 7, largeContent(2, 1))
+	stale, second := b.sending(2, 8, largeContent(4, 2)), b.sending(2, 9, largeContent(3, 4))
 	part(outgrown, 0)
 	part(first, 0)
 	part(first, register.PartBytes)
 	tell(kindPromise, b.claim(2, "o"))
+	part(stale, 0)
 	part(second, 0)
 	part(second, register.PartBytes)
+	part(second, 3*register.PartBytes) // a gap
 	for upto := range again {
 		for _, entry := range again[:upto+1] {
 			is.NoErr(b.store.applyBatch(entry))
