--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -129,7 +129,7 @@
 	v.mu.Lock()
 	cluster := v.cluster
 	v.mu.Unlock()
-	kin := message.Cluster == "" || cluster == "" || message.Cluster == cluster
+	same := message.Cluster == "" || cluster == "" || message.Cluster == cluster
 	v.merge(message, "")
 	heard, from := map[string]bool{}, ""
 	for place, member := range message.Members {
@@ -138,7 +138,7 @@
 			from = member.Id
 		}
 	}
-	reply := v.message(from, message.AskView && kin, heard)
+	reply := v.message(from, message.AskView && same, heard)
 	reply.Cluster = cluster
 	return reply, nil
 }
@@ -148,7 +148,7 @@
 // lives at its address ends any former life there.
 func (v *View) merge(message *ShuffleMessage, asked string) (differs bool) {
 	v.mu.Lock()
-	if !v.kin(message.Cluster) {
+	if !v.sameCluster(message.Cluster) {
 		v.mu.Unlock()
 		v.counters.Add("foreign_members_dropped", 1)
 		return false
@@ -158,7 +158,7 @@
 	look := []string{}
 	for _, member := range message.Members {
 		if member.State == State_GONE && member.Id != v.self.Id {
-			v.bury(member.Id, member.Incarnation)
+			v.endLife(member.Id, member.Incarnation)
 		}
 	}
 	for place, member := range message.Members {
@@ -209,11 +209,11 @@
 	return differs
 }
 
-// kin keeps clusters apart whose machines reach each other at addresses that
+// sameCluster keeps clusters apart whose machines reach each other at addresses that
 // one of them has given up. A node that does not know its cluster learns it
 // from the first it hears, so one whose place names it is safer. The caller
 // holds the lock.
-func (v *View) kin(cluster string) bool {
+func (v *View) sameCluster(cluster string) bool {
 	switch {
 	case cluster == "" || cluster == v.cluster:
 		return true
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -29,14 +29,14 @@
 	unheardAt time.Duration
 }
 
-// told is an item of news and how often it is still passed on.
-type told struct {
+// update is an item of news and how often it is still passed on.
+type update struct {
 	member *Member
 	left   int
 }
 
-// grave marks a life that ended, or news already passed on.
-type grave struct {
+// tombstone marks a life that ended, or news already passed on.
+type tombstone struct {
 	incarnation uint64
 	at          time.Duration
 }
@@ -58,9 +58,9 @@
 	if before, ok := v.passed[key]; ok && before.incarnation >= member.Incarnation && !again {
 		return
 	}
-	v.passed[key] = grave{member.Incarnation, v.clock.Now()}
-	v.news[member.Id] = &told{copyMember(member), v.times()}
-	v.bell.Ring()
+	v.passed[key] = tombstone{member.Incarnation, v.clock.Now()}
+	v.news[member.Id] = &update{copyMember(member), v.times()}
+	v.notify.Ring()
 }
 
 // alone tells that no neighbour is alive; the caller holds the lock.
@@ -111,13 +111,13 @@
 // one that others take for alive and that was suspected here. The caller holds
 // the lock.
 func (v *View) admit(member *Member, first, news bool) (look []string) {
-	if ended, ok := v.graves[member.Id]; ok && member.Incarnation <= ended.incarnation || member.Addr == v.self.Addr {
+	if ended, ok := v.tombstones[member.Id]; ok && member.Incarnation <= ended.incarnation || member.Addr == v.self.Addr {
 		return nil
 	}
 	if first {
 		for _, id := range base.SortedKeys(v.known) {
 			if former := v.known[id].member; former.Addr == member.Addr && id != member.Id {
-				v.bury(id, former.Incarnation)
+				v.endLife(id, former.Incarnation)
 			}
 		}
 	}
@@ -136,7 +136,7 @@
 	}
 	held.member, held.hash = member, entryHash(member)
 	v.changed()
-	delete(v.graves, member.Id)
+	delete(v.tombstones, member.Id)
 	if news {
 		v.spread(member, false)
 	}
@@ -150,26 +150,26 @@
 	if ok && (held.member.Incarnation > member.Incarnation || held.accused >= member.Incarnation) {
 		return false
 	}
-	if ended, dead := v.graves[member.Id]; dead && ended.incarnation >= member.Incarnation {
+	if ended, dead := v.tombstones[member.Id]; dead && ended.incarnation >= member.Incarnation {
 		return false
 	}
 	v.spread(member, false)
 	if !ok {
 		return false
 	}
-	v.accuse(held, member.Incarnation)
+	v.suspectPublicly(held, member.Incarnation)
 	return v.clock.Int64N(int64(len(v.known))) < verifiers
 }
 
-// bury ends a life for good; the caller holds the lock.
-func (v *View) bury(id string, incarnation uint64) {
+// endLife ends a life for good; the caller holds the lock.
+func (v *View) endLife(id string, incarnation uint64) {
 	held, ok := v.known[id]
-	if ended, dead := v.graves[id]; dead && ended.incarnation >= incarnation || ok && held.member.Incarnation > incarnation {
+	if ended, dead := v.tombstones[id]; dead && ended.incarnation >= incarnation || ok && held.member.Incarnation > incarnation {
 		return
 	}
 	delete(v.known, id)
 	v.changed()
-	v.graves[id] = grave{incarnation, v.clock.Now()}
+	v.tombstones[id] = tombstone{incarnation, v.clock.Now()}
 	v.spread(&Member{Id: id, Incarnation: incarnation, State: State_GONE}, false)
 }
 
@@ -197,7 +197,7 @@
 			v.changed()
 		}
 	}
-	for _, marks := range []map[string]grave{v.graves, v.passed} {
+	for _, marks := range []map[string]tombstone{v.tombstones, v.passed} {
 		for id, mark := range marks {
 			if now-mark.at > long {
 				delete(marks, id)
@@ -219,9 +219,9 @@
 // alive tells whether a neighbour is taken for alive: this node does not doubt
 // it, and nobody's suspicion has stood unrefuted for two beats.
 func (v *View) alive(held *neighbour) bool {
-	accused := held.accused >= held.member.Incarnation && v.clock.Now()-held.accusedAt > v.ripens()
+	accused := held.accused >= held.member.Incarnation && v.clock.Now()-held.accusedAt > v.suspicionHolds()
 	return held.doubted < held.member.Incarnation && !accused
 }
 
-// ripens is how long a suspicion stands before it counts.
-func (v *View) ripens() time.Duration { return 2 * v.bounds.Load().Beat() }
+// suspicionHolds is how long a suspicion stands before it counts.
+func (v *View) suspicionHolds() time.Duration { return 2 * v.bounds.Load().Beat() }
--- a/internal/membership/partners.go
+++ b/internal/membership/partners.go
@@ -8,12 +8,12 @@
 	"fordseam/internal/base"
 )
 
-// nominate chooses whom to turn to. Two of three partners are of this node's
+// pickPartners chooses whom to turn to. Two of three partners are of this node's
 // zone: one the next in the ring of its ids, so that each is looked after by
 // one other in turn, and one by chance; the third is of another zone. Now and
 // then a silent neighbour or an unmet seed is tried too; a node that knows
 // nobody alive tries several of them, and asks for their views.
-func (v *View) nominate() (partner string, addrs []string, joins bool) {
+func (v *View) pickPartners() (partner string, addrs []string, joins bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.forget(v.clock.Now())
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -100,7 +100,7 @@
 	case yes:
 		v.trust(member.Id)
 	case no:
-		v.condemn(member)
+		v.declareLost(member)
 	default:
 		v.doubt(member.Id)
 	}
@@ -160,9 +160,9 @@
 	}
 }
 
-// condemn takes a member for lost, tells all, and looks at others of its
+// declareLost takes a member for lost, tells all, and looks at others of its
 // zone when that is not this node's own: a zone may have been cut off whole.
-func (v *View) condemn(member *Member) {
+func (v *View) declareLost(member *Member) {
 	v.doubt(member.Id)
 	v.mu.Lock()
 	held, ok := v.known[member.Id]
@@ -171,7 +171,7 @@
 		return
 	}
 	fresh := held.accused < member.Incarnation
-	v.accuse(held, member.Incarnation)
+	v.suspectPublicly(held, member.Incarnation)
 	v.spread(&Member{Id: member.Id, Incarnation: member.Incarnation, State: State_SUSPECTED}, true)
 	also := []string{}
 	for _, id := range base.SortedKeys(v.known) {
@@ -186,8 +186,8 @@
 	}
 }
 
-// accuse marks a suspicion that is public; the caller holds the lock.
-func (v *View) accuse(held *neighbour, incarnation uint64) {
+// suspectPublicly marks a suspicion that is public; the caller holds the lock.
+func (v *View) suspectPublicly(held *neighbour, incarnation uint64) {
 	if held.accused >= incarnation {
 		return
 	}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -47,7 +47,7 @@
 	counters *base.Counters
 	seeds    []string
 	usages   UsageBook
-	bell     *base.Bell
+	notify   *base.Bell
 	// Cluster tells the cluster this node knows itself to be of, from its disk
 	// or the control state; "" while it does not know. It is set before Run.
 	Cluster func() string
@@ -55,17 +55,17 @@
 	// is set before Run.
 	Unwell func() string
 
-	shown atomic.Pointer[shown]
-
-	mu      sync.Mutex
-	self    *Member
-	cluster string
-	known   map[string]*neighbour
-	news    map[string]*told
-	passed  map[string]grave
-	graves  map[string]grave
-	turn    uint64
-	synced  time.Duration
+	published atomic.Pointer[snapshot]
+
+	mu         sync.Mutex
+	self       *Member
+	cluster    string
+	known      map[string]*neighbour
+	news       map[string]*update
+	passed     map[string]tombstone
+	tombstones map[string]tombstone
+	turn       uint64
+	synced     time.Duration
 	// partial is until when the view counts as partial, since it had to drop
 	// members.
 	partial time.Duration
@@ -82,12 +82,12 @@
 
 func NewView(clock base.Clock, wire base.Wire, bounds *base.Table[base.Bounds], counters *base.Counters, self *Member, seeds []string, usages UsageBook) *View {
 	self.Incarnation = max(self.Incarnation, 1)
-	return &View{clock: clock, wire: wire, bounds: bounds, counters: counters, self: self, seeds: seeds, bell: base.NewBell(clock),
-		usages: usages, known: map[string]*neighbour{}, news: map[string]*told{}, passed: map[string]grave{}, graves: map[string]grave{}}
+	return &View{clock: clock, wire: wire, bounds: bounds, counters: counters, self: self, seeds: seeds, notify: base.NewBell(clock),
+		usages: usages, known: map[string]*neighbour{}, news: map[string]*update{}, passed: map[string]tombstone{}, tombstones: map[string]tombstone{}}
 }
 
 // Self is this node's own entry.
-func (v *View) Self() *Member { return v.look().byID[v.self.Id] }
+func (v *View) Self() *Member { return v.current().byID[v.self.Id] }
 
 // Me is this node's id, which never changes within a life.
 func (v *View) Me() string { return v.self.Id }
@@ -97,11 +97,11 @@
 func (v *View) Run() {
 	for !v.Closed() {
 		if v.Cluster != nil {
-			v.belong(v.Cluster())
+			v.joinCluster(v.Cluster())
 		}
 		v.Refresh()
 		began := v.clock.Now()
-		partner, addrs, joins := v.nominate()
+		partner, addrs, joins := v.pickPartners()
 		if partner != "" {
 			v.probe(partner)
 		}
@@ -121,7 +121,7 @@
 	beat := v.bounds.Load().Beat()
 	end := v.clock.Now() + beat*3/2 + time.Duration(v.clock.Int64N(int64(beat)))
 	for {
-		next := v.bell.Next()
+		next := v.notify.Next()
 		v.mu.Lock()
 		hurry, alone, gossip := len(v.news) > 0, v.alone(), v.usages != nil && v.usages.Unsaid(v.times())
 		v.mu.Unlock()
@@ -142,7 +142,7 @@
 func (v *View) wake() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.news, v.synced = map[string]*told{}, 0
+	v.news, v.synced = map[string]*update{}, 0
 	v.counters.Add("views_woken", 1)
 }
 
@@ -150,12 +150,12 @@
 // tells the neighbours if it has changed.
 func (v *View) Refresh() {
 	if v.Unwell != nil {
-		v.mend(v.Unwell())
+		v.setUnwell(v.Unwell())
 	}
 }
 
-// mend takes the word on what keeps this node from serving.
-func (v *View) mend(word string) {
+// setUnwell takes the word on what keeps this node from serving.
+func (v *View) setUnwell(word string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.self.Unwell != word {
@@ -164,8 +164,8 @@
 	}
 }
 
-// belong takes the name of this node's cluster, once.
-func (v *View) belong(cluster string) {
+// joinCluster takes the name of this node's cluster, once.
+func (v *View) joinCluster(cluster string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.cluster == "" {
@@ -174,11 +174,11 @@
 }
 
 // Pin names the cluster from the settings file, before Run.
-func (v *View) Pin(cluster string) { v.belong(cluster) }
+func (v *View) Pin(cluster string) { v.joinCluster(cluster) }
 
 // Partial tells that the view holds as much as it may, so that there may be
 // more gateways than it knows of.
-func (v *View) Partial() bool { return len(v.look().all) > viewLimit }
+func (v *View) Partial() bool { return len(v.current().all) > viewLimit }
 
 // Addresses lists where live neighbours are.
 func (v *View) Addresses() []string {
@@ -211,7 +211,7 @@
 	v.mu.Lock()
 	v.closed = true
 	v.mu.Unlock()
-	v.bell.Ring()
+	v.notify.Ring()
 }
 
 // Closed reports whether the view was ended.
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -64,16 +64,16 @@
 	v.trust(id)
 	is.Equal(count(), all)
 	v.mu.Lock()
-	v.accuse(v.known[id], 1)
+	v.suspectPublicly(v.known[id], 1)
 	v.mu.Unlock()
 	is.Equal(count(), all)
-	v.clock.Sleep(v.ripens() + v.ripens()/10)
+	v.clock.Sleep(v.suspicionHolds() + v.suspicionHolds()/10)
 	is.Equal(count(), all-1)
 	v.mu.Lock()
-	v.bury(id, 1)
+	v.endLife(id, 1)
 	v.mu.Unlock()
 	is.Equal(len(v.Known(RoleEdge)), all-1)
-	v.mend("busy")
+	v.setUnwell("busy")
 	is.Equal(v.Self().Unwell, "busy")
 }
 
@@ -132,7 +132,7 @@
 	_, alive := v.Find("other:1/a")
 	is.True(!alive)
 	v.mu.Lock()
-	v.accuse(v.known["other:1/a"], 1)
+	v.suspectPublicly(v.known["other:1/a"], 1)
 	v.mu.Unlock()
 	reply := said(t, v, &Member{Id: "other:1/a", Incarnation: 1})
 	is.Equal(reply.Members[1].Id, "other:1/a")
@@ -171,7 +171,7 @@
 	}
 	near, met := 0, map[string]bool{}
 	for range 300 {
-		partner, _, _ := v.nominate()
+		partner, _, _ := v.pickPartners()
 		member, _ := v.Find(partner)
 		met[partner] = true
 		if member.Zone == "z0" {
