--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"fordseam/internal/base"
 
@@ -181,3 +182,26 @@
 	is.Equal(near, 200)
 	is.Equal(len(met), 12)
 }
+
+// Whether a member answered this node is this node's own finding: the word of
+// others that it lives takes back a doubt, not this.
+func TestUnheardIsANodesOwnFinding(t *testing.T) {
+	is := is.New(t)
+	bounds := &base.Table[base.Bounds]{}
+	bounds.Swap(base.DefaultBounds())
+	v := NewView(base.NewRealClock(), nil, bounds, base.NewCounters(), &Member{Id: "me:1/a", Addr: "me:1", Role: RoleCore}, nil, nil)
+	const id = "other:1/a"
+	_, err := v.Shuffle(context.Background(), &ShuffleMessage{Members: []*Member{{Id: id, Addr: "other:1", Role: RoleCore, Incarnation: 1}}})
+	is.NoErr(err)
+	is.True(!v.Unheard(id, time.Hour))
+	v.hear(id, false)
+	v.doubt(id)
+	v.trust(id)
+	_, alive := v.Find(id)
+	is.True(alive)
+	is.True(v.Unheard(id, time.Hour))
+	is.True(!v.Unheard(id, -1)) // found longer ago than that
+	v.hear(id, true)
+	is.True(!v.Unheard(id, time.Hour))
+	is.True(!v.Unheard("nobody", time.Hour))
+}
