Count a change that waits in vain as a round without a majority

Cause: an owner cut off from the disks with a change under way had its reads wait for that change and never ask for a confirmation, so that nothing told it of the loss; it kept its shard for as long as the cut lasted.

Ruled out: the gossip (the word was never given), the new tree of the watch.

Change: a change whose time is over without a majority counts; the disks are asked directly after each round that failed, so that one short of time marks nobody.

--- a/internal/register/decide.go
+++ b/internal/register/decide.go
@@ -103,6 +103,7 @@
 
 // settled waits until a majority has the slot up to target.
 func (o *Owner) settled(ctx *base.Ctx, s *slot, epoch, target uint64) error {
+	began := o.clock.Now()
 	for {
 		next := s.bell.Next()
 		s.mu.Lock()
@@ -115,6 +116,7 @@
 			return nil
 		}
 		if !next.Wait(ctx.Left()) {
+			o.noteQuorum(false, began)
 			return base.Unsure(503, "no_majority", "a majority of disks has not confirmed the change")
 		}
 	}
--- a/internal/register/quorum.go
+++ b/internal/register/quorum.go
@@ -42,6 +42,9 @@
 	if o.WithoutQuorum() != before {
 		o.view.Refresh()
 	}
+	if !reached {
+		o.seekQuorum()
+	}
 }
 
 // WithoutQuorum reports whether this core's rounds have got no majority for
@@ -60,17 +63,15 @@
 	return c.failing && o.clock.Now()-c.since >= grace
 }
 
-// seekQuorum asks the disks again while this core is without a majority: nobody
-// else turns to it, so that no other round would tell.
+// seekQuorum asks the disks themselves after a round that got no majority: it may
+// have been short of time, and while this core is without one nobody turns to it,
+// so that no other round would tell.
 func (o *Owner) seekQuorum() {
 	c := &o.contact
 	set := o.knownSet()
-	if set == nil || !o.WithoutQuorum() {
-		return
-	}
 	c.mu.Lock()
-	begins := !c.asking
-	c.asking = true
+	begins := set != nil && c.failing && !c.asking
+	c.asking = c.asking || begins
 	c.mu.Unlock()
 	if !begins {
 		return
