--- a/internal/simulate/cutoff_judge.go
+++ b/internal/simulate/cutoff_judge.go
@@ -102,6 +102,9 @@
 		}
 		taken[order.base] = order
 	}
+	if most := p.Site.Bounds.Recovery / 4; p.run.Acked > most {
+		p.breach("a change was acknowledged on the majority's side after %v only, %v at the most", p.run.Acked, most)
+	}
 	const bound = 12 * time.Second
 	if p.run.Back > bound {
 		p.breach("cores gave the newest configuration %v after the cut only", p.run.Back)
