Count only what a replica acknowledged under the set it is counted by

Cause, found by the model checker (two candidates for leader and a changing set; 145,725 states, 21 steps): an acknowledgement counted whatever set it was given under.

A majority of one set meets each of the next, not each of the one after that.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -70,42 +70,35 @@
 	return SendNothing
 }
 
-// Committed finds the newest change that a majority of the voters has, from
-// committed on. It is not reached while no majority has even that.
-func Committed(committed uint64, voters []Progress) (seq uint64, reached bool) {
+// Committed finds the newest change that a majority of the voters of a set has,
+// from committed on. It is not reached while no majority has even that. Only
+// what a replica acknowledged under this very set counts: since it acknowledged
+// something under a former set it may have promised a higher epoch to another
+// leader, whose majority of that set need not meet one of this set.
+func Committed(committed, setVersion uint64, voters []Progress) (seq uint64, reached bool) {
 	seq = committed
 	for _, voter := range voters {
-		if voter.Has(seq) && isOnMajority(voter.Acked, voters) {
+		if voter.Whole(seq, setVersion) && Settled(voter.Acked, setVersion, voters) {
 			seq, reached = voter.Acked, true
 		}
 	}
 	return seq, reached
 }
 
-func isOnMajority(seq uint64, voters []Progress) bool {
+// Settled reports whether a majority of the voters acknowledged a change under
+// the set of a version.
+func Settled(seq, setVersion uint64, voters []Progress) bool {
 	count := 0
 	for _, voter := range voters {
-		if voter.Has(seq) {
+		if voter.Whole(seq, setVersion) {
 			count++
 		}
 	}
 	return count >= Majority(len(voters))
 }
 
-// Settled reports whether a majority of the voters acknowledged what is
-// committed under the set of a version.
-func Settled(committed, setVersion uint64, voters []Progress) bool {
-	count := 0
-	for _, voter := range voters {
-		if voter.Whole(committed, setVersion) {
-			count++
-		}
-	}
-	return count >= Majority(len(voters))
-}
-
-// Whole reports whether the replica acknowledged what is committed under the
-// set of a version.
-func (p Progress) Whole(committed, setVersion uint64) bool {
-	return p.Has(committed) && p.SetVersion == setVersion
+// Whole reports whether the replica acknowledged a change under the set of a
+// version.
+func (p Progress) Whole(seq, setVersion uint64) bool {
+	return p.Has(seq) && p.SetVersion == setVersion
 }
--- a/internal/model/membership.go
+++ b/internal/model/membership.go
@@ -31,6 +31,8 @@
 	Epochs  int
 	// OneTry has each leader try once, under an epoch of its own.
 	OneTry bool
+	// Led has the first leader serve from the start, under epoch 1.
+	Led bool
 	// Bases are the versions that the clients' documents build on.
 	Bases []uint8
 	// Wipes is how many replicas lose their disks; the next one does once the
@@ -38,6 +40,8 @@
 	Wipes int
 	// Budget is how many replicas may be lost at once.
 	Budget int
+	// Prompt has a replica's answer reach the leader at once.
+	Prompt bool
 	// Losses has messages and answers get lost.
 	Losses bool
 	// Reads has leaders answer reads.
@@ -165,9 +169,23 @@
 	for place := range w.Leaders {
 		state.leaders[place].set = 1
 	}
+	if w.Led {
+		w.lead(&state, members)
+	}
 	return state
 }
 
+// lead has the first leader serve, with its snapshot on the first members.
+func (w *Membership) lead(state *MembershipState, members int) {
+	leader := &state.leaders[0]
+	*leader = candidate{epoch: 1, set: 1, askedAt: 1, taken: true, serving: true}
+	for place := range members {
+		state.members[place].held = shardCopy{promised: 1, leader: 1, installed: 1}
+		leader.replicas[place] = known{installed: true, set: 1}
+	}
+	state.confirmedBy[0] = 1
+}
+
 // places is how many replicas there are in all.
 func (w *Membership) places() uint8 { return uint8(w.Voters + w.Learners + w.Spares) }
 
--- a/internal/model/replication_steps.go
+++ b/internal/model/replication_steps.go
@@ -180,7 +180,7 @@
 			voters[place] = consensus.Progress{Installed: true, Acked: uint64(acked - 1), SetVersion: setVersion}
 		}
 	}
-	committed, reached := w.Rules.Committed(uint64(owner.committed), voters)
+	committed, reached := w.Rules.Committed(uint64(owner.committed), setVersion, voters)
 	if !reached {
 		return
 	}
--- a/internal/model/rules.go
+++ b/internal/model/rules.go
@@ -9,7 +9,7 @@
 	JudgeAppend func(held consensus.Shard, epoch, first uint64) consensus.Rejection
 	Install     func(held consensus.Shard, epoch uint64, leader string, seq uint64) (consensus.Shard, bool)
 	Newer       func(position, other consensus.Position) bool
-	Committed   func(committed uint64, voters []consensus.Progress) (uint64, bool)
+	Committed   func(committed, setVersion uint64, voters []consensus.Progress) (uint64, bool)
 	// PromiseQuorum and ReadQuorum are how many of the voters must answer.
 	PromiseQuorum func(voters int) int
 	ReadQuorum    func(voters int) int
--- a/internal/register/slot.go
+++ b/internal/register/slot.go
@@ -133,7 +133,7 @@
 
 // recount finds what a majority has; the caller holds the lock.
 func (s *slot) recount(set *DiskSet) {
-	if committed, reached := consensus.Committed(s.commit, s.voters(set)); reached {
+	if committed, reached := consensus.Committed(s.commit, set.Stamp, s.voters(set)); reached {
 		s.commit, s.based = committed, true
 	}
 	s.trim()
