--- a/internal/model/worlds.go
+++ b/internal/model/worlds.go
@@ -28,6 +28,7 @@
 		membership("membership-four", Membership{Voters: 4, Spares: 1, Sets: 4, Leaders: 1, Epochs: 2, Bases: []uint8{0}, Losses: true}),
 		membership("membership-five", Membership{Voters: 5, Sets: 3, Leaders: 1, Epochs: 2, Bases: []uint8{0}, Losses: true}),
 		membership("membership-leaders", Membership{Voters: 3, Learners: 1, Sets: 3, Leaders: 2, Epochs: 2, OneTry: true, Bases: []uint8{0}, Reads: true}),
+		membership("membership-candidates", Membership{Voters: 3, Learners: 1, Sets: 3, Leaders: 2, Epochs: 2, OneTry: true, Led: true, Prompt: true, Bases: []uint8{0}}),
 		bootstrap("bootstrap", Bootstrap{Seeds: 3, Ballots: 8, Restarts: 2}),
 		lease("lease-one-level", Lease{Rates: []uint8{slowestClock, fastestClock}, LeaseTicks: 8, Direct: true, Hold: true}),
 		lease("lease-two-levels", Lease{Rates: []uint8{slowestClock, trueClock, slowestClock}, LeaseTicks: 4}),
