Say under which set a transfer's test disks acknowledged

Cause: the rule that only acknowledgements under the set in force count came in beside the transfers; the test's hand-filled progress named no set, so nothing was committed in it. The check is as before.

--- a/internal/register/transfer_test.go
+++ b/internal/register/transfer_test.go
@@ -77,7 +77,7 @@
 	for place := range keys {
 		x.held.Put(fmt.Sprintf("k%04d", place), make([]byte, size))
 	}
-	x.progress = map[string]*consensus.Progress{"a": {Installed: true, Acked: 1}, "b": {Installed: true, Acked: 1}, "c": {}}
+	x.progress = map[string]*consensus.Progress{"a": {Installed: true, Acked: 1, SetVersion: 1}, "b": {Installed: true, Acked: 1, SetVersion: 1}, "c": {}}
 	return x
 }
 
