Return to an owner that refused once and that the other cores name

Cause: a search for the owner calls last the cores that were called in vain. One that had refused for lack of a majority, as all do right after an outage, was named by every other core and passed over each time, while those others were never counted as called in vain: the search asked them until its time was over (TestPowerCutWithDisksLost at 3, 4 and 9 machines: refused after 25 s; a question about a retirement waited 12 s). Ruled out: the confirmation itself, which succeeds from the second try on; refusals of turns without a history (another interface).

A core that names one which was called in vain now counts as called in vain itself.

--- a/internal/register/search.go
+++ b/internal/register/search.go
@@ -171,11 +171,18 @@
 }
 
 // follow gives the core that an answer names, if it is taken for alive here:
-// the one that was asked looks after it meanwhile, and is asked again.
+// the one that was asked looks after it meanwhile, and is asked again. A core
+// that names one which was called in vain brings nothing nearer either, and
+// counts as called in vain itself; else it would be asked for ever, and the one
+// that it names never again.
 func (s *search) follow(got answer) string {
 	if _, alive := s.client.view.Find(got.hint); !alive {
 		return ""
 	}
+	if s.turned[got.hint] > 0 {
+		s.turned[got.core]++
+		return ""
+	}
 	return got.hint
 }
 
