Share a transfer test's progress with the committer by atomics

Cause: the race detector found the test's own variables read by the committer's goroutine. The check is as before: an answer is given only after its sync, on that same goroutine, so what was answered is on the files whenever it reads.

--- a/internal/disk/install_test.go
+++ b/internal/disk/install_test.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -222,7 +223,8 @@
 	is.True(b.take(2, "o").Ack.Ok)
 	b.shorten(256 << 10)
 	x := b.sending(2, 9, largeContent(1, 6))
-	answered, whole := uint64(0), false
+	var answered atomic.Uint64 // written here, read by the committer
+	var whole atomic.Bool
 	tries, cut, ends := 0, int64(0), map[string]int{}
 	b.files.before = func(string) {
 		for range 8 {
@@ -238,9 +240,9 @@
 				is.Equal(fmt.Sprint(held.Seq, len(held.values)), "9 12")
 			default:
 				ends["former"]++
-				is.True(!whole)
+				is.True(!whole.Load())
 				is.Equal(fmt.Sprintf("%d %d %s", held.Installed, held.Seq, held.values["former"]), "1 1 value")
-				is.True(held.stagedOf(x.snapshot) >= answered)
+				is.True(held.stagedOf(x.snapshot) >= answered.Load())
 			}
 			cut += counters.Frame()["disk_tails_cut"]
 			other := *x
@@ -253,8 +255,9 @@
 	for offset := uint64(0); offset < x.snapshot.Size; {
 		ack := x.part(offset)
 		is.True(ack.Ok)
-		answered, offset = ack.Staged, ack.Staged
-		whole = offset == x.snapshot.Size
+		offset = ack.Staged
+		answered.Store(ack.Staged)
+		whole.Store(offset == x.snapshot.Size)
 	}
 	b.finish()
 	t.Logf("%d losses of power, %d torn tails cut, ends %v, %d turns", tries, cut, ends, b.store.counters.Frame()["disk_frames"])
