--- a/internal/route/canonical.go
+++ b/internal/route/canonical.go
@@ -79,7 +79,7 @@
 	return depth
 }
 
-// String writes the path as operators write it: route_table[2].name.
+// String writes the path as operators write it, such as routes[2].name.
 func (p *path) String() string {
 	switch {
 	case p == nil:
--- a/internal/simulate/manychanges.go
+++ b/internal/simulate/manychanges.go
@@ -156,12 +156,12 @@
 // padding does not compress below the bytes that the plan asks for.
 func (r *changesRun) documentTail() []byte {
 	var out bytes.Buffer
-	out.WriteString(`,"route_table":[`)
+	out.WriteString(`,"routes":[`)
 	for place := range r.plan.Routes {
 		if place > 0 {
 			out.WriteByte(',')
 		}
-		fmt.Fprintf(&out, `{"name":"r-%d","hostname":"host%d.example","path_prefix":"/p-%x/","deadline_ms":%d,"backend":"app"}`,
+		fmt.Fprintf(&out, `{"name":"r-%d","host":"host%d.example","prefix":"/p-%x/","timeout_ms":%d,"service":"app"}`,
 			place, place%7, r.rng.Uint64(), 1000+place%9*100)
 	}
 	out.WriteString(`],"padding":"`)
