End what a stopping gateway still carries before its own time is over

A turn may take 30 s, and with the control state out of reach it did: its stop's 24 s were over first, so that the stream of the running turn and of the one behind it got no end. Drain waited for quiet sessions up to the very end of its time, and a stream's search for its next owner could outlast it as well. Change: seven eighths of a stop's time are for ending turns and handing over; then every stream that is still carried ends with a final event that says that the turn may have run. A search for the next owner runs beside the reading. Ruled out: a lost signal or a stuck task (a stack dump at the end of the stop shows all turns in waits for the control state, each with a bound of its own).

--- a/internal/session/housekeeping.go
+++ b/internal/session/housekeeping.go
@@ -80,9 +80,19 @@
 	k.mu.Unlock()
 }
 
-// Drain finishes what was accepted and hands each session to its
-// understudy; new turns wait for the hand-over and go on there.
+// closingShare is the part of a planned stop's time that is left for answering
+// the requests whose turns did not end before it.
+const closingShare = 8
+
+// Drain finishes what was accepted and hands each session to its standby; new
+// turns wait for the hand-over and go on there. A turn may take longer than the
+// stop: what is still carried near its end is answered as cut.
 func (k *Keeper) Drain(limit time.Duration) {
+	limit -= limit / closingShare
+	k.clock.Go(func() {
+		k.clock.Sleep(limit)
+		k.stopping.Fire()
+	})
 	k.mu.Lock()
 	k.draining = true
 	all := []*held{}
@@ -90,7 +100,7 @@
 		all = append(all, k.held[id])
 	}
 	k.mu.Unlock()
-	base.AskAll(k.clock, all, limit, func(ctx *base.Ctx, h *held) { k.handOver(h, ctx.Until) })
+	base.AskAll(k.clock, all, limit, func(ctx *base.Ctx, h *held) { k.handOver(h, ctx.Until-k.bounds.Load().Call()) })
 	k.flush()
 }
 
--- a/internal/session/keeper.go
+++ b/internal/session/keeper.go
@@ -87,6 +87,8 @@
 	repeats  float64
 	draining bool
 	closed   bool
+	// stopping fires when a leaving node has no more time for what it carries.
+	stopping base.Signal
 }
 
 // declinedVisit is what became of a visit here: declined with a verdict,
@@ -115,7 +117,7 @@
 	return &Keeper{clock: p.Clock, wire: p.Wire, view: p.View, bounds: p.Bounds, counters: p.Counters, register: p.Register,
 		follower: p.Follower, picker: p.Picker, workers: &worker.Client{Register: p.Register}, backends: p.Backends, tree: p.Tree,
 		held: map[string]*held{}, copies: map[string]*standbyCopy{}, cache: map[string]*Record{}, streams: map[string]*Stream{},
-		declined: map[string]*declinedVisit{}, ended: map[string]budget.Termination{}, repeats: repeatMost}
+		declined: map[string]*declinedVisit{}, ended: map[string]budget.Termination{}, repeats: repeatMost, stopping: p.Clock.NewSignal()}
 }
 
 func (k *Keeper) me() string { return k.view.Me() }
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -164,10 +164,18 @@
 	given  uint64
 	local  *Stream
 	remote *remoteStream
-	// again finds the stream anew after its owner was lost.
-	again func() (*Reader, error)
-	done  bool
-	ahead []*Piece
+	// again finds the stream anew after its owner was lost; search is that under way.
+	again  func() (*Reader, error)
+	search *search
+	done   bool
+	ahead  []*Piece
+}
+
+// search looks for a stream with its next owner.
+type search struct {
+	over  base.Signal
+	found *Reader
+	err   error
 }
 
 type remoteStream struct {
@@ -206,15 +214,13 @@
 		return nil, r.leg, true
 	}
 	found, err := r.pull()
+	if err != nil && r.given == 0 && r.again != nil {
+		err = r.findAgain(err)
+	}
+	if err == nil && len(found) == 0 && r.keeper.stopping.Fired() {
+		err = base.Unsure(502, "node_stopping", "this node is stopping")
+	}
 	if err != nil {
-		if r.given == 0 && r.again != nil {
-			if next, failed := r.again(); failed == nil && next != nil {
-				r.local, r.remote, r.leg, r.place = next.local, next.remote, next.leg, next.place
-				return nil, r.leg, false
-			} else if failed != nil {
-				err = failed
-			}
-		}
 		// The turn was accepted once, so this node cannot know that it did not run.
 		v := base.Unsure(502, "cut", "the session's owner was lost before the answer was whole: %s", base.FromWire(err).Message)
 		r.done = true
@@ -228,7 +234,37 @@
 	return found, r.leg, r.done
 }
 
+// findAgain looks for the stream with its next owner and reads on there; nil
+// means that it was found, or that the search goes on.
+func (r *Reader) findAgain(lost error) error {
+	clock := r.keeper.clock
+	if r.search == nil {
+		looking := &search{over: clock.NewSignal()}
+		r.search = looking
+		clock.Go(func() {
+			looking.found, looking.err = r.again()
+			looking.over.Fire()
+		})
+	}
+	if !r.search.over.Wait(r.keeper.bounds.Load().Pull()) {
+		return nil
+	}
+	next, failed := r.search.found, r.search.err
+	r.search = nil
+	switch {
+	case failed != nil:
+		return failed
+	case next == nil:
+		return lost
+	}
+	r.local, r.remote, r.leg, r.place = next.local, next.remote, next.leg, next.place
+	return nil
+}
+
 func (r *Reader) pull() ([]*Piece, error) {
+	if r.search != nil {
+		return nil, staleRun()
+	}
 	hold := r.keeper.bounds.Load().Pull()
 	if r.local != nil {
 		found := r.local.from(r.place, hold, r.keeper.clock.Now)
