--- a/internal/simulate/tier.go
+++ b/internal/simulate/tier.go
@@ -42,6 +42,17 @@
 		return TierShape{Name: "kiondo", Site: parties.Sites()["kiondo"], Tolerate: 1, Rate: 0.4}
 	},
 	"grown": grownShape,
+	"roaming": func() TierShape {
+		site := parties.Sites()["small"]
+		site.Storage = 4
+		return TierShape{Name: "roaming", Site: roaming(site), Tolerate: 1, Rate: 1.5}
+	},
+	"roaming-grown": func() TierShape {
+		form := grownShape()
+		form.Name, form.Site = "roaming-grown", roaming(form.Site)
+		form.Site.Edges = 16
+		return form
+	},
 	"paycentre": func() TierShape {
 		form := grownShape()
 		form.Name, form.Site.Name = "paycentre", "paycentre"
@@ -50,6 +61,16 @@
 	},
 }
 
+// roaming has the short chats' whole prompt come with each turn, so that none is
+// kept, and their streams continued where they break off; many programs run away.
+func roaming(site *parties.Site) *parties.Site {
+	site.Name = "roaming"
+	short := &site.Classes[0]
+	short.Spending, short.Retain, short.Resumable, short.Runaway = short.Retain, 0, true, 0.06
+	short.MaxTries = 3
+	return site
+}
+
 // grownShape has as many machines with disks as bear the loss of two.
 func grownShape() TierShape {
 	site := parties.Sites()["kiondo"]
--- a/internal/standin/platform/change.go
+++ b/internal/standin/platform/change.go
@@ -57,7 +57,8 @@
 	r := Route{Name: "r-" + drawWord(d.Rng), Host: host, Prefix: prefix, Kind: class.Kind, DeadlineMs: float64(class.Deadline.Milliseconds()),
 		TargetMs: float64(class.Aim.Milliseconds()), Urgency: class.Urgency, Service: d.Words.Services[class.Service], MaxTries: class.MaxTries}
 	if class.Kind == Streaming {
-		r.Retained, r.RetainS, r.Pinned, r.GapTargetMs = true, class.Retain.Seconds(), true, float64(class.Pause.Milliseconds())
+		r.Retained, r.RetainS = class.Retain > 0, max(class.Retain, class.Spending).Seconds()
+		r.Pinned, r.Resumable, r.GapTargetMs = true, class.Resumable, float64(class.Pause.Milliseconds())
 	}
 	return r
 }
--- a/internal/standin/platform/check.go
+++ b/internal/standin/platform/check.go
@@ -49,7 +49,7 @@
 func (r *Record) Check() []Breach {
 	v := r.view()
 	for _, rule := range []func(){v.mixed, v.order, v.unasked, v.twice, v.refused, v.denied, v.route, v.drain, v.lostRequests, v.lostTurns,
-		v.configOrders, v.configInForce, v.configBack, v.configNewRoutes, v.configRead, v.budget, v.recover, v.acks} {
+		v.configOrders, v.configInForce, v.configBack, v.configNewRoutes, v.configRead, v.budget, v.manyTries, v.recover, v.acks} {
 		rule()
 	}
 	for _, rule := range base.SortedKeys(v.counts) {
--- a/internal/standin/platform/player.go
+++ b/internal/standin/platform/player.go
@@ -79,11 +79,15 @@
 // Request makes a request with the tries its class has; make fills in what is
 // the same in every try. It gives the last try.
 func (p *Player) Request(class *Class, further int, make func(t *Try)) *Try {
-	began := p.Clock.Now()
+	began, after := p.Clock.Now(), int64(0)
 	for tries := 0; ; tries++ {
 		left := class.Deadline - (p.Clock.Now() - began)
-		t := &Try{ID: p.id(), Class: class.Name, Kind: class.Kind, Method: class.Method, Deadline: left, Aim: class.Aim, Pause: class.Pause, Fresh: tries > 0}
+		t := &Try{ID: p.id(), Class: class.Name, Kind: class.Kind, Method: class.Method, Deadline: left, Aim: class.Aim, Pause: class.Pause, Fresh: tries > 0,
+			MaxTries: class.MaxTries, Resumable: class.Resumable, After: after}
 		make(t)
+		if after > 0 {
+			t.Header = append(t.Header, [2]string{HeaderLastEvent, fmt.Sprint(after)})
+		}
 		t.Header = append([][2]string{{HeaderID, t.ID}, {HeaderDeadline, fmt.Sprint(max(1, left.Milliseconds()))}}, t.Header...)
 		// The whole record knows of a try before its first byte leaves.
 		p.Ledger.Note(func(r *Record) { r.Tries = append(r.Tries, t) })
@@ -93,6 +97,9 @@
 		if !again {
 			return t
 		}
+		if class.Resumable && len(t.Events) > 0 {
+			after = t.Events[len(t.Events)-1].ID
+		}
 		if pause > 0 {
 			p.Clock.Sleep(pause)
 		}
@@ -202,6 +209,9 @@
 	plan := r.plan
 	t.Host, t.Target, t.Body, t.Zone, t.Client = plan.Host, plan.Target, turn.Input, plan.Zone, plan.Client
 	t.Program, t.Session, t.Previous, t.Budget, t.Most, t.Retain = plan.ID, line.Session, previous, plan.Budget, turn.Most, plan.Class.Retain
+	if plan.Class.Retain == 0 {
+		previous, t.Previous = "", "" // the prompt says it all
+	}
 	t.Chunked = len(turn.Input)%4 == 0
 	t.Header = append(r.mark(line), [][2]string{{HeaderBudget, fmt.Sprint(plan.Budget)}, {HeaderModel, plan.Model},
 		{HeaderTokens, fmt.Sprintf("%d,%d", turn.Prompt, turn.Most)}, {HeaderPrompt, turn.Parts}}...)
--- a/internal/standin/platform/record.go
+++ b/internal/standin/platform/record.go
@@ -35,6 +35,11 @@
 	Aim      time.Duration
 	Pause    time.Duration
 	Retain   time.Duration
+	MaxTries int
+	// Resumable streams may be continued; After is the event that this try goes on
+	// from.
+	Resumable bool
+	After     int64
 	// Probe requests go to one node directly and reveal its configuration.
 	Probe bool
 
@@ -66,6 +71,9 @@
 // OK says that a whole answer of success came.
 func (t *Try) OK() bool { return t.Status >= 200 && t.Status < 300 && t.Complete && t.Seal != "" }
 
+// Repeats says that the request may run more than once.
+func (t *Try) Repeats() bool { return t.Kind == Idempotent || t.Resumable }
+
 // Own says that the answer is the system's own and not a worker's.
 func (t *Try) Own() bool { return t.Status != 0 && t.Seal == "" }
 
@@ -78,6 +86,7 @@
 	Method  string
 	Target  string
 	Body    string // digest
+	After   int64  // the event that it was to go on from
 	At      time.Duration
 	// Ran is set once the worker has begun to work on it.
 	Ran          bool
--- a/internal/standin/platform/site.go
+++ b/internal/standin/platform/site.go
@@ -44,14 +44,19 @@
 	Aim      time.Duration
 	Deadline time.Duration
 	Pause    time.Duration
+	// Retain is how long turns are kept, 0 where they are not; Spending is then how
+	// long the route says that what programs spent is.
 	Retain   time.Duration
-	Further  int // tries after the first
-	MaxTries int
-	Urgency  int
-	Body     Draw // bytes
-	Answer   Draw // bytes
-	Work     Draw // ms
-	Errors   float64
+	Spending time.Duration
+	// Resumable streams may be continued after their last event.
+	Resumable bool
+	Further   int // tries after the first
+	MaxTries  int
+	Urgency   int
+	Body      Draw // bytes
+	Answer    Draw // bytes
+	Work      Draw // ms
+	Errors    float64
 
 	Events  Draw
 	Prompt  Draw // tokens of a turn's own
--- a/internal/standin/platform/words.go
+++ b/internal/standin/platform/words.go
@@ -27,6 +27,7 @@
 	HeaderFinish         = "Finish-Ms"
 	HeaderBudget         = "Token-Budget"
 	HeaderPrevious       = "Previous-Turn"
+	HeaderLastEvent      = "Last-Event-Id"
 
 	PathReadiness = "/fordseam/readiness"
 	PathConfig    = "/fordseam/config"
--- a/internal/standin/platform/worker.go
+++ b/internal/standin/platform/worker.go
@@ -251,6 +251,7 @@
 	}
 	arrival := &Arrival{Worker: w.ID, Service: w.Service, ID: asked.Header(HeaderID), Host: asked.Host, Method: asked.Method, Target: asked.Target,
 		Body: base.Digest(asked.Body), At: w.Clock.Now()}
+	arrival.After, _ = strconv.ParseInt(asked.Header(HeaderLastEvent), 10, 64)
 	w.Ledger.Note(func(r *Record) { r.Arrivals = append(r.Arrivals, arrival) })
 	note := func(change func(a *Arrival)) { w.Ledger.Note(func(*Record) { change(arrival) }) }
 	refuse := func(status int, more ...[2]string) {
