Nodes that have just started find each other, the cores and the disks sooner

Change: the first pauses of a lonely node are an eighth as long and double; a search that knows no core waits for news of one, and so does a core that knows no disks. A gateway without a configuration tells clients to come back after a sixtieth of the recovery bound instead of a second.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -33,6 +33,8 @@
 	silentEvery = 4
 	// joinWidth is how many addresses a node that knows nobody alive tries at once.
 	joinWidth = 6
+	// lonelyTurns is after how many turns alone the pause between them doubles.
+	lonelyTurns = 16
 	// verifiers is how many of the fleet look for themselves when a suspicion spreads.
 	verifiers = 3
 	// relays is how many others are asked to look for a silent neighbour.
@@ -66,6 +68,8 @@
 	tombstones map[string]tombstone
 	turn       uint64
 	synced     time.Duration
+	// lonely counts the turns in a row in which this node knew nobody alive.
+	lonely int
 	// partial is until when the view counts as partial, since it had to drop
 	// members.
 	partial time.Duration
@@ -124,12 +128,17 @@
 		next := v.notify.Next()
 		v.mu.Lock()
 		hurry, alone, gossip := len(v.news) > 0, v.alone(), v.usages != nil && v.usages.Unsaid(v.times())
+		if !alone {
+			v.lonely = 0
+		}
 		v.mu.Unlock()
 		switch {
 		case hurry:
 			v.clock.Sleep(min(max(0, end-v.clock.Now()), beat/8+time.Duration(v.clock.Int64N(int64(beat/4)))))
 			return
-		case alone || gossip:
+		case alone:
+			end = min(end, v.clock.Now()+v.lonelyPause())
+		case gossip:
 			end = min(end, v.clock.Now()+beat)
 		}
 		if !next.Wait(max(0, end-v.clock.Now())) {
@@ -138,6 +147,20 @@
 	}
 }
 
+// lonelyPause is how long a node that knows nobody alive waits before it tries
+// again: after an outage those whom it asks start in the same moment as itself.
+func (v *View) lonelyPause() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	beat := v.bounds.Load().Beat()
+	pause := min(beat, beat/8<<min(v.lonely/lonelyTurns, 3))
+	v.lonely++
+	return pause/2 + time.Duration(v.clock.Int64N(int64(pause/2)+1))
+}
+
+// Changed fires when this node hears something new of the others.
+func (v *View) Changed() base.Signal { return v.notify.Next() }
+
 // wake forgets the news of before a long sleep, which are old.
 func (v *View) wake() {
 	v.mu.Lock()
--- a/internal/node/tier.go
+++ b/internal/node/tier.go
@@ -110,7 +110,7 @@
 		table = g.TableFor(base.NewCtx(g.env.Clock, call.Deadline))
 	}
 	if table == nil {
-		return nil, base.Busy(503, "no_settings", 1, "no configuration is in force yet")
+		return nil, base.BusyFor(503, "no_settings", g.bounds.Load().Recover/60, "no configuration is in force yet")
 	}
 	matched := table.Match(call.Host, call.Target)
 	if matched == nil {
--- a/internal/register/search.go
+++ b/internal/register/search.go
@@ -58,6 +58,10 @@
 			chosen = c.choose(slot, s.turned)
 		}
 		hint = ""
+		if chosen == "" && !s.waits() {
+			s.awaitCore()
+			continue
+		}
 		if s.begin(chosen) {
 			got, ok := s.next()
 			if !ok {
@@ -77,6 +81,23 @@
 	return nil, s.unanswered()
 }
 
+// waits tells that some call is under way or an answer has come.
+func (s *search) waits() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending)+len(s.answers) > 0
+}
+
+// awaitCore waits until this node hears of others while it knows no core: it has
+// just started, and asks nobody meanwhile.
+func (s *search) awaitCore() {
+	changed := s.client.view.Changed()
+	if s.client.choose(s.slot, s.turned) == "" {
+		changed.Wait(min(s.ctx.Left(), s.client.bounds.Load().Beat()/4))
+	}
+	s.hops = -1
+}
+
 // begin calls a core, unless a call to it is under way or it is not known, and
 // tells whether there is an answer to wait for.
 func (s *search) begin(core string) bool {
--- a/internal/register/takeover.go
+++ b/internal/register/takeover.go
@@ -79,8 +79,7 @@
 		}
 		if err != nil {
 			o.counters.Add("slot_takes_failed", 1)
-			pause := o.bounds.Load().Beat() / 4
-			o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
+			o.pauseTaking(err)
 			s.mu.Lock()
 			s.phase = idle
 			s.mu.Unlock()
@@ -89,6 +88,17 @@
 	})
 }
 
+// pauseTaking waits before a shard is taken again. Without a disk set only news
+// of storage machines can help.
+func (o *Owner) pauseTaking(failed error) {
+	pause := o.bounds.Load().Beat() / 4
+	if base.IsCode(failed, "no_disks") {
+		o.view.Changed().Wait(pause)
+		return
+	}
+	o.clock.Sleep(pause + time.Duration(o.clock.Int64N(int64(pause))))
+}
+
 func (o *Owner) take(s *slot) error {
 	set := o.Set()
 	if set == nil {
