--- a/internal/simulate/files.go
+++ b/internal/simulate/files.go
@@ -11,6 +11,8 @@
 	"fordseam/internal/disk"
 )
 
+// file is one file's bytes, and those of them that were synced. The two may
+// share an array: bytes that stand in it are never changed in place.
 type file struct {
 	live   []byte
 	synced []byte
@@ -73,7 +75,7 @@
 
 func (f *Files) Sync(name string) error {
 	held := f.at(name)
-	covered := append([]byte(nil), held.live...)
+	covered := held.live[:len(held.live):len(held.live)]
 	f.Syncing++
 	clock := f.host.Clock()
 	for f.Stalled {
@@ -139,9 +141,10 @@
 	if place >= len(held.live) {
 		return false
 	}
-	held.live[place] ^= 0x10
+	rotten := append([]byte(nil), held.live...)
+	rotten[place] ^= 0x10
+	held.live, held.synced = rotten, rotten[:len(rotten):len(rotten)]
 	f.Rotten = true
-	held.synced = append([]byte(nil), held.live...)
 	return true
 }
 
