--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -45,7 +45,6 @@
 					&cli.IntFlag{Name: "callers", Value: 24, Usage: "`CALLERS` at once"},
 					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
 			platformCommand(),
-			hollowCommand(),
 			daysCommand(),
 		},
 	}
