--- a/cmd/fordseam-sim/main.go
+++ b/cmd/fordseam-sim/main.go
@@ -30,7 +30,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of all chance"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 		},
-		Commands: []*cli.Command{campaignCommand(), modelCommand(), talkCommand(), tierCommand(), changesCommand()},
+		Commands: []*cli.Command{campaignCommand(), modelCommand(), accountCommand(), talkCommand(), tierCommand(), changesCommand()},
 		Action:   run,
 	}, os.Args)
 }
