--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -28,6 +28,7 @@
 	sessions map[string]*Assignment
 	kept     map[string]Kept
 	settled  map[string]int64
+	claims   []Claim
 	refuse   error
 }
 
@@ -41,6 +42,7 @@
 	if b.refuse != nil {
 		return nil, b.refuse
 	}
+	b.claims = append(b.claims, *c)
 	now := b.sessions[c.Program+c.Session]
 	mine := &Assignment{Run: c.Run, Owner: c.Owner, Epoch: c.Epoch}
 	switch {
@@ -189,7 +191,8 @@
 	counters := base.NewCounters()
 	view := membership.NewView(w.clock, w.wire, w.bounds, counters, &membership.Member{Id: name + "/1", Addr: name, Role: membership.RoleEdge, Zone: "z"}, seeds, nil)
 	table := &route.Table{Version: 1, Services: map[string]*route.Service{"s": {Name: "s", Engine: &route.Engine{Stride: 2}}},
-		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.Stream, Timeout: 10 * time.Second, Retained: true, Retain: time.Minute, Shares: []route.Share{{Service: "s", Weight: 1}}}}}
+		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.Stream, Timeout: 10 * time.Second, Retained: true, Retain: time.Minute, Shares: []route.Share{{Service: "s", Weight: 1}}},
+			{Name: "loose", Host: "h", Prefix: "/loose/", Kind: route.Stream, Timeout: 10 * time.Second, Shares: []route.Share{{Service: "s", Weight: 1}}}}}
 	w.is.NoErr(table.Index())
 	routes := &base.Table[route.Table]{}
 	routes.Swap(table)
@@ -341,6 +344,67 @@
 	w.is.Equal(err, io.ErrUnexpectedEOF)
 }
 
+// loose is a call on a route that keeps no turns.
+func (w *world) loose(session, turn, previous string) *relay.Call {
+	call := w.call(session, turn, previous)
+	call.Target, call.Budget, call.HasBudget = "/loose/t", 100, true
+	return call
+}
+
+func TestTurnsThatAreNotKeptAreCounted(t *testing.T) {
+	w := newWorld(t)
+	k := w.node("a")
+	_, err := w.take(k, w.loose("s1", "t1", "never"))
+	w.is.NoErr(err)
+	w.is.Equal(w.bench.bodies["t1"], "in-t1") // the prompt says it all
+	k.Drain(5 * time.Second) // is not over before the ledger has heard
+	w.is.Equal(k.settling.Load(), int64(0))
+	w.is.Equal(w.book.settled["t1"], int64(4))
+	_, kept := w.book.kept["t1"]
+	w.is.True(!kept)
+	w.is.Equal(w.book.claims[0].Most, int64(10))
+	w.is.Equal(w.book.claims[0].Keep, time.Minute) // the longest that a route names
+}
+
+func TestCallsWithoutNamesHaveLinesOfTheirOwn(t *testing.T) {
+	w := newWorld(t)
+	k := w.node("a")
+	for _, turn := range []string{"t1", "t2"} {
+		call := w.loose("", turn, "")
+		call.Program = ""
+		w.is.True(IsTurn(&route.Route{}, call))
+		_, err := w.take(k, call)
+		w.is.NoErr(err)
+	}
+	first, second := w.book.claims[0], w.book.claims[1]
+	w.is.True(first.Session != second.Session && first.Program != second.Program)
+	w.is.True(strings.HasPrefix(first.Session, unnamedMark) && strings.HasPrefix(first.Program, unnamedMark))
+	w.is.True(!IsTurn(&route.Route{}, &relay.Call{ID: "t3"}))
+	w.is.True(IsTurn(&route.Route{Retained: true}, &relay.Call{ID: "t3"}))
+}
+
+func TestOnlyTheSameWordsEndAFormerTryWhereNothingIsKept(t *testing.T) {
+	w := newWorld(t)
+	k := w.node("a")
+	w.bench.gate["t1"] = make(chan struct{}) // never opened: the worker hangs
+	ctx := base.NewCtx(w.clock, 10*time.Second)
+	first, err := k.Turn(ctx, w.loose("s1", "t1", ""))
+	w.is.NoErr(err)
+	_, err = first.Head(5*time.Second, w.clock)
+	w.is.NoErr(err)
+	other, err := k.Turn(ctx, w.loose("s1", "t2", "")) // another turn waits behind it
+	w.is.NoErr(err)
+	w.is.True(!first.abandoned() && k.List(1)[0].Waiting == 1)
+	again := w.loose("s1", "t3", "")
+	again.Body = []byte("in-t1")
+	_, err = k.Turn(ctx, again)
+	w.is.NoErr(err)
+	_, err = io.ReadAll(NewReader(first, w.clock, 5*time.Second))
+	w.is.Equal(err, io.ErrUnexpectedEOF)
+	_, err = other.Head(5*time.Second, w.clock)
+	w.is.NoErr(err)
+}
+
 // After an outage programs go on from others' turns under the session's old
 // name: each is a line of its own.
 func TestProgramsThatShareASessionsNameDoNotMeet(t *testing.T) {
