--- a/internal/model/replication_test.go
+++ b/internal/model/replication_test.go
@@ -39,6 +39,8 @@
 		{"power lost and a disk", model.Replication{Replicas: 3, Leaders: 1, Epochs: 2, Bases: []uint8{0, 0}, Power: true, Wipes: 1}},
 		{"a disk lost", model.Replication{Replicas: 3, Leaders: 2, Epochs: 2, Bases: []uint8{0}, Wipes: 1, Reads: true}},
 		{"one document after another", model.Replication{Replicas: 3, Leaders: 1, Epochs: 2, Bases: []uint8{0, 1}, Power: true}},
+		{"four replicas in halves", model.Replication{Replicas: 4, Leaders: 2, Epochs: 2, Bases: []uint8{0}, Reads: true}},
+		{"five replicas in parts", model.Replication{Replicas: 5, Leaders: 2, Epochs: 2, Bases: []uint8{0}}},
 		{"five replicas, two disks lost", model.Replication{Replicas: 5, Leaders: 1, Epochs: 2, Bases: []uint8{0}, Wipes: 2}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
