--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -357,7 +357,7 @@
 	_, err := w.take(k, w.loose("s1", "t1", "never"))
 	w.is.NoErr(err)
 	w.is.Equal(w.bench.bodies["t1"], "in-t1") // the prompt says it all
-	k.Drain(5 * time.Second) // is not over before the ledger has heard
+	k.Drain(5 * time.Second)                  // is not over before the ledger has heard
 	w.is.Equal(k.settling.Load(), int64(0))
 	w.is.Equal(w.book.settled["t1"], int64(4))
 	_, kept := w.book.kept["t1"]
