--- a/internal/register/decide.go
+++ b/internal/register/decide.go
@@ -47,7 +47,7 @@
 		}
 		o.start(s)
 		if !next.Wait(ctx.Left() / 2) {
-			return "", base.Busy(503, "slot_not_ready", 1, "no majority of disks has answered yet")
+			return "", base.Busy(503, "no_majority", 1, "no majority of disks has answered yet")
 		}
 	}
 }
--- /dev/null
+++ b/internal/simulate/cutoff_restarted_test.go
@@ -0,0 +1,66 @@
+package simulate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// A core that was restarted behind a cut knows no disks, and so never finds that
+// it lacks a majority of them. Gateways reach it, and it may be the first in the
+// order in which they look for the owner of the feed's shard.
+func TestGatewaysPassOverACoreThatKnowsNoDisks(t *testing.T) {
+	t.Parallel()
+	log.SetLevel(log.ErrorLevel)
+	for place := range CutSizes["tills"][1] {
+		for seed := uint64(1); seed <= 2; seed++ {
+			t.Run(fmt.Sprintf("core %d, seed %d", place, seed), func(t *testing.T) {
+				t.Parallel()
+				restartBehindACut(t, place, seed)
+			})
+		}
+	}
+}
+
+func restartBehindACut(t *testing.T, place int, seed uint64) {
+	tier := NewTier(seed, CutShape("tills"), nil)
+	defer tier.World.Close()
+	over := false
+	tier.Callers.Go(func() {
+		defer func() { over = true }()
+		if !tier.form() {
+			t.Error("the tier did not form")
+			return
+		}
+		clock := tier.Callers.Clock()
+		apart := tier.Cores[place]
+		for _, other := range append(append([]*Machine{}, tier.Cores...), tier.Storage...) {
+			if other != apart {
+				tier.Net.Cut(apart.Host.Name, other.Host.Name)
+				tier.Net.Cut(other.Host.Name, apart.Host.Name)
+			}
+		}
+		clock.Sleep(time.Second)
+		tier.fall(apart, "node_kill", 500*time.Millisecond, false, false)
+		clock.Sleep(2 * time.Second)
+		tier.each(tier.Cores, func(m *Machine) {
+			if m != apart {
+				tier.fall(m, "node_kill", 300*time.Millisecond, false, false)
+			}
+		})
+		clock.Sleep(2 * time.Second)
+		tier.change()
+		newest := tier.config.newest.Config.Generation
+		clock.Sleep(tier.Site.Bounds.Apply)
+		for _, edge := range tier.Edges {
+			if table := edge.gateway.Routes.Load(); table == nil || table.Version != newest {
+				t.Errorf("%s does not have version %d, %v after it was acknowledged", edge.Host.Name, newest, tier.Site.Bounds.Apply)
+			}
+		}
+	})
+	if !tier.World.Run(2*time.Minute, func() bool { return over }) {
+		t.Error("the run does not end")
+	}
+}
