Say that there is no majority only where no disks are known

Change: only a core that knows no disk set says so; others find by themselves that they lack a majority, as before.

--- a/internal/register/decide.go
+++ b/internal/register/decide.go
@@ -47,7 +47,10 @@
 		}
 		o.start(s)
 		if !next.Wait(ctx.Left() / 2) {
-			return "", base.Busy(503, "no_majority", 1, "no majority of disks has answered yet")
+			if o.knownSet() == nil { // such a core cannot find that it lacks a majority
+				return "", base.Busy(503, "no_majority", 1, "no disks are known here")
+			}
+			return "", base.Busy(503, "slot_not_ready", 1, "no majority of disks has answered yet")
 		}
 	}
 }
