Take a reset for the end of a slow request's connection in its test

Cause: the race run of this commit's tests failed once in TestASlowRequestIsBounded with a reset where the test wanted EOF. The server ends the connection as it should; when it had not yet read the last of the client's bytes, the kernel makes that end a reset. Change: both count as the end; no byte of an answer may come, and the connection must have ended, as before.

--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -141,7 +143,8 @@
 	b.table.mu.Unlock()
 	b.pass(2 * time.Second)
 	_, err = reader.ReadByte()
-	b.Equal(err, io.EOF)
+	// Bytes that the server had not read by then make its end a reset.
+	b.True(err == io.EOF || errors.Is(err, syscall.ECONNRESET))
 }
 
 // The longest body is the one of the limits in force.
