review: after a retirement the next two losses end the control state

A storage machine is retired and another loses its disk; from then on four voters are wanted where three machines are left. The voter of the next machine that is lost is kept for twelve seconds beside its successor's, and the loss of one more in that time, after catch_up_s, leaves two of four voters for good.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,8 +16,9 @@
 }
 
 var plays = map[string]play{
-	"idle-line":     {6, 4, 4, idleLine},
-	"moved-service": {6, 4, 4, movedService},
+	"replaced-stores": {6, 4, 4, replacedStores},
+	"idle-line":       {6, 4, 4, idleLine},
+	"moved-service":   {6, 4, 4, movedService},
 }
 
 func main() {
