A disk that has not answered since the set last changed is not healthy

Cause: the number of voters wanted was raised to the number of votes whenever no voter was known to be lost. Right after the successor of a lost disk had got its vote, the lost disk had not been observed under the new set, and its older answer counted as health; so it counted as a fourth machine. With more voters wanted than machines exist, the next lost disk keeps its vote beside its successor, and the loss after that takes the majority. The same stale answers let a retiring disk lose its vote beside a lost one.

Change: healthy means an answer since the set last changed. The number wanted is decided only while all voters are known to be healthy, and is then that of the voters, or more where a machine may still join; so it falls again when machines have left for good.

Ruled out: the retirement's own count, a successor filled late, a change of the leader.

--- a/internal/register/observe.go
+++ b/internal/register/observe.go
@@ -30,8 +30,11 @@
 	announcedLeave bool          // its machine announced that it would stop
 }
 
-// healthy reports whether the disk itself answers.
-func (c diskCondition) healthy() bool { return c.known && !c.replaced && c.silentFor == 0 }
+// healthy reports whether the disk itself has answered since the set last changed. An
+// older answer may be that of the disk that the change replaced.
+func (c diskCondition) healthy() bool {
+	return c.known && c.fresh && !c.replaced && c.silentFor == 0
+}
 
 // lost reports whether the disk is silent or another one has taken its place.
 func (c diskCondition) lost() bool { return c.replaced || c.silentFor > 0 }
@@ -42,6 +45,7 @@
 	candidates []*DiskEntry             // healthy disks outside the set that may join it
 	retiring   map[string]bool          // names of the machines being retired
 	pending    bool                     // a present machine has not answered for the first time yet
+	joining    bool                     // a present machine outside the set may join it
 }
 
 // observe requests the state of the disks that are due and returns what is known
@@ -123,13 +127,24 @@
 	}
 	for _, addr := range base.SortedKeys(members) {
 		member, observed := members[addr], r.observations[addr]
-		if member.Leaving || observed == nil || observed.silent || observed.state == nil || observed.state.Id == "" || inSet(set, observed.state.Id) || view.retiring[observed.state.Node] {
+		if member.Leaving || observed == nil {
+			continue
+		}
+		if observed.state == nil {
+			view.joining = true
 			continue
 		}
 		state := observed.state
+		if inSet(set, state.Id) || view.retiring[state.Node] {
+			continue
+		}
 		if state.Set != nil && state.Set.Cluster != set.Cluster || slices.Contains(records.diskSet.Retired, state.Id) {
 			continue
 		}
+		view.joining = true
+		if observed.silent || state.Id == "" {
+			continue
+		}
 		view.candidates = append(view.candidates, &DiskEntry{Id: state.Id, Addr: addr, Zone: member.Zone, Node: state.Node, Learner: true})
 	}
 	return view
--- a/internal/register/plan.go
+++ b/internal/register/plan.go
@@ -49,7 +49,9 @@
 
 	requiredVoters int // how many voters must remain
 	voterCount     int
+	healthyVoters  int // voters that were observed as healthy
 	lostVoters     int // voters that are replaced or silent
+	learners       int
 	filledLearners int // healthy learners that hold all shards
 	canDropVoter   bool
 
@@ -61,10 +63,7 @@
 func (srv *Server) plan(record *DiskSetRecord, view *clusterView, filledShards map[string]int, scope changeScope) *setPlan {
 	p := &planner{setPlan: &setPlan{}, view: view, current: record.Current, filledShards: filledShards, scope: scope, bounds: srv.bounds.Load(), requiredVoters: srv.reconciler.requiredVoters()}
 	p.assess()
-	p.targetVoters = max(record.TargetVoters, p.requiredVoters)
-	if record.TargetVoters == 0 || p.lostVoters == 0 {
-		p.targetVoters = max(p.targetVoters, p.voterCount)
-	}
+	p.setTargetVoters(record.TargetVoters)
 	p.pickVoteChange()
 	p.buildSet()
 	return p.setPlan
@@ -85,12 +84,36 @@
 		case entry.Learner:
 			p.status = append(p.status, fmt.Sprintf("disk %s at %s is being filled: %d of %d shards", entry.Id, entry.Addr, p.filledShards[entry.Id], ShardCount))
 		}
-		if !entry.Learner && condition.lost() {
+		switch {
+		case entry.Learner:
+			p.learners++
+			if p.filledShards[entry.Id] == ShardCount && condition.healthy() {
+				p.filledLearners++
+			}
+		case condition.lost():
 			p.lostVoters++
+		case condition.healthy():
+			p.healthyVoters++
 		}
-		if entry.Learner && p.filledShards[entry.Id] == ShardCount && condition.healthy() {
-			p.filledLearners++
-		}
+	}
+}
+
+// setTargetVoters decides how many voters there should be, from the recorded number.
+// The number stays while a voter is lost, or was not observed since the set last
+// changed: a lost voter beside its replacement would be counted as a machine of its
+// own, and then be kept in the set for lack of another replacement. While all voters
+// are healthy the number is that of the machines that vote or may join.
+func (p *planner) setTargetVoters(recorded int) {
+	p.targetVoters = max(recorded, p.requiredVoters)
+	if recorded == 0 {
+		p.targetVoters = max(p.targetVoters, p.voterCount)
+	}
+	if p.healthyVoters < p.voterCount {
+		return
+	}
+	mayGrow := p.learners > 0 || p.view.joining
+	if !mayGrow || p.targetVoters < p.voterCount {
+		p.targetVoters = max(p.requiredVoters, p.voterCount)
 	}
 }
 
