fordseam-fleet soak: series of faults that overlap, on real processes

Change: internal/soak draws a schedule from a seed (the same bytes on each machine; a digest of 50 schedules is a test): one lane of losses that keeps the fault budget, mostly exactly catch_up_s apart, two lanes of edge machines, one of configurations that move, drop and add services again, one of workers. Programs rest up to retain_s less a second and come back through another zone; clients keep nearly all connections, and pause in the middle of sending and reading. At the end of a series, all machines back: kept programs go on, a change is acknowledged, also with each storage machine stopped in turn, and no process has leaked, panicked or ended by itself. What a process uses is served at /counters of its internal address.

RunPlatform plays either its events or a schedule; what both share moved into functions of their own. Addresses of large fleets go on to another network.

--- a/cmd/fordseam-fleet/main.go
+++ b/cmd/fordseam-fleet/main.go
@@ -45,6 +45,7 @@
 					&cli.IntFlag{Name: "callers", Value: 24, Usage: "number of concurrent `CALLERS`"},
 					&cli.BoolFlag{Name: "json", Usage: "print JSON"})},
 			platformCommand(),
+			soakCommand(),
 			daysCommand(),
 		},
 	}
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -13,6 +14,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/soak"
 	"fordseam/internal/standin/platform"
 	"fordseam/internal/standin/platform/sockets"
 
@@ -32,14 +34,23 @@
 	RateFactor      float64 // multiple of the site's usual rate
 	Seed            uint64
 	Events          []PlatformEvent
+	// Schedule, if set, is run in place of Events, and ends the traffic.
+	Schedule *soak.Schedule
 	// ClosingFault is the fault at the end: kill_all, wipe, or none if empty.
 	ClosingFault string
 	// RecordFile, if set, is where all observations are written as JSON.
 	RecordFile string
 	// SetUpTimeout is the time within which the fleet must be ready.
 	SetUpTimeout time.Duration
+	// HardClients keep nearly all of their connections, and pause while they send and read.
+	HardClients bool
+	// Log is where the progress of the run is logged; standard error if it is nil.
+	Log io.Writer
 }
 
+// platformFaultTolerance is how many machines of a platform's fleet may be lost at once.
+const platformFaultTolerance = 1
+
 // platformPorts are the ports of a machine. They are the same on all machines of a
 // run.
 type platformPorts struct {
@@ -85,12 +96,14 @@
 	faults          map[string]*injectedFaults       // by worker ID or service
 	workByPrefix    map[string]platform.Distribution // by route prefix
 	unexpectedExits []string                         // reported as violations of the rule FAULT
-	done            chan struct{}
-	tasks           sync.WaitGroup // watchers of machine processes
-	programs        sync.WaitGroup // programs of clients and probes
-	config          configState
-	rateFactor      float64      // raised during a burst
-	persistUntil    atomic.Int64 // until when clients retry turns from before the closing fault
+	// observedBreaches are violations that the harness itself observed.
+	observedBreaches []platform.Breach
+	done             chan struct{}
+	tasks            sync.WaitGroup // watchers of machine processes
+	programs         sync.WaitGroup // programs of clients and probes
+	config           configState
+	rateFactor       float64      // raised during a burst
+	persistUntil     atomic.Int64 // until when clients retry turns from before the closing fault
 }
 
 // newPlatformRun prepares a run without starting anything. Names, configurations and
@@ -105,11 +118,27 @@
 	run.instances = &platform.Instances{Clock: run.clock, Recorder: run.ledger, Lag: plan.Site.Bounds.ListMaxLag / 2, CallsPerSecond: plan.Site.ListCallsPerSecond}
 	run.entry = &sockets.LoadBalancer{}
 	run.clients = &sockets.Clients{Clock: run.clock, NodePicker: run.entry, KeepAliveTenths: 5}
+	if plan.HardClients {
+		run.clients.KeepAliveTenths = 9
+		run.clients.SendPause = run.occasionally(10, 800*time.Millisecond)
+		run.clients.ReadPause = run.occasionally(10, 500*time.Millisecond)
+	}
 	run.player = platform.NewProgramRunner(run.clock, run.clients, run.ledger, plan.Site, run.names, plan.Seed)
 	run.player.RetryUntil = func() time.Duration { return time.Duration(run.persistUntil.Load()) }
 	return run
 }
 
+// occasionally returns a function that returns a random time up to a maximum in some percent
+// of its calls, and else 0.
+func (run *platformRun) occasionally(percent int, limit time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if run.randomInt(100) >= percent {
+			return 0
+		}
+		return time.Duration(run.randomFloat() * float64(limit))
+	}
+}
+
 // randomInt returns a random number below n. It is safe for concurrent use.
 func (run *platformRun) randomInt(n int) int {
 	run.rngMu.Lock()
@@ -124,12 +153,18 @@
 	return run.rng.Float64()
 }
 
+// hostsPerNetwork is how many addresses of one loopback network a run uses before it goes on
+// to another network.
+const hostsPerNetwork = 250
+
 // nextLoopbackAddr returns a loopback address that is not used yet in this run.
 func (run *platformRun) nextLoopbackAddr() string {
 	run.mu.Lock()
 	defer run.mu.Unlock()
+	network := run.networkIndex + 101*(run.hostCount/hostsPerNetwork)
+	host := 1 + run.hostCount%hostsPerNetwork
 	run.hostCount++
-	return fmt.Sprintf("127.%d.%d.%d", 10+run.networkIndex/250%200, 1+run.networkIndex%250, run.hostCount)
+	return fmt.Sprintf("127.%d.%d.%d", 10+network/250%200, 1+network%250, host)
 }
 
 // choosePorts chooses random ports. It probes them on one loopback address only, and
@@ -198,7 +233,7 @@
 	return &platform.Settings{Node: m.Name, Role: m.Role, Class: m.class, Serves: servedRole, IP: m.ip, Zone: m.Zone, Region: run.plan.Site.Region,
 		Zones: run.plan.Site.Zones, Front: run.addrOf(m, run.ports.frontPort), Readiness: run.addrOf(m, run.ports.readinessPort), Control: run.addrOf(m, run.ports.controlPort),
 		Ports: run.ports.internalPorts, Seeds: controlAddrs[:min(3, len(controlAddrs))], Bootstrap: m.initial, LossCounted: m.class != platform.ClassEdge, DataDir: m.DataDir,
-		FaultTolerance: 1, Bounds: run.plan.Site.Bounds, ListAddress: run.listServer.Address, ListCallsPerSecond: run.plan.Site.ListCallsPerSecond}
+		FaultTolerance: platformFaultTolerance, Bounds: run.plan.Site.Bounds, ListAddress: run.listServer.Address, ListCallsPerSecond: run.plan.Site.ListCallsPerSecond}
 }
 
 func (run *platformRun) settingsPath(m *machine) string {
--- a/internal/fleet/platform_events.go
+++ b/internal/fleet/platform_events.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strconv"
@@ -354,11 +355,15 @@
 	return nil
 }
 
-// retireStorage retires a storage machine and removes it when its data has been moved.
-// If the retirement fails, it only logs that.
+// retireStorage retires a random storage machine.
 func (run *platformRun) retireStorage(duration time.Duration) error {
 	storage := run.machinesOf(platform.ClassStorage)
-	m := storage[run.randomInt(len(storage))]
+	return run.retireMachine(storage[run.randomInt(len(storage))], duration)
+}
+
+// retireMachine retires a storage machine and removes it when its data has been moved. If
+// the retirement fails, it only logs that.
+func (run *platformRun) retireMachine(m *machine, duration time.Duration) error {
 	if err := run.newOperator("retire").Retire(m.Name, max(duration, time.Second), duration+run.plan.Site.Bounds.Ack); err != nil {
 		run.logf("%v", err)
 		return nil
@@ -383,7 +388,13 @@
 	return nil
 }
 
-// logf logs a message with the time of the run to standard error.
+// logf logs a message with the time of the run.
 func (run *platformRun) logf(format string, args ...any) {
-	fmt.Fprintf(os.Stderr, "%6.1fs  %s\n", run.clock.Now().Seconds(), fmt.Sprintf(format, args...))
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	var out io.Writer = os.Stderr
+	if run.plan.Log != nil {
+		out = run.plan.Log
+	}
+	_, _ = fmt.Fprintf(out, "%6.1fs  %s\n", run.clock.Now().Seconds(), fmt.Sprintf(format, args...))
 }
--- a/internal/fleet/platform_run.go
+++ b/internal/fleet/platform_run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"os"
 	"sync"
@@ -62,8 +63,13 @@
 
 // changeConfigLocked is changeConfig for callers that hold config.changeMu.
 func (run *platformRun) changeConfigLocked() *platform.Order {
+	return run.submitLocked(run.drafts.NextValid(run.config.current()))
+}
+
+// submitLocked submits a valid configuration on top of the latest, for callers that hold
+// config.changeMu.
+func (run *platformRun) submitLocked(next *platform.Config) *platform.Order {
 	latest := run.config.current()
-	next := run.drafts.NextValid(latest)
 	order := run.config.operator.PutConfig(latest.Generation, next, next.Encode(), "", 30*time.Second)
 	if order.Acked() {
 		run.config.setLatest(order)
@@ -261,38 +267,18 @@
 	}
 	readyAt := run.clock.Now()
 	run.logf("all %d nodes are ready", run.entry.CountReady())
-	end := readyAt + plan.TrafficDuration
 	trafficCtx, stopTraffic := context.WithCancel(ctx)
 	defer stopTraffic()
-	var group sync.WaitGroup
-	errs := make(chan error, len(plan.Events)+1)
-	for _, event := range plan.Events {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			select {
-			case <-trafficCtx.Done():
-				return
-			case <-time.After(event.At):
-			}
-			run.logf("%s %s", event.Kind, event.Target)
-			if err := run.runEvent(event); err != nil {
-				errs <- errors.Annotate(err, event.Kind)
-			}
-		}()
-	}
+	errs := make(chan error, len(plan.Events)+2)
 	run.programs.Add(1)
 	go func() {
 		defer run.programs.Done()
 		run.probeNodes(trafficCtx)
 	}()
-	run.generateTraffic(trafficCtx, end)
-	group.Wait()
-	if plan.ClosingFault != "" && trafficCtx.Err() == nil {
-		run.logf("closing fault: %s", plan.ClosingFault)
-		if err := run.runClosingFault(trafficCtx); err != nil {
-			errs <- errors.Annotate(err, "closing fault")
-		}
+	if plan.Schedule == nil {
+		run.playEvents(trafficCtx, readyAt+plan.TrafficDuration, errs)
+	} else if err := run.playSchedule(trafficCtx); err != nil {
+		errs <- err
 	}
 	stopTraffic()
 	run.programs.Wait()
@@ -309,6 +295,8 @@
 	for _, text := range run.unexpectedExits {
 		breaches = append(breaches, platform.Breach{Rule: "FAULT", Detail: text})
 	}
+	run.checkLogs()
+	breaches = append(breaches, run.observedBreaches...)
 	record.Print(out, breaches)
 	if plan.RecordFile != "" {
 		if err := os.WriteFile(plan.RecordFile, base.MustMarshal(record), 0o644); err != nil {
@@ -339,6 +327,68 @@
 	}
 }
 
+// playEvents generates traffic until end, with the planned events and the closing fault.
+func (run *platformRun) playEvents(ctx context.Context, end time.Duration, errs chan<- error) {
+	var group sync.WaitGroup
+	for _, event := range run.plan.Events {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if !run.sleepUnlessDone(ctx, event.At) {
+				return
+			}
+			run.logf("%s %s", event.Kind, event.Target)
+			if err := run.runEvent(event); err != nil {
+				errs <- errors.Annotate(err, event.Kind)
+			}
+		}()
+	}
+	run.generateTraffic(ctx, end)
+	group.Wait()
+	if run.plan.ClosingFault != "" && ctx.Err() == nil {
+		run.logf("closing fault: %s", run.plan.ClosingFault)
+		if err := run.runClosingFault(ctx); err != nil {
+			errs <- errors.Annotate(err, "closing fault")
+		}
+	}
+}
+
+// playSchedule generates traffic while the lanes of the schedule run, then plays the closing
+// fault, and checks what must hold when all machines are back.
+func (run *platformRun) playSchedule(ctx context.Context) error {
+	before := run.resourcesByClass()
+	resting := &restingPrograms{run: run, stop: make(chan struct{})}
+	seriesCtx, endSeries := context.WithCancel(ctx)
+	defer endSeries()
+	var group sync.WaitGroup
+	for _, traffic := range []func(){func() { run.generateTraffic(seriesCtx, math.MaxInt64/2) }, func() { resting.start(seriesCtx) }} {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			traffic()
+		}()
+	}
+	err := run.runLanes(seriesCtx, run.plan.Schedule)
+	endSeries()
+	group.Wait()
+	if err != nil || ctx.Err() != nil {
+		close(resting.stop)
+		return err
+	}
+	if run.plan.ClosingFault != "" {
+		run.logf("closing fault: %s", run.plan.ClosingFault)
+		if err := run.runClosingFault(ctx); err != nil {
+			close(resting.stop)
+			return errors.Annotate(err, "closing fault")
+		}
+	}
+	run.sleepUnlessDone(ctx, run.plan.Site.Bounds.CatchUp)
+	resting.continueKept()
+	run.checkAfterSeries(ctx)
+	run.checkResources(before)
+	return nil
+}
+
 // withLogTails adds the ends of all machines' logs to an error.
 func (run *platformRun) withLogTails(err error) error {
 	tails := ""
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -131,7 +131,7 @@
 		d.cleanup.Run()
 		return nil, err
 	}
-	d.internalServer = &http.Server{Handler: d.Process.Handler()}
+	d.internalServer = &http.Server{Handler: withCounters(d.Process.Handler(), counters)}
 	return d, nil
 }
 
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -5,8 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
-	"runtime"
+	"net/http"
 	"strings"
 	"time"
 
@@ -54,9 +55,7 @@
 				ctx.SetBodyString("ready\n")
 			case "/counters":
 				ctx.SetContentType("application/json")
-				snapshot := counters.Snapshot()
-				snapshot["goroutines"] = int64(runtime.NumGoroutine())
-				ctx.SetBody(append(base.MustMarshal(snapshot), '\n'))
+				ctx.SetBody(encodeCounters(counters))
 			default:
 				writeResponse(ctx, handler(base.NewCtx(clock, 10*time.Minute), parseRequest(ctx, path)))
 			}
@@ -65,6 +64,24 @@
 	return p
 }
 
+// encodeCounters encodes the counters of the process with what it uses at the moment.
+func encodeCounters(counters *base.Counters) []byte {
+	snapshot := counters.Snapshot()
+	maps.Copy(snapshot, resourceCounters())
+	return append(base.MustMarshal(snapshot), '\n')
+}
+
+// withCounters serves the counters of the process beside the messages of other nodes.
+func withCounters(handler http.Handler, counters *base.Counters) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", handler)
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(encodeCounters(counters))
+	})
+	return mux
+}
+
 // parseRequest copies a request into the form that handlers use.
 func parseRequest(ctx *fasthttp.RequestCtx, path string) *front.Request {
 	r := &front.Request{Method: string(ctx.Method()), Path: path, Query: map[string]string{}, Header: map[string]string{},
--- a/internal/standin/platform/change.go
+++ b/internal/standin/platform/change.go
@@ -32,16 +32,12 @@
 // Initial draws the configuration that is sent before traffic starts.
 func (g *ConfigGenerator) Initial() *Config {
 	c := &Config{Generation: 1 + uint64(g.Rng.IntN(5)), Limits: Limits{16384, 4194304, 3000, 15000}}
-	for _, spec := range g.Deployment.Services {
-		service := Service{Name: g.Names.Services[spec.Name], HealthPath: PathHealth, MaxConns: spec.MaxConns}
-		if spec.Engine != nil {
-			service.Engine = &Engine{Capacity: spec.Capacity, CacheTokens: spec.Engine.CacheTokens, Stride: spec.Engine.TokensPerEvent, Models: []string{g.Names.Model}}
-		}
-		c.Services = append(c.Services, service)
+	for index := range g.Deployment.Services {
+		c.Services = append(c.Services, g.newService(&g.Deployment.Services[index]))
 	}
 	for index := range g.Deployment.Classes {
 		class := &g.Deployment.Classes[index]
-		c.Routes = append(c.Routes, g.newRoute(class, g.Names.Hosts[class.Name], g.Names.Prefixes[class.Name]))
+		c.Routes = append(c.Routes, g.newRoute(c, class, g.Names.Hosts[class.Name], g.Names.Prefixes[class.Name]))
 	}
 	for range 4 {
 		g.AddIdleRoute(c)
@@ -49,10 +45,20 @@
 	return c
 }
 
-// newRoute returns the route of a class of requests under a host and path prefix.
-func (g *ConfigGenerator) newRoute(class *RequestClass, host, prefix string) Route {
+// newService returns what a configuration says about a service.
+func (g *ConfigGenerator) newService(spec *ServiceSpec) Service {
+	service := Service{Name: g.Names.Services[spec.Name], HealthPath: PathHealth, MaxConns: spec.MaxConns}
+	if spec.Engine != nil {
+		service.Engine = &Engine{Capacity: spec.Capacity, CacheTokens: spec.Engine.CacheTokens, Stride: spec.Engine.TokensPerEvent, Models: []string{g.Names.Model}}
+	}
+	return service
+}
+
+// newRoute returns the route of a class of requests under a host and path prefix, to a
+// service that the configuration lists.
+func (g *ConfigGenerator) newRoute(c *Config, class *RequestClass, host, prefix string) Route {
 	r := Route{Name: "r-" + randomName(g.Rng), Host: host, Prefix: prefix, Kind: class.Kind, DeadlineMs: float64(class.Deadline.Milliseconds()),
-		TargetMs: float64(class.TargetLatency.Milliseconds()), Urgency: class.Urgency, Service: g.Names.Services[class.Service], MaxTries: class.MaxTries}
+		TargetMs: float64(class.TargetLatency.Milliseconds()), Urgency: class.Urgency, Service: g.listedService(c, class.Service), MaxTries: class.MaxTries}
 	if class.Kind == Streaming {
 		r.Retained, r.RetainS = class.Retain > 0, max(class.Retain, class.SpendRetention).Seconds()
 		r.Pinned, r.Resumable, r.GapTargetMs = true, class.Resumable, float64(class.GapTarget.Milliseconds())
@@ -60,6 +66,21 @@
 	return r
 }
 
+// listedService returns the name of a service of the deployment if the configuration lists
+// it, or else of its alternative.
+func (g *ConfigGenerator) listedService(c *Config, service string) string {
+	name := g.Names.Services[service]
+	if c.FindService(name) != nil {
+		return name
+	}
+	for _, spec := range g.Deployment.Services {
+		if spec.AlternativeTo == service {
+			return g.Names.Services[spec.Name]
+		}
+	}
+	return name
+}
+
 // AddIdleRoute adds a route to a configuration that gets no traffic, for an idempotent class if
 // there is one.
 func (g *ConfigGenerator) AddIdleRoute(c *Config) {
@@ -70,7 +91,7 @@
 			idempotent = class
 		}
 	}
-	c.Routes = append(c.Routes, g.newRoute(&idempotent, fmt.Sprintf("idle%d.example", g.Rng.IntN(3)), fmt.Sprintf("/%s-%d/", randomName(g.Rng), g.idleRoutes)))
+	c.Routes = append(c.Routes, g.newRoute(c, &idempotent, fmt.Sprintf("idle%d.example", g.Rng.IntN(3)), fmt.Sprintf("/%s-%d/", randomName(g.Rng), g.idleRoutes)))
 }
 
 // idleRouteIndexes lists the indexes of routes that get no traffic.
@@ -105,7 +126,7 @@
 			r.Service = ""
 		}
 		if r.Shares == nil && r.Service == "" {
-			r.Service = g.Names.Services["app"]
+			r.Service = g.listedService(c, "app")
 		}
 	case choice == 2:
 		r := &c.Routes[g.Rng.IntN(len(c.Routes))]
--- a/internal/standin/platform/check.go
+++ b/internal/standin/platform/check.go
@@ -49,7 +49,7 @@
 // state of the system under test. Each rule is a function of the whole record.
 func (r *Record) Check() []Breach {
 	c := r.newChecker()
-	for _, rule := range []func(){c.checkMixed, c.checkOrder, c.checkUnasked, c.checkTwice, c.checkRefused, c.checkDenied, c.checkRoute, c.checkDrain, c.checkLostRequests, c.checkLostTurns,
+	for _, rule := range []func(){c.checkMixed, c.checkOrder, c.checkUnasked, c.checkTwice, c.checkRefused, c.checkDenied, c.checkRoute, c.checkDrain, c.checkLostRequests, c.checkLostTurns, c.checkContinuations,
 		c.checkAcknowledgements, c.checkServedConfig, c.checkConfigRollback, c.checkNewRoutes, c.checkConfigReadBack, c.checkBudget, c.checkMaxTries, c.checkRecovery, c.checkAckTime} {
 		rule()
 	}
--- a/internal/standin/platform/check_lost.go
+++ b/internal/standin/platform/check_lost.go
@@ -137,6 +137,24 @@
 	}
 }
 
+// checkContinuations (LOST) finds retained turns that could not be continued when all
+// machines were back: no try reached a worker, and none was rejected for its budget.
+func (c *checker) checkContinuations() {
+	for _, previous := range c.Continuations {
+		turn := c.completedTurns[previous]
+		if turn == nil {
+			continue
+		}
+		tries := base.Filter(c.Tries, func(t *Try) bool { return t.Previous == previous && t.Ended < turn.Ended+turn.Retain })
+		if len(tries) == 0 || slices.ContainsFunc(tries, func(t *Try) bool { return t.Status == 402 || len(c.executions(t.ID)) > 0 }) {
+			continue
+		}
+		last := tries[len(tries)-1]
+		c.report("LOST", "turn %s could not be continued from zone %s in %d tries, the last of them %v after it was answered whole, with status %d from %s", previous, last.Zone, len(tries),
+			(last.Ended - turn.Ended).Round(time.Millisecond), last.Status, last.Node)
+	}
+}
+
 // checkRecovery (RECOVER) compares the share of requests served after the closing fault and
 // the recovery bound with the share before it: if that was at least a quarter, a quarter
 // must be served again.
--- a/internal/standin/platform/check_test.go
+++ b/internal/standin/platform/check_test.go
@@ -471,6 +471,23 @@
 		{"a node that cannot tell", func(s *recordBuilder) { s.addSystemAnswer("x", Streaming, "/chat/1", 20*sec, 503).Previous = "u2" }, ""},
 		{"a turn from before the closing fault that no worker is given", func(s *recordBuilder) { addTurnsAfterClosing(s, false) }, "LOST: turn u2 from before"},
 		{"a turn from before the closing fault that is continued", func(s *recordBuilder) { addTurnsAfterClosing(s, true) }, ""},
+		{"a turn that cannot be continued at the end", func(s *recordBuilder) {
+			s.Continuations = []string{"u2"}
+			s.addSystemAnswer("x", Streaming, "/chat/1", 40*sec, 503).Previous = "u2"
+		}, "LOST: turn u2 could not be continued"},
+		{"a turn that is continued at the end by one of its tries", func(s *recordBuilder) {
+			s.Continuations = []string{"u2"}
+			s.addSystemAnswer("x", Streaming, "/chat/1", 40*sec, 503).Previous = "u2"
+			s.addTurn("y", "u2", 41*sec)
+		}, ""},
+		{"a turn without budget at the end", func(s *recordBuilder) {
+			s.Continuations = []string{"u2"}
+			s.addSystemAnswer("x", Streaming, "/chat/1", 40*sec, 402).Previous = "u2"
+		}, ""},
+		{"a turn that is continued too late", func(s *recordBuilder) {
+			s.Continuations = []string{"u2"}
+			s.addSystemAnswer("x", Streaming, "/chat/1", 73*sec, 503).Previous = "u2"
+		}, ""},
 		{"too little served after the closing fault", func(s *recordBuilder) {
 			s.setClosing(30*sec, 31*sec)
 			for index := range 5 {
--- a/internal/standin/platform/deployment.go
+++ b/internal/standin/platform/deployment.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -71,12 +72,15 @@
 
 // ServiceSpec describes a service and its workers; Engine is set for model services.
 type ServiceSpec struct {
-	Name      string
-	Workers   int
-	Capacity  int
-	QueueSize int
-	MaxConns  int
-	Engine    *EngineSpec
+	Name string
+	// AlternativeTo names the service that this one can take the place of in a
+	// configuration, if any.
+	AlternativeTo string
+	Workers       int
+	Capacity      int
+	QueueSize     int
+	MaxConns      int
+	Engine        *EngineSpec
 }
 
 // EngineSpec describes the speed and memory of a model worker's engine.
@@ -172,6 +176,20 @@
 	}
 }
 
+// WithAlternatives returns a copy of the deployment in which each service has an alternative
+// with workers of its own, so that configurations can move routes between services and drop
+// those that no route names.
+func (d *Deployment) WithAlternatives() *Deployment {
+	copied := *d
+	copied.Classes = slices.Clone(d.Classes)
+	copied.Services = slices.Clone(d.Services)
+	for _, service := range d.Services {
+		service.Name, service.AlternativeTo = service.Name+"-2", service.Name
+		copied.Services = append(copied.Services, service)
+	}
+	return &copied
+}
+
 // Names are the names drawn for a run.
 type Names struct {
 	Services map[string]string // by the name in ServiceSpec
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -111,6 +111,55 @@
 	}
 }
 
+// Services are dropped, added again and swapped, and each change is valid.
+func TestConfigGeneratorMovesServices(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 0))
+	deployment := Deployments()["small"].WithAlternatives()
+	generator := &ConfigGenerator{Deployment: deployment, Names: deployment.DrawNames(rng), Rng: rng}
+	c := generator.Initial()
+	is.Equal(len(c.Services), 4)
+	dropped, added, moved := 0, 0, 0
+	for range 200 {
+		next := generator.NextServices(c)
+		is.Equal(next.InvalidReason(c.Generation), "")
+		for _, class := range deployment.Classes {
+			host, target := generator.Names.Hosts[class.Name], generator.Names.Prefixes[class.Name]+"x"
+			before, after := c.Match(host, target), next.Match(host, target)
+			is.True(after.Allows(generator.Names.Services[class.Service]) || after.Allows(generator.Names.Services[class.Service+"-2"]))
+			if before.Service != after.Service {
+				moved++
+			}
+		}
+		dropped += max(0, len(c.Services)-len(next.Services))
+		added += max(0, len(next.Services)-len(c.Services))
+		c = next
+	}
+	is.True(dropped > 20 && added > 20 && moved > 20)
+}
+
+// A resting program rests for less than the limit, and its turns come from several zones.
+func TestRestingPrograms(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 0))
+	deployment := Deployments()["kiondo"]
+	generator := &ProgramGenerator{Deployment: deployment, Names: deployment.DrawNames(rng), Rng: rng}
+	zones, unnamed := map[string]bool{}, 0
+	for client := range 50 {
+		plan := generator.Resting(&deployment.Classes[0], rng, client, time.Minute)
+		is.Equal(len(plan.Rests), len(plan.Program.MainSession.Turns))
+		for index, rest := range plan.Rests {
+			is.True(rest < time.Minute)
+			zones[plan.Zones[index]] = true
+		}
+		if plan.Program.MainSession.SessionID == "" {
+			unnamed++
+		}
+	}
+	is.Equal(len(zones), len(deployment.Zones))
+	is.True(unnamed > 10 && unnamed < 40)
+}
+
 func TestLongestPrefixMatches(t *testing.T) {
 	is := is.New(t)
 	c := &Config{Routes: []Route{{Name: "a", Host: "h", Prefix: "/a/"}, {Name: "ab", Host: "h", Prefix: "/a/b/"}, {Name: "other", Host: "o", Prefix: "/"}}}
--- a/internal/standin/platform/program_runner.go
+++ b/internal/standin/platform/program_runner.go
@@ -226,10 +226,15 @@
 	}
 }
 
-// programHeaders returns the headers that every request of a program has.
+// programHeaders returns the headers that every request of a program has. A session may be
+// unnamed.
 func (r *programRun) programHeaders(session *SessionPlan) [][2]string {
 	remaining := max(1, (r.plan.TargetTime - (r.Clock.Now() - r.startedAt)).Milliseconds())
-	return [][2]string{{HeaderProgram, r.plan.ID}, {HeaderSession, session.SessionID}, {HeaderFinish, fmt.Sprint(remaining)}}
+	headers := [][2]string{{HeaderProgram, r.plan.ID}, {HeaderFinish, fmt.Sprint(remaining)}}
+	if session.SessionID != "" {
+		headers = append(headers, [2]string{HeaderSession, session.SessionID})
+	}
+	return headers
 }
 
 // runToolCall makes a tool call. The program fails with it, except on a worker's own 500 and
--- a/internal/standin/platform/record.go
+++ b/internal/standin/platform/record.go
@@ -228,6 +228,10 @@
 	Starts   []Start
 	Closing  *Closing
 	Outcomes []Outcome
+	// Continuations lists the turns that clients tried to continue at the end of a run, when
+	// all machines were back, until one of the tries was answered or the recovery bound was
+	// over.
+	Continuations []string
 	// Core is the number of core machines.
 	Core int
 	// Over is when the run ended.
--- a/internal/standin/platform/sockets/client.go
+++ b/internal/standin/platform/sockets/client.go
@@ -35,6 +35,9 @@
 	NodePicker NodePicker
 	// KeepAliveTenths is how many of ten clients keep their connections.
 	KeepAliveTenths int
+	// SendPause and ReadPause, if set, return how long a client pauses in the middle of
+	// sending a request, and after it has read the head of a response; 0 is no pause.
+	SendPause, ReadPause func() time.Duration
 
 	mu        sync.Mutex
 	idleConns map[string][]*clientConn
@@ -187,7 +190,7 @@
 func (c *Clients) roundTrip(t *platform.Try, conn *clientConn) (reusable bool) {
 	deadline := time.Now().Add(t.Deadline)
 	_ = conn.conn.SetDeadline(deadline)
-	if _, err := conn.conn.Write(encodeRequest(t)); err != nil {
+	if err := c.write(conn.conn, encodeRequest(t)); err != nil {
 		t.Unread = closedWithUnreadData(err)
 		return false
 	}
@@ -220,6 +223,10 @@
 	if seconds, err := strconv.ParseFloat(response.Header.Get(platform.HeaderRetryAfter), 64); err == nil {
 		t.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
+	if c.ReadPause != nil {
+		c.Clock.Sleep(c.ReadPause())
+		extendReadDeadline()
+	}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") && t.Kind == platform.Streaming {
 		err = c.readEvents(t, response.Body, extendReadDeadline)
 	} else {
@@ -248,6 +255,22 @@
 	return !response.Close && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
 }
 
+// write sends a request, with a pause in its middle if there is to be one.
+func (c *Clients) write(conn net.Conn, request []byte) error {
+	if c.SendPause != nil {
+		if pause := c.SendPause(); pause > 0 {
+			half := len(request) / 2
+			if _, err := conn.Write(request[:half]); err != nil {
+				return err
+			}
+			c.Clock.Sleep(pause)
+			request = request[half:]
+		}
+	}
+	_, err := conn.Write(request)
+	return err
+}
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
