The owner of a rested session takes it up again when a turn is forwarded

Cause: the owner drops an idle session from memory only. The ledger still names the owner, which is alive, so every other gateway forwards to it, and it declined every turn that was forwarded to it; nobody could have the session.

Change: an owner that has dropped a session begins the session's next Run when a turn is forwarded under the assignment that the ledger still has. Under any other assignment the turn is declined as before. A forwarded turn is known by its assignment as well, so that a duplicate of the message still runs once. The tier's scenarios "programs rest" and the stand-in's check of continuations are the simulator's test.

Ruled out: the history (the ledger holds the turns), the detection of lost owners (the owner is alive), the turn's deadline (each try ends in 0.1 s).

--- a/internal/line/execute.go
+++ b/internal/line/execute.go
@@ -108,6 +108,9 @@
 			s.mu.Unlock()
 			return result, err
 		}
+		if op.forwarded && replaces != nil {
+			return result, nil // the sender asks the ledger for the current assignment
+		}
 		// Another Run has the session. It is replaced when its owner is gone or leaving,
 		// or when it is a Run of this node that this node has dropped.
 		current := result.Assignment
--- a/internal/line/forward.go
+++ b/internal/line/forward.go
@@ -72,35 +72,46 @@
 	if request.Assignment.Owner != m.nodeID() {
 		return nil, base.ToTwirpError(base.Busy(503, "owner_lost", 1, "the owner was an earlier process at this address"))
 	}
+	if existing := m.forwardedStream(call, request.Assignment); existing != nil { // a duplicate of the message
+		return m.pullReply(replyCtx, existing, 0, m.Bounds.Load().Recovery/24)
+	}
 	m.mu.Lock()
 	s := m.owned[sessionKey(call)]
 	m.mu.Unlock()
+	var replaces *Assignment
 	if s == nil {
-		return nil, base.ToTwirpError(base.Decline(409, "stale_assignment", "this node no longer owns the session"))
-	}
-	s.mu.Lock()
-	sameRun, closing := s.assignment != nil && s.assignment.Run == request.Assignment.Run && s.assignment.Epoch == request.Assignment.Epoch, s.phase == session.Finalizing
-	s.mu.Unlock()
-	switch {
-	case !sameRun:
-		return nil, base.ToTwirpError(base.Decline(409, "stale_assignment", "the session is assigned to another Run"))
-	case closing:
-		return nil, base.ToTwirpError(base.Busy(503, "handing_over", 1, "the session is closing on this node"))
-	}
-	if existing := m.forwardedStream(call); existing != nil { // a duplicate of the message
-		return m.pullReply(replyCtx, existing, 0, m.Bounds.Load().Recovery/24)
+		// This node has dropped the session's Run, and begins the next one if the ledger
+		// still assigns the session to it.
+		replaces = request.Assignment
+		m.Counters.Add("sessions_taken_up", 1)
+	} else if err := s.checkForwarded(request.Assignment); err != nil {
+		return nil, base.ToTwirpError(err)
 	}
 	ctx := base.NewCtx(m.Clock, call.Deadline)
-	stream, _, err := m.accept(ctx, call, s, nil, true)
+	stream, _, err := m.accept(ctx, call, s, replaces, true)
 	if err != nil {
 		return nil, base.ToTwirpError(err)
 	}
 	m.mu.Lock()
-	m.keepForwarded(call, stream)
+	m.keepForwarded(call, request.Assignment, stream)
 	m.mu.Unlock()
 	return m.pullReply(replyCtx, stream, 0, m.Bounds.Load().Recovery/24)
 }
 
+// checkForwarded checks whether a turn that was forwarded under an assignment may join the
+// session's queue here.
+func (s *ownedSession) checkForwarded(forwarded *Assignment) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.assignment == nil || s.assignment.Run != forwarded.Run || s.assignment.Epoch != forwarded.Epoch:
+		return base.Decline(409, "stale_assignment", "the session is assigned to another Run")
+	case s.phase == session.Finalizing:
+		return base.Busy(503, "handing_over", 1, "the session is closing on this node")
+	}
+	return nil
+}
+
 // pullError returns the error for a failed pull. That the pull was not sent proves
 // nothing about the turn, which the owner already has, so the turn may have run. A
 // request error that the owner itself sent is passed on.
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -193,12 +193,8 @@
 func (c *testCluster) addNode(name string, seeds ...string) *Manager {
 	counters := base.NewCounters()
 	view := membership.NewView(c.clock, c.httpClient, c.bounds, counters, &membership.Member{Id: name + "/1", Addr: name, Role: membership.RoleGateway, Zone: "z"}, seeds, nil)
-	table := &route.Table{Version: 1, Services: map[string]*route.Service{"s": {Name: "s", Engine: &route.Engine{TokensPerEvent: 2}}},
-		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.KindStream, Timeout: 10 * time.Second, RetainTurns: true, Retention: time.Minute, Shares: []route.Share{{Service: "s", Weight: 1}}},
-			{Name: "loose", Host: "h", Prefix: "/loose/", Kind: route.KindStream, Timeout: 10 * time.Second, Shares: []route.Share{{Service: "s", Weight: 1}}}}}
-	c.is.NoErr(table.BuildIndex())
 	routes := &base.AtomicPointer[route.Table]{}
-	routes.Store(table)
+	routes.Store(c.table(1, "s", 2))
 	m := NewManager(Dependencies{Clock: c.clock, HTTPClient: c.httpClient, View: view, Bounds: c.bounds, Counters: counters, Routes: routes, Ledger: c.ledger, Workers: c.workers})
 	mux := http.NewServeMux()
 	member := membership.NewMembershipServer(view)
@@ -210,6 +206,15 @@
 	return m
 }
 
+// table returns a configuration whose routes use one service, the only one that it lists.
+func (c *testCluster) table(version uint64, service string, tokensPerEvent int) *route.Table {
+	table := &route.Table{Version: version, Services: map[string]*route.Service{service: {Name: service, Engine: &route.Engine{TokensPerEvent: tokensPerEvent}}},
+		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.KindStream, Timeout: 10 * time.Second, RetainTurns: true, Retention: time.Minute, Shares: []route.Share{{Service: service, Weight: 1}}},
+			{Name: "loose", Host: "h", Prefix: "/loose/", Kind: route.KindStream, Timeout: 10 * time.Second, Shares: []route.Share{{Service: service, Weight: 1}}}}}
+	c.is.NoErr(table.BuildIndex())
+	return table
+}
+
 func (c *testCluster) call(session, turn, previous string) *relay.Call {
 	return &relay.Call{ID: turn, Host: "h", Method: "POST", Target: "/t", Body: []byte("in-" + turn), Program: "p", Session: session, PreviousTurn: previous, MaxOutputTokens: 10, Deadline: 10 * time.Second}
 }
@@ -491,9 +496,59 @@
 	c.is.Equal(len(c.workers.started), 2)
 }
 
+// Guards against LOST: an owner that had dropped a rested session declined every turn that
+// was forwarded to it, and no other gateway could have the session.
+func TestOwnerTakesUpRestedSession(t *testing.T) {
+	c := newTestCluster(t)
+	a, b := c.addNode("a:1", "b:1"), c.addNode("b:1", "a:1")
+	c.connect(a, b)
+	defer a.View.Close()
+	defer b.View.Close()
+	_, err := c.submitAndRead(a, c.call("s1", "t1", ""))
+	c.is.NoErr(err)
+	_, err = c.submitAndRead(b, c.call("s1", "t2", "t1"))
+	c.is.NoErr(err)
+	a.dropIdle(c.clock.Now() + time.Second)
+	c.is.Equal(len(a.List(10)), 0)
+	for _, turn := range []*relay.Call{c.call("s1", "t3", "t2"), c.call("s1", "t4", "t3")} {
+		got, err := c.submitAndRead(b, turn)
+		c.is.NoErr(err)
+		c.is.Equal(got, fmt.Sprintf("data: x%s\n\ndata: y%s\n\n", turn.ID, turn.ID))
+	}
+	c.is.Equal(c.workers.bodies["t4"], "in-t1xt1\nyt1\nin-t2xt2\nyt2\nin-t3xt3\nyt3\nin-t4")
+	c.is.Equal(c.ledger.sessions["ps1"].Owner, a.nodeID())
+	c.is.Equal(c.ledger.sessions["ps1"].Epoch, uint64(2)) // the lease was over, so a new Run began
+}
+
+// A node that dropped a session which another node has taken since does not take it back.
+func TestDroppedSessionOfAnotherOwnerIsNotTakenUp(t *testing.T) {
+	c := newTestCluster(t)
+	a, b := c.addNode("a:1", "b:1"), c.addNode("b:1", "a:1")
+	c.connect(a, b)
+	defer a.View.Close()
+	defer b.View.Close()
+	_, err := c.submitAndRead(a, c.call("s1", "t1", ""))
+	c.is.NoErr(err)
+	former := c.ledger.sessions["ps1"]
+	a.dropIdle(c.clock.Now() + time.Second)
+	c.ledger.sessions["ps1"] = &Assignment{Run: "next", Owner: b.nodeID(), Epoch: 2}
+	ctx := base.NewCtx(c.clock, 10*time.Second)
+	owner := NewOwnerProtobufClient("http://a:1", c.httpClient)
+	_, err = owner.Forward(ctx, &ForwardRequest{From: b.nodeID(), Forwarded: true, Assignment: former, Call: callToProto(c.call("s1", "t2", "t1"), ctx)})
+	c.is.Equal(base.ToRequestError(err).Code, "stale_assignment")
+	c.is.Equal(c.ledger.sessions["ps1"].Run, "next")
+	c.is.Equal(len(c.workers.started), 1)
+}
+
 // When the message that forwards a turn is delivered twice, the turn must run once and
 // both deliveries must get its answer.
 func TestDuplicateForwardRunsOnce(t *testing.T) {
+	for _, rested := range []bool{false, true} {
+		t.Run(fmt.Sprint("rested ", rested), func(t *testing.T) { testDuplicateForward(t, rested) })
+	}
+}
+
+func testDuplicateForward(t *testing.T, rested bool) {
 	c := newTestCluster(t)
 	a, b := c.addNode("a:1", "b:1"), c.addNode("b:1", "a:1")
 	c.connect(a, b)
@@ -503,6 +558,9 @@
 	c.is.NoErr(err)
 	ctx := base.NewCtx(c.clock, 10*time.Second)
 	forward := &ForwardRequest{From: b.nodeID(), Forwarded: true, Assignment: c.ledger.sessions["ps1"], Call: callToProto(c.call("s1", "t2", "t1"), ctx)}
+	if rested {
+		a.dropIdle(c.clock.Now() + time.Second)
+	}
 	owner := NewOwnerProtobufClient("http://a:1", c.httpClient)
 	for range 2 {
 		reply, err := owner.Forward(ctx, forward)
--- a/internal/line/pull.go
+++ b/internal/line/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"time"
 
 	"fordseam/internal/base"
@@ -45,11 +46,11 @@
 
 // keepForwarded keeps the stream of a forwarded turn for pulls until some time after
 // the call's deadline. The caller holds m.mu.
-func (m *Manager) keepForwarded(call *relay.Call, stream *Stream) {
+func (m *Manager) keepForwarded(call *relay.Call, assignment *Assignment, stream *Stream) {
 	if m.forwardedStreams == nil {
 		m.forwardedStreams = map[string]*Stream{}
 	}
-	key := forwardedStreamKey(call)
+	key := forwardedStreamKey(call.Program, call.Session, call.ID, assignment)
 	m.forwardedStreams[key] = stream
 	m.Clock.Go(func() {
 		m.Clock.Sleep(call.Deadline + m.Bounds.Load().Recovery/4)
@@ -59,15 +60,18 @@
 	})
 }
 
-// forwardedStreamKey identifies the stream of a forwarded turn.
-func forwardedStreamKey(call *relay.Call) string { return sessionKey(call) + " " + call.ID }
+// forwardedStreamKey identifies the stream of a turn that was forwarded under an
+// assignment.
+func forwardedStreamKey(program, sessionID, turn string, assignment *Assignment) string {
+	return strings.Join([]string{program, sessionID, turn, assignment.GetRun()}, " ")
+}
 
-// forwardedStream returns the stream of a turn that was forwarded here before, or nil.
-// A duplicate of the message must not run the turn again.
-func (m *Manager) forwardedStream(call *relay.Call) *Stream {
+// forwardedStream returns the stream of a turn that was forwarded here before under the
+// same assignment, or nil. A duplicate of the message must not run the turn again.
+func (m *Manager) forwardedStream(call *relay.Call, assignment *Assignment) *Stream {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.forwardedStreams[forwardedStreamKey(call)]
+	return m.forwardedStreams[forwardedStreamKey(call.Program, call.Session, call.ID, assignment)]
 }
 
 // undeliveredStreams counts the forwarded turns whose end has not been pulled.
@@ -86,7 +90,7 @@
 // Pull serves the answer of a forwarded turn from a position on.
 func (m *Manager) Pull(rawCtx context.Context, request *PullRequest) (*PullReply, error) {
 	m.mu.Lock()
-	stream := m.forwardedStreams[request.Program+" "+request.Session+" "+request.Turn]
+	stream := m.forwardedStreams[forwardedStreamKey(request.Program, request.Session, request.Turn, request.Assignment)]
 	m.mu.Unlock()
 	if stream == nil {
 		return nil, base.ToTwirpError(base.Indeterminate(502, "owner_lost", "this node has no answer for turn %q", request.Turn))
--- a/internal/line/termination.go
+++ b/internal/line/termination.go
@@ -28,22 +28,27 @@
 func (m *Manager) Run() {
 	for !m.View.Closed() {
 		m.Clock.Sleep(m.Bounds.Load().Recovery / 6)
-		idleSince := m.Clock.Now() - m.Bounds.Load().Recovery*2
 		m.history.removeExpired()
-		m.mu.Lock()
-		for _, id := range base.SortedKeys(m.owned) {
-			s := m.owned[id]
-			s.mu.Lock()
-			if s.running == nil && s.lastUsed < idleSince {
-				s.phase = session.Failed
-				delete(m.owned, id)
-			}
-			s.mu.Unlock()
-		}
-		if len(m.remoteOwners) > 1<<14 {
-			clear(m.remoteOwners)
+		m.dropIdle(m.Clock.Now() - m.Bounds.Load().Recovery*2)
+	}
+}
+
+// dropIdle drops the sessions that have not been used since a time. The ledger still
+// assigns them to this node, which takes one up again when a turn for it is forwarded.
+func (m *Manager) dropIdle(idleSince time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range base.SortedKeys(m.owned) {
+		s := m.owned[id]
+		s.mu.Lock()
+		if s.running == nil && s.lastUsed < idleSince {
+			s.phase = session.Failed
+			delete(m.owned, id)
 		}
-		m.mu.Unlock()
+		s.mu.Unlock()
+	}
+	if len(m.remoteOwners) > 1<<14 {
+		clear(m.remoteOwners)
 	}
 }
 
--- a/internal/simulate/tier_scenarios.go
+++ b/internal/simulate/tier_scenarios.go
@@ -300,6 +300,10 @@
 		}
 	}}},
 
+	{Name: "programs rest", Faults: []func(t *Tier){restPrograms}},
+	{Name: "programs rest, edges killed", LoadDuration: 16 * second, Faults: []func(t *Tier){restPrograms, delayed(5, killMachines(gatewayMachines, 0.34, false)), delayed(9, killMachines(gatewayMachines, 0.34, true))}},
+	{Name: "programs rest, edges restarted as planned", LoadDuration: 20 * second, Faults: []func(t *Tier){restPrograms, delayed(6, rollingRestart(gatewayMachines))}},
+
 	{Name: "turns kept for a short time", AdjustSite: func(site *parties.Deployment) {
 		for index := range site.Classes {
 			if site.Classes[index].Retain > 0 {
