A turn is bound to the route that matched it when it was accepted

Cause: how many tokens an event stands for was looked up by the service's name in the configuration in force when the worker's answer began. A dropped service counted as one token an event.

Change: a route holds the services of its own configuration, and a turn carries its route from acceptance on; the functions on its way take the route and not the table, so there is no second look-up: none for the service before a turn is sent, none for the route of a queued turn or of one that replaces another. What a program spent is kept for the route's own time, which is worked out with the table.

Ruled out: the reservation (each turn reserved its most), lost settlements (the ledger has one a turn, at half).

--- a/internal/line/execute.go
+++ b/internal/line/execute.go
@@ -13,14 +13,7 @@
 // sends the turn to a worker, and stores or settles the result. It returns true when
 // another node owns the session.
 func (m *Manager) runTurn(s *ownedSession, op *operation, replaces *Assignment, onClaim func(*Assignment)) (ownerChanged bool) {
-	call, ctx := op.call, op.ctx
-	table := m.Routes.Load()
-	matched := table.Match(call.Host, call.Target)
-	if matched == nil {
-		onClaim(nil)
-		op.stream.fail(base.Decline(404, "no_route", "no route matches this request"))
-		return false
-	}
+	call, ctx, matched := op.call, op.ctx, op.route
 	if op.isCancelled() || ctx.Expired() {
 		onClaim(nil)
 		op.stream.fail(base.Decline(408, "cancelled", "the turn was cancelled or timed out before it ran"))
@@ -41,7 +34,6 @@
 			chainReady.Fire()
 		})
 	}
-	op.retain = m.retention(table, matched)
 	result, err := m.claim(s, op, replaces)
 	if err != nil {
 		onClaim(nil)
@@ -71,7 +63,7 @@
 		op.stream.fail(base.ToRequestError(chainErr))
 		return false
 	}
-	m.sendToWorker(s, op, matched, chain)
+	m.sendToWorker(s, op, chain)
 	return false
 }
 
@@ -82,7 +74,7 @@
 	assignment, confirmed := s.assignment, s.confirmed
 	s.mu.Unlock()
 	call := op.call
-	claim := &Claim{Program: call.Program, Session: call.Session, Turn: call.ID, MaxTokens: int64(call.MaxOutputTokens), Budget: call.TokenBudget, HasBudget: call.HasTokenBudget, Owner: m.nodeID(), Previous: call.PreviousTurn, Retain: op.retain, Replaces: replaces}
+	claim := &Claim{Program: call.Program, Session: call.Session, Turn: call.ID, MaxTokens: int64(call.MaxOutputTokens), Budget: call.TokenBudget, HasBudget: call.HasTokenBudget, Owner: m.nodeID(), Previous: call.PreviousTurn, Retain: op.route.SpendRetention(), Replaces: replaces}
 	if assignment != nil {
 		claim.Run, claim.Epoch, claim.Confirmed, claim.Replaces = assignment.Run, assignment.Epoch, confirmed, nil
 	} else {
@@ -151,7 +143,7 @@
 	if !op.call.HasTokenBudget || assignment == nil {
 		return
 	}
-	settlement := &Settlement{Program: op.call.Program, Run: assignment.Run, Turn: op.call.ID, Tokens: tokens, Retain: op.retain}
+	settlement := &Settlement{Program: op.call.Program, Run: assignment.Run, Turn: op.call.ID, Tokens: tokens, Retain: op.route.SpendRetention()}
 	m.pendingSettlements.Add(1)
 	m.Clock.Go(func() {
 		defer m.pendingSettlements.Add(-1)
@@ -167,8 +159,8 @@
 
 // sendToWorker sends the turn to a worker, passes its events on, and stores or settles
 // the result.
-func (m *Manager) sendToWorker(s *ownedSession, op *operation, matched *route.Route, chain []byte) {
-	call, ctx := op.call, op.ctx
+func (m *Manager) sendToWorker(s *ownedSession, op *operation, chain []byte) {
+	call, ctx, matched := op.call, op.ctx, op.route
 	body := call.Body
 	if len(chain) > 0 {
 		body = append(append(make([]byte, 0, len(chain)+len(call.Body)), chain...), call.Body...)
@@ -196,24 +188,21 @@
 		m.relayPlain(op, reply)
 		return
 	}
-	stride := int64(1)
-	if known := m.Routes.Load().Services[service]; known != nil && known.Engine != nil {
-		stride = int64(max(1, known.Engine.TokensPerEvent))
-	}
 	output, events, complete := m.relayEvents(op, reply)
+	tokens := events * service.TokensPerEvent()
 	if !complete {
-		m.settle(s, op, events*stride)
+		m.settle(s, op, tokens)
 		op.state = session.OpFailed
 		m.Counters.Add("turns_cut", 1)
 		op.stream.fail(base.Indeterminate(502, "cut", "the worker's answer ended before it was complete"))
 		return
 	}
 	if !matched.RetainTurns {
-		m.settle(s, op, events*stride)
+		m.settle(s, op, tokens)
 		m.finishTurn(op)
 		return
 	}
-	m.commit(s, op, matched, output, events*stride)
+	m.commit(s, op, output, tokens)
 }
 
 // finishTurn ends a turn that was answered completely.
@@ -223,16 +212,6 @@
 	op.stream.finish()
 }
 
-// retention returns how long the ledger keeps a program's spending after a turn: the
-// route's own time, or the longest of any route when it has none. The ledger keeps it
-// for at least twice the recovery bound.
-func (m *Manager) retention(table *route.Table, matched *route.Route) time.Duration {
-	if matched.Retention > 0 {
-		return matched.Retention
-	}
-	return table.MaxRetention()
-}
-
 // servicePicker returns the function that draws the number by which a route's service
 // is picked: the same for a whole session when the route is pinned or retains its
 // turns, or else a random one for each call.
@@ -288,13 +267,13 @@
 }
 
 // commit stores a completed turn in the ledger, and ends the stream only after that.
-func (m *Manager) commit(s *ownedSession, op *operation, matched *route.Route, output []byte, tokens int64) {
+func (m *Manager) commit(s *ownedSession, op *operation, output []byte, tokens int64) {
 	call := op.call
 	s.mu.Lock()
 	assignment := s.assignment
 	s.mu.Unlock()
 	turn := CompletedTurn{Turn: call.ID, Previous: call.PreviousTurn, Input: call.Body, Output: output}
-	completion := &Completion{Program: call.Program, Session: call.Session, Run: assignment.Run, Owner: assignment.Owner, Epoch: assignment.Epoch, CompletedTurn: turn, Budgeted: call.HasTokenBudget, Tokens: tokens, Retain: matched.Retention}
+	completion := &Completion{Program: call.Program, Session: call.Session, Run: assignment.Run, Owner: assignment.Owner, Epoch: assignment.Epoch, CompletedTurn: turn, Budgeted: call.HasTokenBudget, Tokens: tokens, Retain: op.route.Retention}
 	ctx := base.NewCtx(m.Clock, m.commitTimeout(op.ctx.Remaining()))
 	if err := m.Ledger.Finish(ctx, completion); err != nil {
 		m.Counters.Add("turns_not_kept", 1)
@@ -303,7 +282,7 @@
 		op.stream.fail(base.ToRequestError(err))
 		return
 	}
-	m.history.add(turn, matched.Retention)
+	m.history.add(turn, op.route.Retention)
 	m.finishTurn(op)
 }
 
--- a/internal/line/forward.go
+++ b/internal/line/forward.go
@@ -6,6 +6,7 @@
 
 	"fordseam/internal/base"
 	"fordseam/internal/relay"
+	"fordseam/internal/route"
 	"fordseam/internal/session"
 )
 
@@ -87,8 +88,12 @@
 	} else if err := s.checkForwarded(request.Assignment); err != nil {
 		return nil, base.ToTwirpError(err)
 	}
+	matched, err := m.match(call)
+	if err != nil {
+		return nil, base.ToTwirpError(err)
+	}
 	ctx := base.NewCtx(m.Clock, call.Deadline)
-	stream, _, err := m.accept(ctx, call, s, replaces, true)
+	stream, _, err := m.accept(newOperation(m.Clock, ctx, matched, call, true), s, replaces)
 	if err != nil {
 		return nil, base.ToTwirpError(err)
 	}
@@ -98,6 +103,17 @@
 	return m.pullReply(replyCtx, stream, 0, m.Bounds.Load().Recovery/24)
 }
 
+// match returns the route of a forwarded turn. This node may have a newer or an older
+// configuration than the gateway that forwarded the turn.
+func (m *Manager) match(call *relay.Call) (*route.Route, error) {
+	if table := m.Routes.Load(); table != nil {
+		if matched := table.Match(call.Host, call.Target); matched != nil {
+			return matched, nil
+		}
+	}
+	return nil, base.Decline(404, "no_route", "no route matches this request")
+}
+
 // checkForwarded checks whether a turn that was forwarded under an assignment may join the
 // session's queue here.
 func (s *ownedSession) checkForwarded(forwarded *Assignment) error {
--- a/internal/line/interfaces.go
+++ b/internal/line/interfaces.go
@@ -88,5 +88,5 @@
 
 // Workers sends a call to a worker of a service.
 type Workers interface {
-	Send(ctx *base.Ctx, matched *route.Route, service string, call *relay.Call, body []byte) (Reply, error)
+	Send(ctx *base.Ctx, matched *route.Route, service *route.Service, call *relay.Call, body []byte) (Reply, error)
 }
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -95,10 +95,12 @@
 	bodies    map[string]string
 	gates     map[string]chan struct{}
 	truncated map[string]bool
+	services  map[string]string // by turn
+	onSend    func()
 }
 
 func newFakeWorkers() *fakeWorkers {
-	return &fakeWorkers{bodies: map[string]string{}, gates: map[string]chan struct{}{}, truncated: map[string]bool{}}
+	return &fakeWorkers{bodies: map[string]string{}, services: map[string]string{}, gates: map[string]chan struct{}{}, truncated: map[string]bool{}}
 }
 
 type fakeReply struct {
@@ -136,10 +138,14 @@
 	return &relay.Event{Raw: []byte("data: " + next + "\n\n"), Data: []byte(next)}, nil
 }
 
-func (w *fakeWorkers) Send(_ *base.Ctx, _ *route.Route, _ string, call *relay.Call, body []byte) (Reply, error) {
+func (w *fakeWorkers) Send(_ *base.Ctx, _ *route.Route, service *route.Service, call *relay.Call, body []byte) (Reply, error) {
+	if w.onSend != nil {
+		w.onSend()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.started = append(w.started, call.ID)
+	w.services[call.ID] = service.Name
 	w.bodies[call.ID] = string(body)
 	return &fakeReply{events: []string{"x" + call.ID, "y" + call.ID}, gate: w.gates[call.ID], truncated: w.truncated[call.ID], closed: make(chan struct{})}, nil
 }
@@ -219,10 +225,15 @@
 	return &relay.Call{ID: turn, Host: "h", Method: "POST", Target: "/t", Body: []byte("in-" + turn), Program: "p", Session: session, PreviousTurn: previous, MaxOutputTokens: 10, Deadline: 10 * time.Second}
 }
 
+// submit submits a turn of the route that matches it.
+func (c *testCluster) submit(m *Manager, ctx *base.Ctx, call *relay.Call) (*Stream, error) {
+	return m.SubmitTurn(ctx, m.Routes.Load().Match(call.Host, call.Target), call)
+}
+
 // submitAndRead submits a turn to a gateway and returns its whole answer.
 func (c *testCluster) submitAndRead(m *Manager, call *relay.Call) (string, error) {
 	ctx := base.NewCtx(c.clock, 10*time.Second)
-	stream, err := m.SubmitTurn(ctx, call)
+	stream, err := c.submit(m, ctx, call)
 	if err != nil {
 		return "", err
 	}
@@ -295,7 +306,7 @@
 	m := c.addNode("a")
 	c.workers.gates["t1"] = make(chan struct{})
 	ctx := base.NewCtx(c.clock, 10*time.Second)
-	stream, err := m.SubmitTurn(ctx, c.call("s1", "t1", ""))
+	stream, err := c.submit(m, ctx, c.call("s1", "t1", ""))
 	c.is.NoErr(err)
 	_, err = stream.Head(5*time.Second, c.clock)
 	c.is.NoErr(err)
@@ -312,7 +323,7 @@
 	m := c.addNode("a")
 	c.workers.gates["t0"] = make(chan struct{})
 	ctx := base.NewCtx(c.clock, 10*time.Second)
-	first, err := m.SubmitTurn(ctx, c.call("s1", "t0", ""))
+	first, err := c.submit(m, ctx, c.call("s1", "t0", ""))
 	c.is.NoErr(err)
 	_, err = first.Head(5*time.Second, c.clock)
 	c.is.NoErr(err)
@@ -320,11 +331,11 @@
 	for n := range maxQueuedTurns {
 		call := c.call("s1", fmt.Sprint("q", n), fmt.Sprint("p", n)) // each with a different previous turn
 		c.ledger.completed[call.PreviousTurn] = CompletedTurn{Turn: call.PreviousTurn}
-		stream, err := m.SubmitTurn(ctx, call)
+		stream, err := c.submit(m, ctx, call)
 		c.is.NoErr(err)
 		streams = append(streams, stream)
 	}
-	_, err = m.SubmitTurn(ctx, c.call("s1", "over", "p"))
+	_, err = c.submit(m, ctx, c.call("s1", "over", "p"))
 	c.is.Equal(base.ToRequestError(err).Code, "queue_full")
 	c.is.Equal(m.List(10)[0].Waiting, maxQueuedTurns) // a read does not wait in the queue
 	c.is.Equal(len(c.workers.started), 1)
@@ -344,7 +355,7 @@
 	m := c.addNode("a")
 	c.workers.gates["t1"] = make(chan struct{}) // never closed: the worker hangs
 	ctx := base.NewCtx(c.clock, 10*time.Second)
-	first, err := m.SubmitTurn(ctx, c.call("s1", "t1", ""))
+	first, err := c.submit(m, ctx, c.call("s1", "t1", ""))
 	c.is.NoErr(err)
 	_, err = first.Head(5*time.Second, c.clock)
 	c.is.NoErr(err)
@@ -376,6 +387,52 @@
 	c.is.Equal(c.ledger.claims[0].Retain, time.Minute) // the longest of any route
 }
 
+// Guards against BUDGET: a configuration that no longer lists the service of turns under way
+// had their tokens counted at one an event.
+func TestConfigChangeKeepsRouteOfRunningTurn(t *testing.T) {
+	c := newTestCluster(t)
+	m := c.addNode("a")
+	call := c.call("s1", "t1", "")
+	call.HasTokenBudget = true
+	c.workers.onSend = func() { m.Routes.Store(c.table(2, "s2", 5)) }
+	_, err := c.submitAndRead(m, call)
+	c.is.NoErr(err)
+	c.is.Equal(c.workers.services["t1"], "s")
+	c.is.Equal(c.ledger.settled["t1"], int64(4)) // two events of two tokens
+	_, err = c.submitAndRead(m, c.call("s1", "t2", "t1"))
+	c.is.NoErr(err)
+	c.is.Equal(c.workers.services["t2"], "s2")
+	c.is.Equal(c.ledger.settled["t2"], int64(10))
+}
+
+// A turn that waits in its session's queue keeps the route that matched it when it was
+// accepted, also if a later configuration drops the route.
+func TestConfigChangeKeepsRouteOfQueuedTurn(t *testing.T) {
+	c := newTestCluster(t)
+	m := c.addNode("a")
+	c.workers.gates["t1"] = make(chan struct{})
+	ctx := base.NewCtx(c.clock, 10*time.Second)
+	first, err := c.submit(m, ctx, c.call("s1", "t1", ""))
+	c.is.NoErr(err)
+	_, err = first.Head(5*time.Second, c.clock)
+	c.is.NoErr(err)
+	c.ledger.mu.Lock()
+	c.ledger.completed["t0"] = CompletedTurn{Turn: "t0"}
+	c.ledger.mu.Unlock()
+	second, err := c.submit(m, ctx, c.call("s1", "t2", "t0"))
+	c.is.NoErr(err)
+	empty := &route.Table{Version: 2, Services: map[string]*route.Service{}}
+	c.is.NoErr(empty.BuildIndex())
+	m.Routes.Store(empty)
+	close(c.workers.gates["t1"])
+	_, err = second.Head(5*time.Second, c.clock)
+	c.is.NoErr(err)
+	_, err = io.ReadAll(NewReader(second, c.clock, 5*time.Second))
+	c.is.NoErr(err)
+	c.is.Equal(c.workers.services["t2"], "s")
+	c.is.Equal(c.ledger.settled["t2"], int64(4))
+}
+
 func TestCallsWithoutNamesGetTheirOwnSession(t *testing.T) {
 	c := newTestCluster(t)
 	m := c.addNode("a")
@@ -398,16 +455,16 @@
 	m := c.addNode("a")
 	c.workers.gates["t1"] = make(chan struct{}) // never closed: the worker hangs
 	ctx := base.NewCtx(c.clock, 10*time.Second)
-	first, err := m.SubmitTurn(ctx, c.unretainedCall("s1", "t1", ""))
+	first, err := c.submit(m, ctx, c.unretainedCall("s1", "t1", ""))
 	c.is.NoErr(err)
 	_, err = first.Head(5*time.Second, c.clock)
 	c.is.NoErr(err)
-	other, err := m.SubmitTurn(ctx, c.unretainedCall("s1", "t2", "")) // another turn waits behind it
+	other, err := c.submit(m, ctx, c.unretainedCall("s1", "t2", "")) // another turn waits behind it
 	c.is.NoErr(err)
 	c.is.True(!first.isAbandoned() && m.List(1)[0].Waiting == 1)
 	again := c.unretainedCall("s1", "t3", "")
 	again.Body = []byte("in-t1")
-	_, err = m.SubmitTurn(ctx, again)
+	_, err = c.submit(m, ctx, again)
 	c.is.NoErr(err)
 	_, err = io.ReadAll(NewReader(first, c.clock, 5*time.Second))
 	c.is.Equal(err, io.ErrUnexpectedEOF)
@@ -424,7 +481,7 @@
 	c.is.NoErr(err)
 	c.workers.gates["t2"] = make(chan struct{})
 	first := c.call("s1", "t2", "t1")
-	stream, err := m.SubmitTurn(base.NewCtx(c.clock, 10*time.Second), first)
+	stream, err := c.submit(m, base.NewCtx(c.clock, 10*time.Second), first)
 	c.is.NoErr(err)
 	_, err = stream.Head(5*time.Second, c.clock)
 	c.is.NoErr(err)
@@ -442,7 +499,7 @@
 	c := newTestCluster(t)
 	m := c.addNode("a")
 	c.workers.gates["t1"] = make(chan struct{})
-	stream, err := m.SubmitTurn(base.NewCtx(c.clock, 10*time.Second), c.call("s1", "t1", ""))
+	stream, err := c.submit(m, base.NewCtx(c.clock, 10*time.Second), c.call("s1", "t1", ""))
 	c.is.NoErr(err)
 	_, err = stream.Head(5*time.Second, c.clock)
 	c.is.NoErr(err)
@@ -596,7 +653,7 @@
 	_, err = c.submitAndRead(a, c.call("s2", "u1", ""))
 	c.is.NoErr(err)
 	a.Drain(time.Second)
-	_, err = a.SubmitTurn(base.NewCtx(c.clock, time.Second), c.call("s1", "t2", "t1"))
+	_, err = c.submit(a, base.NewCtx(c.clock, time.Second), c.call("s1", "t2", "t1"))
 	c.is.Equal(base.ToRequestError(err).Execution, base.NotRun)
 	_, err = c.submitAndRead(b, c.call("s1", "t3", "t1")) // a is draining, so b takes over
 	c.is.NoErr(err)
@@ -621,7 +678,7 @@
 	_, err := c.submitAndRead(a, c.call("s1", "t1", ""))
 	c.is.NoErr(err)
 	c.workers.gates["t2"] = make(chan struct{})
-	stream, err := b.SubmitTurn(base.NewCtx(c.clock, 10*time.Second), c.call("s1", "t2", "t1"))
+	stream, err := c.submit(b, base.NewCtx(c.clock, 10*time.Second), c.call("s1", "t2", "t1"))
 	c.is.NoErr(err)
 	_, err = stream.Head(5*time.Second, c.clock)
 	c.is.NoErr(err)
@@ -646,7 +703,7 @@
 	c := newTestCluster(t)
 	m := c.addNode("a")
 	c.workers.gates["t1"] = make(chan struct{})
-	stream, err := m.SubmitTurn(base.NewCtx(c.clock, 10*time.Second), c.call("s1", "t1", ""))
+	stream, err := c.submit(m, base.NewCtx(c.clock, 10*time.Second), c.call("s1", "t1", ""))
 	c.is.NoErr(err)
 	_, err = stream.Head(5*time.Second, c.clock)
 	c.is.NoErr(err)
--- a/internal/line/manager.go
+++ b/internal/line/manager.go
@@ -101,14 +101,16 @@
 	lastUsed    time.Duration
 }
 
-// operation is one turn on the session's owner.
+// operation is one turn on the session's owner. It is bound to the route that matched it
+// when it was accepted: a later configuration does not change its service, its limits or
+// how its tokens are counted.
 type operation struct {
 	call      *relay.Call
+	route     *route.Route
 	ctx       *base.Ctx
 	stream    *Stream
 	state     session.OperationState
 	forwarded bool // forwarded to this node, which must not forward it again
-	retain    time.Duration
 
 	mu        sync.Mutex
 	cancelled bool
@@ -141,9 +143,9 @@
 	return !op.cancelled
 }
 
-// SubmitTurn runs a client's turn on the owner of its session: here, when this node
-// owns the session or can claim it, or else by forwarding it.
-func (m *Manager) SubmitTurn(ctx *base.Ctx, call *relay.Call) (*Stream, error) {
+// SubmitTurn runs a client's turn of a route on the owner of its session: here, when this
+// node owns the session or can claim it, or else by forwarding it.
+func (m *Manager) SubmitTurn(ctx *base.Ctx, matched *route.Route, call *relay.Call) (*Stream, error) {
 	m.Counters.Add("turns", 1)
 	fillMissingNames(call)
 	for attempts := 0; ; attempts++ {
@@ -170,7 +172,7 @@
 				return nil, err
 			}
 		}
-		stream, newOwner, err := m.accept(ctx, call, s, remote, false)
+		stream, newOwner, err := m.accept(newOperation(m.Clock, ctx, matched, call, false), s, remote)
 		if err != nil || newOwner == nil {
 			return stream, err
 		}
@@ -199,13 +201,19 @@
 	}
 }
 
+// newOperation returns the operation of a turn of a route.
+func newOperation(clock base.Clock, ctx *base.Ctx, matched *route.Route, call *relay.Call, forwarded bool) *operation {
+	op := &operation{call: call, route: matched, ctx: ctx, state: session.OpQueued, forwarded: forwarded}
+	op.stream = newStream(clock, op.cancel)
+	return op
+}
+
 // accept puts a turn into its session's queue on this node and returns its stream.
 // s is the session if this node owns it; replaces is the assignment of a lost owner
 // that the new Run is to replace, if any. The assignment returned is the one of
 // another node that has the session instead.
-func (m *Manager) accept(ctx *base.Ctx, call *relay.Call, s *ownedSession, replaces *Assignment, forwarded bool) (*Stream, *Assignment, error) {
-	op := &operation{call: call, ctx: ctx, state: session.OpQueued, forwarded: forwarded}
-	op.stream = newStream(m.Clock, op.cancel)
+func (m *Manager) accept(op *operation, s *ownedSession, replaces *Assignment) (*Stream, *Assignment, error) {
+	call := op.call
 	for {
 		if s == nil {
 			if m.isDraining() {
@@ -238,7 +246,7 @@
 	}
 	var superseded []*operation
 	for _, earlier := range append([]*operation{s.running}, s.queue...) {
-		if earlier != nil && m.supersedes(earlier.call, call) {
+		if earlier != nil && op.supersedes(earlier) {
 			superseded = append(superseded, earlier)
 		}
 	}
@@ -272,12 +280,11 @@
 // sends another turn with the same previous turn only after it has given up on the
 // earlier one. Where turns are not retained they name no previous turn, and only a
 // turn with the same target and body is the same turn.
-func (m *Manager) supersedes(earlier, call *relay.Call) bool {
-	matched := m.Routes.Load().Match(call.Host, call.Target)
-	if matched != nil && matched.RetainTurns {
-		return earlier.PreviousTurn == call.PreviousTurn
+func (op *operation) supersedes(earlier *operation) bool {
+	if op.route.RetainTurns {
+		return earlier.call.PreviousTurn == op.call.PreviousTurn
 	}
-	return earlier.Target == call.Target && bytes.Equal(earlier.Body, call.Body)
+	return earlier.call.Target == op.call.Target && bytes.Equal(earlier.call.Body, op.call.Body)
 }
 
 // runQueue runs the turns of a session one after the other. It calls onClaim once:
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -124,7 +124,7 @@
 	}
 	switch {
 	case rt.Kind == route.KindStream && line.IsTurn(rt, call):
-		stream, err := g.Lines.SubmitTurn(ctx, call)
+		stream, err := g.Lines.SubmitTurn(ctx, rt, call)
 		if err != nil {
 			return nil, err
 		}
@@ -132,7 +132,7 @@
 	case rt.Kind == route.KindStream:
 		return streamResponse(g.Lines.PassThrough(ctx, rt, call), ctx)
 	}
-	reply, err := g.Relay.Dispatch(ctx, rt, table.Services[rt.PickService(clock.Int64N)], call, call.Body)
+	reply, err := g.Relay.Dispatch(ctx, rt, rt.PickService(clock.Int64N), call, call.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -185,12 +185,8 @@
 func (r relayReply) Status() int    { return r.Reply.Status }
 func (r relayReply) IsStream() bool { return !r.Buffered() }
 
-func (a relayAdapter) Send(ctx *base.Ctx, rt *route.Route, service string, call *relay.Call, body []byte) (line.Reply, error) {
-	target := a.gateway.Routes.Load().Services[service]
-	if target == nil {
-		return nil, base.Busy(503, "no_service", 1, "the service is no longer configured")
-	}
-	reply, err := a.gateway.Relay.Dispatch(ctx, rt, target, call, body)
+func (a relayAdapter) Send(ctx *base.Ctx, rt *route.Route, service *route.Service, call *relay.Call, body []byte) (line.Reply, error) {
+	reply, err := a.gateway.Relay.Dispatch(ctx, rt, service, call, body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -54,6 +54,11 @@
 	Shares    []Share
 
 	callsModel bool
+	// services are those of Shares, in the same order, as the route's own configuration
+	// describes them.
+	services []*Service
+	// spendRetention is how long what programs spent is kept.
+	spendRetention time.Duration
 }
 
 // MayRepeat reports whether a request of the route may run more than once.
@@ -64,6 +69,10 @@
 // CallsModel reports whether one of the route's services is a model service.
 func (r *Route) CallsModel() bool { return r.callsModel }
 
+// SpendRetention returns how long the spending of a program is kept after a request of the
+// route: the route's own retention, or the longest of any route when it has none.
+func (r *Route) SpendRetention() time.Duration { return r.spendRetention }
+
 // Engine describes the model workers of a service.
 type Engine struct {
 	Slots          int // requests that a worker runs at the same time
@@ -79,6 +88,15 @@
 	Engine     *Engine
 }
 
+// TokensPerEvent returns how many tokens an event of the service's streams stands for, at
+// least one.
+func (s *Service) TokensPerEvent() int64 {
+	if s.Engine == nil {
+		return 1
+	}
+	return int64(max(1, s.Engine.TokensPerEvent))
+}
+
 // Limits bound the requests and idle connections of clients.
 type Limits struct {
 	MaxHeaderBytes    int
@@ -95,18 +113,14 @@
 	Limits   Limits
 
 	// hosts has the routes by host in lower case and path prefix.
-	hosts        map[string]map[string]*Route
-	maxRetention time.Duration
+	hosts map[string]map[string]*Route
 }
 
-// MaxRetention returns the longest retention of any route.
-func (t *Table) MaxRetention() time.Duration { return t.maxRetention }
-
 // BuildIndex validates the table and prepares it for Match. The error names the first
 // invalid field.
 func (t *Table) BuildIndex() error {
 	t.hosts = map[string]map[string]*Route{}
-	seen := map[string]bool{}
+	seen, maxRetention := map[string]bool{}, time.Duration(0)
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		field := "routes[" + string(base.MustMarshal(i)) + "]"
@@ -123,20 +137,23 @@
 			return base.DeclineField(field+".service", "must be given")
 		}
 		totalWeight := 0
+		r.services = nil
 		for _, share := range r.Shares {
-			if t.Services[share.Service] == nil {
+			service := t.Services[share.Service]
+			if service == nil {
 				return base.DeclineField(field+".service", "service %q is not defined", share.Service)
 			}
 			if share.Weight < 0 {
 				return base.DeclineField(field+".weight", "must not be negative")
 			}
 			totalWeight += share.Weight
-			r.callsModel = r.callsModel || t.Services[share.Service].Engine != nil
+			r.callsModel = r.callsModel || service.Engine != nil
+			r.services = append(r.services, service)
 		}
 		if totalWeight == 0 {
 			return base.DeclineField(field+".weight", "the weights sum to 0")
 		}
-		t.maxRetention = max(t.maxRetention, r.Retention)
+		maxRetention = max(maxRetention, r.Retention)
 		host := strings.ToLower(r.Host)
 		seen[host+" "+r.Prefix] = true
 		if t.hosts[host] == nil {
@@ -144,6 +161,12 @@
 		}
 		t.hosts[host][r.Prefix] = r
 	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if r.spendRetention = r.Retention; r.spendRetention == 0 {
+			r.spendRetention = maxRetention
+		}
+	}
 	return nil
 }
 
@@ -163,18 +186,19 @@
 }
 
 // PickService picks a service at random by the weights of the shares. randomN returns
-// a random number from 0 to n-1.
-func (r *Route) PickService(randomN func(n int64) int64) string {
+// a random number from 0 to n-1. The service is described as in the route's own
+// configuration, whichever is in force by then.
+func (r *Route) PickService(randomN func(n int64) int64) *Service {
 	totalWeight := 0
 	for _, share := range r.Shares {
 		totalWeight += share.Weight
 	}
 	offset := int(randomN(int64(totalWeight)))
-	for _, share := range r.Shares {
+	for i, share := range r.Shares {
 		if offset < share.Weight {
-			return share.Service
+			return r.services[i]
 		}
 		offset -= share.Weight
 	}
-	return r.Shares[0].Service
+	return r.services[0]
 }
--- a/internal/simulate/tier_operators.go
+++ b/internal/simulate/tier_operators.go
@@ -55,10 +55,16 @@
 }
 
 // changeConfig sends a valid configuration that is based on the newest.
-func (t *Tier) changeConfig() (order *parties.Order) {
+func (t *Tier) changeConfig() (order *parties.Order) { return t.putConfig(t.drafts.NextValid) }
+
+// changeServices sends a configuration that moves routes between services.
+func (t *Tier) changeServices() (order *parties.Order) { return t.putConfig(t.drafts.NextServices) }
+
+// putConfig sends a configuration that is drawn on top of the newest acknowledged one.
+func (t *Tier) putConfig(draw func(newest *parties.Config) *parties.Config) (order *parties.Order) {
 	t.exclusively(func() {
 		newest := t.config.newestAcked.Config
-		next := t.drafts.NextValid(newest)
+		next := draw(newest)
 		order = t.config.operator.PutConfig(newest.Generation, next, next.Encode(), "", 30*time.Second)
 		if order.Acked() {
 			t.config.recordAcked(order)
--- a/internal/simulate/tier_scenarios.go
+++ b/internal/simulate/tier_scenarios.go
@@ -303,6 +303,8 @@
 	{Name: "programs rest", Faults: []func(t *Tier){restPrograms}},
 	{Name: "programs rest, edges killed", LoadDuration: 16 * second, Faults: []func(t *Tier){restPrograms, delayed(5, killMachines(gatewayMachines, 0.34, false)), delayed(9, killMachines(gatewayMachines, 0.34, true))}},
 	{Name: "programs rest, edges restarted as planned", LoadDuration: 20 * second, Faults: []func(t *Tier){restPrograms, delayed(6, rollingRestart(gatewayMachines))}},
+	{Name: "services move", AdjustSite: withMovingServices, LoadDuration: 16 * second, Faults: []func(t *Tier){delayed(1, moveServices)}},
+	{Name: "services move, edges killed, workers released", AdjustSite: withMovingServices, LoadDuration: 16 * second, Faults: []func(t *Tier){delayed(1, moveServices), delayed(3, killMachines(gatewayMachines, 0.34, false)), delayed(2, releaseWorkers("model"))}},
 
 	{Name: "turns kept for a short time", AdjustSite: func(site *parties.Deployment) {
 		for index := range site.Classes {
