relay: what identifies a worker never changes, so it may be read without the lock

No caller is known to have been harmed; the values written are the ones that stood there.

Cause: a list that shows a worker with another capacity, or as draining, replaced the embedded description, id and address included.

Change: id, address and service of a worker's state are set once; only the zone, the capacity and the listed entry are replaced, with the lock held.

Ruled out: a worker of another address under the same id (it gets a state of its own).

--- a/internal/relay/cost.go
+++ b/internal/relay/cost.go
@@ -11,7 +11,7 @@
 // crossZoneCost is the cost of sending the request to another zone: a latency and
 // a transfer cost in proportion to the body.
 func (r *Relay) crossZoneCost(d *dispatch, s *workerState) time.Duration {
-	if r.Zone == "" || s.Zone == r.Zone {
+	if r.Zone == "" || s.zone == r.Zone {
 		return 0
 	}
 	return d.route.LatencyTarget/12 + time.Duration(float64(d.route.LatencyTarget)*float64(len(d.body))/crossZoneBodyBytes)
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -6,7 +6,7 @@
 	r.filterCandidates = func(candidates []*workerState) []*workerState {
 		inZone := 0
 		for i, s := range candidates {
-			if s.Zone == r.Zone {
+			if s.zone == r.Zone {
 				candidates[inZone], candidates[i] = candidates[i], candidates[inZone]
 				inZone++
 			}
--- a/internal/relay/feedback.go
+++ b/internal/relay/feedback.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if capacity, err := strconv.Atoi(strings.TrimSpace(slots)); err == nil && capacity > 0 {
-		s.Capacity = capacity
+		s.capacity = capacity
 	}
 	s.reportedRequests = float64(runningCount + waitingCount)
 	s.otherRequests, s.loadReported, s.loadReportedAt = max(0, s.reportedRequests-float64(max(0, s.inFlight-1))), true, now
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -81,7 +81,7 @@
 func (p *servicePool) enqueue(d *dispatch, clock base.Clock) bool {
 	maxQueue := 8
 	for _, s := range p.workers {
-		maxQueue += s.Capacity
+		maxQueue += s.capacity
 	}
 	if len(p.queue) >= maxQueue {
 		last := p.queue[len(p.queue)-1]
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,13 +72,13 @@
 				s.serving.Store(false)
 				changed[s.Service] = true
 			}
-			s = &workerState{cache: newPrefixCache(), idHash: base.Hash64(listed.ID)}
+			s = &workerState{workerIdentity: workerIdentity{listed.ID, listed.Addr, listed.Service}, cache: newPrefixCache(), idHash: base.Hash64(listed.ID)}
 			r.states[listed.ID] = s
 		case s.listed == listed:
 			s.listVersion = r.listVersion
 			continue
 		}
-		s.Worker, s.listed, s.listVersion = listed, listed, r.listVersion
+		s.zone, s.capacity, s.listed, s.listVersion = listed.Zone, listed.Capacity, listed, r.listVersion
 		s.serving.Store(!listed.Draining)
 		changed[listed.Service] = true
 	}
--- a/internal/relay/worker_state.go
+++ b/internal/relay/worker_state.go
@@ -20,9 +20,19 @@
 	outcomeNotSent                    // not sent, through no failure of the worker
 )
 
-// workerState is what this node knows of one incarnation of a worker.
+// workerIdentity says which worker it is and where. It may be read without a lock.
+type workerIdentity struct {
+	ID      string
+	Addr    string
+	Service string
+}
+
+// workerState is what this node knows of one incarnation of a worker. Relay.mu guards all
+// but its identity, which never changes, and the atomic fields.
 type workerState struct {
-	Worker
+	workerIdentity
+	zone        string
+	capacity    int    // as listed, or as it last reported
 	listed      Worker // as last listed
 	listVersion uint64 // the last list that contained it
 	serving     atomic.Bool
@@ -75,7 +85,7 @@
 }
 
 // slots is the worker's capacity, at least 1.
-func (s *workerState) slots() float64 { return float64(max(1, s.Capacity)) }
+func (s *workerState) slots() float64 { return float64(max(1, s.capacity)) }
 
 // load estimates how many requests the worker has, this node's included. Its report
 // of other nodes' requests fades into the service's mean within the time of a few
