--- /dev/null
+++ b/internal/fleet/fleettest/build.go
@@ -0,0 +1,59 @@
+// Package fleettest helps tests to run the project's daemons as real processes.
+package fleettest
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+)
+
+// BuildDaemons builds the daemons with the race detector, once for all tests of a process,
+// and returns their directory.
+var BuildDaemons = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "fordseam-daemons")
+	if err != nil {
+		return "", err
+	}
+	root, err := moduleRoot()
+	if err != nil {
+		return "", err
+	}
+	build := exec.Command("go", "build", "-race", "-o", dir+"/", "./cmd/fordseam-gateway", "./cmd/fordseam-controller")
+	build.Dir = root
+	if output, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, output)
+	}
+	return dir, nil
+})
+
+// moduleRoot returns the nearest directory above the working directory that has a go.mod.
+func moduleRoot() (string, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return "", err
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			return dir, nil
+		}
+		parent := filepath.Dir(dir)
+		if parent == dir {
+			return "", fmt.Errorf("no go.mod above the working directory")
+		}
+		dir = parent
+	}
+}
+
+// MemoryDir returns a directory in /dev/shm if possible. Tests on real processes must not
+// depend on the time that syncs take on a busy disk.
+func MemoryDir(t *testing.T) string {
+	dir, err := os.MkdirTemp("/dev/shm", "fordseam")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return dir
+}
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -96,6 +96,7 @@
 	faults          map[string]*injectedFaults       // by worker ID or service
 	workByPrefix    map[string]platform.Distribution // by route prefix
 	unexpectedExits []string                         // reported as violations of the rule FAULT
+	exitCount       int                              // unexpected exits, those not counted as violations too
 	// observedBreaches are violations that the harness itself observed.
 	observedBreaches []platform.Breach
 	done             chan struct{}
@@ -323,9 +324,17 @@
 	}
 	exitCode, _ := m.Wait(0)
 	logContent, _ := os.ReadFile(run.logPath(m))
+	description := fmt.Sprintf("%s exited unexpectedly with code %d at %.1fs: %s", m.Name, exitCode, run.clock.Now().Seconds(), logContent[max(0, len(logContent)-400):])
+	if run.inTrouble(m.Name) {
+		run.logf("not counted, because of the trouble of its machine: %s", description)
+	} else {
+		run.mu.Lock()
+		run.unexpectedExits = append(run.unexpectedExits, description)
+		run.mu.Unlock()
+	}
 	run.mu.Lock()
-	run.unexpectedExits = append(run.unexpectedExits, fmt.Sprintf("%s exited unexpectedly with code %d at %.1fs: %s", m.Name, exitCode, run.clock.Now().Seconds(), logContent[max(0, len(logContent)-400):]))
-	tooMany := len(run.unexpectedExits) > 50
+	run.exitCount++
+	tooMany := run.exitCount > 50
 	run.mu.Unlock()
 	select {
 	case <-run.done:
@@ -337,6 +346,22 @@
 	}
 }
 
+// troubleSlack is how long after a trouble of its machine a process may end by itself: the
+// rules do not count such an end.
+const troubleSlack = time.Second
+
+// inTrouble reports whether a machine has a trouble, or had one until troubleSlack ago. A
+// reload of its settings is none.
+func (run *platformRun) inTrouble(machine string) (found bool) {
+	now := run.clock.Now()
+	run.ledger.Update(func(r *platform.Record) {
+		for _, trouble := range r.Troubles {
+			found = found || trouble.Machine == machine && !trouble.Hup && trouble.To >= now-troubleSlack
+		}
+	})
+	return found
+}
+
 // stopWith marks the exit of the process as expected and calls stop to end it.
 func (run *platformRun) stopWith(m *machine, stop func()) {
 	m.lifecycleMu.Lock()
--- a/internal/fleet/platform_workers.go
+++ b/internal/fleet/platform_workers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -105,11 +106,13 @@
 }
 
 // activeWorkers returns the workers of a service that are not draining or ended, or
-// those of all services if shape is empty.
+// those of all services if shape is empty. A worker that draws a fault holds its own lock
+// and asks the run, so the workers are asked without the run's lock.
 func (run *platformRun) activeWorkers(shape string) []*sockets.WorkerServer {
 	run.mu.Lock()
-	defer run.mu.Unlock()
-	return base.Filter(run.workers, func(server *sockets.WorkerServer) bool {
+	workers := slices.Clone(run.workers)
+	run.mu.Unlock()
+	return base.Filter(workers, func(server *sockets.WorkerServer) bool {
 		return !server.Worker.Draining() && (shape == "" || server.Worker.Spec.Name == shape)
 	})
 }
--- a/internal/fleet/soak.go
+++ b/internal/fleet/soak.go
@@ -159,6 +159,7 @@
 		}
 	}
 	schedule := plan.Schedule(seed, site.Edges)
+	site.Cores, site.Storage = schedule.Cores, schedule.Storage
 	return &PlatformPlan{Site: &site, WorkDir: plan.WorkDir, Dir: filepath.Join(plan.Dir, fmt.Sprint("seed-", seed)), Commands: plan.Commands, RateFactor: plan.RateFactor, Seed: seed,
 		Schedule: schedule, ClosingFault: string(schedule.Closing), SetUpTimeout: time.Minute, HardClients: true}
 }
@@ -175,15 +176,18 @@
 	record := SoakRecord{Seed: seed, Command: fmt.Sprintf("%s --seeds %d-%d", s.plan.Repeat, seed, seed), Schedule: plan.Schedule.String()}
 	startedAt := time.Now()
 	var report, log bytes.Buffer
-	plan.Log = &log
+	plan.Log, plan.RecordFile = &log, filepath.Join(plan.Dir, "record.json")
 	err := PrepareDir(plan.Dir)
 	if err == nil {
 		var breaches []platform.Breach
 		breaches, err = RunPlatform(ctx, plan, &report)
 		record.Breaches = base.Map(breaches, platform.Breach.String)
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		record.Error = err.Error()
+	case ctx.Err() != nil:
+		record.Error = "interrupted"
 	}
 	record.Seconds = time.Since(startedAt).Seconds()
 	_ = os.WriteFile(filepath.Join(plan.Dir, "report.txt"), append(append([]byte(record.Schedule), log.Bytes()...), report.Bytes()...), 0o644)
--- a/internal/fleet/soak_checks.go
+++ b/internal/fleet/soak_checks.go
@@ -123,6 +123,9 @@
 	}
 }
 
+// crashExcerpt is how many bytes of a log are shown of a panic or a data race.
+const crashExcerpt = 4000
+
 // crashPattern matches what a process writes when it panics or has a data race.
 var crashPattern = regexp.MustCompile(`(?m)^(panic: |fatal error: |WARNING: DATA RACE).*$`)
 
@@ -136,8 +139,8 @@
 		if err != nil {
 			continue
 		}
-		if found := crashPattern.Find(content); found != nil {
-			run.addBreach("FAULT", "%s wrote %q", m.Name, found)
+		if found := crashPattern.FindIndex(content); found != nil {
+			run.addBreach("FAULT", "%s wrote:\n%s", m.Name, content[found[0]:min(len(content), found[0]+crashExcerpt)])
 		}
 	}
 }
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -7,8 +7,10 @@
 
 // Shape is the deployment that a schedule is drawn for.
 type Shape struct {
-	Zones                 []string
-	Edges, Cores, Storage int
+	Zones []string
+	Edges int
+	// Cores and Storage are the most core and storage machines that a schedule begins with.
+	Cores, Storage int
 	// MinStorage is the least number of storage machines, twice the fault budget plus one.
 	MinStorage int
 	// CatchUp is how long a machine counts as lost after its process was started again.
@@ -53,9 +55,13 @@
 	return Machine{class, zone, p.total}
 }
 
+// minCores is the least number of core machines of which one may be lost.
+const minCores = 3
+
 // Streams of random numbers, one for each lane.
 const (
 	lossStream = iota + 1
+	sizeStream
 	firstEdgeStream
 	secondEdgeStream
 	configStream
@@ -63,10 +69,15 @@
 	closingStream
 )
 
-// Draw draws the schedule of a seed.
-func Draw(shape *Shape, seed uint64) *Schedule {
+// Draw draws the schedule of a seed, and the size of its fleet: the losses are hardest where
+// there are no more storage machines than the fault budget needs.
+func Draw(deployment *Shape, seed uint64) *Schedule {
+	shape := *deployment
+	sizes := rand.New(rand.NewPCG(seed, sizeStream))
+	shape.Storage = shape.MinStorage + sizes.IntN(max(1, shape.Storage-shape.MinStorage+1))
+	shape.Cores = min(shape.Cores, minCores+sizes.IntN(max(1, shape.Cores-minCores+1)))
 	lane := func(name string, stream uint64, draw func(d *drawer)) Lane {
-		d := &drawer{shape: shape, rng: rand.New(rand.NewPCG(seed, stream)), classes: map[Class]*population{
+		d := &drawer{shape: &shape, rng: rand.New(rand.NewPCG(seed, stream)), classes: map[Class]*population{
 			Core: newPopulation(Core, shape.Zones, shape.Cores), Storage: newPopulation(Storage, shape.Zones, shape.Storage)}}
 		for d.elapsed < shape.Traffic {
 			draw(d)
@@ -75,7 +86,7 @@
 	}
 	edges := newPopulation(Edge, shape.Zones, shape.Edges).machines
 	half := (len(edges) + 1) / 2
-	schedule := &Schedule{Seed: seed, Lanes: []Lane{
+	schedule := &Schedule{Seed: seed, Cores: shape.Cores, Storage: shape.Storage, Lanes: []Lane{
 		lane("losses", lossStream, (*drawer).drawLoss),
 		lane("edges", firstEdgeStream, func(d *drawer) { d.drawEdgeStep(edges[:half]) }),
 		lane("more edges", secondEdgeStream, func(d *drawer) { d.drawEdgeStep(edges[half:]) }),
@@ -142,9 +153,9 @@
 // drawLoss draws a step on a machine that counts against the fault budget.
 func (d *drawer) drawLoss() {
 	step := Step{After: d.lossPause()}
-	step.Kind = d.pick([]weighted{{Kill, 3}, {Wipe, 5}, {Replace, 5}, {Freeze, 3}, {Restart, 3}, {Retire, 3}, {Add, 2}, {KillAfterAck, 1}})
+	step.Kind = d.pick([]weighted{{Kill, 2}, {Wipe, 5}, {Replace, 6}, {Freeze, 2}, {Restart, 2}, {Retire, 4}, {Add, 2}, {KillAfterAck, 1}})
 	class := Storage
-	if step.Kind != Retire && d.chance(25) {
+	if step.Kind != Retire && d.chance(20) {
 		class = Core
 	}
 	p := d.classes[class]
@@ -152,13 +163,13 @@
 	step.Machine = p.machines[index]
 	switch step.Kind {
 	case Kill, Wipe, Restart:
-		step.Duration = d.between(0, 3*time.Second)
+		step.Duration = d.between(0, 2*time.Second)
 	case Freeze:
-		step.Duration = d.between(500*time.Millisecond, 6*time.Second)
+		step.Duration = d.between(500*time.Millisecond, 5*time.Second)
 	case KillAfterAck:
 		step.Machine, step.Duration = Machine{}, d.between(0, 2*time.Second)
 	case Replace:
-		step.Duration = d.between(0, 3*time.Second)
+		step.Duration = d.between(0, 2500*time.Millisecond)
 		step.Replacement = p.next(class, step.Machine.Zone)
 		p.machines[index] = step.Replacement
 	case Retire:
@@ -167,7 +178,7 @@
 		}
 		p.machines = append(p.machines[:index:index], p.machines[index+1:]...)
 	case Add:
-		if len(p.machines) > d.shape.Storage {
+		if len(p.machines) > max(d.shape.Storage, d.shape.Cores) {
 			return
 		}
 		step.Machine = p.next(class, d.shape.Zones[d.rng.IntN(len(d.shape.Zones))])
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -122,7 +122,10 @@
 
 // Schedule is all that a seed draws for one run.
 type Schedule struct {
-	Seed    uint64
+	Seed uint64
+	// Cores and Storage are how many core and storage machines the fleet begins with.
+	Cores, Storage int
+
 	Lanes   []Lane
 	Closing Closing
 }
@@ -130,7 +133,7 @@
 // String lists the schedule, a step a line.
 func (s *Schedule) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "seed %d\n", s.Seed)
+	fmt.Fprintf(&text, "seed %d: %d core and %d storage machines\n", s.Seed, s.Cores, s.Storage)
 	for _, lane := range s.Lanes {
 		fmt.Fprintf(&text, "%s:\n", lane.Name)
 		for _, step := range lane.Steps {
