--- a/cmd/fordseam-fleet/soak.go
+++ b/cmd/fordseam-fleet/soak.go
@@ -37,6 +37,7 @@
 			&cli.IntFlag{Name: "storage", Usage: "`COUNT` of storage machines; the site's if not given"},
 			&cli.IntFlag{Name: "jobs", Value: 1, Usage: "`COUNT` of seeds at the same time"},
 			&cli.BoolFlag{Name: "crowds", Usage: "let every tenth seed run as many processes as the machine bears"},
+			&cli.BoolFlag{Name: "stop-at-finding", Usage: "end at the first finding"},
 			&cli.StringFlag{Name: "programs", Value: "target", Usage: "`FOLDER` with fordseam-gateway and fordseam-controller"},
 			&cli.StringFlag{Name: "folder", Value: "fleet-data", Usage: "`FOLDER` for settings, data and logs; its content is deleted first, and the folders of seeds with findings are kept"},
 			&cli.StringFlag{Name: "record", Usage: "write schedules, findings and times to a `FILE`, as JSON"},
@@ -88,7 +89,7 @@
 		return nil, err
 	}
 	plan := &fleet.SoakPlan{SiteName: command.String("site"), Site: site, Traffic: command.Duration("traffic"), RateFactor: command.Float("rate"), Jobs: command.Int("jobs"),
-		Crowds: command.Bool("crowds"), Record: command.String("record")}
+		Crowds: command.Bool("crowds"), StopAtFinding: command.Bool("stop-at-finding"), Record: command.String("record")}
 	if plan.FirstSeed, plan.LastSeed, err = parseSeeds(command.String("seeds")); err != nil {
 		return nil, err
 	}
--- a/internal/fleet/soak.go
+++ b/internal/fleet/soak.go
@@ -45,6 +45,8 @@
 	Jobs int
 	// Crowds lets every tenth seed run as many processes as the machine bears.
 	Crowds bool
+	// StopAtFinding ends the soak at the first finding.
+	StopAtFinding bool
 	// Record has a record of each seed, if it is set.
 	Record string
 	// Repeat is the command that plays one seed again, up to the seed.
@@ -66,6 +68,7 @@
 	plan      *SoakPlan
 	out       io.Writer
 	startedAt time.Time
+	stop      context.CancelFunc
 	mu        sync.Mutex
 	done      int
 	records   []SoakRecord
@@ -81,7 +84,9 @@
 	if plan.Crowds {
 		_, _ = fmt.Fprintf(out, "crowds: %d processes every %d seeds\n", crowdSize, crowdInterval)
 	}
-	run := &soakRun{plan: plan, out: out, startedAt: time.Now()}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	run := &soakRun{plan: plan, out: out, startedAt: time.Now(), stop: cancel}
 	seeds := make(chan uint64)
 	var crowd sync.RWMutex // held for writing by a crowd, which runs alone
 	var group sync.WaitGroup
@@ -214,6 +219,9 @@
 	if record.Error != "" {
 		_, _ = fmt.Fprintf(s.out, "seed %d: could not run to its end: %s\n", record.Seed, strings.SplitN(record.Error, "\n", 2)[0])
 	}
+	if s.plan.StopAtFinding && len(record.Breaches) > 0 {
+		s.stop()
+	}
 	if len(record.Breaches) > 0 || record.Error != "" {
 		_, _ = fmt.Fprintf(s.out, "seed %d: after %.0f s; kept in %s; again: %s\n", record.Seed, record.Seconds, dir, record.Command)
 	}
