--- a/internal/fleet/fleettest/build.go
+++ b/internal/fleet/fleettest/build.go
@@ -47,10 +47,11 @@
 	}
 }
 
-// MemoryDir returns a directory in /dev/shm if possible. Tests on real processes must not
-// depend on the time that syncs take on a busy disk.
-func MemoryDir(t *testing.T) string {
-	dir, err := os.MkdirTemp("/dev/shm", "fordseam")
+// TempDir returns a directory inside parent that is deleted after the test, or one in the
+// usual place if parent cannot be written. Tests on real processes pass a file system in
+// memory, so that they do not depend on the time that syncs take on a busy disk.
+func TempDir(t *testing.T, parent string) string {
+	dir, err := os.MkdirTemp(parent, "fordseam")
 	if err != nil {
 		return t.TempDir()
 	}
--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -23,7 +23,7 @@
 	is := is.New(t)
 	workDir, err := os.Getwd()
 	is.NoErr(err)
-	plan := &PlatformPlan{Site: platform.Deployments()["small"], WorkDir: workDir, Dir: fleettest.MemoryDir(t), Commands: commands, TrafficDuration: 6 * time.Second, RateFactor: 1, Seed: 1, SetUpTimeout: time.Minute}
+	plan := &PlatformPlan{Site: platform.Deployments()["small"], WorkDir: workDir, Dir: fleettest.TempDir(t, "/dev/shm"), Commands: commands, TrafficDuration: 6 * time.Second, RateFactor: 1, Seed: 1, SetUpTimeout: time.Minute}
 	if configure != nil {
 		configure(plan)
 	}
--- a/internal/fleet/soaktest/soak_test.go
+++ b/internal/fleet/soaktest/soak_test.go
@@ -22,7 +22,7 @@
 	programs, err := fleettest.BuildDaemons()
 	is.NoErr(err)
 	plan := &fleet.SoakPlan{SiteName: "small", Site: platform.Deployments()["small"], FirstSeed: 1, LastSeed: 2, Jobs: 2, Traffic: 12 * time.Second, RateFactor: 0.5,
-		Dir: fleettest.MemoryDir(t), WorkDir: t.TempDir(), Repeat: "fordseam-fleet soak --site small --traffic 12s --rate 0.5",
+		Dir: fleettest.TempDir(t, "/dev/shm"), WorkDir: t.TempDir(), Repeat: "fordseam-fleet soak --site small --traffic 12s --rate 0.5",
 		Commands: map[string]string{platform.ClassEdge: programs + "/fordseam-gateway platform", platform.ClassCore: programs + "/fordseam-controller core", platform.ClassStorage: programs + "/fordseam-controller storage"}}
 	var out bytes.Buffer
 	records, err := fleet.RunSoak(context.Background(), plan, &out)
