soak: late lanes end, resting programs stop before the closing fault

Change: a lane's steps are left out once it takes twice its planned time, and the log says so. No check changes.

--- a/internal/fleet/platform_run.go
+++ b/internal/fleet/platform_run.go
@@ -371,14 +371,15 @@
 	err := run.runLanes(seriesCtx, run.plan.Schedule)
 	endSeries()
 	group.Wait()
+	// A resting program that woke up within the recovery bound of the closing fault would be
+	// judged by its first tries.
+	resting.stopAll()
 	if err != nil || ctx.Err() != nil {
-		close(resting.stop)
 		return err
 	}
 	if run.plan.ClosingFault != "" {
 		run.logf("closing fault: %s", run.plan.ClosingFault)
 		if err := run.runClosingFault(ctx); err != nil {
-			close(resting.stop)
 			return errors.Annotate(err, "closing fault")
 		}
 	}
--- a/internal/fleet/soak.go
+++ b/internal/fleet/soak.go
@@ -165,7 +165,7 @@
 	}
 	schedule := plan.Schedule(seed, site.Edges)
 	site.Cores, site.Storage = schedule.Cores, schedule.Storage
-	return &PlatformPlan{Site: &site, WorkDir: plan.WorkDir, Dir: filepath.Join(plan.Dir, fmt.Sprint("seed-", seed)), Commands: plan.Commands, RateFactor: plan.RateFactor, Seed: seed,
+	return &PlatformPlan{Site: &site, WorkDir: plan.WorkDir, Dir: filepath.Join(plan.Dir, fmt.Sprint("seed-", seed)), Commands: plan.Commands, TrafficDuration: plan.Traffic, RateFactor: plan.RateFactor, Seed: seed,
 		Schedule: schedule, ClosingFault: string(schedule.Closing), SetUpTimeout: time.Minute, HardClients: true}
 }
 
--- a/internal/fleet/soak_lanes.go
+++ b/internal/fleet/soak_lanes.go
@@ -12,8 +12,14 @@
 	"github.com/juju/errors"
 )
 
+// maxLaneDelay is how many times as long as planned the lanes may take. A fleet that has
+// lost its majority lets each change wait for its whole timeout; what the lanes have left
+// then shows nothing more.
+const maxLaneDelay = 2
+
 // runLanes runs the lanes of a schedule at the same time, and returns the first error.
 func (run *platformRun) runLanes(ctx context.Context, schedule *soak.Schedule) error {
+	latest := run.clock.Now() + maxLaneDelay*run.plan.TrafficDuration
 	errs := make(chan error, len(schedule.Lanes))
 	var group sync.WaitGroup
 	for _, lane := range schedule.Lanes {
@@ -24,6 +30,10 @@
 				if !run.sleepUnlessDone(ctx, step.After) {
 					return
 				}
+				if run.clock.Now() > latest {
+					run.logf("%s: the rest is left out, since the lane is late", lane.Name)
+					return
+				}
 				run.logf("%s: %v", lane.Name, step)
 				if err := run.runStep(ctx, step); err != nil {
 					errs <- errors.Annotatef(err, "%s: %v", lane.Name, step)
@@ -225,12 +235,17 @@
 // overloaded by them.
 const maxContinued = 40
 
-// continueKept stops the programs, and continues those whose last turn is retained for
-// longer than the recovery bound. Each is continued from another zone.
-func (r *restingPrograms) continueKept() {
-	run := r.run
+// stopAll stops the programs after the turns that are under way.
+func (r *restingPrograms) stopAll() {
 	close(r.stop)
 	r.wait.Wait()
+}
+
+// continueKept continues the stopped programs whose last turn is retained for longer than the
+// recovery bound: each from another zone, and every third in a session of its own, as a
+// helper does.
+func (r *restingPrograms) continueKept() {
+	run := r.run
 	until := run.clock.Now() + run.plan.Site.Bounds.Recovery
 	run.persistUntil.Store(int64(until))
 	kept := base.Filter(r.kept, func(k keptProgram) bool {
@@ -242,7 +257,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			run.player.Continue(k.program, k.last, zones[index%len(zones)])
+			run.player.Continue(k.program, k.last, zones[index%len(zones)], index%3 == 0)
 		}()
 	}
 	group.Wait()
--- a/internal/simulate/tier_resting.go
+++ b/internal/simulate/tier_resting.go
@@ -36,7 +36,7 @@
 				return true
 			}
 			if last := t.programRunner.RunResting(plan, rest); last != nil {
-				t.programRunner.Continue(plan.Program, last, zone)
+				t.programRunner.Continue(plan.Program, last, zone, client%3 == 0)
 			}
 		})
 		clock.Sleep(t.World.Between(0, second))
