--- a/internal/founding/founding.go
+++ b/internal/founding/founding.go
@@ -19,6 +19,8 @@
 	"fordseam/internal/consensus"
 	"fordseam/internal/membership"
 	"fordseam/internal/register"
+
+	"github.com/apex/log"
 )
 
 // minDisks is the least number of disks that a cluster is formed of.
@@ -56,6 +58,7 @@
 	if b.seedIndex < 0 {
 		return
 	}
+	log.WithFields(log.Fields{"seed": b.seedIndex, "seeds": b.seeds}).Info("waiting for storage machines to form a cluster")
 	var addrs []string
 	unchangedSince := b.clock.Now()
 	for !b.view.Closed() && b.server.KnownDiskSet() == nil {
@@ -105,6 +108,7 @@
 	if adopted {
 		b.server.LearnDiskSet(set) // the cores send it to the other disks
 		b.counters.Add("clusters_founded", 1)
+		log.WithFields(log.Fields{"cluster": set.Cluster, "disks": len(set.Disks)}).Info("cluster formed")
 	}
 	return adopted
 }
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -154,6 +154,7 @@
 // finishes those that it has read, hands over what the process owns, and returns
 // nil for a clean exit code.
 func RunDaemon(config *Config) error {
+	entry := LogStarting(config, Limits{})
 	publicListener, err := net.Listen("tcp", config.PublicAddr)
 	if err != nil {
 		return errors.Annotate(err, "cannot listen on the public address")
@@ -169,9 +170,8 @@
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- publicServer.Serve(publicListener) }()
 	daemon.Start()
-	entry := log.WithFields(log.Fields{"role": config.Role, "address": config.Addr, "public": config.PublicAddr, "zone": config.Zone})
 	entry.Info("started")
-	go logReadiness(daemon.Env.Clock, proc, entry)
+	go LogReadiness(daemon.Env.Clock, proc.Ready, entry)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
@@ -216,20 +216,3 @@
 	}
 	return storage, NotFound, nil
 }
-
-// logReadiness logs each change of the node's readiness. It never returns.
-func logReadiness(clock base.Clock, proc process, entry *log.Entry) {
-	wasReady := false
-	for {
-		err := proc.Ready()
-		if isReady := err == nil; isReady != wasReady {
-			wasReady = isReady
-			if isReady {
-				entry.Info("ready")
-			} else {
-				entry.WithField("why", err.Error()).Warn("not ready")
-			}
-		}
-		clock.Sleep(base.DefaultBounds().HeartbeatInterval())
-	}
-}
--- /dev/null
+++ b/internal/node/lifecycle.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"os"
+	"runtime"
+	"time"
+
+	"fordseam/internal/base"
+
+	"github.com/apex/log"
+)
+
+// Limits are what the machine grants a process. Those that are not known are 0.
+type Limits struct {
+	MemoryBytes    int64
+	MaxDescriptors int
+}
+
+// LogStarting logs what a process is, where it runs and what it was granted. Its entry has
+// the fields that tell the process apart in later lines.
+func LogStarting(config *Config, limits Limits) *log.Entry {
+	entry := log.WithFields(log.Fields{"role": config.Role, "node": config.NodeName, "address": config.Addr})
+	entry.WithFields(log.Fields{"time": time.Now().UTC().Format(time.RFC3339Nano), "version": Version, "pid": os.Getpid(), "processors": runtime.GOMAXPROCS(0), "public": config.PublicAddr, "zone": config.Zone,
+		"seeds": config.Seeds, "bootstrap": config.Bootstrap, "tolerate": config.FaultTolerance, "data": config.DataDir,
+		"disk_limit_bytes": config.DiskLimitBytes, "memory_bytes": limits.MemoryBytes, "max_descriptors": limits.MaxDescriptors}).Info("starting")
+	return entry
+}
+
+// LogReadiness logs whether the process is ready, and why it is not, whenever that changes.
+// It never returns.
+func LogReadiness(clock base.Clock, ready func() error, entry *log.Entry) {
+	lastReason := "starting"
+	for {
+		reason := ""
+		if err := ready(); err != nil {
+			reason = err.Error()
+		}
+		if reason != lastReason {
+			lastReason = reason
+			if reason == "" {
+				entry.Info("ready")
+			} else {
+				entry.WithField("why", reason).Warn("not ready")
+			}
+		}
+		clock.Sleep(base.DefaultBounds().HeartbeatInterval())
+	}
+}
