A log that nobody reads neither stops nor ends a process

Callers saw 503 for every streamed request, for good, at a fleet whose standard error was a full pipe, and no gateway at all where the pipe had no reader. Cause: the goroutine that takes over a configuration wrote its log line itself; on a full pipe it waited for ever, and a pipe without a reader ended the process by SIGPIPE, again at each restart.

That works since no goroutine that serves touches the output any more.

--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -17,8 +17,6 @@
 	"fordseam/internal/workerconn"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/text"
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -74,9 +72,9 @@
 	violations := config.Validate(allowedRoles...)
 	switch command.String("log") {
 	case "text":
-		log.SetHandler(text.New(os.Stderr))
+		StartLogging(TextLog)
 	case "json":
-		log.SetHandler(json.New(os.Stderr))
+		StartLogging(JSONLog)
 	default:
 		violations = append(violations, "log: must be text or json")
 	}
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -22,8 +22,10 @@
 		return cli.Exit(fmt.Sprintf("%v; see %s --help", err, command.FullName()), ExitUsage)
 	}
 	setUsageHandler(command, onUsageError)
-	if err := command.Run(context.Background(), args); err != nil {
-		fmt.Fprintln(os.Stderr, command.Name+":", err)
+	err := command.Run(context.Background(), args)
+	flushLog()
+	if err != nil {
+		printError(command.Name, err)
 		code := ExitFailed
 		if exitCoder, ok := err.(cli.ExitCoder); ok {
 			code = exitCoder.ExitCode()
