SIGHUP during a start does not end a process

A process that got SIGHUP soon after its start ended by the signal: 20 of 20 starts up to 1 ms after the start, 20 of 20 at 2 ms, 1 of 20 at 5 ms, later beside load. Cause: main asked for the signal only after the packages were initialised and the settings read, and until then the Go runtime's action for SIGHUP ends the process; fordseam-controller run and fordseam-gateway never asked for it, so it always ended them.

A constructor of the C library ignores SIGHUP before the Go runtime starts, and the first package that is initialised asks for all signals, so that SIGTERM during a start is a clean stop. Commands that are no daemons release the signals, and end with 129, 130 or 143 (tried by hand).

Before, with the test of this commit: ended by "hangup" at the first start of edge, core and storage.

--- a/cmd/fordseam-controller/main.go
+++ b/cmd/fordseam-controller/main.go
@@ -8,6 +8,8 @@
 	"os"
 
 	"fordseam/internal/node"
+	"fordseam/internal/signals"
+	_ "fordseam/internal/signals/early"
 	"fordseam/platform"
 
 	"github.com/urfave/cli/v3"
@@ -21,11 +23,22 @@
 			"3 the outcome is unknown: ask for it by the id of the change.",
 		Commands: append([]*cli.Command{runCommand(),
 			platform.Command("core", "core", "run a core on the users' platform"),
-			platform.Command("storage", "storage", "run a storage machine on the users' platform")}, clientCommands()...),
+			platform.Command("storage", "storage", "run a storage machine on the users' platform")}, releasingSignals(clientCommands())...),
 	}
 	node.Main(command, os.Args)
 }
 
+// releasingSignals returns commands that are no daemons, so that a signal ends them.
+func releasingSignals(commands []*cli.Command) []*cli.Command {
+	for _, command := range commands {
+		command.Before = func(ctx context.Context, _ *cli.Command) (context.Context, error) {
+			signals.Release()
+			return ctx, nil
+		}
+	}
+	return commands
+}
+
 func runCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "run",
--- a/cmd/fordseam-gateway/main.go
+++ b/cmd/fordseam-gateway/main.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"fordseam/internal/node"
+	_ "fordseam/internal/signals/early"
 	"fordseam/platform"
 
 	"github.com/urfave/cli/v3"
--- a/internal/fleet/environmenttest/environment_test.go
+++ b/internal/fleet/environmenttest/environment_test.go
@@ -223,6 +223,29 @@
 	is.NoErr(unix.SetNonblock(fd, false))
 }
 
+// startsUntilSignal is how many starts of a daemon are interrupted by a signal.
+const startsUntilSignal = 5
+
+// TestHangupDuringStartIsIgnored guards against processes that SIGHUP ends before main runs.
+func TestHangupDuringStartIsIgnored(t *testing.T) {
+	eachClass(t, func(t *testing.T, class string) {
+		for range startsUntilSignal {
+			d := newDaemon(t, class)
+			d.start(nil)
+			d.waitUntil("running threads", func() bool { return d.threadCount() > 1 })
+			d.signal(syscall.SIGHUP)
+			d.waitUntil("serving", d.serves)
+			d.stop()
+		}
+	})
+}
+
 // threadCount returns how many threads the process has. The second one starts before any
+// package of the program is initialised.
+func (d *daemon) threadCount() int {
+	tasks, _ := os.ReadDir(fmt.Sprintf("/proc/%d/task", d.command.Process.Pid))
+	return len(tasks)
+}
+
 // TestProcessWaitsForAHeldPort guards against processes that end because another socket holds
 // TestProcessServesAgainAfterDescriptorsRanOut guards against listeners that end for good with
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -4,16 +4,14 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"fordseam/internal/base"
 	"fordseam/internal/conn"
 	"fordseam/internal/disk"
 	"fordseam/internal/relay"
+	"fordseam/internal/signals"
 	"fordseam/internal/workerconn"
 
 	"github.com/apex/log"
@@ -148,7 +146,7 @@
 	d.cleanup.Run()
 }
 
-// RunDaemon serves until SIGTERM or SIGINT. It then stops accepting requests,
+// RunDaemon serves until SIGTERM or SIGINT; SIGHUP is ignored. It then stops accepting requests,
 // finishes those that it has read, hands over what the process owns, and returns
 // nil for a clean exit code.
 func RunDaemon(config *Config) error {
@@ -170,12 +168,10 @@
 	daemon.Start()
 	entry.Info("started")
 	go LogReadiness(daemon.Env.Clock, proc.Ready, entry)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case err := <-serveErr:
 		return errors.Annotate(err, "the public server failed")
-	case sig := <-signals:
+	case sig := <-signals.Stop():
 		entry.WithField("signal", sig.String()).Info("draining")
 	}
 	drainTimeout := 2 * base.DefaultBounds().Recovery
