A process waits for a port that another socket holds

A process whose port was taken for a moment (by a listener, or as the source port of a connection, open or in TIME_WAIT for a minute) ended with exit code 1 after 0.02 s, again at each restart: three ends within seconds, and where it was a core before the cluster was formed, one voter less for good. Cause: a failed bind was taken as final.

tcp.Listen tries again, with a pause that grows to 0.5 s, until the process is asked to stop, and logs when it begins and ends; an address that can never work is refused at once. The transport between nodes listens through it: the event loops take accepted connections over, as they do with dialed ones.

After: each role waits on each of its ports, serves once the port is free, and stops with 0 while it waits.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -199,37 +199,24 @@
 	return len(c.unread) <= maxUnreadBytes
 }
 
-// eventHandler passes the events of a gnet engine to its connections.
+// eventHandler passes the events of event loops to their connections.
 type eventHandler struct {
 	gnet.BuiltinEventEngine
-	booted chan gnet.Engine
-	onOpen func(*eventConn)
 }
 
-// OnBoot passes the started engine on.
-func (e *eventHandler) OnBoot(engine gnet.Engine) gnet.Action {
-	e.booted <- engine
-	return gnet.None
-}
-
-// OnOpen links a new connection to its eventConn, which exists already if this side
-// dialed.
-func (e *eventHandler) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
+// OnOpen links a connection of an event loop to its eventConn.
+func (*eventHandler) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
 	c, ok := raw.Context().(*eventConn)
 	if !ok {
-		c = newEventConn(raw.LocalAddr(), raw.RemoteAddr())
-		raw.SetContext(c)
+		return nil, gnet.Close
 	}
 	c.raw = raw
-	if e.onOpen != nil {
-		e.onOpen(c)
-	}
 	return nil, gnet.None
 }
 
 // OnTraffic passes received bytes to the connection, and closes it if too many are
 // unread.
-func (e *eventHandler) OnTraffic(raw gnet.Conn) gnet.Action {
+func (*eventHandler) OnTraffic(raw gnet.Conn) gnet.Action {
 	c, ok := raw.Context().(*eventConn)
 	if !ok {
 		return gnet.Close
@@ -242,7 +229,7 @@
 }
 
 // OnClose reports the end of the socket to the connection.
-func (e *eventHandler) OnClose(raw gnet.Conn, _ error) gnet.Action {
+func (*eventHandler) OnClose(raw gnet.Conn, _ error) gnet.Action {
 	if c, ok := raw.Context().(*eventConn); ok {
 		c.transition(eventSocketClosed)
 	}
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -29,7 +29,7 @@
 func TestRequestsOverGnet(t *testing.T) {
 	is := is.New(t)
 	addr := unusedAddr(is)
-	listener, err := Listen(addr)
+	listener, err := Listen(t.Context(), addr)
 	is.NoErr(err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
@@ -72,7 +72,7 @@
 func TestLostReplyIsNotReportedAsNotSent(t *testing.T) {
 	is := is.New(t)
 	addr := unusedAddr(is)
-	listener, err := Listen(addr)
+	listener, err := Listen(t.Context(), addr)
 	is.NoErr(err)
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })}
 	go func() { _ = server.Serve(listener) }()
@@ -91,7 +91,7 @@
 func TestReadDeadlineWakesReader(t *testing.T) {
 	is := is.New(t)
 	addr := unusedAddr(is)
-	listener, err := Listen(addr)
+	listener, err := Listen(t.Context(), addr)
 	is.NoErr(err)
 	defer listener.Close()
 	dialed, err := net.Dial("tcp", addr)
--- a/internal/conn/transport.go
+++ b/internal/conn/transport.go
@@ -7,11 +7,11 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/tcp"
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
@@ -28,65 +28,69 @@
 func (gnetLogger) Errorf(format string, args ...any) { log.Debugf(format, args...) }
 func (gnetLogger) Fatalf(format string, args ...any) { log.Errorf(format, args...) }
 
-// listener is a net.Listener over a gnet engine.
+// listener is a net.Listener whose connections are run by event loops of its own.
 type listener struct {
-	engine   gnet.Engine
-	addr     net.Addr
-	accepted chan net.Conn
-	closed   chan struct{}
-	once     sync.Once
+	net.Listener
+	loops *gnet.Client
 }
 
-// Listen listens on an address of the form ip:port. Connections beyond the backlog of
-// those not yet accepted are closed.
-func Listen(addr string) (net.Listener, error) {
-	parsed, err := net.ResolveTCPAddr("tcp", addr)
+// Listen listens on an address of the form ip:port, and waits until ctx ends while that is not
+// possible.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	tcpListener, err := tcp.Listen(ctx, addr)
 	if err != nil {
-		return nil, errors.Annotatef(err, "invalid listen address %q", addr)
-	}
-	l := &listener{addr: parsed, accepted: make(chan net.Conn, 256), closed: make(chan struct{})}
-	handler := &eventHandler{booted: make(chan gnet.Engine, 1)}
-	handler.onOpen = func(c *eventConn) {
-		select {
-		case l.accepted <- c:
-		default:
-			_ = c.raw.Close()
-		}
+		return nil, err
 	}
-	runErr := make(chan error, 1)
-	go func() {
-		runErr <- gnet.Run(handler, "tcp://"+addr, gnet.WithNumEventLoop(2), gnet.WithLogger(gnetLogger{}),
-			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReuseAddr(true))
-	}()
-	select {
-	case l.engine = <-handler.booted:
-		return l, nil
-	case err := <-runErr:
-		return nil, errors.Annotatef(err, "cannot listen on %s", addr)
+	loops, err := startLoops()
+	if err != nil {
+		_ = tcpListener.Close()
+		return nil, err
 	}
+	return &listener{Listener: tcpListener, loops: loops}, nil
 }
 
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case accepted := <-l.accepted:
-		return accepted, nil
-	case <-l.closed:
+// startLoops starts event loops without connections.
+func startLoops() (*gnet.Client, error) {
+	loops, err := gnet.NewClient(&eventHandler{}, gnet.WithNumEventLoop(2), gnet.WithLogger(gnetLogger{}), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return loops, errors.Trace(loops.Start())
+}
+
+// enroll passes a connection to event loops, and closes it if they do not take it.
+func enroll(loops *gnet.Client, netConn net.Conn) (net.Conn, error) {
+	c := newEventConn(netConn.LocalAddr(), netConn.RemoteAddr())
+	if _, err := loops.EnrollContext(netConn, c); err != nil {
+		_ = netConn.Close()
+		return nil, errors.Trace(err)
+	}
+	if c.raw == nil {
 		return nil, net.ErrClosed
 	}
+	return c, nil
+}
+
+// Accept returns the next connection that the event loops have taken.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		netConn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, err := enroll(l.loops, netConn); err == nil {
+			return c, nil
+		}
+	}
 }
 
+// Close stops accepting connections and closes those that are open.
 func (l *listener) Close() error {
-	l.once.Do(func() {
-		close(l.closed)
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = l.engine.Stop(ctx)
-	})
-	return nil
+	err := l.Listener.Close()
+	_ = l.loops.Stop()
+	return err
 }
 
-func (l *listener) Addr() net.Addr { return l.addr }
-
 // errWrongReply means that a reply has the id of another message.
 var errWrongReply = errors.New("the reply belongs to another message")
 
@@ -99,7 +103,7 @@
 
 // Client is the HTTP client that twirp's clients use between nodes.
 type Client struct {
-	gnetClient *gnet.Client
+	loops      *gnet.Client
 	httpClient *http.Client
 	onSend     func() // called for each message
 
@@ -109,15 +113,11 @@
 // NewClient starts an event loop and returns a client. It calls onSend for each
 // message.
 func NewClient(onSend func()) (*Client, error) {
-	handler := &eventHandler{booted: make(chan gnet.Engine, 1)}
-	gnetClient, err := gnet.NewClient(handler, gnet.WithNumEventLoop(2), gnet.WithLogger(gnetLogger{}), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+	loops, err := startLoops()
 	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	if err := gnetClient.Start(); err != nil {
-		return nil, errors.Trace(err)
+		return nil, err
 	}
-	c := &Client{gnetClient: gnetClient, onSend: onSend}
+	c := &Client{loops: loops, onSend: onSend}
 	transport := &http.Transport{
 		DialContext:         c.dial,
 		MaxIdleConnsPerHost: 32,
@@ -135,14 +135,10 @@
 	if err != nil {
 		return nil, &base.NotSent{Cause: err}
 	}
-	conn := newEventConn(tcpConn.LocalAddr(), tcpConn.RemoteAddr())
-	if _, err := c.gnetClient.EnrollContext(tcpConn, conn); err != nil {
-		_ = tcpConn.Close()
+	conn, err := enroll(c.loops, tcpConn)
+	if err != nil {
 		return nil, &base.NotSent{Cause: err}
 	}
-	if conn.raw == nil {
-		return nil, &base.NotSent{Cause: net.ErrClosed}
-	}
 	return conn, nil
 }
 
@@ -196,5 +192,5 @@
 // Close closes the idle connections and ends the event loop.
 func (c *Client) Close() {
 	c.httpClient.CloseIdleConnections()
-	_ = c.gnetClient.Stop()
+	_ = c.loops.Stop()
 }
--- a/internal/fleet/environmenttest/environment_test.go
+++ b/internal/fleet/environmenttest/environment_test.go
@@ -5,10 +5,12 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -248,4 +250,35 @@
 }
 
 // TestProcessWaitsForAHeldPort guards against processes that end because another socket holds
+// one of their ports for a moment.
+func TestProcessWaitsForAHeldPort(t *testing.T) {
+	eachClass(t, func(t *testing.T, class string) {
+		for index := range newDaemon(t, class).addresses() {
+			d := newDaemon(t, class)
+			holder, err := net.Listen("tcp", d.addresses()[index])
+			is.New(t).NoErr(err)
+			d.start(nil)
+			d.waitUntil("waiting for its port", func() bool { return strings.Contains(d.log(), "address already in use") })
+			is.New(t).NoErr(holder.Close())
+			d.waitUntil("serving", d.serves)
+			d.stop()
+		}
+	})
+}
+
+// TestProcessThatWaitsForItsPortStops guards against a wait that SIGTERM does not end.
+func TestProcessThatWaitsForItsPortStops(t *testing.T) {
+	eachClass(t, func(t *testing.T, class string) {
+		for index := range newDaemon(t, class).addresses() {
+			d := newDaemon(t, class)
+			holder, err := net.Listen("tcp", d.addresses()[index])
+			is.New(t).NoErr(err)
+			defer holder.Close()
+			d.start(nil)
+			d.waitUntil("waiting for its port", func() bool { return strings.Contains(d.log(), "address already in use") })
+			d.stop()
+		}
+	})
+}
+
 // TestProcessServesAgainAfterDescriptorsRanOut guards against listeners that end for good with
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		cluster.tb.Fatal(err)
 	}
-	listener, err := conn.Listen(addr)
+	listener, err := conn.Listen(context.Background(), addr)
 	if err != nil {
 		cluster.tb.Fatal(err)
 	}
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -11,7 +11,7 @@
 	"fordseam/internal/conn"
 	"fordseam/internal/disk"
 	"fordseam/internal/relay"
-	"fordseam/internal/signals"
+	"fordseam/internal/tcp"
 	"fordseam/internal/workerconn"
 
 	"github.com/apex/log"
@@ -107,9 +107,9 @@
 	cleanup          base.Cleanup
 }
 
-// Open sets up the process of a configuration. Start starts it, and Close stops it
-// and releases its resources.
-func Open(config *Config, names *relay.WireNames) (*Daemon, error) {
+// Open sets up the process of a configuration. Until ctx ends it waits for its address if
+// another socket holds that. Start starts it, and Close stops it and releases its resources.
+func Open(ctx context.Context, config *Config, names *relay.WireNames) (*Daemon, error) {
 	d := &Daemon{}
 	counters := base.NewCounters()
 	httpClient, err := conn.NewClient(func() { counters.Add("messages_sent", 1) })
@@ -118,7 +118,7 @@
 	}
 	d.cleanup.Push(httpClient.Close)
 	d.Env = Env{Clock: base.NewRealClock(), HTTPClient: httpClient, Counters: counters, Backends: workerconn.New(base.DefaultBounds().Recovery/12, counters), Names: names}
-	if d.internalListener, err = conn.Listen(config.Addr); err != nil {
+	if d.internalListener, err = conn.Listen(ctx, config.Addr); err != nil {
 		d.cleanup.Run()
 		return nil, err
 	}
@@ -151,14 +151,15 @@
 // nil for a clean exit code.
 func RunDaemon(config *Config) error {
 	entry := LogStarting(config, Limits{})
-	publicListener, err := net.Listen("tcp", config.PublicAddr)
+	ctx := StopContext(entry)
+	publicListener, err := tcp.Listen(ctx, config.PublicAddr)
 	if err != nil {
-		return errors.Annotate(err, "cannot listen on the public address")
+		return StartError(ctx, err)
 	}
 	defer publicListener.Close()
-	daemon, err := Open(config, &relay.WireNames{})
+	daemon, err := Open(ctx, config, &relay.WireNames{})
 	if err != nil {
-		return err
+		return StartError(ctx, err)
 	}
 	defer daemon.Close()
 	proc := daemon.Process
@@ -171,8 +172,7 @@
 	select {
 	case err := <-serveErr:
 		return errors.Annotate(err, "the public server failed")
-	case sig := <-signals.Stop():
-		entry.WithField("signal", sig.String()).Info("draining")
+	case <-ctx.Done():
 	}
 	drainTimeout := 2 * base.DefaultBounds().Recovery
 	drained := make(chan struct{})
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"context"
 	"os"
 	"runtime"
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/signals"
 
 	"github.com/apex/log"
 )
@@ -26,6 +28,33 @@
 	return entry
 }
 
+// StopContext returns a context that ends with the signal that asks the process to stop. It
+// logs all signals.
+func StopContext(entry *log.Entry) context.Context {
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		for {
+			select {
+			case received := <-signals.Stop():
+				entry.WithField("signal", received.String()).Info("draining")
+				stop()
+				return
+			case received := <-signals.Hangup():
+				entry.WithField("signal", received.String()).Info("signal ignored")
+			}
+		}
+	}()
+	return ctx
+}
+
+// StartError returns the error of a start, or nil if the process was asked to stop meanwhile.
+func StartError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
 // LogReadiness logs whether the process is ready, and why it is not, whenever that changes.
 // It never returns.
 func LogReadiness(clock base.Clock, ready func() error, entry *log.Entry) {
--- /dev/null
+++ b/internal/tcp/listen_test.go
@@ -0,0 +1,79 @@
+package tcp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/matryer/is"
+)
+
+// logWatcher is a log handler that tells when a message is logged.
+type logWatcher struct {
+	memory.Handler
+	message string
+	logged  chan struct{}
+}
+
+// HandleLog closes the channel with the first record of the message.
+func (w *logWatcher) HandleLog(entry *log.Entry) error {
+	if strings.HasPrefix(entry.Message, w.message) {
+		select {
+		case <-w.logged:
+		default:
+			close(w.logged)
+		}
+	}
+	return w.Handler.HandleLog(entry)
+}
+
+// watchLog directs the log to a watcher until the test ends.
+func watchLog(t *testing.T, message string) *logWatcher {
+	watcher := &logWatcher{message: message, logged: make(chan struct{})}
+	former := log.Log.(*log.Logger).Handler
+	log.SetHandler(watcher)
+	t.Cleanup(func() { log.SetHandler(former) })
+	return watcher
+}
+
+// TestListenWaitsForAHeldPort guards against a process that ends because a port is taken.
+func TestListenWaitsForAHeldPort(t *testing.T) {
+	is := is.New(t)
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	watcher := watchLog(t, "cannot listen yet")
+	go func() {
+		<-watcher.logged
+		_ = holder.Close()
+	}()
+	listener, err := Listen(t.Context(), holder.Addr().String())
+	is.NoErr(err)
+	is.NoErr(listener.Close())
+}
+
+// TestListenEndsWithItsContext guards against a wait that a stop does not end.
+func TestListenEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer holder.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	watcher := watchLog(t, "cannot listen yet")
+	go func() {
+		<-watcher.logged
+		cancel()
+	}()
+	_, err = Listen(ctx, holder.Addr().String())
+	is.True(errors.Is(err, context.Canceled))
+}
+
+// TestListenRefusesAnInvalidAddress checks that an error that lasts is returned at once.
+func TestListenRefusesAnInvalidAddress(t *testing.T) {
+	is := is.New(t)
+	_, err := Listen(t.Context(), "127.0.0.1:70000")
+	is.True(err != nil)
+}
