Connections of a process keep no port from a listener

Where the ports of the roles lie in the machine's ephemeral range, the kernel may give one of them to a connection, as its source port. Two roles share a machine, so a connection of one kept the other from its port for as long as the connection lasted and a minute longer.

All connections are now dialed with SO_REUSEADDR, beside which a listener may bind (it still cannot beside another listener). One dialer serves the transport between nodes, workers and the list.

Before: with the option taken out, the test's listener gets "address already in use", beside the open connection and in TIME_WAIT. After: green.

--- a/internal/conn/transport.go
+++ b/internal/conn/transport.go
@@ -130,8 +130,7 @@
 
 // dial establishes a connection. Its errors say that nothing was sent.
 func (c *Client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: connectTimeout}
-	tcpConn, err := dialer.DialContext(ctx, network, addr)
+	tcpConn, err := tcp.NewDialer(connectTimeout).DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, &base.NotSent{Cause: err}
 	}
--- a/internal/workerconn/client.go
+++ b/internal/workerconn/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/tcp"
 
 	"github.com/valyala/fasthttp"
 )
@@ -86,7 +87,7 @@
 // callUnpooled sends a request on a connection that is used for it only.
 func (c *Client) callUnpooled(ctx *base.Ctx, addr string, request *base.BackendRequest) (base.BackendReply, error) {
 	timeout := ctx.Remaining()
-	netConn, err := net.DialTimeout("tcp", addr, min(timeout, c.dialTimeout))
+	netConn, err := tcp.NewDialer(min(timeout, c.dialTimeout)).Dial("tcp", addr)
 	if err != nil {
 		return nil, &base.NotSent{Cause: err}
 	}
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/tcp"
 
 	"golang.org/x/sys/unix"
 )
@@ -38,16 +39,9 @@
 // acknowledged within twice the dial timeout. That detects workers that have
 // become unreachable.
 func newDialer(dialTimeout time.Duration) *net.Dialer {
-	userTimeoutMs := int((2 * dialTimeout).Milliseconds())
-	return &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockErr error
-		if err := raw.Control(func(fd uintptr) {
-			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMs)
-		}); err != nil {
-			return err
-		}
-		return sockErr
-	}}
+	dialer := tcp.NewDialer(dialTimeout, tcp.UserTimeout(2*dialTimeout))
+	dialer.KeepAlive = -1
+	return dialer
 }
 
 // dial makes a connection within timeout, or within the pool's dial timeout if
