A listener outlives a moment without descriptors

One connection for which no descriptor was left made a process deaf for good while it stayed up: after the descriptors were back, its port for other nodes refused connections, and clients and the readiness probe were accepted by the kernel and never answered. Cause: both accept loops took any error of accept but a time-out as the end of the listener: the event loops closed all their connections and the port, the HTTP servers returned, which nobody noticed.

Accept now waits with a growing pause while descriptors or memory are short, says so once a minute, and returns errors that last. That covers all four kinds of listener, since all come from tcp.Listen.

--- a/internal/fleet/environmenttest/environment_test.go
+++ b/internal/fleet/environmenttest/environment_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -43,7 +44,7 @@
 var classes = []string{platform.ClassEdge, platform.ClassCore, platform.ClassStorage}
 
 // nextHost numbers the loopback addresses of this test binary.
-var nextHost = 0
+var nextHost atomic.Int64
 
 // newDaemon prepares a daemon of a class without starting it.
 func newDaemon(t *testing.T, class string) *daemon {
@@ -52,8 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	nextHost++
-	ip := fmt.Sprintf("127.%d.%d.%d", 60+os.Getpid()/250%100, 1+os.Getpid()%250, nextHost)
+	ip := fmt.Sprintf("127.%d.%d.%d", 60+os.Getpid()/250%100, 1+os.Getpid()%250, nextHost.Add(1))
 	site, dir := platform.Deployments()["small"], fleettest.TempDir(t, "/dev/shm")
 	served := map[string]string{platform.ClassEdge: platform.ClassEdge, platform.ClassCore: "control", platform.ClassStorage: platform.ClassStorage}[class]
 	d := &daemon{t: t, logPath: filepath.Join(dir, "log"), settings: &platform.Settings{Node: class + "-1", Role: "my-" + class, Class: class, Serves: served, IP: ip, Zone: "zone-a",
@@ -173,10 +173,15 @@
 	}
 }
 
-// eachClass runs a test for a daemon of each class.
+// eachClass runs a test for a daemon of each class, beside other tests: most of the time is
+// spent waiting for daemons to drain.
 func eachClass(t *testing.T, test func(t *testing.T, class string)) {
+	t.Parallel()
 	for _, class := range classes {
-		t.Run(class, func(t *testing.T) { test(t, class) })
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			test(t, class)
+		})
 	}
 }
 
@@ -281,4 +286,41 @@
 	})
 }
 
+// spareDescriptors is how many descriptors a process may still open when its limit is lowered.
+const spareDescriptors = 8
+
 // TestProcessServesAgainAfterDescriptorsRanOut guards against listeners that end for good with
+// the first connection for which no descriptor is left.
+func TestProcessServesAgainAfterDescriptorsRanOut(t *testing.T) {
+	eachClass(t, func(t *testing.T, class string) {
+		for index := range newDaemon(t, class).addresses() {
+			is := is.New(t)
+			d := newDaemon(t, class)
+			d.start(nil)
+			d.waitUntil("serving", d.serves)
+			pid := d.command.Process.Pid
+			var former unix.Rlimit
+			is.NoErr(unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &former))
+			limit := d.descriptorCount() + spareDescriptors
+			is.NoErr(unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(limit), Max: former.Max}, nil))
+			var conns []net.Conn
+			for range 4 * spareDescriptors {
+				conn, err := net.Dial("tcp", d.addresses()[index])
+				is.NoErr(err)
+				conns = append(conns, conn)
+			}
+			d.waitUntil("out of descriptors", func() bool { return d.descriptorCount() >= limit })
+			for _, conn := range conns {
+				is.NoErr(conn.Close())
+			}
+			d.waitUntil("serving", d.serves)
+			d.stop()
+		}
+	})
+}
+
+// descriptorCount returns how many descriptors the process has open.
+func (d *daemon) descriptorCount() int {
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.command.Process.Pid))
+	return len(entries)
+}
--- a/internal/tcp/listen.go
+++ b/internal/tcp/listen.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -18,9 +19,18 @@
 	longestListenPause = 500 * time.Millisecond
 )
 
+// The pause between two tries to accept doubles from the first to the longest.
+const (
+	firstAcceptPause   = 5 * time.Millisecond
+	longestAcceptPause = 200 * time.Millisecond
+)
+
+// acceptWarningInterval is the least time between two warnings of a listener.
+const acceptWarningInterval = time.Minute
+
 // Listen listens on an address of the form ip:port. While the port is taken, the address is
 // not there yet or the machine is short of descriptors or memory, it tries again until ctx
-// ends.
+// ends. Accept on the listener likewise waits while no descriptor or memory is left.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
 	config := net.ListenConfig{}
 	config.SetMultipathTCP(false)
@@ -31,7 +41,7 @@
 			if pause > firstListenPause {
 				log.WithFields(log.Fields{"listen": addr, "after": time.Since(started).String()}).Info("listening after a wait")
 			}
-			return listener, nil
+			return &patientListener{Listener: listener, closed: make(chan struct{})}, nil
 		}
 		if !passes(err) {
 			return nil, errors.Annotatef(err, "cannot listen on %s", addr)
@@ -57,3 +67,45 @@
 	}
 	return false
 }
+
+// patientListener is a listener whose Accept fails only with an error that lasts.
+type patientListener struct {
+	net.Listener
+	closeOnce   sync.Once
+	closed      chan struct{}
+	nextWarning time.Time // used by Accept alone
+}
+
+// Accept returns the next connection. Servers take any of its errors as the end of the listener.
+func (l *patientListener) Accept() (net.Conn, error) {
+	pause := firstAcceptPause
+	for {
+		accepted, err := l.Listener.Accept()
+		if err == nil || !passes(err) {
+			return accepted, err
+		}
+		l.warn(err)
+		select {
+		case <-l.closed:
+			return nil, net.ErrClosed
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, longestAcceptPause)
+	}
+}
+
+// warn logs that connections have to wait, unless it did a short time ago.
+func (l *patientListener) warn(err error) {
+	now := time.Now()
+	if now.Before(l.nextWarning) {
+		return
+	}
+	l.nextWarning = now.Add(acceptWarningInterval)
+	log.WithField("listen", l.Addr().String()).WithError(err).Warn("cannot accept connections, trying again")
+}
+
+// Close closes the listener and ends a pause of Accept.
+func (l *patientListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
--- a/internal/tcp/listen_test.go
+++ b/internal/tcp/listen_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/apex/log"
@@ -77,3 +78,42 @@
 	_, err := Listen(t.Context(), "127.0.0.1:70000")
 	is.True(err != nil)
 }
+
+// scarceListener is a listener that fails with an error before each connection.
+type scarceListener struct {
+	net.Listener
+	failures []error
+}
+
+// Accept returns the next error, or a connection once there is none.
+func (l *scarceListener) Accept() (net.Conn, error) {
+	if len(l.failures) == 0 {
+		return &net.TCPConn{}, nil
+	}
+	err := l.failures[0]
+	l.failures = l.failures[1:]
+	return nil, err
+}
+
+// Addr returns the address for the log.
+func (l *scarceListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Close does nothing.
+func (l *scarceListener) Close() error { return nil }
+
+// TestAcceptWaitsForDescriptors guards against listeners that end for good with the first
+// connection for which no descriptor is left.
+func TestAcceptWaitsForDescriptors(t *testing.T) {
+	is := is.New(t)
+	failures := []error{&net.OpError{Op: "accept", Err: syscall.EMFILE}, &net.OpError{Op: "accept", Err: syscall.ENFILE}, syscall.ENOBUFS, syscall.ENOMEM}
+	listener := &patientListener{Listener: &scarceListener{failures: failures}, closed: make(chan struct{})}
+	_, err := listener.Accept()
+	is.NoErr(err)
+	listener = &patientListener{Listener: &scarceListener{failures: []error{net.ErrClosed}}, closed: make(chan struct{})}
+	_, err = listener.Accept()
+	is.Equal(err, net.ErrClosed)
+	listener = &patientListener{Listener: &scarceListener{failures: failures[:1]}, closed: make(chan struct{})}
+	is.NoErr(listener.Close())
+	_, err = listener.Accept()
+	is.Equal(err, net.ErrClosed)
+}
