Seeds that restart before the cluster is formed go on voting

A system whose seeds restarted in their first second never started: no cluster was formed, for good, and everything was answered 503. Two of three seeds ended 0.05 s after the start and started again as a supervisor does, without the mark of the first start: not formed in 25 s, no core ready. Cause: the seeds kept their votes on the first disk set in memory, and so must not vote after a restart; with most of them restarted, no majority was left.

Without a disk, or with a lost one, all is as before.

The model checker plays restarts that keep the votes (no violation) and finds two first sets where they are lost. Not covered: seeds that end before their first write, some 10 ms after the start.

--- a/cmd/fordseam-controller/main.go
+++ b/cmd/fordseam-controller/main.go
@@ -45,7 +45,7 @@
 		Usage: "run a control-plane process",
 		Flags: append(node.ConfigFlags(),
 			&cli.StringFlag{Name: "role", Usage: "`ROLE`: core or storage"},
-			&cli.StringFlag{Name: "data", Usage: "data `FOLDER` (storage only)"},
+			&cli.StringFlag{Name: "data", Usage: "data `FOLDER`; a core keeps its votes on the first disk set there"},
 			&cli.Int64Flag{Name: "disk-limit-bytes", Usage: "largest size of the data folder in `BYTES` (storage only; 0: no limit)"}),
 		Action: func(_ context.Context, command *cli.Command) error {
 			config, err := node.LoadConfig(command, node.Config{}, "core", "storage")
--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -1,8 +1,9 @@
 package consensus
 
 // Acceptor is a seed's state in the vote on the first replica set (single-decree
-// Paxos). It is kept in memory only. A seed that has restarted neither votes nor
-// proposes, since it does not know what it promised before.
+// Paxos). It must be saved before it is told to others. A seed that has restarted
+// without it neither votes nor proposes, since it does not know what it promised
+// before.
 type Acceptor[V any] struct {
 	// Promised is the highest ballot that the seed has promised; it votes under no
 	// lower one.
--- a/internal/disk/files.go
+++ b/internal/disk/files.go
@@ -43,7 +43,7 @@
 }
 
 // knownFileNames are the names of all files that a data folder may contain.
-var knownFileNames = append(segmentFileNames(), checkpointFileName(0), checkpointFileName(1), logFileName(0), logFileName(1), peerAddressesFileName)
+var knownFileNames = append(segmentFileNames(), checkpointFileName(0), checkpointFileName(1), logFileName(0), logFileName(1), peerAddressesFileName, foundingVotesFileName)
 
 // OpenFolder opens a data folder, creating it if it does not exist. A limit above
 // zero bounds the total size of its files. It fails on a folder with other files and
--- a/internal/founding/founding.go
+++ b/internal/founding/founding.go
@@ -4,9 +4,8 @@
 // decided once a majority of the seeds has accepted it under one ballot, and a
 // later proposer adopts a set that was accepted before. So exactly one set is
 // decided, whichever seed proposes it and whichever messages are lost. The
-// disks are sent only a decided set. The seeds keep their votes in memory only;
-// therefore a process takes part only if it was told that this is the first
-// start, and neither proposes nor votes after a restart.
+// disks are sent only a decided set. A seed takes part if it was told that this is
+// the first start, and after a restart if its votes are still on its disk.
 package founding
 
 import (
@@ -34,20 +33,18 @@
 	bounds     *base.AtomicPointer[base.Bounds]
 	counters   *base.Counters
 	server     *register.Server
+	votes      *Votes
 	seeds      []string
 	seedIndex  int
 	tolerate   int
-
-	mu       sync.Mutex
-	acceptor consensus.Acceptor[*register.DiskSet]
 }
 
-// New returns the bootstrapper of the process at an address. If that is not the
-// address of a seed, it neither proposes nor is asked to vote. The cluster is to
-// tolerate the loss of a number of machines at once.
-func New(clock base.Clock, httpClient base.HTTPClient, view *membership.View, bounds *base.AtomicPointer[base.Bounds], counters *base.Counters, server *register.Server, addr string, seeds []string, tolerate int) *Bootstrapper {
+// New returns the bootstrapper of the process at an address, with its votes. If that
+// is not the address of a seed, it neither proposes nor is asked to vote. The cluster
+// is to tolerate the loss of a number of machines at once.
+func New(clock base.Clock, httpClient base.HTTPClient, view *membership.View, bounds *base.AtomicPointer[base.Bounds], counters *base.Counters, server *register.Server, addr string, votes *Votes, tolerate int) *Bootstrapper {
 	return &Bootstrapper{clock: clock, httpClient: httpClient, view: view, bounds: bounds, counters: counters, server: server,
-		seeds: seeds, seedIndex: slices.Index(seeds, addr), tolerate: tolerate}
+		votes: votes, seeds: votes.seeds, seedIndex: slices.Index(votes.seeds, addr), tolerate: tolerate}
 }
 
 // Run bootstraps the cluster, unless it turns out to exist already. The first
@@ -58,6 +55,14 @@
 	if b.seedIndex < 0 {
 		return
 	}
+	b.formCluster()
+	if b.server.KnownDiskSet() != nil {
+		b.votes.conclude()
+	}
+}
+
+// formCluster makes attempts until the cluster exists or the process stops.
+func (b *Bootstrapper) formCluster() {
 	log.WithFields(log.Fields{"seed": b.seedIndex, "seeds": b.seeds}).Info("waiting for storage machines to form a cluster")
 	var addrs []string
 	unchangedSince := b.clock.Now()
@@ -153,10 +158,14 @@
 // seed: the one that any of a majority accepted under the highest ballot before,
 // else the new one. It returns nil if no majority accepted.
 func (b *Bootstrapper) decideDiskSet(newSet *register.DiskSet) *register.DiskSet {
-	b.mu.Lock()
-	ballot := consensus.NextBallot(b.acceptor.Promised, len(b.seeds), b.seedIndex)
-	b.acceptor.Promised = ballot // no ballot is used twice
-	b.mu.Unlock()
+	started, ok := b.votes.change(func(state acceptor) (acceptor, bool) {
+		state.Promised = consensus.NextBallot(state.Promised, len(b.seeds), b.seedIndex) // no ballot is used twice
+		return state, true
+	})
+	if !ok {
+		return nil
+	}
+	ballot := started.Promised
 	var mu sync.Mutex
 	proposal := consensus.Proposal[*register.DiskSet]{Value: newSet}
 	learn := func(vote *Vote) {
@@ -165,9 +174,7 @@
 			proposal = proposal.Learn(vote.Accepted, vote.Set)
 		}
 		mu.Unlock()
-		b.mu.Lock()
-		b.acceptor.Promised = max(b.acceptor.Promised, vote.Promised) // makes the next ballot higher
-		b.mu.Unlock()
+		b.votes.observe(vote.Promised) // makes the next ballot higher
 	}
 	if !b.askSeeds(func(ctx *base.Ctx, seed Founding) (*Vote, error) {
 		return seed.Prepare(ctx, &PrepareRequest{Ballot: ballot})
@@ -205,18 +212,12 @@
 // Prepare promises not to vote under a lower ballot, unless a higher one was
 // promised, and returns the set that this seed has accepted, if any.
 func (b *Bootstrapper) Prepare(_ context.Context, request *PrepareRequest) (*Vote, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	next, ok := b.acceptor.Prepare(request.Ballot)
-	b.acceptor = next
+	next, ok := b.votes.change(func(state acceptor) (acceptor, bool) { return state.Prepare(request.Ballot) })
 	return &Vote{Ok: ok, Promised: next.Promised, Accepted: next.Accepted, Set: next.Value}, nil
 }
 
 // Accept votes for a set unless a higher ballot was promised.
 func (b *Bootstrapper) Accept(_ context.Context, request *AcceptRequest) (*Vote, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	next, ok := b.acceptor.Accept(request.Ballot, request.Set)
-	b.acceptor = next
+	next, ok := b.votes.change(func(state acceptor) (acceptor, bool) { return state.Accept(request.Ballot, request.Set) })
 	return &Vote{Ok: ok, Promised: next.Promised}, nil
 }
--- a/internal/model/bootstrap.go
+++ b/internal/model/bootstrap.go
@@ -13,15 +13,17 @@
 
 // Bootstrap models the seeds that decide on the first replica set by
 // single-decree Paxos. Each ballot of a seed proposes a set of its own, which is
-// identified by the ballot. A seed may restart without its state at any step. A
-// message may be delayed, duplicated or lost.
+// identified by the ballot. A seed may restart at any step, with its saved votes or
+// without its state. A message may be delayed, duplicated or lost.
 type Bootstrap struct {
 	Rules BootstrapRules
 	Seeds int
 	// MaxBallot is the highest ballot that a seed starts.
 	MaxBallot uint8
-	// MaxRestarts is how many restarts of seeds there may be in all.
+	// MaxRestarts is how many restarts of seeds that lose their state there may be in
+	// all, and MaxResumes how many of seeds that keep their saved votes.
 	MaxRestarts int
+	MaxResumes  int
 }
 
 // BootstrapRules are the decision functions of the seeds.
@@ -32,6 +34,9 @@
 	Quorum  func(seeds int) int
 	// FirstIncarnationOnly keeps a seed that has restarted from voting and proposing.
 	FirstIncarnationOnly bool
+	// Saved returns what a seed still has of its votes after a restart that keeps its
+	// disk.
+	Saved func(vote consensus.Acceptor[uint8]) consensus.Acceptor[uint8]
 }
 
 // ImplementedBootstrapRules returns the rules that run in production.
@@ -42,6 +47,7 @@
 		Learn:                consensus.Proposal[uint8].Learn,
 		Quorum:               consensus.Majority,
 		FirstIncarnationOnly: true,
+		Saved:                func(vote consensus.Acceptor[uint8]) consensus.Acceptor[uint8] { return vote },
 	}
 }
 
@@ -52,6 +58,7 @@
 	acceptedBallot uint8
 	acceptedValue  uint8
 	restarts       uint8
+	resumes        uint8
 	// ballot is the seed's own ballot, 0 before it starts one. proposedValue is
 	// the value to propose under it, and highestAccepted is the ballot under which
 	// that value was accepted before, 0 if it is the seed's own. preparedBy and
@@ -80,6 +87,7 @@
 	stepSendAccept
 	stepAccept
 	stepRestart
+	stepResume
 )
 
 // Initial returns a state in which no seed has voted.
@@ -113,6 +121,7 @@
 			b.proposerSteps(state, index, visit)
 		}
 		b.restartSteps(state, index, visit)
+		b.resumeSteps(state, index, visit)
 	}
 	for ballot := uint8(1); ballot <= b.MaxBallot; ballot++ {
 		if state.startedBallots&(1<<ballot) == 0 {
@@ -205,12 +214,27 @@
 	visit(Step{stepRestart, [4]uint8{index}}, &next)
 }
 
+// resumeSteps restarts a seed, which keeps its saved votes and forgets what it proposed.
+func (b *Bootstrap) resumeSteps(state *BootstrapState, index uint8, visit func(Step, *BootstrapState)) {
+	count := 0
+	for _, seed := range state.seeds {
+		count += int(seed.resumes)
+	}
+	if count >= b.MaxResumes {
+		return
+	}
+	former := state.seeds[index]
+	next := *state
+	next.seeds[index] = seedState{restarts: former.restarts, resumes: former.resumes + 1}.withAcceptor(b.Rules.Saved(former.acceptor()))
+	visit(Step{stepResume, [4]uint8{index}}, &next)
+}
+
 // Key appends the whole state. Seeds are not interchangeable, since each has
 // ballots of its own.
 func (b *Bootstrap) Key(state *BootstrapState, key []byte) []byte {
 	for index := range state.seeds[:b.Seeds] {
 		seed := &state.seeds[index]
-		key = append(key, seed.promisedBallot, seed.acceptedBallot, seed.acceptedValue, seed.restarts,
+		key = append(key, seed.promisedBallot, seed.acceptedBallot, seed.acceptedValue, seed.restarts, seed.resumes,
 			seed.ballot, seed.proposedValue, seed.highestAccepted, seed.preparedBy, seed.acceptedBy)
 	}
 	key = append(key, state.sentValues[:]...)
@@ -235,6 +259,8 @@
 		return fmt.Sprintf("seed %d accepts set %d under ballot %d%s", index, value, ballot, answer)
 	case stepRestart:
 		return fmt.Sprintf("seed %d restarts and loses its state", index)
+	case stepResume:
+		return fmt.Sprintf("seed %d restarts and keeps its votes", index)
 	}
 	return fmt.Sprint("unknown step kind ", step.Kind)
 }
--- a/internal/model/bootstrap_test.go
+++ b/internal/model/bootstrap_test.go
@@ -17,6 +17,8 @@
 		{"no restart", model.Bootstrap{Seeds: 3, MaxBallot: 5}},
 		{"one restart", model.Bootstrap{Seeds: 3, MaxBallot: 5, MaxRestarts: 1}},
 		{"two restarts", model.Bootstrap{Seeds: 3, MaxBallot: 5, MaxRestarts: 2}},
+		{"two restarts that keep the votes", model.Bootstrap{Seeds: 3, MaxBallot: 5, MaxResumes: 2}},
+		{"a restart of each kind", model.Bootstrap{Seeds: 3, MaxBallot: 5, MaxRestarts: 1, MaxResumes: 1}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
@@ -40,6 +42,11 @@
 			model.Bootstrap{MaxRestarts: 1},
 			func(rules *model.BootstrapRules) { rules.FirstIncarnationOnly = false },
 		},
+		{
+			"votes are kept over a restart",
+			model.Bootstrap{MaxResumes: 1},
+			func(rules *model.BootstrapRules) { rules.Saved = loseVotes },
+		},
 		{
 			"a majority decides",
 			model.Bootstrap{},
@@ -73,3 +80,7 @@
 func acceptAnyBallot(acceptor consensus.Acceptor[uint8], ballot uint64, value uint8) (consensus.Acceptor[uint8], bool) {
 	return consensus.Acceptor[uint8]{Promised: max(acceptor.Promised, ballot), Accepted: ballot, Value: value}, true
 }
+
+func loseVotes(consensus.Acceptor[uint8]) consensus.Acceptor[uint8] {
+	return consensus.Acceptor[uint8]{}
+}
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -196,6 +196,14 @@
 		}
 		return gateway, gateway.Front.Handle, nil
 	case "core":
+		if config.DataDir != "" {
+			files, err := disk.OpenFolder(config.DataDir, config.DiskLimitBytes)
+			if err != nil {
+				log.WithError(err).Warn("going on without a disk")
+			} else {
+				env.Files = files
+			}
+		}
 		core := NewCore(env, *config)
 		return core, core.OperatorAPI.Handle, nil
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -298,8 +298,8 @@
 		server.SetRedundancyChecker(ledgerClient)
 	}
 	core := &Core{common: c, RegisterServer: server, Follower: follower, Register: client}
-	if config.Bootstrap {
-		core.bootstrapper = founding.New(env.Clock, env.HTTPClient, c.view, bounds, env.Counters, server, config.Addr, config.Seeds, config.FaultTolerance)
+	if votes := founding.LoadVotes(env.Clock, env.Files, config.Seeds, config.Bootstrap); votes != nil {
+		core.bootstrapper = founding.New(env.Clock, env.HTTPClient, c.view, bounds, env.Counters, server, config.Addr, votes, config.FaultTolerance)
 		c.mount(founding.NewFoundingServer(core.bootstrapper))
 	}
 	c.mount(register.NewRegisterServer(server))
--- a/internal/simulate/diskset_test.go
+++ b/internal/simulate/diskset_test.go
@@ -327,6 +327,21 @@
 			f.Kill(f.Cores[0])
 			f.scheduleRecovery(time.Second, func() { f.Start(f.Cores[0]) })
 		},
+		"two seeds restart": func(f *Fleet, call *apiClient) {
+			call.sleep(f.World.Between(50*time.Millisecond, 800*time.Millisecond))
+			for _, m := range f.Cores[:2] {
+				f.Kill(m)
+				f.scheduleRecovery(f.World.Between(0, time.Second), func() { f.Start(m) })
+			}
+		},
+		"all seeds lose power in turn": func(f *Fleet, call *apiClient) {
+			for _, m := range f.Cores[:3] {
+				call.sleep(f.World.Between(50*time.Millisecond, 400*time.Millisecond))
+				f.Kill(m)
+				m.Disk.LosePower()
+				f.scheduleRecovery(f.World.Between(0, time.Second), func() { f.Start(m) })
+			}
+		},
 		"the founder freezes": func(f *Fleet, call *apiClient) {
 			call.sleep(f.World.Between(200*time.Millisecond, 800*time.Millisecond))
 			f.freeze(f.Cores[0], 5*time.Second)
