fleet: Ctrl-C in a terminal does not count as processes that end by themselves

Cause: the terminal signals the whole foreground group, so the machines stopped before the run had marked their ends as its own. Machines now have process groups of their own; the kernel still kills them with the run.

Before: the test finds the machine in the group of the run.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -149,7 +149,8 @@
 		return errors.Trace(err)
 	}
 	command.Stdout, command.Stderr = logFile, logFile
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// A signal from the terminal is for this process alone, which then ends the others.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := command.Start(); err != nil {
 		_ = logFile.Close()
 		return errors.Trace(err)
--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"fmt"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,6 +115,18 @@
 	run.stop()
 }
 
+// TestSignalOfTheTerminalReachesNoMachine guards against a run that reports its own processes
+// as ended by themselves when it is stopped with Ctrl-C.
+func TestSignalOfTheTerminalReachesNoMachine(t *testing.T) {
+	is := is.New(t)
+	process := &Process{Name: "sleeper"}
+	is.NoErr(process.launch(exec.Command("sleep", "60"), filepath.Join(t.TempDir(), "log")))
+	defer process.Kill()
+	group, err := syscall.Getpgid(process.command.Process.Pid)
+	is.NoErr(err)
+	is.True(group != syscall.Getpgrp())
+}
+
 // TestParsePlatformEvent checks a valid event, and that invalid ones are rejected.
 func TestParsePlatformEvent(t *testing.T) {
 	is := is.New(t)
