tcp, node: no reading of the wall clock but for the log

The listener now uses the steady clock; the line at start takes the time from base, in a function that is for log records alone. The test is unchanged.

--- a/internal/base/clock.go
+++ b/internal/base/clock.go
@@ -39,6 +39,10 @@
 
 type realClock struct{ started time.Time }
 
+// TimeOfDay returns the time of day in UTC, for log records. No decision uses it: the wall
+// clock differs between machines and jumps.
+func TimeOfDay() string { return time.Now().UTC().Format(time.RFC3339Nano) }
+
 // NewRealClock returns a clock on the machine's monotonic time.
 func NewRealClock() Clock { return &realClock{started: time.Now()} }
 
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"runtime"
-	"time"
 
 	"fordseam/internal/base"
 	"fordseam/internal/signals"
@@ -22,7 +21,7 @@
 // the fields that tell the process apart in later lines.
 func LogStarting(config *Config, limits Limits) *log.Entry {
 	entry := log.WithFields(log.Fields{"role": config.Role, "node": config.NodeName, "address": config.Addr})
-	entry.WithFields(log.Fields{"time": time.Now().UTC().Format(time.RFC3339Nano), "version": Version, "pid": os.Getpid(), "processors": runtime.GOMAXPROCS(0), "public": config.PublicAddr, "zone": config.Zone,
+	entry.WithFields(log.Fields{"time": base.TimeOfDay(), "version": Version, "pid": os.Getpid(), "processors": runtime.GOMAXPROCS(0), "public": config.PublicAddr, "zone": config.Zone,
 		"seeds": config.Seeds, "bootstrap": config.Bootstrap, "tolerate": config.FaultTolerance, "data": config.DataDir,
 		"disk_limit_bytes": config.DiskLimitBytes, "memory_bytes": limits.MemoryBytes, "max_descriptors": limits.MaxDescriptors}).Info("starting")
 	return entry
--- a/internal/tcp/listen.go
+++ b/internal/tcp/listen.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"fordseam/internal/base"
+
 	"github.com/apex/log"
 	"github.com/juju/errors"
 )
@@ -34,14 +36,14 @@
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
 	config := net.ListenConfig{}
 	config.SetMultipathTCP(false)
-	started, pause := time.Now(), firstListenPause
+	clock, pause := base.NewRealClock(), firstListenPause
 	for {
 		listener, err := config.Listen(ctx, "tcp", addr)
 		if err == nil {
 			if pause > firstListenPause {
-				log.WithFields(log.Fields{"listen": addr, "after": time.Since(started).String()}).Info("listening after a wait")
+				log.WithFields(log.Fields{"listen": addr, "after": clock.Now().String()}).Info("listening after a wait")
 			}
-			return &patientListener{Listener: listener, closed: make(chan struct{})}, nil
+			return &patientListener{Listener: listener, clock: clock, closed: make(chan struct{})}, nil
 		}
 		if !passes(err) {
 			return nil, errors.Annotatef(err, "cannot listen on %s", addr)
@@ -71,9 +73,10 @@
 // patientListener is a listener whose Accept fails only with an error that lasts.
 type patientListener struct {
 	net.Listener
+	clock       base.Clock
 	closeOnce   sync.Once
 	closed      chan struct{}
-	nextWarning time.Time // used by Accept alone
+	nextWarning time.Duration // clock reading, used by Accept alone
 }
 
 // Accept returns the next connection. Servers take any of its errors as the end of the listener.
@@ -96,11 +99,11 @@
 
 // warn logs that connections have to wait, unless it did a short time ago.
 func (l *patientListener) warn(err error) {
-	now := time.Now()
-	if now.Before(l.nextWarning) {
+	now := l.clock.Now()
+	if now < l.nextWarning {
 		return
 	}
-	l.nextWarning = now.Add(acceptWarningInterval)
+	l.nextWarning = now + acceptWarningInterval
 	log.WithField("listen", l.Addr().String()).WithError(err).Warn("cannot accept connections, trying again")
 }
 
