soak: edge machines lack ports or descriptors for a time

A lane of its own restarts edge processes while other sockets hold their ports, with SIGHUP meanwhile, or leaves them 4 spare descriptors, and an end of the process then counts as FAULT.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -183,6 +183,17 @@
 	}
 }
 
+// runningPID returns the ID of the process and the channel that is closed when it exits, or 0 if
+// it was never started.
+func (p *Process) runningPID() (pid int, exited <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil || p.command.Process == nil {
+		return 0, nil
+	}
+	return p.command.Process.Pid, p.exited
+}
+
 // Wait waits until the process has exited and returns its exit code. ok is false if it
 // has not exited within the timeout.
 func (p *Process) Wait(timeout time.Duration) (exitCode int, ok bool) {
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -350,13 +350,13 @@
 // rules do not count such an end.
 const troubleSlack = time.Second
 
-// inTrouble reports whether a machine has a trouble, or had one until troubleSlack ago. A
-// reload of its settings is none.
+// inTrouble reports whether a machine has a trouble that may end its process, or had one until
+// troubleSlack ago. A reload of its settings is none.
 func (run *platformRun) inTrouble(machine string) (found bool) {
 	now := run.clock.Now()
 	run.ledger.Update(func(r *platform.Record) {
 		for _, trouble := range r.Troubles {
-			found = found || trouble.Machine == machine && !trouble.Hup && trouble.To >= now-troubleSlack
+			found = found || trouble.Machine == machine && !trouble.Hup && !bearableKinds[trouble.Kind] && trouble.To >= now-troubleSlack
 		}
 	})
 	return found
--- /dev/null
+++ b/internal/fleet/soak_surroundings.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"fordseam/internal/standin/platform"
+
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Troubles of what a process needs from its machine.
+const (
+	heldPortsTrouble = "held_ports"
+	squeezeTrouble   = "squeeze"
+)
+
+// bearableKinds are the troubles during which a process must not end by itself.
+var bearableKinds = map[string]bool{heldPortsTrouble: true, squeezeTrouble: true}
+
+// restartWithHeldPorts stops the process of an edge machine as planned work, and starts it again
+// while other sockets hold its ports for a time. It gets SIGHUP meanwhile.
+func (run *platformRun) restartWithHeldPorts(m *machine, duration time.Duration) error {
+	end := run.recordTrouble(heldPortsTrouble, m, func(trouble *platform.Trouble) { trouble.Term = true })
+	defer end()
+	run.stopGracefully(m)
+	var holders []net.Listener
+	for _, port := range []int{run.ports.internalPorts[0], run.ports.frontPort, run.ports.readinessPort} {
+		// Another lane may have started the process, which then has its ports.
+		if holder, err := net.Listen("tcp", run.addrOf(m, port)); err == nil {
+			holders = append(holders, holder)
+		}
+	}
+	err := run.start(m)
+	run.clock.Sleep(duration / 2)
+	m.Signal(syscall.SIGHUP)
+	run.clock.Sleep(duration / 2)
+	for _, holder := range holders {
+		_ = holder.Close()
+	}
+	return err
+}
+
+// squeezedSpare is how many descriptors a squeezed process may still open.
+const squeezedSpare = 4
+
+// squeezeDescriptors leaves the process of a machine hardly any descriptors for a time.
+func (run *platformRun) squeezeDescriptors(m *machine, duration time.Duration) error {
+	end := run.recordTrouble(squeezeTrouble, m, nil)
+	defer end()
+	pid, exited := m.runningPID()
+	if !m.Running() {
+		return nil
+	}
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return nil // it has exited
+	}
+	var former unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &former); err != nil {
+		return nil // it has exited
+	}
+	squeezed := unix.Rlimit{Cur: uint64(len(entries) + squeezedSpare), Max: former.Max}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &squeezed, nil); err != nil {
+		return errors.Annotatef(err, "%s: limit descriptors", m.Name)
+	}
+	select {
+	case <-exited:
+		return nil
+	case <-time.After(duration):
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &former, nil); err != nil && err != unix.ESRCH {
+		return errors.Annotatef(err, "%s: restore the limit of descriptors", m.Name)
+	}
+	return nil
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -15,7 +15,8 @@
 type Kind string
 
 // Steps on one machine. KillAfterAck changes the configuration, and kills the core machine
-// that acknowledged it.
+// that acknowledged it. RestartHeld restarts a process while other sockets hold its ports for
+// a time, and Squeeze leaves it hardly any descriptors for a time.
 const (
 	Kill         Kind = "kill"
 	Wipe         Kind = "wipe"
@@ -26,6 +27,8 @@
 	Retire       Kind = "retire"
 	Add          Kind = "add"
 	KillAfterAck Kind = "kill after ack"
+	RestartHeld  Kind = "restart with held ports"
+	Squeeze      Kind = "squeeze descriptors"
 )
 
 // Steps on the configuration.
