tcp, soak: names of the field; docs of the new lane

isTransient, retryingListener, the lane "environment" and its kinds say what they are; the digest of the schedules changes with the lane's name alone.

--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -356,7 +356,7 @@
 	now := run.clock.Now()
 	run.ledger.Update(func(r *platform.Record) {
 		for _, trouble := range r.Troubles {
-			found = found || trouble.Machine == machine && !trouble.Hup && !bearableKinds[trouble.Kind] && trouble.To >= now-troubleSlack
+			found = found || trouble.Machine == machine && !trouble.Hup && !survivableTroubles[trouble.Kind] && trouble.To >= now-troubleSlack
 		}
 	})
 	return found
--- a/internal/fleet/soak_surroundings.go
+++ b/internal/fleet/soak_environment.go
@@ -15,12 +15,12 @@
 
 // Troubles of what a process needs from its machine.
 const (
-	heldPortsTrouble = "held_ports"
-	squeezeTrouble   = "squeeze"
+	heldPortsTrouble      = "held_ports"
+	fewDescriptorsTrouble = "few_descriptors"
 )
 
-// bearableKinds are the troubles during which a process must not end by itself.
-var bearableKinds = map[string]bool{heldPortsTrouble: true, squeezeTrouble: true}
+// survivableTroubles are the kinds of trouble during which a process must not end by itself.
+var survivableTroubles = map[string]bool{heldPortsTrouble: true, fewDescriptorsTrouble: true}
 
 // restartWithHeldPorts stops the process of an edge machine as planned work, and starts it again
 // while other sockets hold its ports for a time. It gets SIGHUP meanwhile.
@@ -45,12 +45,12 @@
 	return err
 }
 
-// squeezedSpare is how many descriptors a squeezed process may still open.
-const squeezedSpare = 4
+// spareDescriptors is how many descriptors a limited process may still open.
+const spareDescriptors = 4
 
-// squeezeDescriptors leaves the process of a machine hardly any descriptors for a time.
-func (run *platformRun) squeezeDescriptors(m *machine, duration time.Duration) error {
-	end := run.recordTrouble(squeezeTrouble, m, nil)
+// limitDescriptors leaves the process of a machine hardly any descriptors for a time.
+func (run *platformRun) limitDescriptors(m *machine, duration time.Duration) error {
+	end := run.recordTrouble(fewDescriptorsTrouble, m, nil)
 	defer end()
 	pid, exited := m.runningPID()
 	if !m.Running() {
@@ -64,8 +64,8 @@
 	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &former); err != nil {
 		return nil // it has exited
 	}
-	squeezed := unix.Rlimit{Cur: uint64(len(entries) + squeezedSpare), Max: former.Max}
-	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &squeezed, nil); err != nil {
+	limited := unix.Rlimit{Cur: uint64(len(entries) + spareDescriptors), Max: former.Max}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limited, nil); err != nil {
 		return errors.Annotatef(err, "%s: limit descriptors", m.Name)
 	}
 	select {
--- a/internal/fleet/soak_lanes.go
+++ b/internal/fleet/soak_lanes.go
@@ -111,10 +111,10 @@
 		}
 		run.clock.Sleep(step.Duration)
 		return run.start(run.addMachine(m.class, step.Replacement.Zone, step.Replacement.Number, false))
-	case soak.RestartHeld:
+	case soak.RestartHeldPorts:
 		return run.restartWithHeldPorts(m, step.Duration)
-	case soak.Squeeze:
-		return run.squeezeDescriptors(m, step.Duration)
+	case soak.LimitDescriptors:
+		return run.limitDescriptors(m, step.Duration)
 	case soak.Retire:
 		return run.retireMachine(m, run.plan.Site.Bounds.Recovery)
 	}
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -67,7 +67,7 @@
 	configStream
 	workerStream
 	closingStream
-	surroundingsStream
+	environmentStream
 )
 
 // Draw draws the schedule of a seed, and the size of its fleet: the losses are hardest where
@@ -93,7 +93,7 @@
 		lane("more edges", secondEdgeStream, func(d *drawer) { d.drawEdgeStep(edges[half:]) }),
 		lane("configuration", configStream, (*drawer).drawConfigStep),
 		lane("workers", workerStream, (*drawer).drawWorkerStep),
-		lane("surroundings", surroundingsStream, func(d *drawer) { d.drawSurroundings(edges) }),
+		lane("environment", environmentStream, func(d *drawer) { d.drawEnvironment(edges) }),
 	}}
 	closings := []Closing{NoClosing, KillAll, KillAndWipe}
 	schedule.Closing = closings[rand.New(rand.NewPCG(seed, closingStream)).IntN(len(closings))]
@@ -207,11 +207,11 @@
 	d.add(step)
 }
 
-// drawSurroundings draws something that the machine of an edge process lacks for a time, which
+// drawEnvironment draws something that the machine of an edge process lacks for a time, which
 // must not end the process.
-func (d *drawer) drawSurroundings(edges []Machine) {
+func (d *drawer) drawEnvironment(edges []Machine) {
 	step := Step{After: d.between(0, 6*time.Second), Machine: edges[d.rng.IntN(len(edges))], Duration: d.between(300*time.Millisecond, 3*time.Second)}
-	step.Kind = d.pick([]weighted{{RestartHeld, 1}, {Squeeze, 1}})
+	step.Kind = d.pick([]weighted{{RestartHeldPorts, 1}, {LimitDescriptors, 1}})
 	d.add(step)
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -15,20 +15,20 @@
 type Kind string
 
 // Steps on one machine. KillAfterAck changes the configuration, and kills the core machine
-// that acknowledged it. RestartHeld restarts a process while other sockets hold its ports for
-// a time, and Squeeze leaves it hardly any descriptors for a time.
+// that acknowledged it. RestartHeldPorts restarts a process while other sockets hold its ports for
+// a time, and LimitDescriptors leaves it hardly any descriptors for a time.
 const (
-	Kill         Kind = "kill"
-	Wipe         Kind = "wipe"
-	Replace      Kind = "replace"
-	Freeze       Kind = "freeze"
-	Restart      Kind = "restart"
-	Reload       Kind = "reload"
-	Retire       Kind = "retire"
-	Add          Kind = "add"
-	KillAfterAck Kind = "kill after ack"
-	RestartHeld  Kind = "restart with held ports"
-	Squeeze      Kind = "squeeze descriptors"
+	Kill             Kind = "kill"
+	Wipe             Kind = "wipe"
+	Replace          Kind = "replace"
+	Freeze           Kind = "freeze"
+	Restart          Kind = "restart"
+	Reload           Kind = "reload"
+	Retire           Kind = "retire"
+	Add              Kind = "add"
+	KillAfterAck     Kind = "kill after ack"
+	RestartHeldPorts Kind = "restart with held ports"
+	LimitDescriptors Kind = "limit descriptors"
 )
 
 // Steps on the configuration.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,7 +23,7 @@
 		is.Equal(schedule, Draw(testShape(), seed).String())
 		_, _ = digest.Write([]byte(schedule))
 	}
-	is.Equal(fmt.Sprintf("%016x", digest.Sum64()), "51f0a09a2a08780c")
+	is.Equal(fmt.Sprintf("%016x", digest.Sum64()), "ffbc1c5e00238c58")
 }
 
 // Machines that count against the fault budget are lost one at a time, and each loss names a
@@ -76,7 +76,7 @@
 			}
 		}
 	}
-	for _, kind := range []Kind{Kill, Wipe, Replace, Freeze, Restart, Reload, Retire, Add, KillAfterAck, RestartHeld, Squeeze, ChangeRoutes, RaceChanges, InvalidChanges, MoveServices,
+	for _, kind := range []Kind{Kill, Wipe, Replace, Freeze, Restart, Reload, Retire, Add, KillAfterAck, RestartHeldPorts, LimitDescriptors, ChangeRoutes, RaceChanges, InvalidChanges, MoveServices,
 		ReleaseWorkers, CrashWorker, LoseAnswers, GarbleAnswers, ForgetConns, DegradeWorker, FlapWorker, StopList} {
 		is.True(kinds[kind] > 0)
 	}
--- a/internal/tcp/listen.go
+++ b/internal/tcp/listen.go
@@ -43,9 +43,9 @@
 			if pause > firstListenPause {
 				log.WithFields(log.Fields{"listen": addr, "after": clock.Now().String()}).Info("listening after a wait")
 			}
-			return &patientListener{Listener: listener, clock: clock, closed: make(chan struct{})}, nil
+			return &retryingListener{Listener: listener, clock: clock, closed: make(chan struct{})}, nil
 		}
-		if !passes(err) {
+		if !isTransient(err) {
 			return nil, errors.Annotatef(err, "cannot listen on %s", addr)
 		}
 		if pause == firstListenPause {
@@ -60,8 +60,8 @@
 	}
 }
 
-// passes reports whether an error is about something that the machine may have again soon.
-func passes(err error) bool {
+// isTransient reports whether an error is about something that the machine may have again soon.
+func isTransient(err error) bool {
 	for _, number := range []syscall.Errno{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
 		if errors.Is(err, number) {
 			return true
@@ -70,8 +70,8 @@
 	return false
 }
 
-// patientListener is a listener whose Accept fails only with an error that lasts.
-type patientListener struct {
+// retryingListener is a listener whose Accept fails only with an error that lasts.
+type retryingListener struct {
 	net.Listener
 	clock       base.Clock
 	closeOnce   sync.Once
@@ -80,11 +80,11 @@
 }
 
 // Accept returns the next connection. Servers take any of its errors as the end of the listener.
-func (l *patientListener) Accept() (net.Conn, error) {
+func (l *retryingListener) Accept() (net.Conn, error) {
 	pause := firstAcceptPause
 	for {
 		accepted, err := l.Listener.Accept()
-		if err == nil || !passes(err) {
+		if err == nil || !isTransient(err) {
 			return accepted, err
 		}
 		l.warn(err)
@@ -98,7 +98,7 @@
 }
 
 // warn logs that connections have to wait, unless it did a short time ago.
-func (l *patientListener) warn(err error) {
+func (l *retryingListener) warn(err error) {
 	now := l.clock.Now()
 	if now < l.nextWarning {
 		return
@@ -108,7 +108,7 @@
 }
 
 // Close closes the listener and ends a pause of Accept.
-func (l *patientListener) Close() error {
+func (l *retryingListener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
 	return l.Listener.Close()
 }
--- a/internal/tcp/listen_test.go
+++ b/internal/tcp/listen_test.go
@@ -108,13 +108,13 @@
 func TestAcceptWaitsForDescriptors(t *testing.T) {
 	is := is.New(t)
 	failures := []error{&net.OpError{Op: "accept", Err: syscall.EMFILE}, &net.OpError{Op: "accept", Err: syscall.ENFILE}, syscall.ENOBUFS, syscall.ENOMEM}
-	listener := &patientListener{clock: base.NewRealClock(), Listener: &scarceListener{failures: failures}, closed: make(chan struct{})}
+	listener := &retryingListener{clock: base.NewRealClock(), Listener: &scarceListener{failures: failures}, closed: make(chan struct{})}
 	_, err := listener.Accept()
 	is.NoErr(err)
-	listener = &patientListener{clock: base.NewRealClock(), Listener: &scarceListener{failures: []error{net.ErrClosed}}, closed: make(chan struct{})}
+	listener = &retryingListener{clock: base.NewRealClock(), Listener: &scarceListener{failures: []error{net.ErrClosed}}, closed: make(chan struct{})}
 	_, err = listener.Accept()
 	is.Equal(err, net.ErrClosed)
-	listener = &patientListener{clock: base.NewRealClock(), Listener: &scarceListener{failures: failures[:1]}, closed: make(chan struct{})}
+	listener = &retryingListener{clock: base.NewRealClock(), Listener: &scarceListener{failures: failures[:1]}, closed: make(chan struct{})}
 	is.NoErr(listener.Close())
 	_, err = listener.Accept()
 	is.Equal(err, net.ErrClosed)
