conn: a connection does not wait for the one before it to be taken over

On a busy machine each step waits for two threads to be scheduled, so that a node to which all others connect again after an outage accepts them one at a time, and those whose callers have given up first.

Package tests and those on single daemons are green under the race detector.

--- a/internal/conn/transport.go
+++ b/internal/conn/transport.go
@@ -31,7 +31,10 @@
 // listener is a net.Listener whose connections are run by event loops of its own.
 type listener struct {
 	net.Listener
-	loops *gnet.Client
+	loops    *gnet.Client
+	accepted chan net.Conn
+	ended    chan struct{} // closed once no more connections are accepted
+	endErr   error         // why; set before ended is closed
 }
 
 // Listen listens on an address of the form ip:port, and waits until ctx ends while that is not
@@ -46,7 +49,36 @@
 		_ = tcpListener.Close()
 		return nil, err
 	}
-	return &listener{Listener: tcpListener, loops: loops}, nil
+	l := &listener{Listener: tcpListener, loops: loops, accepted: make(chan net.Conn), ended: make(chan struct{})}
+	go l.acceptAll()
+	return l, nil
+}
+
+// acceptAll accepts connections until the listener is closed. A connection does not wait for
+// the event loops to take the one before it.
+func (l *listener) acceptAll() {
+	defer close(l.ended)
+	for {
+		netConn, err := l.Listener.Accept()
+		if err != nil {
+			l.endErr = err
+			return
+		}
+		go l.deliver(netConn)
+	}
+}
+
+// deliver passes a connection to the event loops and then to Accept.
+func (l *listener) deliver(netConn net.Conn) {
+	c, err := enroll(l.loops, netConn)
+	if err != nil {
+		return
+	}
+	select {
+	case l.accepted <- c:
+	case <-l.ended:
+		_ = c.Close()
+	}
 }
 
 // startLoops starts event loops without connections.
@@ -73,14 +105,11 @@
 
 // Accept returns the next connection that the event loops have taken.
 func (l *listener) Accept() (net.Conn, error) {
-	for {
-		netConn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if c, err := enroll(l.loops, netConn); err == nil {
-			return c, nil
-		}
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.ended:
+		return nil, l.endErr
 	}
 }
 
