--- a/internal/fleet/fleettest/build.go
+++ b/internal/fleet/fleettest/build.go
@@ -12,7 +12,14 @@
 
 // BuildDaemons builds the daemons with the race detector, once for all tests of a process,
 // and returns their directory.
-var BuildDaemons = sync.OnceValues(func() (string, error) {
+var BuildDaemons = sync.OnceValues(func() (string, error) { return buildDaemons("-race") })
+
+// BuildPlainDaemons is BuildDaemons without the race detector, which uses several times the
+// memory that the daemons use on a machine.
+var BuildPlainDaemons = sync.OnceValues(func() (string, error) { return buildDaemons("-ldflags=-linkmode=external") })
+
+// buildDaemons builds the daemons with a flag and returns their directory.
+func buildDaemons(flag string) (string, error) {
 	dir, err := os.MkdirTemp("", "fordseam-daemons")
 	if err != nil {
 		return "", err
@@ -21,13 +28,13 @@
 	if err != nil {
 		return "", err
 	}
-	build := exec.Command("go", "build", "-race", "-o", dir+"/", "./cmd/fordseam-gateway", "./cmd/fordseam-controller")
+	build := exec.Command("go", "build", flag, "-o", dir+"/", "./cmd/fordseam-gateway", "./cmd/fordseam-controller")
 	build.Dir = root
 	if output, err := build.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("build: %w\n%s", err, output)
 	}
 	return dir, nil
-})
+}
 
 // moduleRoot returns the nearest directory above the working directory that has a go.mod.
 func moduleRoot() (string, error) {
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -44,6 +44,8 @@
 	SetUpTimeout time.Duration
 	// HardClients keep nearly all of their connections, and pause while they send and read.
 	HardClients bool
+	// MemoryMB, if above 0, is the memory of each machine in place of that of its class.
+	MemoryMB int
 	// Log is where the progress of the run is logged; standard error if it is nil.
 	Log io.Writer
 }
@@ -234,7 +236,7 @@
 	return &platform.Settings{Node: m.Name, Role: m.Role, Class: m.class, Serves: servedRole, IP: m.ip, Zone: m.Zone, Region: run.plan.Site.Region,
 		Zones: run.plan.Site.Zones, Front: run.addrOf(m, run.ports.frontPort), Readiness: run.addrOf(m, run.ports.readinessPort), Control: run.addrOf(m, run.ports.controlPort),
 		Ports: run.ports.internalPorts, Seeds: controlAddrs[:min(3, len(controlAddrs))], Bootstrap: m.initial, LossCounted: m.class != platform.ClassEdge, DataDir: m.DataDir,
-		FaultTolerance: platformFaultTolerance, Bounds: run.plan.Site.Bounds, ListAddress: run.listServer.Address, ListCallsPerSecond: run.plan.Site.ListCallsPerSecond}
+		FaultTolerance: platformFaultTolerance, Bounds: run.plan.Site.Bounds, ListAddress: run.listServer.Address, ListCallsPerSecond: run.plan.Site.ListCallsPerSecond, MemoryMB: run.plan.MemoryMB}
 }
 
 func (run *platformRun) settingsPath(m *machine) string {
--- /dev/null
+++ b/internal/fleet/platform_fleet.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"slices"
+
+	"fordseam/internal/base"
+	"fordseam/internal/standin/platform"
+)
+
+// PlatformFleet is a fleet on the simulated platform without clients, for tests that bring
+// clients of their own. A configuration is in force, and all its nodes are ready.
+type PlatformFleet struct{ run *platformRun }
+
+// PlatformMachine is a machine of a fleet with the addresses on which its process listens.
+// Those that its class does not have are empty.
+type PlatformMachine struct {
+	Name, Class                         string
+	PID                                 int
+	Front, Readiness, Control, Internal string
+}
+
+// StartPlatformFleet starts the fleet of a plan, whose traffic and events are not played.
+func StartPlatformFleet(plan *PlatformPlan) (*PlatformFleet, error) {
+	run := newPlatformRun(plan)
+	if err := run.setUp(); err != nil {
+		err = run.withLogTails(err)
+		run.stop()
+		return nil, err
+	}
+	return &PlatformFleet{run: run}, nil
+}
+
+// Stop ends all processes of the fleet.
+func (f *PlatformFleet) Stop() { f.run.stop() }
+
+// Machines returns the machines of a class, or of all classes if class is empty.
+func (f *PlatformFleet) Machines(class string) []PlatformMachine {
+	return base.Map(f.run.machinesOf(class), func(m *machine) PlatformMachine {
+		pid, _ := m.runningPID()
+		described := PlatformMachine{Name: m.Name, Class: m.class, PID: pid, Internal: f.run.addrOf(m, f.run.ports.internalPorts[0])}
+		switch m.class {
+		case platform.ClassEdge:
+			described.Front, described.Readiness = f.run.addrOf(m, f.run.ports.frontPort), f.run.addrOf(m, f.run.ports.readinessPort)
+		case platform.ClassCore:
+			described.Control, described.Internal = f.run.addrOf(m, f.run.ports.controlPort), f.run.addrOf(m, f.run.ports.internalPorts[0]+1)
+		}
+		return described
+	})
+}
+
+// Route returns the route of a class of requests.
+func (f *PlatformFleet) Route(class string) platform.Route {
+	return *f.run.config.current().Match(f.run.names.Hosts[class], f.run.names.Prefixes[class]+"x")
+}
+
+// Model returns the name of the model that model workers serve.
+func (f *PlatformFleet) Model() string { return f.run.names.Model }
+
+// UnexpectedExits describes the processes that ended by themselves so far.
+func (f *PlatformFleet) UnexpectedExits() []string {
+	f.run.mu.Lock()
+	defer f.run.mu.Unlock()
+	return slices.Clone(f.run.unexpectedExits)
+}
--- a/internal/standin/platform/settings.go
+++ b/internal/standin/platform/settings.go
@@ -19,6 +19,8 @@
 	Bounds                                      Bounds
 	ListAddress                                 string
 	ListCallsPerSecond                          float64
+	// MemoryMB, if above 0, replaces the memory of the machine class.
+	MemoryMB int
 }
 
 // classLimits are the resource limits of a machine class.
@@ -34,6 +36,9 @@
 	ClassStorage: {0.8, 284, 8200, 600, 300},
 }
 
+// MaxDescriptors returns how many descriptors a process on a machine class may have open.
+func MaxDescriptors(class string) int { return limitsByClass[class].maxFDs }
+
 // YAML returns the settings file with every field that it has on the platform.
 func (s *Settings) YAML() string {
 	var b strings.Builder
@@ -71,6 +76,9 @@
 	line("bootstrap: %v", s.Bootstrap)
 	line("loss_counted: %v", s.LossCounted)
 	limits := limitsByClass[s.Class]
+	if s.MemoryMB > 0 {
+		limits.memoryMB = s.MemoryMB
+	}
 	line("limits:")
 	line("  cpu_fraction: %v", limits.cpu)
 	line("  cores: 1")
