Bodies of clients count to one budget as they arrive

Callers saw: 150 clients that stop short of the end of a legal body, or send far over the limit, take an edge or a core from 30 to 560 to 780 MB on a machine of 284, at the public, the control and even the readiness port; on a machine that holds the limit the process is gone. 4,200 heads that never end take all descriptors.

Cause: each body was kept whole, with a buffer that doubles, and nothing knew of their sum. The limit of a body bounds one body; a limit of connections would either refuse legal clients or bound nothing.

Small requests have a share that large ones cannot take; requests that are processed have one that waiting ones cannot take; a body that has stalled for a second gives way to a new one. Servers hand requests over after the head, so that the body is read into memory that was taken before. A body for which there is none is refused as not run, with 503 and when to come back, or 413 if it never fits. Of too many connections the one that waits longest for its client is closed.

Ruled out: reading the body inside the HTTP server (it allocates what is announced).

--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -1,6 +1,7 @@
-// Package clientconn enforces idle and read timeouts on client connections. The
-// timeouts of an HTTP server are fixed when it starts, while these limits are part of
-// the configuration and may change at any time.
+// Package clientconn enforces limits on client connections: idle and read timeouts, the size
+// of bodies and the memory that all of them hold, and the number of connections. The timeouts
+// of an HTTP server are fixed when it starts, while these limits are part of the configuration
+// and may change at any time.
 //
 // A connection is closed only while none of its requests is being served. An idle
 // connection is closed only after the full idle timeout, since clients reuse
@@ -14,6 +15,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 	"fordseam/internal/route"
 
 	"github.com/valyala/fasthttp"
@@ -78,9 +80,17 @@
 	since time.Duration // clock reading of its last event
 }
 
-// Tracker tracks the open connections of one server and closes those that have
-// exceeded their timeouts.
+// Tracker tracks the open connections of one server, reads the bodies of its requests, and
+// closes connections that have exceeded their timeouts or are too many.
 type Tracker struct {
+	// Memory is what the bodies of requests count to; nil sets no bound.
+	Memory *memory.Budget
+	// MaxConns is how many connections may be open; 0 sets no bound.
+	MaxConns int
+	// RefuseBody responds to a request whose body does not fit into the memory. The default
+	// is a plain text with status 503, or 413 if it never fits.
+	RefuseBody func(r *fasthttp.RequestCtx, err error)
+
 	clock    base.Clock
 	counters *base.Counters
 	limits   func() route.Limits // the limits in force
@@ -92,27 +102,110 @@
 // NewTracker returns a tracker without connections. limits returns the limits in force;
 // those that are 0 have their defaults.
 func NewTracker(clock base.Clock, counters *base.Counters, limits func() route.Limits) *Tracker {
-	return &Tracker{clock: clock, counters: counters, limits: limits, conns: map[net.Conn]*trackedConn{}}
+	return &Tracker{RefuseBody: refuseBody, clock: clock, counters: counters, limits: limits, conns: map[net.Conn]*trackedConn{}}
 }
 
-// Attach makes the tracker follow a server's connections, disables the server's own
-// timeouts, and applies the limit of the body's size. It must be called before the
-// server starts and after its handler is set.
+// Attach makes the tracker follow a server's connections and read its bodies, and replaces
+// the server's own timeouts, which Run enforces. It must be called before the server starts
+// and after its handler is set.
 func (t *Tracker) Attach(server *fasthttp.Server) {
-	server.ConnState = t.onConnState
 	server.ReadTimeout = 0
 	server.IdleTimeout = 0
+	server.ErrorHandler = writeReadError
+	t.AttachBodies(server)
+}
+
+// AttachBodies is Attach for a server that keeps its timeouts and its error handler, if it
+// has one. The error handler also responds to bodies that cannot be read.
+func (t *Tracker) AttachBodies(server *fasthttp.Server) {
+	if server.ErrorHandler == nil {
+		server.ErrorHandler = writeReadError
+	}
+	server.ConnState = t.onConnState
 	server.HeaderReceived = func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-		return fasthttp.RequestConfig{MaxRequestBodySize: orDefault(t.limits().MaxBodyBytes, defaultMaxBodyBytes)}
+		return fasthttp.RequestConfig{MaxRequestBodySize: t.maxBodyBytes()}
 	}
-	server.ErrorHandler = writeReadError
+	// The server hands a request over after its head, so that its body can be counted as it
+	// arrives.
+	server.StreamRequestBody = true
+	server.DisablePreParseMultipartForm = true
 	handler := server.Handler
 	server.Handler = func(r *fasthttp.RequestCtx) {
+		lease := t.newLease()
+		if err := t.readBody(r, lease); err != nil {
+			lease.Release()
+			r.SetConnectionClose()
+			t.refuse(server, r, err)
+			return
+		}
 		t.transition(r.Conn(), eventRequestRead)
+		r.SetUserValue(leaseKey{}, lease)
 		handler(r)
+		if r.UserValue(leaseKey{}) != nil {
+			lease.Release()
+		}
 	}
 }
 
+// leaseKey is the key of the lease among the values of a request.
+type leaseKey struct{}
+
+// TakeLease returns the lease that counts the body of a request, which the caller then
+// releases. Without this call it is released after the handler.
+func TakeLease(r *fasthttp.RequestCtx) *memory.Lease {
+	lease, _ := r.UserValue(leaseKey{}).(*memory.Lease)
+	r.RemoveUserValue(leaseKey{})
+	return lease
+}
+
+func (t *Tracker) newLease() *memory.Lease {
+	if t.Memory == nil {
+		return nil
+	}
+	return t.Memory.NewLease()
+}
+
+func (t *Tracker) maxBodyBytes() int { return orDefault(t.limits().MaxBodyBytes, defaultMaxBodyBytes) }
+
+// readBody reads the body of a request into memory that the lease counts.
+func (t *Tracker) readBody(r *fasthttp.RequestCtx, lease *memory.Lease) error {
+	stream := r.Request.BodyStream()
+	if stream == nil {
+		return nil
+	}
+	conn := r.Conn()
+	lease.SetRevocable(func() { _ = conn.Close() })
+	body, err := memory.ReadBody(stream, r.Request.Header.ContentLength(), t.maxBodyBytes(), lease)
+	lease.SetRevocable(nil)
+	if err != nil {
+		return err
+	}
+	r.Request.SetBodyRaw(body)
+	return nil
+}
+
+// refuse responds to a request whose body was not read.
+func (t *Tracker) refuse(server *fasthttp.Server, r *fasthttp.RequestCtx, err error) {
+	switch {
+	case errors.Is(err, memory.ErrBodyTooLarge):
+		server.ErrorHandler(r, fasthttp.ErrBodyTooLarge)
+	case errors.Is(err, memory.ErrShort), errors.Is(err, memory.ErrTooLarge):
+		t.RefuseBody(r, err)
+	default:
+		server.ErrorHandler(r, err)
+	}
+}
+
+// refuseBody is the default of Tracker.RefuseBody.
+func refuseBody(r *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, memory.ErrTooLarge) {
+		r.Error("the request body is too large", fasthttp.StatusRequestEntityTooLarge)
+		return
+	}
+	r.Error("too little memory is free", fasthttp.StatusServiceUnavailable)
+	r.Response.Header.Set("Retry-After", "1")
+}
+
 // writeReadError responds to a request that could not be read.
 func writeReadError(r *fasthttp.RequestCtx, err error) {
 	var smallBuffer *fasthttp.ErrSmallBuffer
@@ -138,9 +231,7 @@
 func (t *Tracker) onConnState(c net.Conn, newState fasthttp.ConnState) {
 	switch newState {
 	case fasthttp.StateNew:
-		t.mu.Lock()
-		t.conns[c] = &trackedConn{state: stateOpened, since: t.clock.Now()}
-		t.mu.Unlock()
+		t.add(c)
 	case fasthttp.StateActive:
 		t.transition(c, eventFirstByte)
 	case fasthttp.StateIdle:
@@ -150,6 +241,26 @@
 	}
 }
 
+// add tracks a new connection. If there are too many, it closes the one that has waited
+// longest for a client, or the new one if all others are being served.
+func (t *Tracker) add(c net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns[c] = &trackedConn{state: stateOpened, since: t.clock.Now()}
+	if t.MaxConns <= 0 || len(t.conns) <= t.MaxConns {
+		return
+	}
+	excess := c
+	for candidate, tracked := range t.conns {
+		if tracked.state != stateServing && tracked.since < t.conns[excess].since {
+			excess = candidate
+		}
+	}
+	_ = excess.Close()
+	delete(t.conns, excess)
+	t.counters.Add("client_connections_displaced", 1)
+}
+
 // transition moves a connection to its next state and forgets it once it is closed.
 func (t *Tracker) transition(c net.Conn, e event) {
 	t.mu.Lock()
--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +15,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 	"fordseam/internal/route"
 
 	"github.com/matryer/is"
@@ -176,3 +178,76 @@
 	is.Equal(stateServing.next(eventFirstByte), stateServing)
 	is.Equal(stateClosed.next(eventFirstByte), stateClosed)
 }
+
+// newLimitedServer returns a test server whose bodies count to a budget.
+func newLimitedServer(t *testing.T, machineBytes int64, maxConns int) (*testServer, *memory.Budget) {
+	s := newTestServer(t, route.Limits{MaxBodyBytes: 8 << 20})
+	s.tracker.mu.Lock()
+	defer s.tracker.mu.Unlock()
+	s.tracker.Memory = memory.NewBudget(s.clock, base.NewCounters(), machineBytes)
+	s.tracker.MaxConns = maxConns
+	return s, s.tracker.Memory
+}
+
+// sendPart sends the head of a request and a part of its body.
+func (s *testServer) sendPart(c net.Conn, announced, sent int) {
+	_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", announced)
+	s.NoErr(err)
+	_, err = c.Write(make([]byte, sent))
+	s.NoErr(err)
+}
+
+// waitForUse waits until the budget is in use to some extent.
+func waitForUse(budget *memory.Budget, bytes int64) {
+	for budget.Used() < bytes {
+		runtime.Gosched()
+	}
+}
+
+// A body for which there is no memory is refused as not run, with when to come back, and a
+// small one is served meanwhile. Once the others have stalled they are dropped for it.
+func TestBodiesShareTheMemory(t *testing.T) {
+	s, budget := newLimitedServer(t, 40<<20, 0)
+	const body = 3 << 20
+	stalled, stalledReader := s.dial()
+	defer stalled.Close()
+	s.sendPart(stalled, body, body-1)
+	waitForUse(budget, body)
+	refused, reader := s.dial()
+	defer refused.Close()
+	s.sendPart(refused, body, body-1)
+	response, err := http.ReadResponse(reader, nil)
+	s.NoErr(err)
+	s.Equal(response.StatusCode, 503)
+	s.Equal(response.Header.Get("Retry-After"), "1")
+	small, smallReader := s.dial()
+	defer small.Close()
+	s.Equal(s.post(small, smallReader, 1000), 200)
+	status := 0
+	for tries := 0; status != 200 && tries < 10; tries++ { // the last bytes may still be on their way
+		s.advance(2 * time.Second)
+		late, lateReader := s.dial()
+		defer late.Close()
+		status = s.post(late, lateReader, body)
+	}
+	s.Equal(status, 200)
+	_, err = stalledReader.ReadByte()
+	s.True(err != nil)
+}
+
+// Of too many connections, the one that has waited longest for its client is closed.
+func TestTooManyConnectionsDisplaceTheOldest(t *testing.T) {
+	s, _ := newLimitedServer(t, 0, 3)
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	for range 4 {
+		c, reader := s.dial()
+		defer c.Close()
+		conns, readers = append(conns, c), append(readers, reader)
+	}
+	_, err := readers[0].ReadByte()
+	s.True(err != nil)
+	for index := 1; index < 4; index++ {
+		s.Equal(s.post(conns[index], readers[index], 10), 200)
+	}
+}
--- a/internal/line/stream.go
+++ b/internal/line/stream.go
@@ -29,6 +29,7 @@
 	cut          bool
 	abandoned    bool
 	onAbandon    func()
+	onEnd        []func()
 	endDelivered atomic.Bool // the end was sent to the gateway that pulls
 }
 
@@ -45,17 +46,43 @@
 
 func (s *Stream) setHead(head *Head)   { s.update(func() { s.head = head }) }
 func (s *Stream) add(pieces ...[]byte) { s.update(func() { s.pieces = append(s.pieces, pieces...) }) }
-func (s *Stream) finish()              { s.update(func() { s.done = true }) }
+func (s *Stream) finish()              { s.end(func() {}) }
+
+// end ends the stream after a last change. The turn, which the functions refer to that nobody
+// will call any more, need not stay in memory for as long as a client reads.
+func (s *Stream) end(change func()) {
+	var onEnd []func()
+	s.update(func() {
+		change()
+		s.done = true
+		onEnd, s.onEnd, s.onAbandon = s.onEnd, nil, nil
+	})
+	for _, call := range onEnd {
+		call()
+	}
+}
+
+// OnEnd calls a function once the stream has ended.
+func (s *Stream) OnEnd(call func()) {
+	s.mu.Lock()
+	ended := s.done
+	if !ended {
+		s.onEnd = append(s.onEnd, call)
+	}
+	s.mu.Unlock()
+	if ended {
+		call()
+	}
+}
 
 // fail ends the stream without success: with an error when no head was set, or else as
 // cut.
 func (s *Stream) fail(requestErr *base.RequestError) {
-	s.update(func() {
+	s.end(func() {
 		if s.head == nil {
 			s.failure = requestErr
 		}
 		s.cut = s.head != nil
-		s.done = true
 	})
 }
 
@@ -63,11 +90,11 @@
 // cancelled.
 func (s *Stream) Abandon() {
 	s.mu.Lock()
-	first := !s.abandoned && !s.done
+	first, onAbandon := !s.abandoned && !s.done, s.onAbandon
 	s.abandoned = true
 	s.mu.Unlock()
-	if first && s.onAbandon != nil {
-		s.onAbandon()
+	if first && onAbandon != nil {
+		onAbandon()
 	}
 }
 
@@ -167,6 +194,9 @@
 	return n, nil
 }
 
+// OnEnd calls a function once the stream has ended, which may be before it was read.
+func (r *Reader) OnEnd(call func()) { r.stream.OnEnd(call) }
+
 // Close abandons the stream, which cancels a turn that is not done.
 func (r *Reader) Close() error {
 	r.stream.Abandon()
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -10,6 +10,7 @@
 	"fordseam/internal/base"
 	"fordseam/internal/conn"
 	"fordseam/internal/disk"
+	"fordseam/internal/memory"
 	"fordseam/internal/relay"
 	"fordseam/internal/tcp"
 	"fordseam/internal/workerconn"
@@ -118,6 +119,7 @@
 	}
 	d.cleanup.Push(httpClient.Close)
 	d.Env = Env{Clock: base.NewRealClock(), HTTPClient: httpClient, Counters: counters, Backends: workerconn.New(base.DefaultBounds().Recovery/12, counters), Names: names}
+	d.Env.Memory = memory.NewBudget(d.Env.Clock, counters, config.MemoryBytes)
 	if d.internalListener, err = conn.Listen(ctx, config.Addr); err != nil {
 		d.cleanup.Run()
 		return nil, err
@@ -150,7 +152,10 @@
 // finishes those that it has read, hands over what the process owns, and returns
 // nil for a clean exit code.
 func RunDaemon(config *Config) error {
-	entry := LogStarting(config, Limits{})
+	if config.MemoryBytes == 0 {
+		config.MemoryBytes = defaultMemoryBytes()
+	}
+	entry := LogStarting(config)
 	ctx := StopContext(entry)
 	publicListener, err := tcp.Listen(ctx, config.PublicAddr)
 	if err != nil {
@@ -163,7 +168,7 @@
 	}
 	defer daemon.Close()
 	proc := daemon.Process
-	publicServer := NewPublicServer(daemon.Env.Clock, daemon.Env.Counters, proc.Ready, daemon.PublicHandler)
+	publicServer := NewPublicServer(daemon.Env, config.Connections().Clients, proc.Ready, daemon.PublicHandler)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- publicServer.Serve(publicListener) }()
 	daemon.Start()
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -12,7 +12,10 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/clientconn"
 	"fordseam/internal/front"
+	"fordseam/internal/memory"
+	"fordseam/internal/route"
 	"fordseam/internal/session"
 
 	"github.com/valyala/fasthttp"
@@ -30,12 +33,14 @@
 }
 
 // NewPublicServer returns a server that passes requests to the handler and serves
-// /healthz, /readyz and /counters itself.
-func NewPublicServer(clock base.Clock, counters *base.Counters, ready func() error, handler Handler) *PublicServer {
+// /healthz, /readyz and /counters itself. It keeps at most maxConns connections; 0 sets no
+// bound.
+func NewPublicServer(env Env, maxConns int, ready func() error, handler Handler) *PublicServer {
 	p := &PublicServer{ready: ready}
+	clock, counters := env.Clock, env.Counters
 	p.server = &fasthttp.Server{
 		Name: "fordseam", MaxRequestBodySize: maxBodyBytes, CloseOnShutdown: true, ReadTimeout: 60 * time.Second, IdleTimeout: 60 * time.Second,
-		StreamRequestBody: false, NoDefaultServerHeader: true,
+		NoDefaultServerHeader: true,
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
 			requestErr := base.Decline(400, "bad_request", "the request could not be read")
 			if errors.Is(err, fasthttp.ErrBodyTooLarge) {
@@ -61,6 +66,12 @@
 			}
 		},
 	}
+	tracker := clientconn.NewTracker(clock, counters, func() route.Limits { return route.Limits{MaxBodyBytes: maxBodyBytes} })
+	tracker.Memory, tracker.MaxConns = env.Memory, maxConns
+	tracker.RefuseBody = func(ctx *fasthttp.RequestCtx, err error) {
+		writeResponse(ctx, front.ErrorResponse(memory.RequestError(err)))
+	}
+	tracker.AttachBodies(p.server)
 	return p
 }
 
@@ -82,10 +93,10 @@
 	return mux
 }
 
-// parseRequest copies a request into the form that handlers use.
+// parseRequest converts a request, whose body it shares, into the form that handlers use.
 func parseRequest(ctx *fasthttp.RequestCtx, path string) *front.Request {
 	r := &front.Request{Method: string(ctx.Method()), Path: path, Query: map[string]string{}, Header: map[string]string{},
-		Body: append([]byte(nil), ctx.PostBody()...)}
+		Body: ctx.PostBody()}
 	for name, value := range ctx.QueryArgs().All() {
 		r.Query[string(name)] = string(value)
 	}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -11,19 +11,13 @@
 	"github.com/apex/log"
 )
 
-// Limits are what the machine grants a process. Those that are not known are 0.
-type Limits struct {
-	MemoryBytes    int64
-	MaxDescriptors int
-}
-
 // LogStarting logs what a process is, where it runs and what it was granted. Its entry has
 // the fields that tell the process apart in later lines.
-func LogStarting(config *Config, limits Limits) *log.Entry {
+func LogStarting(config *Config) *log.Entry {
 	entry := log.WithFields(log.Fields{"role": config.Role, "node": config.NodeName, "address": config.Addr})
 	entry.WithFields(log.Fields{"time": base.TimeOfDay(), "version": Version, "pid": os.Getpid(), "processors": runtime.GOMAXPROCS(0), "public": config.PublicAddr, "zone": config.Zone,
 		"seeds": config.Seeds, "bootstrap": config.Bootstrap, "tolerate": config.FaultTolerance, "data": config.DataDir,
-		"disk_limit_bytes": config.DiskLimitBytes, "memory_bytes": limits.MemoryBytes, "max_descriptors": limits.MaxDescriptors}).Info("starting")
+		"disk_limit_bytes": config.DiskLimitBytes, "memory_bytes": config.MemoryBytes, "max_descriptors": config.MaxDescriptors}).Info("starting")
 	return entry
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"fordseam/internal/front"
 	"fordseam/internal/ledger"
 	"fordseam/internal/membership"
+	"fordseam/internal/memory"
 	"fordseam/internal/operate"
 	"fordseam/internal/register"
 	"fordseam/internal/session"
@@ -36,6 +37,8 @@
 	Files      disk.Files
 	Backends   base.BackendClient
 	Counters   *base.Counters
+	// Memory is what requests and messages hold together; nil sets no bound.
+	Memory *memory.Budget
 	// Names are the header names that clients and workers of operators' routes use.
 	Names *relay.WireNames
 }
@@ -49,6 +52,10 @@
 	DataDir        string
 	Seeds          []string
 	DiskLimitBytes int64
+	// MemoryBytes and MaxDescriptors are what the machine grants the process, 0 where that
+	// is not known.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// Cluster, if set, is the only cluster that the process joins.
 	Cluster string
 	// NodeName is the name of the machine, by which it can be retired.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -7,7 +7,11 @@
 // protocol.
 package relay
 
-import "time"
+import (
+	"time"
+
+	"fordseam/internal/memory"
+)
 
 // WireNames holds the header names that clients and workers use, and the path of
 // the workers' reports.
@@ -41,6 +45,7 @@
 	Target          string // path and query, byte for byte
 	Headers         []Header
 	Body            []byte
+	Memory          *memory.Lease // counts the body and its copies; may be nil
 	Deadline        time.Duration // how long the client waits, 0 if unknown
 	Model           string
 	PromptTokens    int
