Messages of nodes wait in the socket until there is memory for them

Callers saw: 60 clients that talk HTTP to a port for nodes, on an edge, a core or a storage machine, take its process to 255 to 1,220 MB on machines of 160.

Cause: the listener for nodes was run by event loops that read whatever arrives into a buffer of up to 64 MB for each connection. An event loop of gnet cannot leave bytes in the socket, so no bound on bodies could hold back the sender.

Change: servers for nodes use ordinary connections, whose bytes stay in the socket until they are read; the client side stays on gnet and queues 256 KB of a message at a time. Each message is read before it is handled, into memory that the budget counts with the copies that decoding makes. Heads have a time limit, and too many connections give way, unused first.

Ruled out: closing connections over a bound of unread bytes, which would cut messages of honest nodes at any burst.

The test of read deadlines dials now, since only dialed connections are event connections; its steps and checks are the same.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -1,6 +1,7 @@
-// Package conn is the transport between nodes: a listener and an HTTP client whose
-// connections are run by gnet event loops. gnet reports events, while net/http, which
-// twirp uses, expects net.Conn and net.Listener. eventConn adapts one to the other:
+// Package conn is the client side of the transport between nodes: an HTTP client whose
+// connections are run by gnet event loops. (A server must be able to leave bytes unread in the
+// socket, which an event loop of gnet cannot, so servers use ordinary connections.) gnet
+// reports events, while net/http, which twirp uses, expects net.Conn. eventConn adapts one to the other:
 // received bytes go to a buffer from which Read returns them, Write queues bytes in the
 // event loop and waits until the socket has accepted them, and deadlines wake both.
 //
@@ -18,6 +19,9 @@
 	"github.com/panjf2000/gnet/v2"
 )
 
+// maxWriteBytes is the largest part of the data that is queued in the event loop at once.
+const maxWriteBytes = 256 << 10
+
 // maxUnreadBytes bounds the received bytes of a connection that are not read yet, and
 // with them the size of one message.
 const maxUnreadBytes = 64 << 20
@@ -97,11 +101,19 @@
 	}
 }
 
-// Write queues the data in the event loop and waits until the socket has accepted them.
-// It returns 0 only if no byte was or will be sent; see writeOutcome.possiblySent.
+// Write queues the data in the event loop, a part at a time, and waits until the event loop
+// has taken each. It returns 0 only if no byte was or will be sent; see
+// writeOutcome.possiblySent.
 func (c *eventConn) Write(data []byte) (int, error) {
-	outcome, err := c.write(data)
-	return outcome.possiblySent(len(data)), err
+	sent := 0
+	for {
+		part := data[sent:min(len(data), sent+maxWriteBytes)]
+		outcome, err := c.write(part)
+		sent += outcome.possiblySent(len(part))
+		if err != nil || sent == len(data) {
+			return sent, err
+		}
+	}
 }
 
 // write implements Write and returns the outcome.
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -29,7 +29,7 @@
 func TestRequestsOverGnet(t *testing.T) {
 	is := is.New(t)
 	addr := unusedAddr(is)
-	listener, err := Listen(t.Context(), addr)
+	listener, err := net.Listen("tcp", addr)
 	is.NoErr(err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
@@ -72,7 +72,7 @@
 func TestLostReplyIsNotReportedAsNotSent(t *testing.T) {
 	is := is.New(t)
 	addr := unusedAddr(is)
-	listener, err := Listen(t.Context(), addr)
+	listener, err := net.Listen("tcp", addr)
 	is.NoErr(err)
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })}
 	go func() { _ = server.Serve(listener) }()
@@ -90,25 +90,25 @@
 // the peer has closed the connection, io.EOF.
 func TestReadDeadlineWakesReader(t *testing.T) {
 	is := is.New(t)
-	addr := unusedAddr(is)
-	listener, err := Listen(t.Context(), addr)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer listener.Close()
-	dialed, err := net.Dial("tcp", addr)
+	dialed, err := newTestClient(t).dial(t.Context(), "tcp", listener.Addr().String())
 	is.NoErr(err)
 	defer dialed.Close()
 	accepted, err := listener.Accept()
 	is.NoErr(err)
-	is.NoErr(accepted.SetReadDeadline(time.Now().Add(5 * time.Millisecond)))
-	_, err = accepted.Read(make([]byte, 1))
+	defer accepted.Close()
+	is.NoErr(dialed.SetReadDeadline(time.Now().Add(5 * time.Millisecond)))
+	_, err = dialed.Read(make([]byte, 1))
 	is.Equal(err, os.ErrDeadlineExceeded)
-	is.NoErr(accepted.SetReadDeadline(time.Time{}))
-	_, err = dialed.Write([]byte("y"))
+	is.NoErr(dialed.SetReadDeadline(time.Time{}))
+	_, err = accepted.Write([]byte("y"))
 	is.NoErr(err)
-	n, err := accepted.Read(make([]byte, 4))
+	n, err := dialed.Read(make([]byte, 4))
 	is.NoErr(err)
 	is.Equal(n, 1)
-	is.NoErr(dialed.Close())
-	_, err = accepted.Read(make([]byte, 1))
+	is.NoErr(accepted.Close())
+	_, err = dialed.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 }
--- a/internal/conn/transport.go
+++ b/internal/conn/transport.go
@@ -28,59 +28,6 @@
 func (gnetLogger) Errorf(format string, args ...any) { log.Debugf(format, args...) }
 func (gnetLogger) Fatalf(format string, args ...any) { log.Errorf(format, args...) }
 
-// listener is a net.Listener whose connections are run by event loops of its own.
-type listener struct {
-	net.Listener
-	loops    *gnet.Client
-	accepted chan net.Conn
-	ended    chan struct{} // closed once no more connections are accepted
-	endErr   error         // why; set before ended is closed
-}
-
-// Listen listens on an address of the form ip:port, and waits until ctx ends while that is not
-// possible.
-func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	tcpListener, err := tcp.Listen(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	loops, err := startLoops()
-	if err != nil {
-		_ = tcpListener.Close()
-		return nil, err
-	}
-	l := &listener{Listener: tcpListener, loops: loops, accepted: make(chan net.Conn), ended: make(chan struct{})}
-	go l.acceptAll()
-	return l, nil
-}
-
-// acceptAll accepts connections until the listener is closed. A connection does not wait for
-// the event loops to take the one before it.
-func (l *listener) acceptAll() {
-	defer close(l.ended)
-	for {
-		netConn, err := l.Listener.Accept()
-		if err != nil {
-			l.endErr = err
-			return
-		}
-		go l.deliver(netConn)
-	}
-}
-
-// deliver passes a connection to the event loops and then to Accept.
-func (l *listener) deliver(netConn net.Conn) {
-	c, err := enroll(l.loops, netConn)
-	if err != nil {
-		return
-	}
-	select {
-	case l.accepted <- c:
-	case <-l.ended:
-		_ = c.Close()
-	}
-}
-
 // startLoops starts event loops without connections.
 func startLoops() (*gnet.Client, error) {
 	loops, err := gnet.NewClient(&eventHandler{}, gnet.WithNumEventLoop(2), gnet.WithLogger(gnetLogger{}), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
@@ -103,23 +50,6 @@
 	return c, nil
 }
 
-// Accept returns the next connection that the event loops have taken.
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.accepted:
-		return c, nil
-	case <-l.ended:
-		return nil, l.endErr
-	}
-}
-
-// Close stops accepting connections and closes those that are open.
-func (l *listener) Close() error {
-	err := l.Listener.Close()
-	_ = l.loops.Stop()
-	return err
-}
-
 // errWrongReply means that a reply has the id of another message.
 var errWrongReply = errors.New("the reply belongs to another message")
 
@@ -198,17 +128,31 @@
 		c.discardConnection(response)
 		return nil, errWrongReply
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxUnreadBytes))
+	body, err := readReply(response)
 	if err != nil {
 		return nil, err
 	}
-	if len(body) == maxUnreadBytes {
-		return nil, errReplyTooLarge
-	}
 	response.Body = io.NopCloser(bytes.NewReader(body))
 	return response, nil
 }
 
+// readReply reads the body of a reply, into a buffer of its size where that is known.
+func readReply(response *http.Response) ([]byte, error) {
+	switch length := response.ContentLength; {
+	case length >= maxUnreadBytes:
+		return nil, errReplyTooLarge
+	case length >= 0:
+		body := make([]byte, length)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxUnreadBytes))
+	if err == nil && len(body) == maxUnreadBytes {
+		return nil, errReplyTooLarge
+	}
+	return body, err
+}
+
 // discardConnection closes the connection that a reply came on. If the reply has no
 // body, the HTTP client may have pooled the connection already, so all idle
 // connections are closed.
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"runtime"
@@ -98,7 +99,7 @@
 	if err != nil {
 		cluster.tb.Fatal(err)
 	}
-	listener, err := conn.Listen(context.Background(), addr)
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		cluster.tb.Fatal(err)
 	}
@@ -261,7 +262,10 @@
 // discardingFiles discards everything that is written.
 type discardingFiles struct{}
 
-func (m *discardingFiles) Read(string) ([]byte, error)  { return nil, nil }
+func (m *discardingFiles) Read(string) ([]byte, error) { return nil, nil }
+func (m *discardingFiles) ReadAt(string, int, int) ([]byte, error) {
+	return nil, io.ErrUnexpectedEOF
+}
 func (m *discardingFiles) Append(string, []byte) error  { return nil }
 func (m *discardingFiles) Replace(string, []byte) error { return nil }
 func (m *discardingFiles) Truncate(string, int) error   { return nil }
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -120,7 +120,7 @@
 	d.cleanup.Push(httpClient.Close)
 	d.Env = Env{Clock: base.NewRealClock(), HTTPClient: httpClient, Counters: counters, Backends: workerconn.New(base.DefaultBounds().Recovery/12, counters), Names: names}
 	d.Env.Memory = memory.NewBudget(d.Env.Clock, counters, config.MemoryBytes)
-	if d.internalListener, err = conn.Listen(ctx, config.Addr); err != nil {
+	if d.internalListener, err = tcp.Listen(ctx, config.Addr); err != nil {
 		d.cleanup.Run()
 		return nil, err
 	}
@@ -129,7 +129,10 @@
 		d.cleanup.Run()
 		return nil, err
 	}
-	d.internalServer = &http.Server{Handler: withCounters(d.Process.Handler(), counters)}
+	conns := newConnLimiter(d.Env.Clock, counters, config.Connections().Nodes)
+	d.internalServer = &http.Server{Handler: withCounters(d.Process.Handler(), counters), ConnState: conns.onStateChange, ErrorLog: discardedErrors,
+		ReadHeaderTimeout: messageReadTimeout, IdleTimeout: messageIdleTimeout, MaxHeaderBytes: maxMessageHeaderBytes}
+	d.cleanup.Push(func() { _ = d.internalServer.Close() })
 	return d, nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,9 @@
 func (c *common) mount(server twirpServer) { c.mux.Handle(server.PathPrefix(), server) }
 
 // Handler serves the RPCs of other nodes.
-func (c *common) Handler() http.Handler { return base.HandleMessages(c.env.Clock, c.mux) }
+func (c *common) Handler() http.Handler {
+	return base.HandleMessages(c.env.Clock, limitMessages(c.env.Memory, c.mux))
+}
 
 // View is the node's partial view of the fleet.
 func (c *common) View() *membership.View { return c.view }
