History belongs to the disk, with a bounded cache in memory

Callers saw: a dozen callers with legal conversations of 4 MB turns take all three copies of the history over the memory of their machines together (391 to 418 MB of 160 in the test), and then no turn of anybody is stored, since the disks are full as well.

Cause: a store held the input and the output of every turn in memory for as long as it was retained, beside the log on its disk; and large turns might use all of the disk.

Change: a turn knows where the log has its record, with a checksum, and its payload may give way from memory once it is written: 12 percent of the memory is a cache of the payloads used last. Chain, Fetch and the rewriting of old segments read what is not cached, outside the lock. A record that turns out corrupt makes the store incomplete, so that it pulls again. A reply is counted to the budget of its message. Large turns leave a quarter of the disk to small ones; a store that could not keep a turn declines it before it is run (BeginRequest.input_bytes). A lookup of a chain is told the size of a turn over 256 KB before that is sent. The next batch and what is held beside payloads are bounded by the memory of the machine too.

--- a/internal/disk/files.go
+++ b/internal/disk/files.go
@@ -18,6 +18,8 @@
 type Files interface {
 	// Read returns the content of a file, or nothing if it does not exist.
 	Read(name string) ([]byte, error)
+	// ReadAt returns a part of a file, and an error if the file ends before.
+	ReadAt(name string, offset, size int) ([]byte, error)
 	// Append and Replace return ErrFull if there is not enough space; a part of the
 	// data may have been written.
 	Append(name string, data []byte) error
@@ -82,6 +84,17 @@
 	return data, errors.Trace(err)
 }
 
+func (f *folder) ReadAt(name string, offset, size int) ([]byte, error) {
+	file, err := os.Open(filepath.Join(f.path, name))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer file.Close()
+	data := make([]byte, size)
+	_, err = file.ReadAt(data, int64(offset))
+	return data, errors.Trace(err)
+}
+
 // openFile returns the open file with a name, creating it if necessary. The folder is
 // synced as well, so that a new file survives power loss. The caller holds the lock.
 func (f *folder) openFile(name string) (*os.File, error) {
--- a/internal/disk/record.go
+++ b/internal/disk/record.go
@@ -98,6 +98,7 @@
 	// that were live when the batch was written.
 	tag     byte
 	payload []byte
+	offset  int // in its file, where that is known
 }
 
 func isZero(data []byte) bool { return len(bytes.Trim(data, "\x00")) == 0 }
@@ -124,7 +125,7 @@
 	if binary.LittleEndian.Uint32(data[28:]) != crc32.Checksum(payload, crcTable) {
 		return record{}, 0, errCorrupt
 	}
-	return record{binary.LittleEndian.Uint64(data[8:]), binary.LittleEndian.Uint64(data[16:]), data[4], payload}, size, nil
+	return record{generation: binary.LittleEndian.Uint64(data[8:]), number: binary.LittleEndian.Uint64(data[16:]), tag: data[4], payload: payload}, size, nil
 }
 
 // logContents is the result of parsing a log.
--- a/internal/disk/segments.go
+++ b/internal/disk/segments.go
@@ -67,11 +67,23 @@
 	lastRecord record
 }
 
+// Location is where the payload of a batch begins in a segment log, or a part of it.
+type Location struct {
+	Generation uint64
+	Offset     int // in the file of the segment
+}
+
+// ReadSegment reads a part of a payload that a segment log of these files has written. If the
+// segment was dropped meanwhile, the result is an error or other data.
+func ReadSegment(files Files, at Location, size int) ([]byte, error) {
+	return files.ReadAt(segmentFileName(at.Generation), at.Offset, size)
+}
+
 // OpenSegmentLog opens a log and passes the payload of every readable batch to apply,
 // oldest first. The result damage says that batches are corrupt or missing; the log
 // is still read as far as possible. A new segment is started once the newest one has
 // at least minSegmentBytes.
-func OpenSegmentLog(files Files, minSegmentBytes int, apply func(generation uint64, payload []byte) error) (log *SegmentLog, damage error, err error) {
+func OpenSegmentLog(files Files, minSegmentBytes int, apply func(at Location, payload []byte) error) (log *SegmentLog, damage error, err error) {
 	s := &SegmentLog{files: files, minSegmentBytes: minSegmentBytes}
 	scanned := []*scannedSegment{}
 	for index := uint64(0); index < SegmentCount; index++ {
@@ -110,7 +122,7 @@
 			return nil, nil, errors.Annotate(err, name)
 		}
 		for _, batch := range rescanned.records {
-			if err := apply(segment.generation, batch.payload); err != nil {
+			if err := apply(Location{segment.generation, batch.offset + headerSize}, batch.payload); err != nil {
 				return nil, nil, errors.Annotatef(err, "%s: batch %d", name, batch.number)
 			}
 		}
@@ -171,6 +183,7 @@
 			scanned.intact = false
 		}
 		scanned.generation, scanned.lastRecord = batch.generation, record{generation: batch.generation, number: batch.number, tag: batch.tag}
+		batch.offset = offset
 		scanned.records = append(scanned.records, batch)
 		offset += size
 		scanned.size = offset
@@ -218,11 +231,11 @@
 	return errors.Trace(s.files.Sync(segmentFileName(generation)))
 }
 
-// Append writes and syncs a batch and returns the generation of its segment. A new
+// Append writes and syncs a batch and returns where its payload is. A new
 // segment is started when the newest one has reached its size, which grows with the
 // total size of live data, liveBytes. If there is not enough space, what was written
 // is truncated and the error is ErrFull.
-func (s *SegmentLog) Append(payload []byte, liveBytes int) (generation uint64, err error) {
+func (s *SegmentLog) Append(payload []byte, liveBytes int) (at Location, err error) {
 	last := len(s.segments) - 1
 	if last < 0 || s.segments[last].size >= max(s.minSegmentBytes, liveBytes/(SegmentCount/2)) && len(s.segments) < SegmentCount {
 		next := uint64(1)
@@ -232,7 +245,8 @@
 		s.segments = append(s.segments, segment{generation: next})
 		last++
 	}
-	return s.segments[last].generation, s.writeBatch(payload, s.segments[0].generation)
+	at = Location{s.segments[last].generation, s.segments[last].size + headerSize}
+	return at, s.writeBatch(payload, s.segments[0].generation)
 }
 
 // writeBatch writes and syncs a batch that records which segment is the oldest live
--- a/internal/disk/segments_test.go
+++ b/internal/disk/segments_test.go
@@ -16,7 +16,7 @@
 // openSegmentLog opens a log and returns the payloads in it and the damage found.
 func openSegmentLog(is *is.I, files *memFiles, minSegmentBytes int) (*SegmentLog, []string, error) {
 	read := []string{}
-	log, damage, err := OpenSegmentLog(files, minSegmentBytes, func(_ uint64, payload []byte) error {
+	log, damage, err := OpenSegmentLog(files, minSegmentBytes, func(_ Location, payload []byte) error {
 		if len(payload) > 0 {
 			read = append(read, string(payload))
 		}
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -42,6 +43,13 @@
 }
 
 func (m *memFiles) Read(name string) ([]byte, error) { return slices.Clone(m.files[name]), nil }
+func (m *memFiles) ReadAt(name string, offset, size int) ([]byte, error) {
+	data := m.files[name]
+	if offset+size > len(data) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return slices.Clone(data[offset : offset+size]), nil
+}
 func (m *memFiles) Append(name string, data []byte) error {
 	free := m.FreeBytes()
 	m.mu.Lock()
--- a/internal/ledger/begin.go
+++ b/internal/ledger/begin.go
@@ -25,6 +25,8 @@
 	Budgeted  bool
 	MaxTokens int64
 	Budget    int64
+	// InputBytes is the size of the turn's input if it will be stored, else 0.
+	InputBytes int
 	// Retention is how long the program's state must be kept from now on.
 	Retention time.Duration
 }
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -51,7 +51,7 @@
 	}
 	responses, setChanged := callQuorum(c, ctx, quorumCall[*BeginReply]{set: set, stores: replicas, required: quorum, accepted: granted,
 		send: func(ctx *base.Ctx, store Ledger, target *Target) (*BeginReply, error) {
-			return store.Begin(ctx, &BeginRequest{Target: target, Program: params.Program, Claim: claim, Turn: params.Turn, Previous: params.Previous,
+			return store.Begin(ctx, &BeginRequest{Target: target, Program: params.Program, Claim: claim, Turn: params.Turn, Previous: params.Previous, InputBytes: int64(params.InputBytes),
 				Budgeted: params.Budgeted, Most: params.MaxTokens, KeepMs: params.Retention.Milliseconds(), Known: known})
 		},
 		decided: func(responses []storeResponse[*BeginReply]) bool {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -48,12 +48,16 @@
 	testHost       *simulate.Host
 	clientCount    int
 	faults         []string
+	cacheBytes     int // of payloads that a store keeps in memory; 0 means no bound
 }
 
 // runFleet builds a fleet and runs a test as a task on a host of its own.
 func runFleet(t *testing.T, seed uint64, storeCount, faultTolerance int, test func(f *fleet)) {
 	t.Helper()
 	f := &fleet{is: is.New(t), t: t, world: simulate.NewWorld(seed), faultTolerance: faultTolerance, bounds: &base.AtomicPointer[base.Bounds]{}}
+	if seed%2 == 1 {
+		f.cacheBytes = 1 // stores read all payloads from their disks
+	}
 	f.net = simulate.NewNet(f.world)
 	f.bounds.Store(base.DefaultBounds())
 	f.testHost = f.world.NewHost("test", "zone-0")
@@ -113,7 +117,7 @@
 	m.counters = base.NewCounters()
 	m.host.Go(func() {
 		opened, err := ledger.OpenStore(ledger.StoreConfig{Clock: m.host.Clock(), HTTPClient: f.net.HTTPClient(m.host), Files: m.files, Bounds: f.bounds,
-			Counters: m.counters, FaultTolerance: f.faultTolerance, LocalDisk: func() (string, *register.DiskSet) { return m.diskID, m.set }})
+			Counters: m.counters, FaultTolerance: f.faultTolerance, PayloadCacheBytes: f.cacheBytes, LocalDisk: func() (string, *register.DiskSet) { return m.diskID, m.set }})
 		f.is.NoErr(err)
 		m.store = opened
 		server := ledger.NewLedgerServer(opened)
--- a/internal/ledger/pull.go
+++ b/internal/ledger/pull.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 	"fordseam/internal/register"
 )
 
@@ -73,13 +74,14 @@
 }
 
 // Fetch returns the selected parts of an offer, as far as they fit into one reply.
-func (s *Store) Fetch(_ context.Context, request *FetchRequest) (*FetchReply, error) {
+func (s *Store) Fetch(ctx context.Context, request *FetchRequest) (*FetchReply, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.logErr != nil || s.diskID == "" || request.Target.GetDisk() != s.diskID {
+		s.mu.Unlock()
 		return &FetchReply{Ack: &Ack{Why: "blank"}}, nil
 	}
 	reply := &FetchReply{Ack: &Ack{}}
+	selected := [][]selectedTurn{} // by record
 	now, size := s.storeTime(), 0
 	for _, wanted := range request.Programs {
 		p := s.programs[wanted.Program]
@@ -90,13 +92,25 @@
 		if wanted.State {
 			record = p.stateRecord(p.retainUntil - now)
 		}
+		turns := []selectedTurn{}
 		for _, id := range wanted.Turns {
 			if t := p.findTurn(id); t != nil && size < maxFetchBytes {
-				record.Turns = append(record.Turns, t.toProto(t.retainUntil-now))
-				size += len(t.input) + len(t.output)
+				turns = append(turns, t.selected(t.retainUntil-now))
+				size += t.size
 			}
 		}
 		reply.Records = append(reply.Records, record)
+		selected = append(selected, turns)
+	}
+	s.mu.Unlock()
+	if memory.LeaseFrom(ctx).Grow(replyCopies*size) != nil {
+		return &FetchReply{Ack: &Ack{Why: "stalled"}}, nil
+	}
+	for index, record := range reply.Records {
+		var ok bool
+		if record.Turns, ok = s.loadTurns(selected[index]); !ok {
+			return &FetchReply{Ack: &Ack{Why: "stalled"}}, nil
+		}
 	}
 	return reply, nil
 }
@@ -372,7 +386,7 @@
 // Pulled records need no sync of their own: the marks that declare this store
 // complete follow them in the log.
 func (s *Store) unlockAndThrottle() error {
-	if len(s.nextBatch.payload) < maxQueuedBytes/4 {
+	if len(s.nextBatch.payload) < s.queuedLimit/4 {
 		s.mu.Unlock()
 		s.commitNotifier.Notify()
 		return nil
@@ -390,8 +404,16 @@
 	for _, t := range record.Turns {
 		t.UntilMs += now
 	}
-	if p, added, changed := s.mergeRecord(record); changed {
-		s.appendRecord(record, p, added)
+	p, added, changed := s.mergeRecord(record)
+	if !changed {
+		return
+	}
+	// Each turn has a record of its own, so that it can be read alone.
+	turns := record.Turns
+	record.Turns = nil
+	s.appendRecord(record, p, nil)
+	for index, message := range turns {
+		s.appendRecord(&Record{Program: record.Program, UntilMs: record.UntilMs, Turns: []*Turn{message}}, p, added[index:index+1])
 	}
 }
 
@@ -469,11 +491,15 @@
 func (s *Store) findMissing(set *register.DiskSet, key turnKey) {
 	s.mu.Lock()
 	wanted, stillMissing := s.missing[key]
-	chain := s.localChain(key.turn)
+	selected := s.localChain(key.turn)
 	s.mu.Unlock()
 	if !stillMissing {
 		return
 	}
+	chain, ok := s.loadTurns(selected)
+	if !ok || len(chain) < len(selected) {
+		return // it is tried again
+	}
 	confirmedAbsent := 1
 	if len(chain) == 0 {
 		for _, entry := range placeReplicas(set, key.program, len(set.GetDisks())) {
@@ -508,16 +534,16 @@
 }
 
 // localChain lists a held turn and its held ancestors, oldest first, with their
-// remaining time.
-func (s *Store) localChain(id string) []*Turn {
-	chain, now := []*Turn{}, s.storeTime()
+// remaining time and without their payloads.
+func (s *Store) localChain(id string) []selectedTurn {
+	chain, now := []selectedTurn{}, s.storeTime()
 	for size := 0; id != "" && size < maxChainBytes; {
 		t := s.longestRetained(id)
 		if t == nil {
 			break
 		}
-		size += len(t.input) + len(t.output)
-		chain = append(chain, t.toProto(t.retainUntil-now))
+		size += t.size
+		chain = append(chain, t.selected(t.retainUntil-now))
 		id = t.previous
 	}
 	slices.Reverse(chain)
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 )
 
 // Begin applies a claim on a session, reserves the turn's tokens and returns the
@@ -31,7 +32,7 @@
 			return &BeginReply{Over: true, Ack: s.unlockAndSync(ack)}, nil
 		}
 	}
-	if reason := s.declineReason(); reason != "" {
+	if reason := s.declineReason(int(request.InputBytes)); reason != "" {
 		s.mu.Unlock()
 		return &BeginReply{Ack: &Ack{Why: reason}}, nil
 	}
@@ -103,7 +104,7 @@
 			return &WriteReply{Ack: s.unlockAndSync(ack)}, nil
 		}
 	}
-	if reason := s.declineReason(); reason != "" {
+	if reason := s.declineReason(len(request.Input) + len(request.Output)); reason != "" {
 		s.mu.Unlock()
 		return &WriteReply{Ack: &Ack{Why: reason}}, nil
 	}
@@ -156,20 +157,50 @@
 
 // maxChainBytes bounds the inputs and outputs in one reply to Chain; the turn
 // that exceeds it is the last one included.
-const maxChainBytes = 3 << 20
+const maxChainBytes = 1 << 20
+
+// replyCopies is how often the payloads of a reply are in memory until it is sent.
+const replyCopies = 3
 
 // Chain returns a turn and its ancestors, oldest first, as far as they are held.
 // Ack.Whole reports whether this store is complete; only then is an empty reply
 // evidence that there is no such turn.
-func (s *Store) Chain(_ context.Context, request *ChainRequest) (*ChainReply, error) {
+func (s *Store) Chain(ctx context.Context, request *ChainRequest) (*ChainReply, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	ack := s.checkTarget(request.Target)
 	if ack.Why != "" {
+		s.mu.Unlock()
 		return &ChainReply{Ack: ack}, nil
 	}
 	ack.Whole = s.completeStamp == s.currentSet().Stamp
-	return &ChainReply{Ack: ack, Turns: s.localChain(request.Turn)}, nil
+	chain := s.localChain(request.Turn)
+	s.mu.Unlock()
+	if request.MaxBytes > 0 && len(chain) > 0 {
+		fitting := newestWithin(chain, int(request.MaxBytes))
+		if len(fitting) == 0 {
+			return &ChainReply{Ack: ack, NextBytes: int64(payloadSize(chain[len(chain)-1:]))}, nil
+		}
+		chain = fitting
+	}
+	if memory.LeaseFrom(ctx).Grow(replyCopies*payloadSize(chain)) != nil {
+		return &ChainReply{Ack: &Ack{Why: "stalled"}}, nil
+	}
+	turns, ok := s.loadTurns(chain)
+	if !ok || len(turns) < len(chain) {
+		return &ChainReply{Ack: &Ack{Why: "stalled"}}, nil
+	}
+	return &ChainReply{Ack: ack, Turns: turns}, nil
+}
+
+// newestWithin returns the end of a chain whose payloads together have at most maxBytes.
+func newestWithin(chain []selectedTurn, maxBytes int) []selectedTurn {
+	size := 0
+	for index := len(chain) - 1; index >= 0; index-- {
+		if size += chain[index].turn.size; size > maxBytes {
+			return chain[index+1:]
+		}
+	}
+	return chain
 }
 
 // longestRetained returns the copy of a turn with the longest retention, or nil.
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -29,10 +29,12 @@
 	session     string
 	id          string
 	previous    string
-	input       []byte
-	output      []byte
-	retainUntil int64  // in store time
-	segment     uint64 // the log segment that holds it
+	size        int            // of its payload
+	payload     *payload       // nil if only the log has it
+	at          recordLocation // in the log; without a size until it is written
+	cached      *list.Element  // in Store.payloads.used, if the payload may give way
+	retainUntil int64          // in store time
+	segment     uint64         // the log segment that holds it
 	removed     bool
 	// nextCopy is the same turn as held by another program.
 	nextCopy *turn
@@ -172,10 +174,6 @@
 	return nil
 }
 
-func (t *turn) toProto(until int64) *Turn {
-	return &Turn{Program: t.program.id, Session: t.session, Id: t.id, Previous: t.previous, Input: t.input, Output: t.output, UntilMs: until}
-}
-
 // stateRecord returns the program's assignments and spends without its turns.
 func (p *program) stateRecord(until int64) *Record {
 	record := &Record{Program: p.id, UntilMs: until}
@@ -278,11 +276,13 @@
 	t = p.findTurn(message.Id)
 	if t == nil {
 		isNew = true
-		t = &turn{program: p, session: message.Session, id: message.Id, previous: message.Previous, input: message.Input, output: message.Output}
+		t = &turn{program: p, session: message.Session, id: message.Id, previous: message.Previous, size: len(message.Input) + len(message.Output)}
 		t.nextCopy = s.turns[t.id]
 		s.turns[t.id] = t
 		p.turns = append(p.turns, t)
-		s.heldBytes += turnOverhead + len(t.input) + len(t.output)
+		s.heldBytes += turnOverhead + t.size
+		s.payloadBytes += t.size
+		s.payloads.put(t, &payload{message.Input, message.Output})
 	}
 	t.retainUntil = max(t.retainUntil, message.UntilMs)
 	key := turnKey{p.id, t.id}
@@ -356,7 +356,9 @@
 // the caller.
 func (s *Store) removeTurn(t *turn) {
 	t.removed = true
-	s.heldBytes -= turnOverhead + len(t.input) + len(t.output)
+	s.heldBytes -= turnOverhead + t.size
+	s.payloadBytes -= t.size
+	s.payloads.drop(t)
 	current := s.turns[t.id]
 	if current == t {
 		if t.nextCopy == nil {
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -3,12 +3,14 @@
 import (
 	"container/list"
 	"encoding/binary"
+	"hash/crc32"
 	"slices"
 	"sync"
 	"time"
 
 	"fordseam/internal/base"
 	"fordseam/internal/disk"
+	"fordseam/internal/memory"
 	"fordseam/internal/register"
 
 	"github.com/juju/errors"
@@ -20,6 +22,13 @@
 	minSegmentBytes = 1 << 20
 	// maxQueuedBytes is the size of the next batch above which writes are declined.
 	maxQueuedBytes = 32 << 20
+	// queuedPercent, cachedPercent and statePercent are the shares of the machine's memory
+	// that bound the next batch, the payloads in memory, and all else that is held.
+	queuedPercent = 6
+	cachedPercent = 12
+	statePercent  = 15
+	// largeDiskPercent is the share of the disk that large turns leave to all others.
+	largeDiskPercent = 25
 	// rewriteBatchBytes is the size up to which a batch is filled with contents of
 	// the oldest segment.
 	rewriteBatchBytes = 256 << 10
@@ -35,7 +44,7 @@
 	payload   []byte
 	programs  []*program
 	rewritten []*program
-	turns     []*turn
+	turns     []writtenTurn
 	done      base.Signal
 	err       error
 }
@@ -67,6 +76,11 @@
 	Counters       *base.Counters
 	FaultTolerance int
 	LocalDisk      func() (id string, set *register.DiskSet)
+	// MemoryBytes is the memory of the machine, 0 if it is not known.
+	MemoryBytes int64
+	// PayloadCacheBytes, if above 0, bounds the payloads in memory in place of a share of
+	// MemoryBytes.
+	PayloadCacheBytes int
 }
 
 // Store is one disk's part of the ledger. A change is applied in memory and
@@ -99,7 +113,10 @@
 	missing       map[turnKey]missingTurn
 	byArrival     *list.List // programs in ascending order of arrival
 	lastArrival   uint64
-	heldBytes     int                   // approximate memory used
+	heldBytes     int // approximate size of all that is held, payloads included
+	payloadBytes  int // size of the payloads of all turns
+	payloads      payloadCache
+	rewriting     map[*turn]*payload    // payloads for the next call of rewriteOldest
 	openedTimeMs  int64                 // store time when the log was opened
 	openedAt      time.Duration         // clock reading at that time
 	peers         map[string]*peerState // disks pulled from completely under the current stamp
@@ -108,7 +125,8 @@
 
 	log                 *disk.SegmentLog
 	segments            map[uint64]*segmentContents
-	rewriteThrough      uint64 // segments up to this one must be rewritten
+	rewriteAfter        time.Duration // clock reading before which nothing is rewritten
+	rewriteThrough      uint64        // segments up to this one must be rewritten
 	logBytes            int
 	nextBatch           *batch         // takes new records
 	writingBatch        *batch         // being written, or nil
@@ -116,6 +134,9 @@
 	setNotifier         *base.Notifier // wakes pullLoop
 	full                bool           // the disk had too little free space when last checked
 	bytesSinceFreeCheck int            // bytes written since free space was last checked
+	diskBytes           int64          // the space of the disk when the log was opened, used and free
+	queuedLimit         int            // the size of the next batch above which writes are declined
+	stateLimit          int            // of what is held beside payloads; 0 means no bound
 	logErr              error          // the failure that ended the committer
 	closed              bool
 	committerDone       base.Signal
@@ -128,11 +149,13 @@
 		byArrival: list.New(), openedAt: config.Clock.Now(), peers: map[string]*peerState{}, pulling: map[string]uint64{}, fetching: map[turnKey]bool{}, segments: map[uint64]*segmentContents{},
 		bytesSinceFreeCheck: minFreeBytes, commitNotifier: base.NewNotifier(config.Clock), setNotifier: base.NewNotifier(config.Clock), committerDone: config.Clock.NewSignal()}
 	s.nextBatch = &batch{done: s.clock.NewSignal()}
+	s.setMemoryLimits(config.MemoryBytes, config.PayloadCacheBytes)
 	log, damaged, err := disk.OpenSegmentLog(config.Files, minSegmentBytes, s.replayBatch)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	s.log, s.logBytes, s.openedAt = log, log.Bytes(), s.clock.Now()
+	s.diskBytes = s.files.FreeBytes() + int64(s.logBytes)
 	if damaged != nil {
 		s.counters.Add("ledger_damaged", 1)
 		s.damaged, s.completeStamp, s.rewriteThrough = true, 0, log.Newest()
@@ -143,25 +166,41 @@
 	return s, nil
 }
 
+// setMemoryLimits sets the bounds that follow from the memory of the machine.
+func (s *Store) setMemoryLimits(machineBytes int64, cacheBytes int) {
+	s.queuedLimit = maxQueuedBytes
+	if machineBytes > 0 {
+		s.queuedLimit = int(min(maxQueuedBytes, machineBytes*queuedPercent/100))
+		s.stateLimit = int(machineBytes * statePercent / 100)
+	}
+	if cacheBytes == 0 {
+		cacheBytes = int(machineBytes * cachedPercent / 100)
+	}
+	s.payloads = newPayloadCache(cacheBytes)
+}
+
 // replayBatch applies one batch of the log.
-func (s *Store) replayBatch(generation uint64, payload []byte) error {
-	for len(payload) > 0 {
-		size, prefix := binary.Uvarint(payload)
-		if prefix <= 0 || uint64(len(payload)-prefix) < size {
+func (s *Store) replayBatch(at disk.Location, payload []byte) error {
+	for offset := 0; offset < len(payload); {
+		size, prefix := binary.Uvarint(payload[offset:])
+		if prefix <= 0 || uint64(len(payload)-offset-prefix) < size {
 			return errors.New("a record of the ledger's log is truncated")
 		}
+		offset += prefix
+		recordBytes := payload[offset : offset+int(size)]
 		var record Record
-		if err := proto.Unmarshal(payload[prefix:prefix+int(size)], &record); err != nil {
+		if err := proto.Unmarshal(recordBytes, &record); err != nil {
 			return errors.Trace(err)
 		}
-		payload = payload[prefix+int(size):]
+		location := newRecordLocation(offset, recordBytes)
+		offset += int(size)
 		s.openedTimeMs = max(s.openedTimeMs, record.NowMs)
 		if marks := record.Marks; marks != nil {
 			s.diskID, s.completeStamp, s.damaged, s.sets = marks.Disk, marks.Whole, marks.Damaged, marks.Sets
 		}
 		if record.Program != "" {
 			p, added, _ := s.mergeRecord(&record)
-			s.recordSegment(generation, []*program{p}, nil, added)
+			s.recordSegment(at, []*program{p}, nil, base.Map(added, func(t *turn) writtenTurn { return writtenTurn{t, location} }))
 		}
 	}
 	return nil
@@ -169,7 +208,8 @@
 
 // recordSegment records which log segment holds what was written. Rewritten
 // programs have their whole state in it.
-func (s *Store) recordSegment(generation uint64, programs, rewritten []*program, turns []*turn) {
+func (s *Store) recordSegment(at disk.Location, programs, rewritten []*program, turns []writtenTurn) {
+	generation := at.Generation
 	segment, ok := s.segments[generation]
 	if !ok {
 		segment = &segmentContents{}
@@ -184,7 +224,11 @@
 			segment.programs = append(segment.programs, p)
 		}
 	}
-	for _, t := range turns {
+	for _, written := range turns {
+		t := written.turn
+		written.at.Generation = generation
+		written.at.Offset += at.Offset
+		s.payloads.markWritten(t, written.at)
 		if t.segment != generation {
 			t.segment = generation
 			segment.turns = append(segment.turns, t)
@@ -192,6 +236,11 @@
 	}
 }
 
+// newRecordLocation returns the location of a record in a batch.
+func newRecordLocation(offset int, recordBytes []byte) recordLocation {
+	return recordLocation{Location: disk.Location{Offset: offset}, size: len(recordBytes), checksum: crc32.Checksum(recordBytes, checksumTable)}
+}
+
 // storeTime returns the store's own time in milliseconds, which does not advance
 // while the process is down.
 func (s *Store) storeTime() int64 {
@@ -223,6 +272,7 @@
 		record.NowMs = s.storeTime()
 	}
 	s.nextBatch.payload = binary.AppendUvarint(s.nextBatch.payload, uint64(proto.Size(record)))
+	offset := len(s.nextBatch.payload)
 	payload, err := proto.MarshalOptions{}.MarshalAppend(s.nextBatch.payload, record)
 	if err != nil {
 		panic(err)
@@ -231,7 +281,12 @@
 	if p != nil {
 		s.nextBatch.programs = append(s.nextBatch.programs, p)
 	}
-	s.nextBatch.turns = append(s.nextBatch.turns, turns...)
+	if len(turns) > 0 {
+		location := newRecordLocation(offset, payload[offset:])
+		for _, t := range turns {
+			s.nextBatch.turns = append(s.nextBatch.turns, writtenTurn{t, location})
+		}
+	}
 }
 
 // appendMarks appends the disk's identity, its sets and what it is complete for.
@@ -270,6 +325,7 @@
 func (s *Store) runCommitter() {
 	defer s.committerDone.Fire()
 	for {
+		s.prepareRewrite()
 		s.mu.Lock()
 		nextCommit := s.commitNotifier.Next()
 		dropping := s.rewriteOldest()
@@ -323,14 +379,14 @@
 // is written meanwhile, and the store declines requests that add data.
 func (s *Store) writeBatch(current *batch, liveBytes int) error {
 	for {
-		generation, err := s.log.Append(current.payload, liveBytes)
+		at, err := s.log.Append(current.payload, liveBytes)
 		s.mu.Lock()
 		if s.bytesSinceFreeCheck += len(current.payload); err != nil || s.full || s.bytesSinceFreeCheck > minFreeBytes/4 {
 			s.full, s.bytesSinceFreeCheck = disk.IsFull(err) || s.files.FreeBytes() < minFreeBytes+int64(len(current.payload)), 0
 		}
 		closed := s.closed
 		if err == nil {
-			s.recordSegment(generation, current.programs, current.rewritten, current.turns)
+			s.recordSegment(at, current.programs, current.rewritten, current.turns)
 		}
 		s.mu.Unlock()
 		if err == nil {
@@ -361,16 +417,23 @@
 	return !live && oldest != s.log.Newest() && s.log.DropOldest() == nil
 }
 
-// rewriteOldest appends live contents of the oldest segment to the next batch if
-// that segment is due for removal. It reports whether the segment can be dropped
-// once the batch is written.
-func (s *Store) rewriteOldest() bool {
-	oldest, due := s.log.ReclaimDue()
+// rewriteDue returns the oldest segment, and whether its live contents are to be written again.
+// Only the committer calls it.
+func (s *Store) rewriteDue() (oldest uint64, due bool) {
+	oldest, due = s.log.ReclaimDue()
 	if !due && s.rewriteThrough > 0 {
 		oldest = s.log.Oldest()
 		due = oldest <= s.rewriteThrough && oldest > 0
 	}
-	if !due || oldest == s.log.Newest() {
+	return oldest, due && oldest != s.log.Newest() && s.clock.Now() >= s.rewriteAfter
+}
+
+// rewriteOldest appends live contents of the oldest segment to the next batch if
+// that segment is due for removal. It reports whether the segment can be dropped
+// once the batch is written.
+func (s *Store) rewriteOldest() bool {
+	oldest, due := s.rewriteDue()
+	if !due {
 		if s.rewriteThrough > 0 && oldest > s.rewriteThrough {
 			s.rewriteThrough = 0
 		}
@@ -390,11 +453,18 @@
 	}
 	for len(segment.turns) > 0 && len(s.nextBatch.payload) < rewriteBatchBytes {
 		t := segment.turns[0]
-		segment.turns = segment.turns[1:]
 		if !t.removed && t.segment == oldest {
-			s.appendRecord(&Record{Program: t.program.id, UntilMs: t.program.retainUntil, Turns: []*Turn{t.toProto(t.retainUntil)}}, nil, []*turn{t})
+			loaded := s.rewriting[t]
+			if loaded == nil {
+				break // it is read before the next call
+			}
+			message := t.selected(t.retainUntil).message
+			message.Input, message.Output = loaded.input, loaded.output
+			s.appendRecord(&Record{Program: t.program.id, UntilMs: t.program.retainUntil, Turns: []*Turn{message}}, nil, []*turn{t})
 		}
+		segment.turns = segment.turns[1:]
 	}
+	s.rewriting = nil
 	if len(segment.programs) > 0 || len(segment.turns) > 0 {
 		s.commitNotifier.Notify()
 		return false
@@ -474,13 +544,14 @@
 	return &Ack{}
 }
 
-// declineReason returns why the store accepts no more data, or "".
-func (s *Store) declineReason() string {
+// declineReason returns why the store accepts no more turns with a payload of a size, or "".
+func (s *Store) declineReason(size int) string {
 	switch {
-	case s.full && s.files.FreeBytes() < minFreeBytes:
+	case s.full && s.files.FreeBytes() < minFreeBytes, s.stateLimit > 0 && s.heldBytes-s.payloadBytes > s.stateLimit,
+		size > memory.SmallBytes && s.files.FreeBytes() < s.diskBytes*largeDiskPercent/100+int64(size):
 		s.counters.Add("ledger_declined_full", 1)
 		return "full"
-	case len(s.nextBatch.payload) > maxQueuedBytes:
+	case len(s.nextBatch.payload) > s.queuedLimit:
 		s.counters.Add("ledger_declined_stalled", 1)
 		return "stalled"
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -390,7 +390,7 @@
 		return nil, err
 	}
 	ledgerStore, err := ledger.OpenStore(ledger.StoreConfig{Clock: env.Clock, HTTPClient: env.HTTPClient, Files: env.Files, Bounds: bounds, Counters: env.Counters,
-		FaultTolerance: config.FaultTolerance, LocalDisk: store.Identity})
+		FaultTolerance: config.FaultTolerance, LocalDisk: store.Identity, MemoryBytes: config.MemoryBytes})
 	if err != nil {
 		store.Close()
 		return nil, err
--- a/internal/simulate/disk.go
+++ b/internal/simulate/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"time"
 
 	"fordseam/internal/base"
@@ -53,6 +54,15 @@
 	return append([]byte(nil), d.fileNamed(name).data...), nil
 }
 
+// ReadAt returns a copy of a part of a file.
+func (d *Disk) ReadAt(name string, offset, size int) ([]byte, error) {
+	data := d.fileNamed(name).data
+	if offset+size > len(data) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return append([]byte(nil), data[offset:offset+size]...), nil
+}
+
 // Append adds data to the end of a file. If the disk fills up it writes a part of the
 // data and returns disk.ErrFull.
 func (d *Disk) Append(name string, data []byte) error {
