A turn that was run finds the memory to be stored

Callers saw: twelve callers with legal conversations of 4 MB turns take an edge to 795 MB on a machine of 160, and 1,637 MB where turns are forwarded to it.

Cause: a streamed turn is in memory up to a dozen times, as its body, its conversation, both joined for the worker, and encoded for each replica; none of it was counted, and forwarded turns were not even received through a client's port. A cache of 48 MB knew no machine.

Change: a turn takes the memory of its input before it is sent to a worker, and that of its storing too, so that what was run is never lost for lack of memory; without it the turn is refused as not run. An owner counts a forwarded turn when it accepts it. The input is counted apart, since a conversation may still be loaded for a turn that goes on to another owner. A conversation that is loaded is counted as it arrives, large turns before they are sent. Streams let go of their turn when they end, not when a slow client has read them.

--- a/internal/line/execute.go
+++ b/internal/line/execute.go
@@ -1,8 +1,6 @@
 package line
 
 import (
-	"time"
-
 	"fordseam/internal/base"
 	"fordseam/internal/relay"
 	"fordseam/internal/route"
@@ -13,27 +11,15 @@
 // sends the turn to a worker, and stores or settles the result. It returns true when
 // another node owns the session.
 func (m *Manager) runTurn(s *ownedSession, op *operation, replaces *Assignment, onClaim func(*Assignment)) (ownerChanged bool) {
-	call, ctx, matched := op.call, op.ctx, op.route
+	call, ctx := op.call, op.ctx
 	if op.isCancelled() || ctx.Expired() {
 		onClaim(nil)
 		op.stream.fail(base.Decline(408, "cancelled", "the turn was cancelled or timed out before it ran"))
 		return false
 	}
 	op.state = session.OpRunning
-	chainReady := m.Clock.NewSignal()
-	var chain []byte
-	var chainErr error
-	if call.PreviousTurn == "" || !matched.RetainTurns {
-		chainReady.Fire()
-	} else if body, ok := m.history.chain(call.PreviousTurn); ok {
-		chain = body
-		chainReady.Fire()
-	} else {
-		m.Clock.Go(func() {
-			chain, chainErr = m.loadChain(ctx, call.Program, call.PreviousTurn, matched.Retention)
-			chainReady.Fire()
-		})
-	}
+	input := m.prepareInput(op)
+	defer input.discard()
 	result, err := m.claim(s, op, replaces)
 	if err != nil {
 		onClaim(nil)
@@ -54,16 +40,20 @@
 		return true
 	}
 	onClaim(nil)
-	chainReady.Wait(max(0, ctx.Remaining()))
-	if chainErr == nil && !chainReady.Fired() {
-		chainErr = m.retrySoon("history_late", "the conversation's history could not be loaded in time")
+	input.ready.Wait(max(0, ctx.Remaining()))
+	inputErr := m.retrySoon("history_late", "the conversation's history could not be loaded in time")
+	if input.ready.Fired() {
+		inputErr = input.err
 	}
-	if chainErr != nil {
+	if inputErr == nil {
+		inputErr = op.reserveCommit()
+	}
+	if inputErr != nil {
 		m.settle(s, op, 0)
-		op.stream.fail(base.ToRequestError(chainErr))
+		op.stream.fail(inputErr)
 		return false
 	}
-	m.sendToWorker(s, op, chain)
+	m.sendToWorker(s, op, input.body)
 	return false
 }
 
@@ -75,6 +65,9 @@
 	s.mu.Unlock()
 	call := op.call
 	claim := &Claim{Program: call.Program, Session: call.Session, Turn: call.ID, MaxTokens: int64(call.MaxOutputTokens), Budget: call.TokenBudget, HasBudget: call.HasTokenBudget, Owner: m.nodeID(), Previous: call.PreviousTurn, Retain: op.route.SpendRetention(), Replaces: replaces}
+	if op.route.RetainTurns {
+		claim.InputBytes = len(call.Body)
+	}
 	if assignment != nil {
 		claim.Run, claim.Epoch, claim.Confirmed, claim.Replaces = assignment.Run, assignment.Epoch, confirmed, nil
 	} else {
@@ -116,23 +109,6 @@
 	}
 }
 
-// loadChain loads a turn and its ancestors from the ledger and adds them to the history.
-func (m *Manager) loadChain(ctx *base.Ctx, program, turnID string, retain time.Duration) ([]byte, error) {
-	m.Counters.Add("chains_recalled", 1)
-	turns, err := m.Ledger.Chain(ctx, program, turnID)
-	if err != nil {
-		return nil, err
-	}
-	for _, turn := range turns {
-		m.history.add(turn, retain)
-	}
-	body, ok := m.history.chain(turnID)
-	if !ok { // the history is full
-		body = joinTurns(turns)
-	}
-	return body, nil
-}
-
 // settle reports to the ledger in the background how many tokens a turn delivered whose
 // answer is not stored there. Until then the turn counts with its maximum. It retries
 // for as long as the recovery bound.
@@ -159,12 +135,8 @@
 
 // sendToWorker sends the turn to a worker, passes its events on, and stores or settles
 // the result.
-func (m *Manager) sendToWorker(s *ownedSession, op *operation, chain []byte) {
+func (m *Manager) sendToWorker(s *ownedSession, op *operation, body []byte) {
 	call, ctx, matched := op.call, op.ctx, op.route
-	body := call.Body
-	if len(chain) > 0 {
-		body = append(append(make([]byte, 0, len(chain)+len(call.Body)), chain...), call.Body...)
-	}
 	service := matched.PickService(m.servicePicker(matched, call))
 	reply, err := m.Workers.Send(ctx, matched, service, call, body)
 	if err != nil {
--- a/internal/line/forward.go
+++ b/internal/line/forward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 	"fordseam/internal/relay"
 	"fordseam/internal/route"
 	"fordseam/internal/session"
@@ -17,10 +18,14 @@
 	if member == nil || !alive {
 		return nil, base.Busy(503, "unreachable", 1, "the session's owner is not known to be alive")
 	}
+	if err := reserveForward(ctx, call); err != nil {
+		return nil, err
+	}
 	m.Counters.Add("turns_forwarded", 1)
 	owner := NewOwnerProtobufClient("http://"+member.Addr, m.HTTPClient)
 	wait := m.Bounds.Load().Recovery / 24
 	reply, err := owner.Forward(ctx.WithTimeout(wait*5/2), &ForwardRequest{From: m.nodeID(), Forwarded: true, Assignment: assignment, Call: callToProto(call, ctx)})
+	call.Memory.Shrink(forwardCopies * len(call.Body))
 	if err != nil {
 		requestErr := base.ToRequestError(err)
 		if requestErr.Code == "unreachable" || requestErr.Code == "owner_lost" || requestErr.Code == "reply_lost" {
@@ -92,11 +97,17 @@
 	if err != nil {
 		return nil, base.ToTwirpError(err)
 	}
+	call.Memory = m.Memory.NewLease()
+	if err := call.Memory.Grow(len(call.Body)); err != nil {
+		return nil, base.ToTwirpError(memory.RequestError(err))
+	}
 	ctx := base.NewCtx(m.Clock, call.Deadline)
 	stream, _, err := m.accept(newOperation(m.Clock, ctx, matched, call, true), s, replaces)
 	if err != nil {
+		call.Memory.Release()
 		return nil, base.ToTwirpError(err)
 	}
+	stream.OnEnd(call.Memory.Release)
 	m.mu.Lock()
 	m.keepForwarded(call, request.Assignment, stream)
 	m.mu.Unlock()
--- a/internal/line/interfaces.go
+++ b/internal/line/interfaces.go
@@ -11,16 +11,18 @@
 // Claim starts a turn in the ledger: it claims or confirms the session's assignment
 // and reserves the turn's tokens in one step.
 type Claim struct {
-	Program   string
-	Session   string
-	Turn      string
-	MaxTokens int64
-	Budget    int64
-	HasBudget bool
-	Run       string
-	Owner     string
-	Epoch     uint64
-	Previous  string
+	Program string
+	Session string
+	Turn    string
+	// InputBytes is the size of the turn's input if the ledger will store it, else 0.
+	InputBytes int
+	MaxTokens  int64
+	Budget     int64
+	HasBudget  bool
+	Run        string
+	Owner      string
+	Epoch      uint64
+	Previous   string
 	// Confirmed reports whether the ledger accepted this assignment before.
 	Confirmed bool
 	// Retain is how long the ledger's record of the program may be needed.
@@ -66,12 +68,21 @@
 	Retain  time.Duration
 }
 
+// ChainMemory counts what is received of a conversation. An error ends the lookup.
+type ChainMemory interface {
+	// Reserve is called with the size of a large turn before that is sent.
+	Reserve(bytes int) error
+	// Received is called with the size of the turns that were received.
+	Received(bytes int) error
+}
+
 // Ledger stores assignments, reservations and completed turns durably.
 type Ledger interface {
 	Begin(ctx *base.Ctx, claim *Claim) (*ClaimResult, error)
 	Finish(ctx *base.Ctx, ending *Completion) error
 	Settle(ctx *base.Ctx, settled *Settlement) error
-	Chain(ctx *base.Ctx, program, turn string) ([]CompletedTurn, error)
+	// Chain returns a turn and its ancestors, oldest first, and counts what it receives.
+	Chain(ctx *base.Ctx, program, turn string, memory ChainMemory) ([]CompletedTurn, error)
 }
 
 // Reply is a worker's response while it is received.
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -72,7 +72,7 @@
 	return nil
 }
 
-func (l *fakeLedger) Chain(_ *base.Ctx, _, turn string) ([]CompletedTurn, error) {
+func (l *fakeLedger) Chain(_ *base.Ctx, _, turn string, _ ChainMemory) ([]CompletedTurn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	chain := []CompletedTurn{}
@@ -716,14 +716,14 @@
 
 func TestHistoryRetainsAncestorsAsLongAsDescendants(t *testing.T) {
 	is := is.New(t)
-	h := newHistory(base.NewRealClock())
+	h := newHistory(base.NewRealClock(), maxHistoryBytes)
 	h.add(CompletedTurn{Turn: "a", Input: []byte("1")}, -time.Second)
 	h.add(CompletedTurn{Turn: "b", Previous: "a", Input: []byte("2")}, time.Minute)
 	h.add(CompletedTurn{Turn: "c", Previous: "a", Input: []byte("3")}, -time.Second)
 	h.removeExpired()
-	body, ok := h.chain("b")
+	entries, size, ok := h.ancestry("b")
 	is.True(ok)
-	is.True(bytes.Equal(body, []byte("12")))
-	_, ok = h.chain("c")
+	is.True(bytes.Equal(joinEntries(entries, size, []byte("4")), []byte("124")))
+	_, _, ok = h.ancestry("c")
 	is.True(!ok)
 }
--- a/internal/line/manager.go
+++ b/internal/line/manager.go
@@ -19,6 +19,7 @@
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
 	"fordseam/internal/membership"
+	"fordseam/internal/memory"
 	"fordseam/internal/relay"
 	"fordseam/internal/route"
 	"fordseam/internal/session"
@@ -37,6 +38,10 @@
 	Routes     *base.AtomicPointer[route.Table]
 	Ledger     Ledger
 	Workers    Workers
+	// Memory is what forwarded turns count to; nil sets no bound.
+	Memory *memory.Budget
+	// MemoryBytes is the memory of the machine, which bounds the history; 0 if it is not known.
+	MemoryBytes int64
 }
 
 // Manager is a gateway's session service for an operator's routes.
@@ -55,7 +60,7 @@
 
 // NewManager returns a Manager that owns no sessions yet.
 func NewManager(deps Dependencies) *Manager {
-	return &Manager{Dependencies: deps, history: newHistory(deps.Clock), owned: map[string]*ownedSession{}, remoteOwners: map[string]*Assignment{}}
+	return &Manager{Dependencies: deps, history: newHistory(deps.Clock, historyLimit(deps.MemoryBytes)), owned: map[string]*ownedSession{}, remoteOwners: map[string]*Assignment{}}
 }
 
 func (m *Manager) nodeID() string { return m.View.SelfID() }
--- a/internal/line/pull.go
+++ b/internal/line/pull.go
@@ -52,8 +52,9 @@
 	}
 	key := forwardedStreamKey(call.Program, call.Session, call.ID, assignment)
 	m.forwardedStreams[key] = stream
+	deadline := call.Deadline
 	m.Clock.Go(func() {
-		m.Clock.Sleep(call.Deadline + m.Bounds.Load().Recovery/4)
+		m.Clock.Sleep(deadline + m.Bounds.Load().Recovery/4)
 		m.mu.Lock()
 		delete(m.forwardedStreams, key)
 		m.mu.Unlock()
--- a/internal/node/ledger_adapter.go
+++ b/internal/node/ledger_adapter.go
@@ -11,7 +11,7 @@
 
 func (a ledgerAdapter) Begin(ctx *base.Ctx, claim *line.Claim) (*line.ClaimResult, error) {
 	result, err := a.client.Begin(ctx, &ledger.BeginParams{Program: claim.Program, Session: claim.Session, Turn: claim.Turn, Previous: claim.Previous,
-		Owner: claim.Owner, Run: claim.Run, Epoch: claim.Epoch, Confirmed: claim.Confirmed, Budgeted: claim.HasBudget, MaxTokens: claim.MaxTokens, Budget: claim.Budget, Retention: claim.Retain})
+		Owner: claim.Owner, Run: claim.Run, Epoch: claim.Epoch, Confirmed: claim.Confirmed, Budgeted: claim.HasBudget, MaxTokens: claim.MaxTokens, Budget: claim.Budget, InputBytes: claim.InputBytes, Retention: claim.Retain})
 	if err != nil {
 		return nil, err
 	}
@@ -27,8 +27,8 @@
 	return a.client.Settle(ctx, &ledger.SettleParams{Program: settlement.Program, Run: settlement.Run, Turn: settlement.Turn, Tokens: settlement.Tokens, Retention: settlement.Retain})
 }
 
-func (a ledgerAdapter) Chain(ctx *base.Ctx, program, turn string) ([]line.CompletedTurn, error) {
-	turns, err := a.client.Chain(ctx, program, turn)
+func (a ledgerAdapter) Chain(ctx *base.Ctx, program, turn string, memory line.ChainMemory) ([]line.CompletedTurn, error) {
+	turns, err := a.client.ChainWithin(ctx, program, turn, memory)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,7 +197,7 @@
 	g.Relay = relay.New(relay.Config{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: config.Zone, MaxConnsPerWorker: g.maxConnsPerWorker, MaxResponseBytes: maxResponseBytes})
 	ledgerClient := ledger.NewClient(env.Clock, env.HTTPClient, g.diskSet.Load, config.Zone, config.FaultTolerance, bounds, env.Counters, nil)
 	g.Lines = line.NewManager(line.Dependencies{Clock: env.Clock, HTTPClient: env.HTTPClient, View: c.view, Bounds: bounds, Counters: env.Counters,
-		Routes: g.Routes, Ledger: ledgerAdapter{ledgerClient}, Workers: relayAdapter{g}})
+		Routes: g.Routes, Ledger: ledgerAdapter{ledgerClient}, Workers: relayAdapter{g}, Memory: env.Memory, MemoryBytes: config.MemoryBytes})
 	c.mount(line.NewOwnerServer(g.Lines))
 	return g
 }
