A log that goes to a file has no escape sequences

Operators saw: each line of a process's log in a file has the colours of a terminal, so that no tool reads it as key=value.

Cause: the text handler of the log writes colours always. Change: it is used where standard error is a terminal; elsewhere each record is a line of key=value pairs, quoted as logfmt says. Evidence: TestLogInAFileIsReadAsKeyValuePairs, which failed for the level's name first and passes.

--- a/internal/node/logging.go
+++ b/internal/node/logging.go
@@ -13,13 +13,51 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/apex/log/handlers/text"
+	"github.com/go-logfmt/logfmt"
+	"golang.org/x/sys/unix"
 )
 
 // logFlushTimeout is how long a process that ends waits for the output of its log.
 const logFlushTimeout = time.Second
 
-// TextLog returns a handler that writes each record as a line of text.
-func TextLog(output io.Writer) log.Handler { return text.New(output) }
+// TextLog returns a handler that writes each record as a line of text: with colours if the log
+// goes to a terminal, and otherwise as key=value pairs.
+func TextLog(output io.Writer) log.Handler {
+	if isTerminal(os.Stderr) {
+		return text.New(output)
+	}
+	return keyValueLog(output)
+}
+
+// isTerminal reports whether a file is a terminal.
+func isTerminal(file *os.File) bool {
+	raw, err := file.SyscallConn()
+	if err != nil {
+		return false
+	}
+	terminal := false
+	err = raw.Control(func(fd uintptr) {
+		_, ioctlErr := unix.IoctlGetTermios(int(fd), unix.TCGETS)
+		terminal = ioctlErr == nil
+	})
+	return err == nil && terminal
+}
+
+// keyValueLog returns a handler that writes each record as a line of key=value pairs.
+func keyValueLog(output io.Writer) log.Handler {
+	return log.HandlerFunc(func(entry *log.Entry) error {
+		pairs := []any{"level", entry.Level.String(), "message", entry.Message}
+		for _, name := range entry.Fields.Names() {
+			pairs = append(pairs, name, fmt.Sprint(entry.Fields.Get(name)))
+		}
+		line, err := logfmt.MarshalKeyvals(pairs...)
+		if err != nil {
+			return err
+		}
+		_, err = output.Write(append(line, '\n'))
+		return err
+	})
+}
 
 // JSONLog returns a handler that writes each record as a JSON document.
 func JSONLog(output io.Writer) log.Handler { return json.New(output) }
