--- a/internal/fleet/platform_fleet.go
+++ b/internal/fleet/platform_fleet.go
@@ -5,6 +5,8 @@
 
 	"fordseam/internal/base"
 	"fordseam/internal/standin/platform"
+
+	"github.com/juju/errors"
 )
 
 // PlatformFleet is a fleet on the simulated platform without clients, for tests that bring
@@ -62,3 +64,14 @@
 	defer f.run.mu.Unlock()
 	return slices.Clone(f.run.unexpectedExits)
 }
+
+// Restart kills the process of a machine and starts it again.
+func (f *PlatformFleet) Restart(name string) error {
+	for _, m := range f.run.machinesOf("") {
+		if m.Name == name {
+			f.run.stopWith(m, m.Kill)
+			return f.run.start(m)
+		}
+	}
+	return errors.Errorf("there is no machine %q", name)
+}
