One turn at a time collects large amounts of memory

Callers saw: of twelve callers with conversations of 4 MB turns who repeat refused turns as advised, about one turn a second was answered, where a single caller gets four.

Cause: turns that each held a part of the memory they needed waited for each other until all were refused. Change: a turn that needs an eighth of the share for large requests or more, in several steps, collects it before the next one does; those that run need no more and end.

--- a/internal/line/execute.go
+++ b/internal/line/execute.go
@@ -46,7 +46,7 @@
 		inputErr = input.err
 	}
 	if inputErr == nil {
-		inputErr = op.reserveCommit()
+		inputErr = op.reserveCommit(input)
 	}
 	if inputErr != nil {
 		m.settle(s, op, 0)
--- a/internal/line/input.go
+++ b/internal/line/input.go
@@ -18,22 +18,28 @@
 
 	// lease counts the conversation apart from the turn, which may be forwarded while the
 	// conversation is still being loaded.
-	lease *memory.Lease
-	ctx   *base.Ctx
+	lease  *memory.Lease
+	budget *memory.Budget
+	ctx    *base.Ctx
 
-	mu        sync.Mutex
-	discarded bool
+	mu         sync.Mutex
+	discarded  bool
+	collecting bool
 }
 
 // prepareInput puts the input of a turn together, in the background if its conversation must
 // be loaded from the ledger. The caller discards it after use.
 func (m *Manager) prepareInput(op *operation) *turnInput {
 	call := op.call
-	input := &turnInput{ready: m.Clock.NewSignal(), body: call.Body, lease: m.Memory.NewLease(), ctx: op.ctx}
+	input := &turnInput{ready: m.Clock.NewSignal(), body: call.Body, lease: m.Memory.NewLease(), budget: m.Memory, ctx: op.ctx}
 	if call.PreviousTurn == "" || !op.route.RetainTurns {
 		input.ready.Fire()
 		return input
 	}
+	if input.err = input.collect(op.commitBytes()); input.err != nil {
+		input.ready.Fire()
+		return input
+	}
 	if entries, size, ok := m.history.ancestry(call.PreviousTurn); ok {
 		if input.err = input.grow(size + len(call.Body)); input.err == nil {
 			input.body = joinEntries(entries, size, call.Body)
@@ -46,9 +52,10 @@
 		input.load(m, program, previous, retention)
 		input.ready.Fire()
 		input.mu.Lock()
-		defer input.mu.Unlock()
-		if input.discarded {
-			input.lease.Release()
+		discarded := input.discarded
+		input.mu.Unlock()
+		if discarded {
+			input.release()
 		}
 	})
 	return input
@@ -57,15 +64,57 @@
 // discard gives the memory of the input back, now or once it is loaded.
 func (i *turnInput) discard() {
 	i.mu.Lock()
-	defer i.mu.Unlock()
 	i.discarded = true
+	i.mu.Unlock()
 	if i.ready.Fired() {
-		i.lease.Release()
+		i.release()
 	}
 }
 
+// release gives back all that the input has taken. It may be called more than once.
+func (i *turnInput) release() {
+	i.lease.Release()
+	i.endCollecting()
+}
+
 // grow takes memory for the input.
-func (i *turnInput) grow(bytes int) *base.RequestError { return admit(i.ctx, i.lease, bytes) }
+func (i *turnInput) grow(bytes int) *base.RequestError {
+	if err := i.collect(bytes); err != nil {
+		return err
+	}
+	return admit(i.ctx, i.lease, bytes)
+}
+
+// collect waits until the turn may take a large amount of memory; a small one is free to take.
+func (i *turnInput) collect(bytes int) *base.RequestError {
+	if !i.budget.MustCollect(bytes) {
+		return nil
+	}
+	i.mu.Lock()
+	collecting := i.collecting
+	i.mu.Unlock()
+	if collecting {
+		return nil
+	}
+	if !i.budget.BeginCollecting(waitForMemory(i.ctx)) {
+		return memory.RequestError(memory.ErrShort)
+	}
+	i.mu.Lock()
+	i.collecting = true
+	i.mu.Unlock()
+	return nil
+}
+
+// endCollecting lets other turns take large amounts, once this one needs no more.
+func (i *turnInput) endCollecting() {
+	i.mu.Lock()
+	collecting := i.collecting
+	i.collecting = false
+	i.mu.Unlock()
+	if collecting {
+		i.budget.EndCollecting()
+	}
+}
 
 // loadCopies is how often a large turn is in memory while it is received from the ledger.
 const loadCopies = 5
@@ -124,9 +173,14 @@
 	memoryWaitShare = 4
 )
 
+// waitForMemory returns how long a turn waits for memory.
+func waitForMemory(ctx *base.Ctx) time.Duration {
+	return min(memoryWait, ctx.Remaining()/memoryWaitShare)
+}
+
 // admit takes memory for a turn that is not run without it.
 func admit(ctx *base.Ctx, lease *memory.Lease, bytes int) *base.RequestError {
-	if err := lease.Admit(bytes, min(memoryWait, ctx.Remaining()/memoryWaitShare)); err != nil {
+	if err := lease.Admit(bytes, waitForMemory(ctx)); err != nil {
 		return memory.RequestError(err)
 	}
 	return nil
@@ -136,13 +190,19 @@
 // body itself: in the messages to the replicas, and on its way to their sockets.
 const commitCopies = 6
 
-// reserveCommit takes the memory that it takes to store the turn, as a turn that was run must
-// not fail for lack of it.
-func (op *operation) reserveCommit() *base.RequestError {
+// commitBytes is the memory that it takes to store the turn.
+func (op *operation) commitBytes() int {
 	if !op.route.RetainTurns {
-		return nil
+		return 0
 	}
-	return admit(op.ctx, op.call.Memory, commitCopies*len(op.call.Body))
+	return commitCopies * len(op.call.Body)
+}
+
+// reserveCommit takes the memory that it takes to store the turn, as a turn that was run must
+// not fail for lack of it. The turn then needs no more.
+func (op *operation) reserveCommit(input *turnInput) *base.RequestError {
+	defer input.endCollecting()
+	return admit(op.ctx, op.call.Memory, op.commitBytes())
 }
 
 // forwardCopies is how often the body of a turn is in memory while it is sent to its owner,
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -66,8 +66,10 @@
 	used      int64
 	waiting   int64 // held by requests that are not admitted
 	revocable map[*Lease]bool
-	waiters   int
-	released  *base.Notifier
+	// collecting is set while one request collects a large amount in several steps.
+	collecting bool
+	waiters    int
+	released   *base.Notifier
 }
 
 // NewBudget returns the budget of a process on a machine with so much memory in bytes; 0 means
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -123,6 +123,19 @@
 	is.NoErr(<-admitted)
 }
 
+func TestOneRequestCollectsAtATime(t *testing.T) {
+	is := is.New(t)
+	b, _ := newTestBudget()
+	is.True(b.MustCollect(int(b.largeShare)))
+	is.True(!b.MustCollect(SmallBytes))
+	is.True(b.BeginCollecting(0))
+	is.True(!b.BeginCollecting(0))
+	next := make(chan bool)
+	go func() { next <- b.BeginCollecting(time.Minute) }()
+	b.EndCollecting()
+	is.True(<-next)
+}
+
 func TestRequestThatNeverFitsIsTooLarge(t *testing.T) {
 	is := is.New(t)
 	b, _ := newTestBudget()
