Buffers of connections count, and answers that nobody reads end

Callers saw: 4,200 clients that send heads of 60 KB and stop take an edge to 334 MB of 160 and all of its descriptors. Clients that send many requests and read no answer keep their connections for good, until the port takes nobody else.

Cause: the server's buffer of 64 KB for a connection was not counted, and since bodies are read after the head it is kept while a connection is idle. A write had no time limit: what is being served was taken to be bounded by its deadline.

Change: a connection counts 64 KB to the budget once a request has used more than 8 KB of its buffer; it gives way to others while it is idle or has stalled. A connection whose client has read nothing of an answer for the idle timeout is closed.

--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -118,9 +118,11 @@
 // AttachBodies is Attach for a server that keeps its timeouts and its error handler, if it
 // has one. The error handler also responds to bodies that cannot be read.
 func (t *Tracker) AttachBodies(server *fasthttp.Server) {
-	if server.ErrorHandler == nil {
-		server.ErrorHandler = writeReadError
+	respond := server.ErrorHandler
+	if respond == nil {
+		respond = writeReadError
 	}
+	server.ErrorHandler = func(r *fasthttp.RequestCtx, err error) { t.refuse(respond, r, err) }
 	server.ConnState = t.onConnState
 	server.HeaderReceived = func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 		return fasthttp.RequestConfig{MaxRequestBodySize: t.maxBodyBytes()}
@@ -135,7 +137,7 @@
 		if err := t.readBody(r, lease); err != nil {
 			lease.Release()
 			r.SetConnectionClose()
-			t.refuse(server, r, err)
+			server.ErrorHandler(r, err)
 			return
 		}
 		t.transition(r.Conn(), eventRequestRead)
@@ -184,15 +186,15 @@
 	return nil
 }
 
-// refuse responds to a request whose body was not read.
-func (t *Tracker) refuse(server *fasthttp.Server, r *fasthttp.RequestCtx, err error) {
+// refuse responds to a request that was not read, with respond unless the memory is the reason.
+func (t *Tracker) refuse(respond func(*fasthttp.RequestCtx, error), r *fasthttp.RequestCtx, err error) {
 	switch {
 	case errors.Is(err, memory.ErrBodyTooLarge):
-		server.ErrorHandler(r, fasthttp.ErrBodyTooLarge)
+		respond(r, fasthttp.ErrBodyTooLarge)
 	case errors.Is(err, memory.ErrShort), errors.Is(err, memory.ErrTooLarge):
 		t.RefuseBody(r, err)
 	default:
-		server.ErrorHandler(r, err)
+		respond(r, err)
 	}
 }
 
@@ -257,10 +259,18 @@
 		}
 	}
 	_ = excess.Close()
-	delete(t.conns, excess)
+	t.forget(excess)
 	t.counters.Add("client_connections_displaced", 1)
 }
 
+// forget removes a connection that was closed. The caller holds the lock.
+func (t *Tracker) forget(c net.Conn) {
+	delete(t.conns, c)
+	if counted, ok := c.(*conn); ok {
+		counted.setState(stateClosed)
+	}
+}
+
 // transition moves a connection to its next state and forgets it once it is closed.
 func (t *Tracker) transition(c net.Conn, e event) {
 	t.mu.Lock()
@@ -271,13 +281,17 @@
 	}
 	tracked.state = tracked.state.next(e)
 	tracked.since = t.clock.Now()
+	if counted, ok := c.(*conn); ok {
+		counted.setState(tracked.state)
+	}
 	if tracked.state == stateClosed {
 		delete(t.conns, c)
 	}
 }
 
 // CloseExpired closes the connections that have been idle, or have been sending a
-// request, for longer than allowed. It returns the time until the next check.
+// request, for longer than allowed, and those whose client has read nothing of an answer for
+// the idle timeout. It returns the time until the next check.
 func (t *Tracker) CloseExpired() time.Duration {
 	limits := t.limits()
 	idleTimeout := orDefault(limits.IdleTimeout, defaultIdleTimeout)
@@ -286,14 +300,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, tracked := range t.conns {
-		if now-tracked.since <= tracked.state.timeout(headerTimeout, idleTimeout) {
+		counted, ok := c.(*conn)
+		unread := ok && counted.blockedFor(now) > idleTimeout
+		if now-tracked.since <= tracked.state.timeout(headerTimeout, idleTimeout) && !unread {
 			continue
 		}
 		// The server notices the close and reports it to onConnState.
 		if err := c.Close(); err == nil {
 			t.counters.Add("client_connections_timed_out", 1)
 		}
-		delete(t.conns, c)
+		t.forget(c)
 	}
 	return min(idleTimeout, headerTimeout) / sweepDivisor
 }
--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -42,6 +42,12 @@
 }
 
 func newTestServer(t *testing.T, limits route.Limits) *testServer {
+	return newConfiguredServer(t, limits, func(*testServer) {})
+}
+
+// newConfiguredServer is newTestServer with a function that changes the tracker before the
+// server starts.
+func newConfiguredServer(t *testing.T, limits route.Limits, configure func(s *testServer)) *testServer {
 	s := &testServer{I: is.New(t), clock: &offsetClock{Clock: base.NewRealClock()}, states: make(chan fasthttp.ConnState, 1000), handlerSync: make(chan struct{})}
 	s.limits.Store(&limits)
 	s.tracker = NewTracker(s.clock, base.NewCounters(), func() route.Limits { return *s.limits.Load() })
@@ -52,6 +58,7 @@
 		}
 		fmt.Fprintf(r, "%d", len(r.Request.Body()))
 	}}
+	configure(s)
 	s.tracker.Attach(server)
 	trackState := server.ConnState
 	server.ConnState = func(c net.Conn, state fasthttp.ConnState) {
@@ -61,7 +68,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	s.NoErr(err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(s.tracker.Listen(listener)) }()
 	s.addr = listener.Addr().String()
 	return s
 }
@@ -181,11 +188,10 @@
 
 // newLimitedServer returns a test server whose bodies count to a budget.
 func newLimitedServer(t *testing.T, machineBytes int64, maxConns int) (*testServer, *memory.Budget) {
-	s := newTestServer(t, route.Limits{MaxBodyBytes: 8 << 20})
-	s.tracker.mu.Lock()
-	defer s.tracker.mu.Unlock()
-	s.tracker.Memory = memory.NewBudget(s.clock, base.NewCounters(), machineBytes)
-	s.tracker.MaxConns = maxConns
+	s := newConfiguredServer(t, route.Limits{MaxBodyBytes: 8 << 20}, func(s *testServer) {
+		s.tracker.Memory = memory.NewBudget(s.clock, base.NewCounters(), machineBytes)
+		s.tracker.MaxConns = maxConns
+	})
 	return s, s.tracker.Memory
 }
 
@@ -251,3 +257,59 @@
 		s.Equal(s.post(conns[index], readers[index], 10), 200)
 	}
 }
+
+// The buffer of a connection counts once it was used, gives way while the client is idle, and is
+// given back when the connection is closed.
+func TestBuffersOfConnectionsAreCounted(t *testing.T) {
+	s, budget := newLimitedServer(t, 40<<20, 0)
+	c, reader := s.dial()
+	defer c.Close()
+	s.Equal(s.post(c, reader, 100), 200)
+	s.waitForState(fasthttp.StateIdle)
+	s.Equal(budget.Used(), int64(0))
+	s.Equal(s.post(c, reader, 100<<10), 200)
+	s.waitForState(fasthttp.StateIdle)
+	s.Equal(budget.Used(), int64(memory.SmallBytes))
+	s.advance(2 * time.Second)
+	for lease := budget.NewLease(); lease.Grow(memory.SmallBytes) == nil; lease = budget.NewLease() {
+	}
+	_, err := reader.ReadByte()
+	s.Equal(err, io.EOF)
+}
+
+// A connection whose client does not read its answer is closed after the idle timeout.
+func TestAnswerThatIsNotReadIsTimedOut(t *testing.T) {
+	s := newTestServer(t, route.Limits{IdleTimeout: 10 * time.Second, MaxBodyBytes: 1 << 10})
+	c, _ := s.dial()
+	defer c.Close()
+	go func() {
+		for range s.states { // which the server would wait for otherwise
+		}
+	}()
+	requests := strings.Repeat("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", 1000)
+	go func() {
+		for {
+			if _, err := io.WriteString(c, requests); err != nil {
+				return
+			}
+		}
+	}()
+	// The server is blocked once nothing more was written for a while.
+	blocked := func() bool {
+		s.tracker.mu.Lock()
+		defer s.tracker.mu.Unlock()
+		for tracked := range s.tracker.conns {
+			return tracked.(*conn).blockedFor(s.clock.Now()) > 100*time.Millisecond
+		}
+		return false
+	}
+	for !blocked() {
+		runtime.Gosched()
+	}
+	for open := 1; open > 0; {
+		s.advance(11 * time.Second)
+		s.tracker.mu.Lock()
+		open = len(s.tracker.conns)
+		s.tracker.mu.Unlock()
+	}
+}
--- a/internal/fleet/crowdtest/history_test.go
+++ b/internal/fleet/crowdtest/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,6 +120,23 @@
 // a machine has descriptors.
 const endlessHeads = 4200
 
+// longHead is a head that is nearly as long as heads may be.
+var longHead = "POST / HTTP/1.1\r\nHost: crowd.example\r\nEndless: " + strings.Repeat("x", 60<<10)
+
+// TestCrowdOfLongHeads guards against buffers for heads that nobody counts.
+func TestCrowdOfLongHeads(t *testing.T) {
+	f, clients := startFleet(t), &crowd{}
+	defer clients.close()
+	front := f.Machines(platform.ClassEdge)[0].Front
+	for range endlessHeads {
+		if conn, err := clients.connect(front); err == nil {
+			_, _ = io.WriteString(conn, longHead)
+		}
+	}
+	f.checkOrdinaryCallers()
+	f.checkLimits()
+}
+
 // TestCrowdOfEndlessHeads guards against a port that takes nobody else while clients keep all
 // connections that it can have.
 func TestCrowdOfEndlessHeads(t *testing.T) {
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -29,6 +29,7 @@
 // PublicServer is the HTTP server of the public address.
 type PublicServer struct {
 	server *fasthttp.Server
+	conns  *clientconn.Tracker
 	ready  func() error
 }
 
@@ -72,6 +73,7 @@
 		writeResponse(ctx, front.ErrorResponse(memory.RequestError(err)))
 	}
 	tracker.AttachBodies(p.server)
+	p.conns = tracker
 	return p
 }
 
@@ -148,7 +150,9 @@
 }
 
 // Serve accepts connections until Shutdown.
-func (p *PublicServer) Serve(listener net.Listener) error { return p.server.Serve(listener) }
+func (p *PublicServer) Serve(listener net.Listener) error {
+	return p.server.Serve(p.conns.Listen(listener))
+}
 
 // Shutdown stops accepting requests and waits for those that have been read.
 func (p *PublicServer) Shutdown(timeout time.Duration) error {
