--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -18,11 +18,12 @@
 	if err != nil {
 		return errors.Annotate(err, "cannot read the settings file")
 	}
-	diskLimit, faultTolerance := float64(config.DiskLimitBytes), float64(config.FaultTolerance)
+	diskLimit, memoryLimit, faultTolerance := float64(config.DiskLimitBytes), float64(config.MemoryBytes), float64(config.FaultTolerance)
 	err = base.ReadFields(document, map[string]base.FieldReader{
 		"role": base.StringField(&config.Role, 16), "address": base.StringField(&config.Addr, 64), "public_address": base.StringField(&config.PublicAddr, 64),
 		"zone": base.StringField(&config.Zone, 128), "cluster": base.StringField(&config.Cluster, 128), "data": base.StringField(&config.DataDir, 4096), "disk_limit_bytes": base.NumberField(&diskLimit, 0, 1<<50, true),
-		"node": base.StringField(&config.NodeName, 128), "tolerate": base.NumberField(&faultTolerance, 0, 2, true), "found": base.BoolField(&config.Bootstrap),
+		"memory_limit_bytes": base.NumberField(&memoryLimit, 0, 1<<50, true),
+		"node":               base.StringField(&config.NodeName, 128), "tolerate": base.NumberField(&faultTolerance, 0, 2, true), "found": base.BoolField(&config.Bootstrap),
 		"seeds": func(path string, d *jx.Decoder) error {
 			if d.Next() != jx.Array {
 				return base.DeclineField(path, "must be a list of addresses")
@@ -36,7 +37,7 @@
 			})
 		},
 	})
-	config.DiskLimitBytes, config.FaultTolerance = int64(diskLimit), int(faultTolerance)
+	config.DiskLimitBytes, config.MemoryBytes, config.FaultTolerance = int64(diskLimit), int64(memoryLimit), int(faultTolerance)
 	if requestErr := base.FindRequestError(err); requestErr != nil {
 		return errors.Errorf("settings file %s: %s: %s", path, requestErr.Field, requestErr.Message)
 	}
@@ -81,6 +82,9 @@
 	if c.FaultTolerance < 0 || c.FaultTolerance > 2 {
 		report("tolerate: must be 0, 1 or 2, is %d", c.FaultTolerance)
 	}
+	if c.MemoryBytes > 0 && c.MemoryBytes < minMemoryBytes {
+		report("memory_limit_bytes: must be at least %d, is %d", minMemoryBytes, c.MemoryBytes)
+	}
 	if c.Role == "storage" && c.DataDir == "" {
 		report("data: must name a data folder for a storage node")
 	}
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -38,6 +38,7 @@
 		&cli.StringFlag{Name: "node", Usage: "`NAME` of the machine, needed to retire it"},
 		&cli.IntFlag{Name: "tolerate", Usage: "`COUNT` of machines that may be lost with their disks at the same time, 1 or 2; lost disks are then replaced automatically"},
 		&cli.BoolFlag{Name: "found", Usage: "first start of the whole system: the seeds form a new cluster"},
+		&cli.Int64Flag{Name: "memory-limit-bytes", Usage: "`BYTES` of memory that the process may use; half of the machine's if not given"},
 		&cli.StringFlag{Name: "log", Value: "text", Usage: "log `FORMAT`: text or json"},
 		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "`LEVEL`: debug, info, warn or error"},
 	}
@@ -68,6 +69,9 @@
 	if command.IsSet("disk-limit-bytes") {
 		config.DiskLimitBytes = command.Int64("disk-limit-bytes")
 	}
+	if command.IsSet("memory-limit-bytes") {
+		config.MemoryBytes = command.Int64("memory-limit-bytes")
+	}
 	violations := config.Validate(allowedRoles...)
 	switch command.String("log") {
 	case "text":
@@ -158,6 +162,7 @@
 	if config.MemoryBytes == 0 {
 		config.MemoryBytes = defaultMemoryBytes()
 	}
+	LimitHeap(config.MemoryBytes)
 	entry := LogStarting(config)
 	ctx := StopContext(entry)
 	publicListener, err := tcp.Listen(ctx, config.PublicAddr)
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -1,6 +1,9 @@
 package node
 
-import "syscall"
+import (
+	"runtime/debug"
+	"syscall"
+)
 
 // Connections are how many connections of each kind a process keeps open. 0 sets no bound.
 type Connections struct {
@@ -18,6 +21,21 @@
 	return Connections{Clients: c.MaxDescriptors / 8, Nodes: c.MaxDescriptors / 2}
 }
 
+const (
+	// minMemoryBytes is the least memory with which a process can serve.
+	minMemoryBytes = 64 << 20
+	// heapPercent is the share of the memory that the heap should not exceed.
+	heapPercent = 60
+)
+
+// LimitHeap makes the runtime collect garbage early enough for a process that may use so much
+// memory; 0 means that this is not known.
+func LimitHeap(machineBytes int64) {
+	if machineBytes > 0 {
+		debug.SetMemoryLimit(machineBytes * heapPercent / 100)
+	}
+}
+
 // defaultMemoryBytes is the memory that a process takes into account if its settings do not
 // say how much it has: half of the machine's.
 func defaultMemoryBytes() int64 {
