A turn that was accepted is stored; buffers of connections do not count as waiting

Buffers of idle connections took from the share of bodies that wait, so that many ordinary connections, on an edge of 184 MB from some 490 on, would have closed each other for one large body. A message of a node that could not be read was answered as a lack of memory.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -30,7 +30,7 @@
 	n, err := c.Conn.Read(buffer)
 	c.received += n
 	if c.received > freeBufferBytes && !c.counted.Load() {
-		if leaseErr := c.lease.Grow(memory.SmallBytes); leaseErr != nil {
+		if leaseErr := c.lease.Admit(memory.SmallBytes, 0); leaseErr != nil {
 			return 0, leaseErr
 		}
 		c.counted.Store(true)
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -32,7 +32,7 @@
 			return &BeginReply{Over: true, Ack: s.unlockAndSync(ack)}, nil
 		}
 	}
-	if reason := s.declineReason(int(request.InputBytes)); reason != "" {
+	if reason := s.declineNewTurn(int(request.InputBytes)); reason != "" {
 		s.mu.Unlock()
 		return &BeginReply{Ack: &Ack{Why: reason}}, nil
 	}
@@ -104,7 +104,7 @@
 			return &WriteReply{Ack: s.unlockAndSync(ack)}, nil
 		}
 	}
-	if reason := s.declineReason(len(request.Input) + len(request.Output)); reason != "" {
+	if reason := s.declineReason(); reason != "" {
 		s.mu.Unlock()
 		return &WriteReply{Ack: &Ack{Why: reason}}, nil
 	}
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -544,11 +544,22 @@
 	return &Ack{}
 }
 
-// declineReason returns why the store accepts no more turns with a payload of a size, or "".
-func (s *Store) declineReason(size int) string {
+// declineNewTurn returns why the store accepts no new turn with an input of a size, or "". What
+// it accepted once it can finish, as far as the disk goes.
+func (s *Store) declineNewTurn(size int) string {
+	tooMuchState := s.stateLimit > 0 && s.heldBytes-s.payloadBytes > s.stateLimit
+	tooLarge := size > memory.SmallBytes && s.files.FreeBytes() < s.diskBytes*largeDiskPercent/100+int64(size)
+	if tooMuchState || tooLarge {
+		s.counters.Add("ledger_declined_full", 1)
+		return "full"
+	}
+	return s.declineReason()
+}
+
+// declineReason returns why the store accepts no more data, or "".
+func (s *Store) declineReason() string {
 	switch {
-	case s.full && s.files.FreeBytes() < minFreeBytes, s.stateLimit > 0 && s.heldBytes-s.payloadBytes > s.stateLimit,
-		size > memory.SmallBytes && s.files.FreeBytes() < s.diskBytes*largeDiskPercent/100+int64(size):
+	case s.full && s.files.FreeBytes() < minFreeBytes:
 		s.counters.Add("ledger_declined_full", 1)
 		return "full"
 	case len(s.nextBatch.payload) > s.queuedLimit:
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -50,7 +50,7 @@
 			body, err := readMessage(w, r, lease)
 			if err != nil {
 				w.Header().Set("Connection", "close")
-				_ = twirp.WriteError(w, base.ToTwirpError(memory.RequestError(err)))
+				_ = twirp.WriteError(w, base.ToTwirpError(messageError(err)))
 				return
 			}
 			r.Body = &messageBody{Reader: bytes.NewReader(body)}
@@ -59,6 +59,15 @@
 	})
 }
 
+// messageError returns the error of a message that was not processed.
+func messageError(err error) *base.RequestError {
+	switch err {
+	case memory.ErrBodyTooLarge, memory.ErrTooLarge, memory.ErrShort:
+		return memory.RequestError(err)
+	}
+	return base.Decline(400, "bad_request", "the message could not be read")
+}
+
 // readMessage reads the body of a message.
 func readMessage(w http.ResponseWriter, r *http.Request, lease *memory.Lease) ([]byte, error) {
 	control := http.NewResponseController(w)
@@ -138,8 +147,11 @@
 	}
 	oldest := slices.MinFunc(candidates, func(a, b net.Conn) int {
 		left, right := l.conns[a], l.conns[b]
-		if left.inRequest != right.inRequest {
-			return choose(left.inRequest, 1, -1)
+		switch {
+		case left.inRequest && !right.inRequest:
+			return 1
+		case right.inRequest && !left.inRequest:
+			return -1
 		}
 		return cmp.Compare(left.since, right.since)
 	})
@@ -147,11 +159,3 @@
 	delete(l.conns, oldest)
 	l.counters.Add("node_connections_displaced", 1)
 }
-
-// choose returns a if first is true and b otherwise.
-func choose(first bool, a, b int) int {
-	if first {
-		return a
-	}
-	return b
-}
