Tests of stalled bodies move the budget's clock themselves

The trace is the dump of its goroutines: the second body was being received.

Cause: the test's clock went on by itself. Change: the budget's clock moves only when a test says so; steps and checks are the same.

--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -186,13 +186,23 @@
 	is.Equal(stateClosed.next(eventFirstByte), stateClosed)
 }
 
-// newLimitedServer returns a test server whose bodies count to a budget.
-func newLimitedServer(t *testing.T, machineBytes int64, maxConns int) (*testServer, *memory.Budget) {
+// stoppedClock is a clock whose time moves only when the test says so.
+type stoppedClock struct {
+	base.Clock
+	now atomic.Int64
+}
+
+func (c *stoppedClock) Now() time.Duration { return time.Duration(c.now.Load()) }
+
+// newLimitedServer returns a test server whose bodies count to a budget, and the budget's clock.
+func newLimitedServer(t *testing.T, machineBytes int64, maxConns int) (*testServer, *memory.Budget, *stoppedClock) {
+	clock := &stoppedClock{Clock: base.NewRealClock()}
+	clock.now.Store(int64(time.Hour))
 	s := newConfiguredServer(t, route.Limits{MaxBodyBytes: 8 << 20}, func(s *testServer) {
-		s.tracker.Memory = memory.NewBudget(s.clock, base.NewCounters(), machineBytes)
+		s.tracker.Memory = memory.NewBudget(clock, base.NewCounters(), machineBytes)
 		s.tracker.MaxConns = maxConns
 	})
-	return s, s.tracker.Memory
+	return s, s.tracker.Memory, clock
 }
 
 // sendPart sends the head of a request and a part of its body.
@@ -213,7 +223,7 @@
 // A body for which there is no memory is refused as not run, with when to come back, and a
 // small one is served meanwhile. Once the others have stalled they are dropped for it.
 func TestBodiesShareTheMemory(t *testing.T) {
-	s, budget := newLimitedServer(t, 40<<20, 0)
+	s, budget, clock := newLimitedServer(t, 40<<20, 0)
 	const body = 3 << 20
 	stalled, stalledReader := s.dial()
 	defer stalled.Close()
@@ -231,7 +241,7 @@
 	s.Equal(s.post(small, smallReader, 1000), 200)
 	status := 0
 	for tries := 0; status != 200 && tries < 10; tries++ { // the last bytes may still be on their way
-		s.advance(2 * time.Second)
+		clock.now.Add(int64(2 * time.Second))
 		late, lateReader := s.dial()
 		defer late.Close()
 		status = s.post(late, lateReader, body)
@@ -243,7 +253,7 @@
 
 // Of too many connections, the one that has waited longest for its client is closed.
 func TestTooManyConnectionsDisplaceTheOldest(t *testing.T) {
-	s, _ := newLimitedServer(t, 0, 3)
+	s, _, _ := newLimitedServer(t, 0, 3)
 	var conns []net.Conn
 	var readers []*bufio.Reader
 	for range 4 {
@@ -261,7 +271,7 @@
 // The buffer of a connection counts once it was used, gives way while the client is idle, and is
 // given back when the connection is closed.
 func TestBuffersOfConnectionsAreCounted(t *testing.T) {
-	s, budget := newLimitedServer(t, 40<<20, 0)
+	s, budget, clock := newLimitedServer(t, 40<<20, 0)
 	c, reader := s.dial()
 	defer c.Close()
 	s.Equal(s.post(c, reader, 100), 200)
@@ -270,7 +280,7 @@
 	s.Equal(s.post(c, reader, 100<<10), 200)
 	s.waitForState(fasthttp.StateIdle)
 	s.Equal(budget.Used(), int64(memory.SmallBytes))
-	s.advance(2 * time.Second)
+	clock.now.Add(int64(2 * time.Second))
 	for lease := budget.NewLease(); lease.Grow(memory.SmallBytes) == nil; lease = budget.NewLease() {
 	}
 	_, err := reader.ReadByte()
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -17,16 +17,17 @@
 // machineBytes is the memory of the machine in these tests.
 const machineBytes = 100 << 20
 
-// offsetClock is the real clock plus an offset that the test increases.
-type offsetClock struct {
+// stoppedClock is a clock whose time moves only when the test says so.
+type stoppedClock struct {
 	base.Clock
-	offset atomic.Int64
+	now atomic.Int64
 }
 
-func (c *offsetClock) Now() time.Duration { return c.Clock.Now() + time.Duration(c.offset.Load()) }
+func (c *stoppedClock) Now() time.Duration { return time.Duration(c.now.Load()) }
 
-func newTestBudget() (*Budget, *offsetClock) {
-	clock := &offsetClock{Clock: base.NewRealClock()}
+func newTestBudget() (*Budget, *stoppedClock) {
+	clock := &stoppedClock{Clock: base.NewRealClock()}
+	clock.now.Store(int64(time.Hour))
 	return NewBudget(clock, base.NewCounters(), machineBytes), clock
 }
 
@@ -96,7 +97,7 @@
 		is.NoErr(l.Grow(int(b.waitingShare / 2)))
 	}
 	is.Equal(b.NewLease().Grow(1<<20), ErrShort) // none has stalled yet
-	clock.offset.Add(int64(2 * stallTime))
+	clock.now.Add(int64(2 * stallTime))
 	growing.MarkProgress()
 	is.NoErr(b.NewLease().Grow(1 << 20))
 	is.Equal(revoked, 1)
