--- a/cmd/fordseam-fleet/platform.go
+++ b/cmd/fordseam-fleet/platform.go
@@ -24,7 +24,7 @@
 func platformCommand() *cli.Command {
 	return &cli.Command{
 		Name: "platform", DisableSliceFlagSeparator: true, Usage: "run a fleet as the platform does, with simulated workers, worker list, operators and programs, and report violated rules",
-		Description: "A trouble is a fault or planned operation, KIND[:CLASS]@SECONDS[+FOR][,wipe][,count=N][,share=N][,gap=SECONDS], SECONDS after the start of traffic.\n" +
+		Description: "A trouble is a fault or planned operation, KIND[:CLASS]@SECONDS[+FOR][,wipe][,count=N][,share=N][,gap=SECONDS][,form=FORM][,status=N], SECONDS after the start of traffic.\n" +
 			"Kinds: " + strings.Join(fleet.PlatformEventKinds, ", ") + ".\nThe exit code is 1 if a rule was violated.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "site", Value: "small", Usage: "`SITE`: kiondo, ljubljana or small"},
--- a/internal/fleet/platform_events.go
+++ b/internal/fleet/platform_events.go
@@ -30,21 +30,24 @@
 	Share    float64
 	Interval time.Duration // between repetitions
 	WipeDisk bool
+	// Form and Status are those of endless answers.
+	Form   platform.EndlessForm
+	Status int
 }
 
 // PlatformEventKinds are the supported kinds of events.
 var PlatformEventKinds = []string{"node_kill", "node_freeze", "roll_term", "settings_hup", "kill_all", "replace_core", "add_nodes", "retire", "after_ack_kill",
-	"release", "worker_crash", "answer_lost", "garble", "worker_slow", "worker_grey", "worker_flap", "worker_forget", "list_down", "burst", "config_change", "config_race", "bad_config"}
+	"release", "worker_crash", "answer_lost", "garble", "worker_slow", "worker_grey", "worker_flap", "worker_forget", "worker_endless", "list_down", "list_endless", "burst", "config_change", "config_race", "bad_config"}
 
 // ParsePlatformEvent parses an event from the command line, which has the form
 // KIND[:CLASS]@SECONDS[+FOR][,option...].
 func ParsePlatformEvent(spec string) (PlatformEvent, error) {
 	parts := strings.Split(spec, ",")
 	head, timing, ok := strings.Cut(parts[0], "@")
-	event := PlatformEvent{Count: 1, Interval: time.Second}
+	event := PlatformEvent{Count: 1, Interval: time.Second, Form: platform.EndlessEvents, Status: 200}
 	event.Kind, event.Target, _ = strings.Cut(head, ":")
 	if !ok || !slices.Contains(PlatformEventKinds, event.Kind) {
-		return event, errors.Errorf("trouble %q must be KIND[:CLASS]@SECONDS[+FOR][,wipe][,count=N][,share=N][,gap=SECONDS] with a KIND of %s", spec, strings.Join(PlatformEventKinds, ", "))
+		return event, errors.Errorf("trouble %q must be KIND[:CLASS]@SECONDS[+FOR][,wipe][,count=N][,share=N][,gap=SECONDS][,form=FORM][,status=N] with a KIND of %s", spec, strings.Join(PlatformEventKinds, ", "))
 	}
 	seconds := func(text string) time.Duration {
 		value, err := strconv.ParseFloat(text, 64)
@@ -67,6 +70,11 @@
 		case "share":
 			share, err := strconv.ParseFloat(value, 64)
 			event.Share, ok = share, ok && err == nil && share > 0
+		case "form":
+			event.Form, ok = platform.EndlessForm(value), ok && slices.Contains(platform.EndlessForms, platform.EndlessForm(value))
+		case "status":
+			status, err := strconv.Atoi(value)
+			event.Status, ok = status, ok && err == nil && status >= 100 && status <= 599
 		case "gap":
 			event.Interval = seconds(value)
 		default:
@@ -139,6 +147,12 @@
 		for _, server := range run.activeWorkers(event.targetOr("app")) {
 			server.SetSilentDropAfter(0)
 		}
+	case "worker_endless":
+		run.answerWithoutEnd(event)
+	case "list_endless":
+		run.listServer.SetEndless(event.Form)
+		run.clock.Sleep(event.Duration)
+		run.listServer.SetEndless("")
 	case "list_down":
 		end := run.recordTrouble(event.Kind, &machine{Process: Process{Name: "list"}, class: "list"}, nil)
 		run.instances.SetDown(true)
--- a/internal/fleet/platform_fleet.go
+++ b/internal/fleet/platform_fleet.go
@@ -58,6 +58,45 @@
 // Model returns the name of the model that model workers serve.
 func (f *PlatformFleet) Model() string { return f.run.names.Model }
 
+// SetEndlessWorkers makes the first workers of each service, a share of them, answer each request
+// with the fault, and all others as usual.
+func (f *PlatformFleet) SetEndlessWorkers(fault platform.Fault, share float64) {
+	for _, service := range f.run.plan.Site.Services {
+		workers := f.run.activeWorkers(service.Name)
+		faulty := int(share*float64(len(workers)) + 0.5)
+		f.run.setEndless(workers[:faulty], fault)
+		f.run.setEndless(workers[faulty:], platform.NoFault)
+	}
+}
+
+// SetEndlessList makes the list of workers answer without end, or as usual if form is empty.
+func (f *PlatformFleet) SetEndlessList(form platform.EndlessForm) { f.run.listServer.SetEndless(form) }
+
+// EndlessAnswers returns how many endless answers of workers have ended, and the most bytes that
+// a connection took of one answer of a worker or of the list, buffers of sockets included.
+func (f *PlatformFleet) EndlessAnswers() (count int, most int64) {
+	most = f.run.listServer.MostEndlessBytes()
+	f.run.ledger.Update(func(r *platform.Record) {
+		for _, arrival := range r.Arrivals {
+			if arrival.EndlessBytes > 0 {
+				count++
+				most = max(most, arrival.EndlessBytes)
+			}
+		}
+	})
+	return count, most
+}
+
+// ForgetEndlessAnswers makes EndlessAnswers begin anew.
+func (f *PlatformFleet) ForgetEndlessAnswers() {
+	f.run.listServer.ForgetEndless()
+	f.run.ledger.Update(func(r *platform.Record) {
+		for _, arrival := range r.Arrivals {
+			arrival.EndlessBytes = 0
+		}
+	})
+}
+
 // UnexpectedExits describes the processes that ended by themselves so far.
 func (f *PlatformFleet) UnexpectedExits() []string {
 	f.run.mu.Lock()
--- a/internal/fleet/platform_workers.go
+++ b/internal/fleet/platform_workers.go
@@ -43,6 +43,37 @@
 	run.faults[service] = &injectedFaults{faults: faults, probability: probability, expiresAt: run.clock.Now() + duration}
 }
 
+// answerWithoutEnd makes a share of the workers of a service, or of all services, answer each
+// request without end for the duration of the event.
+func (run *platformRun) answerWithoutEnd(event PlatformEvent) {
+	var faulty []*sockets.WorkerServer
+	for _, service := range run.plan.Site.Services {
+		if event.Target == "" || event.Target == service.Name {
+			workers := run.activeWorkers(service.Name)
+			faulty = append(faulty, workers[:int(orDefault(event.Share, 0.5)*float64(len(workers))+0.5)]...)
+		}
+	}
+	run.setEndless(faulty, platform.FaultEndless(event.Form, event.Status))
+	run.clock.Sleep(event.Duration)
+	run.setEndless(faulty, platform.NoFault)
+}
+
+// setEndless makes workers answer with a fault, or as usual if that is NoFault.
+func (run *platformRun) setEndless(workers []*sockets.WorkerServer, fault platform.Fault) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	for _, server := range workers {
+		run.endless[server.Worker.ID] = fault
+	}
+}
+
+// nextEndless returns the endless answer of a worker, or NoFault.
+func (run *platformRun) nextEndless(worker string) platform.Fault {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.endless[worker]
+}
+
 // startWorkers starts the workers of all services, spread over the zones.
 func (run *platformRun) startWorkers() error {
 	for _, class := range run.plan.Site.Classes {
@@ -69,7 +100,7 @@
 	var rngMu sync.Mutex
 	service := run.names.Services[shape.Name]
 	worker := &platform.Worker{ID: id, Service: service, Zone: zone, Clock: run.clock, Recorder: run.ledger, Spec: shape, KeepAlive: 5 * time.Second,
-		Slowdown: []float64{1, 1, 1.3}[run.randomInt(3)], Rng: rand.New(rand.NewPCG(run.plan.Seed, base.Hash64(id, "own"))), NextFault: func() platform.Fault { return run.nextFault(id, service) },
+		Slowdown: []float64{1, 1, 1.3}[run.randomInt(3)], Rng: rand.New(rand.NewPCG(run.plan.Seed, base.Hash64(id, "own"))), NextFault: func() platform.Fault { return run.nextFault(id, service) }, NextEndless: func() platform.Fault { return run.nextEndless(id) },
 		Workload: func(target string) (time.Duration, int) {
 			rngMu.Lock()
 			defer rngMu.Unlock()
--- a/internal/simulate/tier_workers.go
+++ b/internal/simulate/tier_workers.go
@@ -284,7 +284,7 @@
 func (r *workerResponseWriter) WriteHeader(status int, header [][2]string, length int) error {
 	if later := r.conn.delayedBytes; len(later) > 0 {
 		r.conn.delayedBytes = nil
-		r.WriteRaw(later)
+		_ = r.WriteRaw(later)
 	}
 	for _, line := range header {
 		r.closeAfter = r.closeAfter || line[0] == "Connection"
@@ -301,8 +301,8 @@
 
 func (r *workerResponseWriter) Finish() error { return r.send(workerPart{kind: partEnd}) }
 
-func (r *workerResponseWriter) WriteRaw(data []byte) {
-	_ = r.send(workerPart{kind: partRaw, bytes: bytes.Clone(data)})
+func (r *workerResponseWriter) WriteRaw(data []byte) error {
+	return r.send(workerPart{kind: partRaw, bytes: bytes.Clone(data)})
 }
 
 func (r *workerResponseWriter) WriteRawBeforeNext(data []byte) {
--- a/internal/standin/platform/record.go
+++ b/internal/standin/platform/record.go
@@ -97,6 +97,9 @@
 	// Whole is set when the answer was sent to its end, Broke when the worker broke it off
 	// itself, Left when the other side did.
 	Whole, Broke, Left bool
+	// EndlessBytes is how much of an endless answer the connection took, buffers of sockets
+	// included; 0 if the answer had an end.
+	EndlessBytes int64 `json:",omitempty"`
 }
 
 // Notice is the time at which the instance list showed a worker as draining or removed.
--- a/internal/standin/platform/sockets/worker.go
+++ b/internal/standin/platform/sockets/worker.go
@@ -271,7 +271,7 @@
 }
 
 // WriteRaw writes bytes as they are, without HTTP framing.
-func (r *responseWriter) WriteRaw(bytes []byte) { _ = r.write(bytes) }
+func (r *responseWriter) WriteRaw(bytes []byte) error { return r.write(bytes) }
 
 // WriteRawBeforeNext keeps bytes to be written before the next response.
 func (r *responseWriter) WriteRawBeforeNext(bytes []byte) { r.delayedBytes = bytes }
--- a/internal/standin/platform/worker.go
+++ b/internal/standin/platform/worker.go
@@ -46,7 +46,7 @@
 	Write(data []byte) error
 	Finish() error
 	// WriteRaw sends bytes without framing; WriteRawBeforeNext does so before the next answer.
-	WriteRaw(data []byte)
+	WriteRaw(data []byte) error
 	WriteRawBeforeNext(data []byte)
 	// Abort closes the connection, with a TCP reset if reset is set.
 	Abort(reset bool)
@@ -71,6 +71,9 @@
 	Rng      *rand.Rand
 	// NextFault draws the fault of the next request.
 	NextFault func() Fault
+	// NextEndless draws an endless answer for the next request, or NoFault. It comes before
+	// NextFault.
+	NextEndless func() Fault
 	// LyingHealth makes the health check succeed while the worker is unhealthy.
 	LyingHealth bool
 
@@ -275,6 +278,10 @@
 	if ms, err := strconv.ParseFloat(request.Header(HeaderDeadline), 64); err == nil {
 		deadline = arrival.At + time.Duration(ms*float64(time.Millisecond))
 	}
+	if form, status, endless := w.endlessFault(); endless {
+		w.serveEndless(form, status, reply, arrival, update)
+		return
+	}
 	if w.engine != nil {
 		w.serveStream(request, reply, arrival, deadline, update, refuse)
 		return
@@ -356,7 +363,7 @@
 		return
 	case FaultGarbled:
 		markBroken()
-		reply.WriteRaw([]byte("\x00\x17garbled " + seal + "\r\n\r\n"))
+		_ = reply.WriteRaw([]byte("\x00\x17garbled " + seal + "\r\n\r\n"))
 		reply.Abort(false)
 		return
 	case FaultCut:
--- a/internal/standin/platform/worker_stream.go
+++ b/internal/standin/platform/worker_stream.go
@@ -12,7 +12,7 @@
 	response := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.again\r\nContent-Length: 5\r\n\r\nagain", HeaderID, id, HeaderSeal, w.ID))
 	switch fault {
 	case FaultExtra:
-		reply.WriteRaw(response)
+		_ = reply.WriteRaw(response)
 	case FaultLateExtra:
 		reply.WriteRawBeforeNext(response)
 	}
@@ -101,7 +101,7 @@
 	case FaultLostSilent:
 		request.ClientClosed.Wait(time.Minute)
 	case FaultGarbled:
-		reply.WriteRaw([]byte("\x00zz garbled\r\n"))
+		_ = reply.WriteRaw([]byte("\x00zz garbled\r\n"))
 	}
 	reply.Abort(fault == FaultLostReset || !headSent)
 }
