--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -107,6 +107,7 @@
 	Process       process
 	PublicHandler Handler
 
+	memoryBytes      int64 // of the machine, 0 if not known
 	internalListener net.Listener
 	internalServer   *http.Server
 	cleanup          base.Cleanup
@@ -115,7 +116,7 @@
 // Open sets up the process of a configuration. Until ctx ends it waits for its address if
 // another socket holds that. Start starts it, and Close stops it and releases its resources.
 func Open(ctx context.Context, config *Config, names *relay.WireNames) (*Daemon, error) {
-	d := &Daemon{}
+	d := &Daemon{memoryBytes: config.MemoryBytes}
 	counters := base.NewCounters()
 	httpClient, err := conn.NewClient(func() { counters.Add("messages_sent", 1) })
 	if err != nil {
@@ -144,6 +145,9 @@
 func (d *Daemon) Start() {
 	go func() { _ = d.internalServer.Serve(d.internalListener) }()
 	d.Process.Start()
+	closed := d.Env.Clock.NewSignal()
+	d.cleanup.Push(closed.Fire)
+	go logMemoryLevel(d.memoryBytes, d.Env.Counters, closed)
 }
 
 // Close stops the tasks of the process and releases its resources.
