Answers of back ends: one reader with bounds, counted in the memory budget

Seen by callers: behind a worker whose answer has an endless chunk extension, one-byte chunks or trailers, or one endless line or body, a gateway stands still or runs out of memory.

Cause: workerconn bounded a head, and a line of pooled connections, and nothing else. A chunk's extension is read byte by byte for as long as it comes; a line on a connection without an incarnation had no bound at all (a second reader, ReadBytes); bodies of up to 16 MiB were allocated as told and counted nowhere; the kernel holds up to 32 MiB more where receive buffers grow.

Change: all replies are pooledReply; the reader of unpooled calls is gone. Bytes beside the body are bounded by 256 KiB and twice the body. Bodies and long lines count to the request's lease as they arrive; answers have half of the share for large requests, and wait in their socket for it. Connections to workers have receive buffers of 1 MiB.

Ruled out: a bound on the size of one extension or chunk alone (many small pieces do the same); a shorter time-out (a legal answer may take as long, and 1 s of such bytes is 50 MB).

Result: TestEndlessAnswersAreGivenUp reads 17 forms, behind 200 and 500, as body and as lines, on both kinds of connections: up to 16 MiB are taken of an answer, sockets included, and nothing stays counted.

--- a/internal/base/backend.go
+++ b/internal/base/backend.go
@@ -17,6 +17,28 @@
 // HeaderLine is one header line.
 type HeaderLine struct{ Name, Value string }
 
+// MemoryLease counts the bytes that are held of a body as they arrive. A nil *memory.Lease is one
+// without a bound.
+type MemoryLease interface {
+	// Grow adds bytes to what is held. After an error what is held is unchanged.
+	Grow(bytes int) error
+	Shrink(bytes int)
+	// MarkProgress records that the body has grown.
+	MarkProgress()
+}
+
+// UnboundedMemory is a MemoryLease without a bound.
+type UnboundedMemory struct{}
+
+// Grow does nothing.
+func (UnboundedMemory) Grow(int) error { return nil }
+
+// Shrink does nothing.
+func (UnboundedMemory) Shrink(int) {}
+
+// MarkProgress does nothing.
+func (UnboundedMemory) MarkProgress() {}
+
 // BackendRequest is an HTTP request to a worker.
 type BackendRequest struct {
 	Method string
@@ -39,6 +61,12 @@
 	MaxConns int
 	// ConnectTimeout limits connecting; 0 means the default.
 	ConnectTimeout time.Duration
+	// Memory counts what is held of the response while it is read; nil sets no bound. The body
+	// that ReadBody returns stays counted.
+	Memory MemoryLease
+	// MayEndWithConnection accepts a body without a length, which ends with the connection. The
+	// caller must notice if it was truncated.
+	MayEndWithConnection bool
 	// ConfirmSend is called just before the first byte is sent; if it returns
 	// false, the request is not sent.
 	ConfirmSend func() bool
@@ -55,7 +83,7 @@
 	// this response.
 	ClosesConnection() bool
 	// ReadLine returns the next line of the body, or io.EOF after a complete
-	// body.
+	// body. The line is valid until the next call.
 	ReadLine(timeout time.Duration) ([]byte, error)
 	// ReadBody returns the whole body, of at most maxBytes.
 	ReadBody(timeout time.Duration, maxBytes int) ([]byte, error)
--- a/internal/memory/body.go
+++ b/internal/memory/body.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 
+	"fordseam/internal/base"
+
 	"github.com/juju/errors"
 )
 
@@ -14,7 +16,7 @@
 
 // ReadBody reads a body of at most limit bytes whose buffer counts to the lease. length is the
 // announced length, or negative if there is none. After an error nothing is held for the body.
-func ReadBody(body io.Reader, length, limit int, lease *Lease) ([]byte, error) {
+func ReadBody(body io.Reader, length, limit int, lease base.MemoryLease) ([]byte, error) {
 	if length > limit {
 		return nil, ErrBodyTooLarge
 	}
@@ -36,7 +38,7 @@
 
 // bodyReader reads a body into a buffer that grows as the bytes arrive.
 type bodyReader struct {
-	lease  *Lease
+	lease  base.MemoryLease
 	most   int // the size that the buffer may have
 	buffer []byte
 }
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,7 +1,8 @@
 // Package memory bounds the bytes that a process holds for its clients and for other nodes:
-// bodies that are being received, that wait, that are forwarded and that are being stored. All
-// of them take from one Budget, which is a share of the memory of the machine. Bytes count as
-// they arrive, so that a client which announces a large body takes nothing.
+// bodies that are being received, that wait, that are forwarded and that are being stored, and
+// the answers of back ends. All of them take from one Budget, which is a share of the memory of
+// the machine. Bytes count as they arrive, so that a peer which announces a large body takes
+// nothing.
 //
 // Large requests leave a part of the budget to small ones. If there is too little, a body that
 // has stalled on its way in is dropped for a new one, and otherwise the new one is refused.
@@ -41,6 +42,7 @@
 	budgetPercent  = 40 // of the machine's memory
 	reservePercent = 12 // of the budget, for small requests alone
 	waitingPercent = 50 // of the rest, for requests that are not admitted
+	answersPercent = 50 // of the rest, for answers of back ends
 )
 
 var (
@@ -48,7 +50,7 @@
 	ErrShort = errors.New("too little memory is free")
 	// ErrTooLarge means that so much memory is never available.
 	ErrTooLarge = errors.New("needs more memory than one request may have")
-	// ErrRevoked means that the lease was revoked because its body had stalled.
+	// ErrRevoked means that the lease was closed, or revoked because its body had stalled.
 	ErrRevoked = errors.New("dropped because its body had stalled")
 )
 
@@ -57,14 +59,14 @@
 	clock      base.Clock
 	counters   *base.Counters
 	capacity   int64 // 0 means no bound
-	largeShare int64 // of the capacity, for requests that are not small
-	// waitingShare is the part of largeShare for requests that are not admitted, so that those
-	// which are find memory to be processed.
-	waitingShare int64
+	largeShare int64 // of the capacity, for leases that are not small
+	// limits are the parts of largeShare for the uses of leases. Requests that wait and answers
+	// leave a part to admitted requests, so that those find memory to be processed.
+	limits [useCount]int64
 
 	mu        sync.Mutex
 	used      int64
-	waiting   int64 // held by requests that are not admitted
+	usedBy    [useCount]int64
 	revocable map[*Lease]bool
 	// collecting is set while one request collects a large amount in several steps.
 	collecting bool
@@ -77,10 +79,27 @@
 func NewBudget(clock base.Clock, counters *base.Counters, machineBytes int64) *Budget {
 	capacity := machineBytes * budgetPercent / 100
 	largeShare := capacity - capacity*reservePercent/100
-	return &Budget{clock: clock, counters: counters, capacity: capacity, largeShare: largeShare, waitingShare: largeShare * waitingPercent / 100,
+	b := &Budget{clock: clock, counters: counters, capacity: capacity, largeShare: largeShare,
+		limits:    [useCount]int64{useWaiting: largeShare * waitingPercent / 100, useAdmitted: largeShare, useAnswer: largeShare * answersPercent / 100},
 		revocable: map[*Lease]bool{}, released: base.NewNotifier(clock)}
+	counters.AddSource(func(snapshot map[string]int64) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		snapshot["memory_held_bytes"], snapshot["memory_answers_bytes"] = b.used, b.usedBy[useAnswer]
+	})
+	return b
 }
 
+// use is what a lease is for.
+type use int
+
+const (
+	useWaiting  use = iota // a request that is received or waits
+	useAdmitted            // a request that is processed
+	useAnswer              // an answer of a back end
+	useCount
+)
+
 // Used returns the bytes that all leases hold.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
@@ -88,12 +107,17 @@
 	return b.used
 }
 
-// NewLease returns a lease that holds nothing yet. That of a nil budget is nil.
-func (b *Budget) NewLease() *Lease {
+// NewLease returns a lease for a request that holds nothing yet. That of a nil budget is nil.
+func (b *Budget) NewLease() *Lease { return b.newLease(useWaiting) }
+
+// NewAnswerLease is NewLease for an answer of a back end.
+func (b *Budget) NewAnswerLease() *Lease { return b.newLease(useAnswer) }
+
+func (b *Budget) newLease(use use) *Lease {
 	if b == nil {
 		return nil
 	}
-	return &Lease{budget: b}
+	return &Lease{budget: b, use: use}
 }
 
 // fits reports whether a lease may hold so many bytes beside all others.
@@ -101,34 +125,25 @@
 	if bytes <= SmallBytes {
 		return b.used-l.held+bytes <= b.capacity
 	}
-	if !l.admitted && b.waiting-l.held+bytes > b.waitingShare {
-		return false
-	}
-	return b.used-l.held+bytes <= b.largeShare
+	return b.usedBy[l.use]-l.held+bytes <= b.limits[l.use] && b.used-l.held+bytes <= b.largeShare
 }
 
 // most returns what the lease may hold if no other holds anything.
-func (b *Budget) most(l *Lease) int64 {
-	if l.admitted {
-		return b.largeShare
-	}
-	return b.waitingShare
-}
+func (b *Budget) most(l *Lease) int64 { return b.limits[l.use] }
 
 // hold changes what a lease holds. The caller holds the lock.
 func (b *Budget) hold(l *Lease, bytes int64) {
 	b.used += bytes - l.held
-	if !l.admitted {
-		b.waiting += bytes - l.held
-	}
+	b.usedBy[l.use] += bytes - l.held
 	l.held = bytes
+	l.wasLarge = l.wasLarge || bytes > SmallBytes
 }
 
-// setAdmitted changes whether a lease is admitted. The caller holds the lock.
-func (b *Budget) setAdmitted(l *Lease, admitted bool) {
+// setUse changes what a lease is for. The caller holds the lock.
+func (b *Budget) setUse(l *Lease, use use) {
 	held := l.held
 	b.hold(l, 0)
-	l.admitted = admitted
+	l.use = use
 	b.hold(l, held)
 }
 
@@ -156,15 +171,16 @@
 	return false
 }
 
-// Lease is what one request holds of a budget: at first while it is received and waits, and
-// once it is admitted, while it is processed. A nil lease has no bound.
+// Lease is what one request or one answer holds of a budget: a request at first while it is
+// received and waits, and once it is admitted, while it is processed. A nil lease has no bound.
 type Lease struct {
 	budget   *Budget
 	progress atomic.Int64 // clock reading when the body last grew
 
 	// Guarded by the budget's lock.
 	held     int64
-	admitted bool
+	wasLarge bool
+	use      use
 	revoked  bool
 	onRevoke func()
 }
@@ -213,19 +229,45 @@
 	return nil
 }
 
-// Admit is Grow for the memory that it takes to process a request. It waits up to timeout
-// while too little is free.
+// GrowWithin is Grow that waits up to timeout while too little is free.
+func (l *Lease) GrowWithin(bytes int, timeout time.Duration) error {
+	if l == nil {
+		return nil
+	}
+	return l.budget.await(timeout, func() error { return l.grow(bytes) })
+}
+
+// WaitingLease is a Lease whose Grow waits up to Timeout while too little memory is free.
+type WaitingLease struct {
+	*Lease
+	Timeout time.Duration
+}
+
+// Grow is GrowWithin with the lease's timeout.
+func (l WaitingLease) Grow(bytes int) error { return l.GrowWithin(bytes, l.Timeout) }
+
+// IsShortage reports whether an error means that a lease could not grow.
+func IsShortage(err error) bool {
+	return errors.Is(err, ErrShort) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrRevoked)
+}
+
+// Admit is GrowWithin for the memory that it takes to process a request.
 func (l *Lease) Admit(bytes int, timeout time.Duration) error {
 	if l == nil {
 		return nil
 	}
-	b := l.budget
+	return l.budget.await(timeout, func() error { return l.admit(bytes) })
+}
+
+// await calls try, which is called with the lock held, until it does not fail for lack of memory
+// any more, or timeout has passed.
+func (b *Budget) await(timeout time.Duration, try func() error) error {
 	b.addWaiters(1)
 	defer b.addWaiters(-1)
 	for deadline := b.clock.Now() + timeout; ; {
 		released := b.released.Next()
 		b.mu.Lock()
-		err := l.admit(bytes)
+		err := try()
 		b.mu.Unlock()
 		if err != ErrShort {
 			return b.counted(err)
@@ -238,11 +280,11 @@
 
 // admit implements one try of Admit. The caller holds the lock.
 func (l *Lease) admit(bytes int) error {
-	former := l.admitted
-	l.budget.setAdmitted(l, true)
+	former := l.use
+	l.budget.setUse(l, useAdmitted)
 	err := l.grow(bytes)
 	if err != nil {
-		l.budget.setAdmitted(l, former)
+		l.budget.setUse(l, former)
 	}
 	return err
 }
@@ -253,6 +295,16 @@
 	b.mu.Unlock()
 }
 
+// WasLarge reports whether the lease has ever held more than a small one.
+func (l *Lease) WasLarge() bool {
+	if l == nil {
+		return false
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	return l.wasLarge
+}
+
 // Shrink gives bytes back.
 func (l *Lease) Shrink(bytes int) {
 	if l != nil {
@@ -268,6 +320,17 @@
 	}
 }
 
+// Close is Release for a lease that is not used again: it fails what still grows it.
+func (l *Lease) Close() {
+	if l == nil {
+		return
+	}
+	l.budget.mu.Lock()
+	l.revoked = true
+	l.budget.mu.Unlock()
+	l.Release()
+}
+
 // release gives back at most so many bytes.
 func (l *Lease) release(bytes int64) {
 	b := l.budget
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -37,7 +37,7 @@
 		b, _ := newTestBudget()
 		leases := []*Lease{}
 		for range rapid.IntRange(1, 8).Draw(t, "leases") {
-			leases = append(leases, b.NewLease())
+			leases = append(leases, b.NewLease(), b.NewAnswerLease())
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			l := leases[rapid.IntRange(0, len(leases)-1).Draw(t, "lease")]
@@ -52,15 +52,13 @@
 			case 3:
 				l.Release()
 			}
-			used, waiting := int64(0), int64(0)
+			used, usedBy := int64(0), [useCount]int64{}
 			for _, l := range leases {
 				used += l.held
-				if !l.admitted {
-					waiting += l.held
-				}
+				usedBy[l.use] += l.held
 			}
-			if used != b.used || waiting != b.waiting {
-				t.Fatalf("counted %d and %d, held are %d and %d", b.used, b.waiting, used, waiting)
+			if used != b.used || usedBy != b.usedBy {
+				t.Fatalf("counted %d and %v, held are %d and %v", b.used, b.usedBy, used, usedBy)
 			}
 			if used > b.capacity {
 				t.Fatalf("%d are held of %d", used, b.capacity)
@@ -84,7 +82,40 @@
 	b, _ := newTestBudget()
 	for b.NewLease().Grow(1<<20) == nil {
 	}
-	is.NoErr(b.NewLease().Admit(int(b.largeShare-b.waitingShare), 0))
+	is.NoErr(b.NewLease().Admit(int(b.largeShare-b.limits[useWaiting]), 0))
+}
+
+func TestAnswersLeaveRoomForAdmittedRequests(t *testing.T) {
+	is := is.New(t)
+	b, _ := newTestBudget()
+	for b.NewAnswerLease().Grow(1<<20) == nil {
+	}
+	is.NoErr(b.NewLease().Admit(int(b.largeShare-b.limits[useAnswer]), 0))
+	is.NoErr(b.NewAnswerLease().Grow(SmallBytes))
+}
+
+func TestAnswerWaitsForMemory(t *testing.T) {
+	is := is.New(t)
+	b, _ := newTestBudget()
+	first := b.NewAnswerLease()
+	is.NoErr(first.Grow(int(b.limits[useAnswer])))
+	grown := make(chan error)
+	go func() { grown <- b.NewAnswerLease().GrowWithin(1<<20, time.Minute) }()
+	b.awaitWaiter()
+	first.Release()
+	is.NoErr(<-grown)
+	is.Equal(b.NewAnswerLease().GrowWithin(int(b.limits[useAnswer]), 0), ErrShort)
+}
+
+func TestClosedLeaseHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	b, _ := newTestBudget()
+	lease := b.NewAnswerLease()
+	is.NoErr(lease.Grow(1 << 20))
+	lease.Close()
+	is.True(IsShortage(WaitingLease{lease, time.Minute}.Grow(1)))
+	lease.Shrink(1 << 20)
+	is.Equal(b.Used(), int64(0))
 }
 
 func TestStalledBodyIsDroppedForANewOne(t *testing.T) {
@@ -94,7 +125,7 @@
 	stalled, growing := b.NewLease(), b.NewLease()
 	for _, l := range []*Lease{stalled, growing} {
 		l.SetRevocable(func() { revoked++ })
-		is.NoErr(l.Grow(int(b.waitingShare / 2)))
+		is.NoErr(l.Grow(int(b.limits[useWaiting] / 2)))
 	}
 	is.Equal(b.NewLease().Grow(1<<20), ErrShort) // none has stalled yet
 	clock.now.Add(int64(2 * stallTime))
@@ -105,21 +136,26 @@
 	is.NoErr(growing.Grow(1))
 }
 
-func TestAdmissionWaitsForMemory(t *testing.T) {
-	is := is.New(t)
-	b, _ := newTestBudget()
-	first := b.NewLease()
-	is.NoErr(first.Admit(int(b.largeShare), 0))
-	admitted := make(chan error)
-	go func() { admitted <- b.NewLease().Admit(1<<20, time.Minute) }()
+// awaitWaiter returns once a request waits for memory.
+func (b *Budget) awaitWaiter() {
 	for {
 		b.mu.Lock()
 		waiting := b.waiters > 0
 		b.mu.Unlock()
 		if waiting {
-			break
+			return
 		}
 	}
+}
+
+func TestAdmissionWaitsForMemory(t *testing.T) {
+	is := is.New(t)
+	b, _ := newTestBudget()
+	first := b.NewLease()
+	is.NoErr(first.Admit(int(b.largeShare), 0))
+	admitted := make(chan error)
+	go func() { admitted <- b.NewLease().Admit(1<<20, time.Minute) }()
+	b.awaitWaiter()
 	first.Release()
 	is.NoErr(<-admitted)
 }
--- a/internal/tcp/dial.go
+++ b/internal/tcp/dial.go
@@ -18,6 +18,15 @@
 	}
 }
 
+// ReceiveBuffer bounds what the kernel receives before it is read. Where the kernel does not let it
+// be set, its own bound stays.
+func ReceiveBuffer(bytes int) SocketOption {
+	return func(fd int) error {
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+		return nil
+	}
+}
+
 // reuseAddress lets another process of the machine listen on the source port that the kernel
 // chose for a connection.
 func reuseAddress(fd int) error {
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -20,7 +20,8 @@
 	owner      *workerConns
 	addr       string
 	state      state
-	reader     *bufio.Reader
+	metered    *meteredConn
+	reader     *bufio.Reader // reads from metered
 	lineReader *bufio.Reader // reads the lines of a streamed body; nil until needed
 
 	idleSince time.Duration // when it became idle
@@ -35,11 +36,14 @@
 // apply moves the connection's state on an event.
 func (c *conn) apply(e event) { c.state = c.state.next(e) }
 
+// receiveBufferBytes bounds what a worker can send ahead of its reader.
+const receiveBufferBytes = 1 << 20
+
 // newDialer returns a dialer whose connections fail if sent bytes are not
 // acknowledged within twice the dial timeout. That detects workers that have
 // become unreachable.
 func newDialer(dialTimeout time.Duration) *net.Dialer {
-	dialer := tcp.NewDialer(dialTimeout, tcp.UserTimeout(2*dialTimeout))
+	dialer := tcp.NewDialer(dialTimeout, tcp.UserTimeout(2*dialTimeout), tcp.ReceiveBuffer(receiveBufferBytes))
 	dialer.KeepAlive = -1
 	return dialer
 }
@@ -62,7 +66,8 @@
 
 // newConn wraps a new network connection.
 func newConn(netConn net.Conn, addr string, owner *workerConns) *conn {
-	c := &conn{Conn: netConn, owner: owner, addr: addr, reader: bufio.NewReaderSize(netConn, maxHeaderBytes)}
+	metered := &meteredConn{Conn: netConn}
+	c := &conn{Conn: netConn, owner: owner, addr: addr, metered: metered, reader: bufio.NewReaderSize(metered, maxHeaderBytes)}
 	if sysConn, ok := netConn.(syscall.Conn); ok {
 		c.rawConn, _ = sysConn.SyscallConn() // nil if it fails; isSilent is then always false
 	}
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -293,8 +293,13 @@
 	}
 }
 
-// getConn returns a usable idle connection or dials a new one.
+// getConn returns a usable idle connection or dials a new one. A request that names no
+// incarnation gets a connection that is closed after it.
 func (p *pool) getConn(ctx *base.Ctx, addr string, request *base.BackendRequest) (c *conn, fresh bool, err error) {
+	if request.Incarnation == "" {
+		c, err = p.dial(ctx, addr, request.ConnectTimeout, &workerConns{open: 1, forgotten: true})
+		return c, true, err
+	}
 	c, entry, err := p.takeIdle(request.Incarnation, addr, request.MaxConns)
 	if err != nil || c != nil {
 		return c, false, err
--- a/internal/workerconn/reply.go
+++ b/internal/workerconn/reply.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -18,7 +19,6 @@
 
 const (
 	maxHeaderBytes    = 8 << 10 // of a response's head
-	maxLineBytes      = 1 << 20 // of one line of a stream
 	lineBufferSize    = 4 << 10 // buffer of the line reader
 	maxForeignReplies = 2       // responses to other requests that are skipped
 	// lengthUntilClose is the ContentLength that fasthttp reports for a body that
@@ -41,7 +41,7 @@
 // receiveHead reads the head of the response to the request, skipping responses
 // to other requests.
 func (p *pool) receiveHead(c *conn, request *base.BackendRequest) (*pooledReply, error) {
-	reply := &pooledReply{pool: p, conn: c}
+	reply := newPooledReply(p, c, request)
 	response := &reply.response
 	response.StreamBody = true
 	response.SkipBody = request.Method == fasthttp.MethodHead
@@ -57,14 +57,24 @@
 		}
 	}
 	c.apply(eventReplyHead)
-	reply.body = response.BodyStream()
+	p.counters.Add("worker_replies_open", 1)
 	reply.length = response.Header.ContentLength()
-	if reply.body == nil {
+	if stream := response.BodyStream(); stream != nil {
+		reply.body = meteredBody{stream, c.metered}
+	} else {
 		reply.finish()
 	}
 	return reply, nil
 }
 
+func newPooledReply(p *pool, c *conn, request *base.BackendRequest) *pooledReply {
+	lease := request.Memory
+	if lease == nil {
+		lease = base.UnboundedMemory{}
+	}
+	return &pooledReply{pool: p, conn: c, memory: lease, line: lineBuffer{memory: lease}, mayEndWithConnection: request.MayEndWithConnection}
+}
+
 // skipForeign skips a response to an earlier request; the expected one may follow
 // it. The connection is not reused afterwards.
 func (r *pooledReply) skipForeign() error {
@@ -88,9 +98,14 @@
 	body           io.Reader
 	length         int
 	lineReaderSet  bool
+	line           lineBuffer
 	foreignReplies int
-	endErr         error // what reads return once the body's end was reached
-	state          atomic.Int32
+	// memory counts what is held of the body; mayEndWithConnection accepts one without a length.
+	memory               base.MemoryLease
+	mayEndWithConnection bool
+
+	endErr error // what reads return once the body's end was reached
+	state  atomic.Int32
 }
 
 // The states of a reply: whether the body's end or Close came first.
@@ -126,6 +141,7 @@
 	if !r.state.CompareAndSwap(replyOpen, replyFinished) {
 		return
 	}
+	r.countReceived()
 	c := r.conn
 	end := replyEnd{clean: r.endErr == io.EOF, closing: r.ClosesConnection(), upgraded: r.Status() == fasthttp.StatusSwitchingProtocols,
 		foreignReplies: r.foreignReplies, trailingBytes: c.reader.Buffered()}
@@ -137,6 +153,12 @@
 	r.pool.putIdle(c, r.idleTime())
 }
 
+// countReceived counts the bytes that arrived for the reply.
+func (r *pooledReply) countReceived() {
+	r.pool.counters.Add("worker_bytes_received", r.conn.metered.total.Swap(0))
+	r.pool.counters.Add("worker_replies_open", -1)
+}
+
 // idleTime is how long the connection may stay idle: the worker's keep-alive
 // timeout less a fifth.
 func (r *pooledReply) idleTime() time.Duration {
@@ -158,11 +180,12 @@
 }
 
 // ReadLine returns the next line of the body including its line ending, and io.EOF
-// after a complete body.
+// after a complete body. The line is valid until the next call.
 func (r *pooledReply) ReadLine(timeout time.Duration) ([]byte, error) {
 	if r.endErr != nil {
 		return nil, r.endErr
 	}
+	r.line.release()
 	c := r.conn
 	if !r.lineReaderSet {
 		r.lineReaderSet = true
@@ -173,21 +196,22 @@
 		}
 	}
 	_ = c.SetReadDeadline(deadlineIn(timeout))
-	var line []byte
 	for {
 		piece, err := c.lineReader.ReadSlice('\n')
-		line = append(line, piece...)
+		if err == nil && len(r.line.bytes) == 0 {
+			return piece, nil // the usual case needs no copy
+		}
+		if appendErr := r.line.append(piece); appendErr != nil {
+			return nil, appendErr
+		}
 		switch {
 		case err == nil:
-			return line, nil
+			return r.line.bytes, nil
 		case err == bufio.ErrBufferFull:
-			if len(line) > maxLineBytes {
-				return nil, errors.Errorf("a line of the response is longer than %d bytes", maxLineBytes)
-			}
 		case err == io.EOF:
 			r.finish()
-			if len(line) > 0 {
-				return line, nil
+			if len(r.line.bytes) > 0 {
+				return r.line.bytes, nil
 			}
 			return nil, r.endErr
 		default:
@@ -203,22 +227,13 @@
 		return nil, nil
 	case r.endErr != nil:
 		return nil, r.endErr
-	case r.length == lengthUntilClose:
+	case r.length == lengthUntilClose && !r.mayEndWithConnection:
 		return nil, errNoLength
-	case r.length > maxBytes:
-		return nil, errors.Errorf("the response body is longer than %d bytes", maxBytes)
 	}
 	_ = r.conn.SetReadDeadline(deadlineIn(timeout))
-	var body []byte
-	var err error
-	if r.length >= 0 {
-		body = make([]byte, r.length)
-		_, err = io.ReadFull(r.body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(r.body, int64(maxBytes)+1))
-		if err == nil && len(body) > maxBytes {
-			err = errors.Errorf("the response body is longer than %d bytes", maxBytes)
-		}
+	body, err := memory.ReadBody(r.body, r.length, maxBytes, r.memory)
+	if err == memory.ErrBodyTooLarge {
+		return nil, errors.Errorf("the response body is longer than %d bytes", maxBytes)
 	}
 	if err != nil {
 		return nil, r.readError(err)
@@ -231,6 +246,7 @@
 // tells the worker to abandon the request.
 func (r *pooledReply) Close() {
 	if r.state.CompareAndSwap(replyOpen, replyClosed) {
+		r.countReceived()
 		r.pool.drop(r.conn)
 	}
 }
--- a/internal/workerconn/request.go
+++ b/internal/workerconn/request.go
@@ -60,6 +60,7 @@
 	if c.state != stateSending {
 		return 0, errNotReady
 	}
+	c.metered.begin()
 	sent, err := c.write(buf, body)
 	if err != nil {
 		c.apply(eventUnusable)
