A worker's stream ends where its request does

Seen by callers: a caller is handed 604,013 events of one turn in 6 s, far beyond what its request and its program's budget allow; comments and blank lines keep a stream alive for as long as the request has time.

Cause: nothing compared events with the second number of Token-Count, and each line restarted the clock of a silent worker. Bodies and events were held beside the memory budget.

Change: an event beyond the request's tokens is not passed on; the stream is cut, not continued elsewhere, and its worker set aside. Only events with data are progress: 64 KiB without one, or the usual silence, give the worker up. Bodies count until the client has read them, events while they are passed on. A refusal's body is read up to 64 KiB. A lack of memory blames a worker only if its own answer takes much of it.

Ruled out: settling what arrived instead of cutting (BUDGET allows one turn's most, not more).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,7 +194,7 @@
 		Workers: &worker.Client{Register: client}, UsageReports: usageReports, Picker: picker, Backends: env.Backends, Access: g.Access}
 	c.mount(session.NewOwnerServer(g.Sessions))
 	g.Routes, g.routesChanged = &base.AtomicPointer[route.Table]{}, base.NewNotifier(env.Clock)
-	g.Relay = relay.New(relay.Config{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: config.Zone, MaxConnsPerWorker: g.maxConnsPerWorker, MaxResponseBytes: maxResponseBytes})
+	g.Relay = relay.New(relay.Config{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: config.Zone, MaxConnsPerWorker: g.maxConnsPerWorker, MaxResponseBytes: maxResponseBytes, Memory: env.Memory})
 	ledgerClient := ledger.NewClient(env.Clock, env.HTTPClient, g.diskSet.Load, config.Zone, config.FaultTolerance, bounds, env.Counters, nil)
 	g.Lines = line.NewManager(line.Dependencies{Clock: env.Clock, HTTPClient: env.HTTPClient, View: c.view, Bounds: bounds, Counters: env.Counters,
 		Routes: g.Routes, Ledger: ledgerAdapter{ledgerClient}, Workers: relayAdapter{g}, Memory: env.Memory, MemoryBytes: config.MemoryBytes})
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -8,6 +8,7 @@
 	"fordseam/internal/feed"
 	"fordseam/internal/line"
 	"fordseam/internal/membership"
+	"fordseam/internal/memory"
 	"fordseam/internal/register"
 	"fordseam/internal/relay"
 	"fordseam/internal/route"
@@ -96,6 +97,8 @@
 	Headers []relay.Header
 	Body    []byte
 	Stream  *line.Reader
+	// Memory counts the body, and is closed once the body is not held any more.
+	Memory *memory.Lease
 }
 
 // Handle serves one request of a client. The matching route decides where it goes:
@@ -141,7 +144,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Status: reply.Status, Headers: reply.Headers(), Body: body}, nil
+	return &Response{Status: reply.Status, Headers: reply.Headers(), Body: body, Memory: reply.TakeMemory()}, nil
 }
 
 // streamResponse waits for the head of a stream and returns the response.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -2,9 +2,11 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 )
 
 const (
@@ -30,7 +32,13 @@
 
 	firstEventSeen bool
 	events         int // events with data
+	progress       streamProgress
 	once           sync.Once
+
+	// memory counts what is held of the response. A buffered body stays counted after the end.
+	memory      *memory.Lease
+	eventMemory memory.Steps // of the current event
+	buffered    atomic.Bool
 }
 
 // end closes the response and records the result. Only the first call has an
@@ -38,10 +46,26 @@
 func (a *attempt) end(result outcome) {
 	a.once.Do(func() {
 		a.response.Close()
+		if !a.buffered.Load() {
+			a.memory.Close()
+		}
 		a.relay.finishAttempt(a, result)
 	})
 }
 
+// endAfter is end for an attempt whose response could not be read. A lack of memory here is the
+// worker's failure only if its response takes much of it.
+func (a *attempt) endAfter(err error) {
+	if memory.IsShortage(err) {
+		a.relay.count("answers_memory_short")
+		if !a.memory.WasLarge() {
+			a.end(outcomeAbandoned)
+			return
+		}
+	}
+	a.end(outcomeFailed)
+}
+
 // attemptTimeout returns how long to wait for the response of the chosen worker.
 //
 // A repeatable request does not wait for a silent worker until its deadline: while
--- a/internal/relay/event.go
+++ b/internal/relay/event.go
@@ -24,7 +24,9 @@
 
 // readEvent reads lines up to an empty one. It returns io.EOF at the end of the
 // stream; a last event without an empty line is returned before that.
-func readEvent(readLine func() ([]byte, error)) (*Event, error) {
+//
+// hold is called with the size of each line before the line becomes part of the event.
+func readEvent(readLine func() ([]byte, error), hold func(bytes int) error) (*Event, error) {
 	event := &Event{}
 	for {
 		raw, err := readLine()
@@ -34,6 +36,9 @@
 		case err != nil:
 			return nil, err
 		}
+		if err := hold(len(raw)); err != nil {
+			return nil, err
+		}
 		event.Raw = append(event.Raw, raw...)
 		line := bytes.TrimRight(raw, "\r\n")
 		if len(line) == 0 {
@@ -65,18 +70,14 @@
 // nextEvent waits for the attempt's next event until the deadline.
 func (a *attempt) nextEvent(deadline time.Duration) (*Event, error) {
 	clock := a.relay.Clock
-	event, err := readEvent(func() ([]byte, error) {
-		line, err := a.response.ReadLine(max(0, deadline-clock.Now()))
-		if err == nil {
-			a.worker.lastHeardAt.Store(int64(clock.Now()))
-		}
-		return line, err
-	})
+	a.eventMemory.Reset()
+	event, err := readEvent(func() ([]byte, error) { return a.response.ReadLine(max(0, deadline-clock.Now())) }, a.holdLine)
 	if err != nil {
 		return nil, err
 	}
 	if event.Data != nil {
 		a.events++
+		a.worker.lastHeardAt.Store(int64(clock.Now()))
 	}
 	if !a.firstEventSeen && len(bytes.TrimRight(event.Raw, "\r\n")) > 0 {
 		a.firstEventSeen = true
@@ -84,3 +85,9 @@
 	}
 	return event, nil
 }
+
+// eventCopies is how often an event is in memory: in Raw and in Data.
+const eventCopies = 2
+
+// holdLine takes memory for a line of the current event.
+func (a *attempt) holdLine(bytes int) error { return a.eventMemory.Add(eventCopies * bytes) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 	"fordseam/internal/route"
 )
 
@@ -25,6 +26,8 @@
 	Zone     string
 	// MaxResponseBytes bounds the body of a response that is not streamed.
 	MaxResponseBytes int
+	// Memory is what responses count to; nil sets no bound.
+	Memory *memory.Budget
 	// MaxConnsPerWorker returns how many connections this node may have to each
 	// worker of a service, 0 for no bound. nil means no bound for any service.
 	MaxConnsPerWorker func(*route.Service) int
@@ -33,6 +36,14 @@
 	Rank func(*Call) int
 }
 
+const (
+	// answerMemoryWait is how long the bytes of a response stay with the worker at most while too
+	// little memory is free.
+	answerMemoryWait = time.Second
+	// maxRejectionBytes bounds the body of a response that says that the request did not run.
+	maxRejectionBytes = 64 << 10
+)
+
 // Relay dispatches requests to workers on one node.
 //
 // A request goes to one worker after another until one takes it. It is sent to a
@@ -245,12 +256,16 @@
 	request.HeaderLines = append(d.headerLines[:len(d.headerLines):len(d.headerLines)], base.HeaderLine{Name: r.Names.Deadline, Value: strconv.FormatInt(remaining.Milliseconds(), 10)},
 		base.HeaderLine{Name: r.Names.ExpectWorker, Value: chosen.ID})
 	timeout := r.attemptTimeout(d, chosen, remaining)
+	lease := r.Memory.NewAnswerLease()
+	request.Memory = memory.WaitingLease{Lease: lease, Timeout: min(answerMemoryWait, remaining/4)}
 	response, err := r.Backends.Call(d.ctx.WithTimeout(timeout), chosen.Addr, request)
 	if err != nil {
+		lease.Close()
 		return nil, r.handleCallError(d, chosen, err)
 	}
 	d.attempts++
-	first := &attempt{relay: r, dispatch: d, worker: chosen, response: response, sentAt: sentAt}
+	first := &attempt{relay: r, dispatch: d, worker: chosen, response: response, sentAt: sentAt, memory: lease,
+		eventMemory: memory.Steps{Lease: lease, Timeout: answerMemoryWait}}
 	reply := &Reply{Status: response.Status(), WorkerID: chosen.ID, relay: r, dispatch: d, firstAttempt: first, current: first}
 	r.recordLoad(chosen, response.Header(r.Names.Load))
 	proof := proofFromResponse(reply.Status, response.Header(r.Names.NotRun))
@@ -270,17 +285,24 @@
 	}
 	body, err := response.ReadBody(max(0, sentAt+timeout-r.Clock.Now()), r.MaxResponseBytes)
 	if err != nil {
-		reply.end(outcomeFailed)
+		first.endAfter(err)
 		if r.Clock.Now() >= d.deadline {
 			return nil, base.Indeterminate(504, "timed_out", "the worker's answer did not come in time")
 		}
-		return nil, base.Indeterminate(502, "worker_cut", "the worker's answer was cut short")
+		return nil, bodyError(err)
 	}
-	reply.body, reply.buffered = body, true
-	reply.end(outcomeServed)
+	reply.setBody(body)
 	return reply, nil
 }
 
+// bodyError returns the request error for a body that could not be read.
+func bodyError(err error) *base.RequestError {
+	if memory.IsShortage(err) {
+		return base.Indeterminate(502, "memory_short", "too little memory is free on this node for the worker's answer")
+	}
+	return base.Indeterminate(502, "worker_cut", "the worker's answer was cut short")
+}
+
 // handleCallError releases the worker after a call without response and returns
 // the request error.
 func (r *Relay) handleCallError(d *dispatch, chosen *workerState, err error) error {
@@ -303,7 +325,7 @@
 // handleRejection handles a response that proves that the request did not run. Its
 // short body is read so that the connection can be reused.
 func (r *Relay) handleRejection(reply *Reply, proof notRunProof) error {
-	_, _ = reply.firstAttempt.response.ReadBody(reply.dispatch.minSendTime(), r.MaxResponseBytes) // an error only costs the connection
+	_, _ = reply.firstAttempt.response.ReadBody(reply.dispatch.minSendTime(), min(maxRejectionBytes, r.MaxResponseBytes)) // an error only costs the connection
 	r.count("workers_turned_away")
 	reply.end(consequences[proof].outcome)
 	return proof.requestError()
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"fordseam/internal/base"
+	"fordseam/internal/memory"
 )
 
 // Reply is a worker's reply, with the whole body or as a stream that is read event
@@ -24,9 +24,10 @@
 	buffered     bool           // body is set
 	position     streamPosition // after the last event that was passed on
 
-	mu      sync.Mutex
-	current *attempt
-	closed  bool
+	mu          sync.Mutex
+	current     *attempt
+	closed      bool
+	memoryTaken bool
 }
 
 // Buffered reports whether the whole body was read; otherwise the reply is a
@@ -65,12 +66,27 @@
 	}
 	body, err := r.firstAttempt.response.ReadBody(timeout, r.relay.MaxResponseBytes)
 	if err != nil {
-		r.end(outcomeFailed)
-		return nil, base.Indeterminate(502, "worker_cut", "the worker's answer was cut short")
+		r.firstAttempt.endAfter(err)
+		return nil, bodyError(err)
 	}
+	r.setBody(body)
+	return body, nil
+}
+
+// setBody sets the whole body, which ends the attempt.
+func (r *Reply) setBody(body []byte) {
 	r.body, r.buffered = body, true
+	r.firstAttempt.buffered.Store(true)
 	r.end(outcomeServed)
-	return body, nil
+}
+
+// TakeMemory returns the lease that counts the whole body, which the caller closes once the body
+// is not held any more. Without this call Close does so.
+func (r *Reply) TakeMemory() *memory.Lease {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.memoryTaken = true
+	return r.firstAttempt.memory
 }
 
 // Event waits for the next event, at most for timeout. It returns io.EOF at the
@@ -80,9 +96,10 @@
 	deadline := r.relay.Clock.Now() + timeout
 	for {
 		current := r.currentAttempt()
+		current.progress.await(r.relay.Clock.Now())
 		event, err := current.nextEvent(r.eventDeadline(current, deadline))
 		if err == nil {
-			err = r.position.check(event)
+			err = r.checkEvent(current, event)
 		}
 		switch {
 		case err == nil:
@@ -98,6 +115,19 @@
 	}
 }
 
+// checkEvent returns an error if the event must not be passed on.
+func (r *Reply) checkEvent(current *attempt, event *Event) error {
+	if event.Data != nil && r.position.dataEvents >= r.dispatch.maxEvents() {
+		r.relay.count("answers_overrun")
+		return errOverrun
+	}
+	if !current.progress.add(event) {
+		r.relay.count("answers_without_progress")
+		return errNoProgress
+	}
+	return r.position.check(event)
+}
+
 // currentAttempt returns the attempt that the events are read from.
 func (r *Reply) currentAttempt() *attempt {
 	r.mu.Lock()
@@ -110,10 +140,16 @@
 func (r *Reply) Close() {
 	r.mu.Lock()
 	r.closed = true
-	current := r.current
+	current, memoryTaken := r.current, r.memoryTaken
 	r.mu.Unlock()
 	current.end(outcomeAbandoned)
+	if !memoryTaken {
+		current.memory.Close()
+	}
 }
 
+// Fail ends the reply as a failure of its worker.
+func (r *Reply) Fail() { r.end(outcomeFailed) }
+
 // end ends the current attempt.
 func (r *Reply) end(result outcome) { r.currentAttempt().end(result) }
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -7,13 +7,15 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 )
 
 // streamPosition is how far the events of a stream have been passed on. If the ids
 // increase in equal steps, the next id is known; otherwise it is only known to be
 // higher.
 type streamPosition struct {
-	events      int
+	events      int // that are numbered
+	dataEvents  int // that have data
 	lastID      string
 	lastNumber  int64
 	idStep      int64 // between the last two ids, 0 if unknown
@@ -42,6 +44,9 @@
 
 // advance moves the position behind an event that is passed on.
 func (p *streamPosition) advance(event *Event) {
+	if event.Data != nil {
+		p.dataEvents++
+	}
 	if event.Data == nil && event.ID == "" {
 		return
 	}
@@ -75,7 +80,7 @@
 	if !current.firstEventSeen {
 		silenceLimit += silenceFactor * r.relay.meanRequestTime(r.dispatch.service.Name)
 	}
-	return min(deadline, r.relay.Clock.Now()+silenceLimit)
+	return min(deadline, current.progress.awaitedSince+silenceLimit)
 }
 
 // meanRequestTime is the mean time of a request of the service.
@@ -91,8 +96,8 @@
 func (r *Reply) resume(cause error) error {
 	streamErr := streamError(cause)
 	last := r.currentAttempt()
-	last.end(outcomeFailed)
-	if cause == error(errUnexpectedEvent) || !r.mayResume() {
+	last.endAfter(cause)
+	if cause == error(errUnexpectedEvent) || cause == error(errOverrun) || memory.IsShortage(cause) || !r.mayResume() {
 		return streamErr
 	}
 	relay, d := r.relay, r.dispatch
@@ -148,6 +153,9 @@
 	if requestErr := base.FindRequestError(cause); requestErr != nil {
 		return requestErr
 	}
+	if memory.IsShortage(cause) {
+		return bodyError(cause)
+	}
 	return errStreamCut
 }
 
