A stream holds what its reader has not read, and no more

Cause: the owner of a turn kept all pieces until the turn was gone, whoever read them, and the data of all events, also on routes that keep no turns; a pull sent all pieces from a position on.

Change: a stream holds 64 KiB, or one event, that its reader has not taken. Beyond that its owner does not read from the worker, and a gateway that forwarded the turn does not pull. What is read is given up, but for 8 KiB that a message which comes twice may ask for. Only turns that will be stored keep their output, which takes the memory of its storing as it grows.

Ruled out: a bound on the bytes of a turn alone (a legal turn may be long, and a thousand of them that nobody reads do the same).

--- a/internal/fleet/crowdtest/endless_test.go
+++ b/internal/fleet/crowdtest/endless_test.go
@@ -116,7 +116,7 @@
 	for _, status := range []int{200, 500} {
 		for _, form := range platform.EndlessForms {
 			t.Run(fmt.Sprintf("%s_behind_%d", form, status), func(t *testing.T) {
-				f.SetEndlessWorkers(platform.FaultEndless(form, status), endlessShare)
+				f.SetEndlessWorkers(endlessShare, platform.FaultEndless(form, status))
 				f.callEndless(readAll)
 				f.checkEndless(t)
 			})
@@ -131,7 +131,7 @@
 	for _, status := range []int{200, 500} {
 		for _, form := range []platform.EndlessForm{platform.EndlessChunk, platform.EndlessEvents, platform.EndlessLargeEvents} {
 			t.Run(fmt.Sprintf("%s_behind_%d", form, status), func(t *testing.T) {
-				f.SetEndlessWorkers(platform.FaultEndless(form, status), endlessShare)
+				f.SetEndlessWorkers(endlessShare, platform.FaultEndless(form, status))
 				f.callEndless(readNothing)
 				f.checkEndless(t)
 			})
@@ -139,6 +139,33 @@
 	}
 }
 
+// allEndlessFaults are all forms of endless answers behind 200 and 500.
+func allEndlessFaults() (faults []platform.Fault) {
+	for _, form := range platform.EndlessForms {
+		faults = append(faults, platform.FaultEndless(form, 200), platform.FaultEndless(form, 500))
+	}
+	return faults
+}
+
+// TestEndlessAnswersThroughRestarts guards against the same when all forms come at once, to callers
+// that read and to callers that do not, while the list of workers does it too, and machines of all
+// classes restart.
+func TestEndlessAnswersThroughRestarts(t *testing.T) {
+	f := startFleet(t)
+	f.SetEndlessWorkers(endlessShare, allEndlessFaults()...)
+	for round, class := range []string{platform.ClassEdge, platform.ClassCore, platform.ClassStorage, platform.ClassEdge} {
+		f.SetEndlessList(platform.EndlessForms[round*3])
+		restarted := make(chan error)
+		go func() { restarted <- f.Restart(f.Machines(class)[0].Name) }()
+		f.callEndless(readAll)
+		f.callEndless(readNothing)
+		if err := <-restarted; err != nil {
+			t.Fatal(err)
+		}
+		f.checkEndless(t)
+	}
+}
+
 // TestEndlessListOfWorkers guards against cores that keep, or read without end, what the list of
 // workers answers.
 func TestEndlessListOfWorkers(t *testing.T) {
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -96,7 +96,7 @@
 	machines        []*machine
 	workers         []*sockets.WorkerServer
 	faults          map[string]*injectedFaults       // by worker ID or service
-	endless         map[string]platform.Fault        // by worker ID
+	endless         map[string][]platform.Fault      // endless answers to draw from, by worker ID
 	workByPrefix    map[string]platform.Distribution // by route prefix
 	unexpectedExits []string                         // reported as violations of the rule FAULT
 	exitCount       int                              // unexpected exits, those not counted as violations too
@@ -114,7 +114,7 @@
 // events have separate random sources, which follow from the seed.
 func newPlatformRun(plan *PlatformPlan) *platformRun {
 	run := &platformRun{plan: plan, clock: base.NewRealClock(), rng: rand.New(rand.NewPCG(plan.Seed, 1)), done: make(chan struct{}),
-		faults: map[string]*injectedFaults{}, endless: map[string]platform.Fault{}, workByPrefix: map[string]platform.Distribution{}, rateFactor: 1}
+		faults: map[string]*injectedFaults{}, endless: map[string][]platform.Fault{}, workByPrefix: map[string]platform.Distribution{}, rateFactor: 1}
 	run.ledger = platform.NewRecorder(plan.Site.Bounds, plan.Site.TokensPerEvent(), plan.Site.Cores)
 	run.names = plan.Site.DrawNames(rand.New(rand.NewPCG(plan.Seed, 2)))
 	run.drafts = &platform.ConfigGenerator{Deployment: plan.Site, Names: run.names, Rng: rand.New(rand.NewPCG(plan.Seed, 3))}
--- a/internal/fleet/platform_fleet.go
+++ b/internal/fleet/platform_fleet.go
@@ -59,13 +59,13 @@
 func (f *PlatformFleet) Model() string { return f.run.names.Model }
 
 // SetEndlessWorkers makes the first workers of each service, a share of them, answer each request
-// with the fault, and all others as usual.
-func (f *PlatformFleet) SetEndlessWorkers(fault platform.Fault, share float64) {
+// with one of the faults, and all others as usual.
+func (f *PlatformFleet) SetEndlessWorkers(share float64, faults ...platform.Fault) {
 	for _, service := range f.run.plan.Site.Services {
 		workers := f.run.activeWorkers(service.Name)
 		faulty := int(share*float64(len(workers)) + 0.5)
-		f.run.setEndless(workers[:faulty], fault)
-		f.run.setEndless(workers[faulty:], platform.NoFault)
+		f.run.setEndless(workers[:faulty], faults...)
+		f.run.setEndless(workers[faulty:])
 	}
 }
 
--- a/internal/fleet/platform_workers.go
+++ b/internal/fleet/platform_workers.go
@@ -55,23 +55,28 @@
 	}
 	run.setEndless(faulty, platform.FaultEndless(event.Form, event.Status))
 	run.clock.Sleep(event.Duration)
-	run.setEndless(faulty, platform.NoFault)
+	run.setEndless(faulty)
 }
 
-// setEndless makes workers answer with a fault, or as usual if that is NoFault.
-func (run *platformRun) setEndless(workers []*sockets.WorkerServer, fault platform.Fault) {
+// setEndless makes workers answer each request with one of the faults, or as usual if there are
+// none.
+func (run *platformRun) setEndless(workers []*sockets.WorkerServer, faults ...platform.Fault) {
 	run.mu.Lock()
 	defer run.mu.Unlock()
 	for _, server := range workers {
-		run.endless[server.Worker.ID] = fault
+		run.endless[server.Worker.ID] = faults
 	}
 }
 
-// nextEndless returns the endless answer of a worker, or NoFault.
+// nextEndless draws the endless answer of a worker, or returns NoFault.
 func (run *platformRun) nextEndless(worker string) platform.Fault {
 	run.mu.Lock()
-	defer run.mu.Unlock()
-	return run.endless[worker]
+	faults := run.endless[worker]
+	run.mu.Unlock()
+	if len(faults) == 0 {
+		return platform.NoFault
+	}
+	return faults[run.randomInt(len(faults))]
 }
 
 // startWorkers starts the workers of all services, spread over the zones.
--- a/internal/line/execute.go
+++ b/internal/line/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 	"fordseam/internal/relay"
 	"fordseam/internal/route"
 	"fordseam/internal/session"
@@ -160,7 +161,9 @@
 		m.relayPlain(op, reply)
 		return
 	}
-	output, events, complete := m.relayEvents(op, reply)
+	output := m.newOutput(op)
+	defer output.release()
+	events, complete := m.relayEvents(op, reply, output)
 	tokens := events * service.TokensPerEvent()
 	if !complete {
 		m.settle(s, op, tokens)
@@ -174,7 +177,7 @@
 		m.finishTurn(op)
 		return
 	}
-	m.commit(s, op, output, tokens)
+	m.commit(s, op, output.collected(), tokens)
 }
 
 // finishTurn ends a turn that was answered completely.
@@ -194,27 +197,43 @@
 	return m.Clock.Int64N
 }
 
-// relayEvents adds each event to the stream as it arrives. It returns the data of all
-// events for the ledger, their number, and whether the answer came to a clean end.
-func (m *Manager) relayEvents(op *operation, reply Reply) (output []byte, events int64, complete bool) {
+// relayEvents adds each event to the stream as it arrives, and its data to the output. It
+// returns the number of events, and whether the answer came to a clean end.
+func (m *Manager) relayEvents(op *operation, reply Reply, output *turnOutput) (events int64, complete bool) {
 	op.stream.setHead(&Head{Status: reply.Status(), Headers: reply.Headers()})
 	for {
 		event, err := reply.Event(op.ctx.Remaining())
 		if err != nil {
-			return output, events, isEOF(err) && !op.isCancelled()
+			return events, isEOF(err) && !op.isCancelled()
 		}
 		if event.Data != nil {
+			if output.add(event.Data) != nil {
+				failIfLarge(reply, len(output.collected())+len(event.Data))
+				return events, false
+			}
 			events++
-			output = append(append(output, event.Data...), '\n')
 		}
-		op.stream.add(event.Raw)
+		if err := op.stream.add(op.ctx, event.Raw); err != nil {
+			if memory.IsShortage(err) {
+				failIfLarge(reply, len(event.Raw))
+			}
+			return events, false
+		}
+	}
+}
+
+// failIfLarge ends a reply that did not fit into the memory as a failure of its worker if it takes
+// much of it.
+func failIfLarge(reply Reply, bytes int) {
+	if bytes > memory.SmallBytes {
+		reply.Fail()
 	}
 }
 
 // PassThrough sends a streamed call that is not a turn to a worker.
 func (m *Manager) PassThrough(ctx *base.Ctx, matched *route.Route, call *relay.Call) *Stream {
 	op := &operation{call: call, ctx: ctx, state: session.OpRunning}
-	op.stream = newStream(m.Clock, op.cancel)
+	op.stream = newStream(m.Clock, m.Memory, op.cancel)
 	m.Clock.Go(func() {
 		reply, err := m.Workers.Send(ctx, matched, matched.PickService(m.Clock.Int64N), call, call.Body)
 		if err != nil {
@@ -228,7 +247,7 @@
 		case !reply.IsStream():
 			m.relayPlain(op, reply)
 		default:
-			if _, _, complete := m.relayEvents(op, reply); !complete {
+			if _, complete := m.relayEvents(op, reply, nil); !complete {
 				op.stream.fail(base.Indeterminate(502, "cut", "the worker's answer ended before it was complete"))
 				return
 			}
@@ -266,6 +285,6 @@
 		return
 	}
 	op.stream.setHead(&Head{Status: reply.Status(), Headers: reply.Headers()})
-	op.stream.add(body)
+	op.stream.addWhole(body, reply.TakeMemory())
 	op.stream.finish()
 }
--- a/internal/line/forward.go
+++ b/internal/line/forward.go
@@ -36,7 +36,7 @@
 	pull := func(abandon bool, position uint64, limit time.Duration) (*PullReply, error) {
 		return owner.Pull(base.NewCtx(m.Clock, limit), &PullRequest{Program: call.Program, Session: call.Session, Turn: call.ID, Place: position, HoldMs: wait.Milliseconds(), Leave: abandon, Assignment: assignment})
 	}
-	stream := newStream(m.Clock, func() {
+	stream := newStream(m.Clock, m.Memory, func() {
 		m.Clock.Go(func() { _, _ = pull(true, 0, wait) })
 	})
 	m.Clock.Go(func() {
@@ -45,7 +45,13 @@
 			if reply.Status > 0 && position == 0 {
 				stream.setHead(&Head{Status: int(reply.Status), Headers: headersFromProto(reply.Headers)})
 			}
-			stream.add(reply.Pieces...)
+			for _, piece := range reply.Pieces {
+				if err := stream.add(ctx, piece); err != nil {
+					_, _ = pull(true, 0, wait)
+					stream.fail(base.ToRequestError(err))
+					return
+				}
+			}
 			position += uint64(len(reply.Pieces))
 			switch {
 			case reply.Cut:
@@ -102,7 +108,7 @@
 		return nil, base.ToTwirpError(memory.RequestError(err))
 	}
 	ctx := base.NewCtx(m.Clock, call.Deadline)
-	stream, _, err := m.accept(newOperation(m.Clock, ctx, matched, call, true), s, replaces)
+	stream, _, err := m.accept(m.newOperation(ctx, matched, call, true), s, replaces)
 	if err != nil {
 		call.Memory.Release()
 		return nil, base.ToTwirpError(err)
--- a/internal/line/interfaces.go
+++ b/internal/line/interfaces.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 	"fordseam/internal/relay"
 	"fordseam/internal/route"
 )
@@ -94,6 +95,10 @@
 	Body(limit time.Duration) ([]byte, error)
 	// IsStream reports whether events follow; otherwise Body returns the whole body.
 	IsStream() bool
+	// TakeMemory returns the lease that counts the whole body, which the caller then closes.
+	TakeMemory() *memory.Lease
+	// Fail ends the response as a failure of the worker, Close for any other reason.
+	Fail()
 	Close()
 }
 
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -17,6 +17,7 @@
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
 	"fordseam/internal/membership"
+	"fordseam/internal/memory"
 	"fordseam/internal/relay"
 	"fordseam/internal/route"
 
@@ -111,10 +112,12 @@
 	once      sync.Once
 }
 
-func (r *fakeReply) Status() int             { return 200 }
-func (r *fakeReply) Headers() []relay.Header { return []relay.Header{{Name: "Seal", Value: "s"}} }
-func (r *fakeReply) IsStream() bool          { return true }
-func (r *fakeReply) Close()                  { r.once.Do(func() { close(r.closed) }) }
+func (r *fakeReply) Status() int               { return 200 }
+func (r *fakeReply) Headers() []relay.Header   { return []relay.Header{{Name: "Seal", Value: "s"}} }
+func (r *fakeReply) IsStream() bool            { return true }
+func (r *fakeReply) TakeMemory() *memory.Lease { return nil }
+func (r *fakeReply) Fail()                     { r.Close() }
+func (r *fakeReply) Close()                    { r.once.Do(func() { close(r.closed) }) }
 func (r *fakeReply) Body(time.Duration) ([]byte, error) {
 	return nil, io.ErrUnexpectedEOF
 }
--- a/internal/line/manager.go
+++ b/internal/line/manager.go
@@ -128,6 +128,7 @@
 	op.cancelled = true
 	reply := op.reply
 	op.mu.Unlock()
+	op.stream.interrupt()
 	if reply != nil {
 		reply.Close()
 	}
@@ -177,7 +178,7 @@
 				return nil, err
 			}
 		}
-		stream, newOwner, err := m.accept(newOperation(m.Clock, ctx, matched, call, false), s, remote)
+		stream, newOwner, err := m.accept(m.newOperation(ctx, matched, call, false), s, remote)
 		if err != nil || newOwner == nil {
 			return stream, err
 		}
@@ -207,9 +208,9 @@
 }
 
 // newOperation returns the operation of a turn of a route.
-func newOperation(clock base.Clock, ctx *base.Ctx, matched *route.Route, call *relay.Call, forwarded bool) *operation {
+func (m *Manager) newOperation(ctx *base.Ctx, matched *route.Route, call *relay.Call, forwarded bool) *operation {
 	op := &operation{call: call, route: matched, ctx: ctx, state: session.OpQueued, forwarded: forwarded}
-	op.stream = newStream(clock, op.cancel)
+	op.stream = newStream(m.Clock, m.Memory, op.cancel)
 	return op
 }
 
--- a/internal/line/pull.go
+++ b/internal/line/pull.go
@@ -58,6 +58,7 @@
 		m.mu.Lock()
 		delete(m.forwardedStreams, key)
 		m.mu.Unlock()
+		stream.release()
 	})
 }
 
@@ -124,6 +125,7 @@
 	}
 	if done {
 		stream.endDelivered.Store(true)
+		stream.takeAll()
 	}
 	reply := &PullReply{Pieces: pieces, Place: uint64(position), Done: done, Cut: cut}
 	if head != nil && position == 0 {
--- a/internal/line/stream.go
+++ b/internal/line/stream.go
@@ -2,11 +2,13 @@
 
 import (
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 	"fordseam/internal/relay"
 )
 
@@ -17,14 +19,17 @@
 }
 
 // Stream is the response to one turn while it arrives: a head, pieces that are passed
-// on unchanged, and an end. The session's owner writes it and one client reads it. It
-// is complete only when the owner says so. A reader that closes early cancels the turn.
+// on unchanged, and an end. The session's owner writes it and one client reads it, and
+// only what the client has not read yet is held. It is complete only when the owner says
+// so. A reader that closes early cancels the turn.
 type Stream struct {
 	mu           sync.Mutex
 	changed      *base.Notifier
 	head         *Head
 	failure      *base.RequestError
-	pieces       [][]byte
+	window       window
+	writerWaits  bool // for the reader to take pieces
+	interrupted  bool // the writer need not wait for the reader any more
 	done         bool
 	cut          bool
 	abandoned    bool
@@ -33,8 +38,10 @@
 	endDelivered atomic.Bool // the end was sent to the gateway that pulls
 }
 
-func newStream(clock base.Clock, onAbandon func()) *Stream {
-	return &Stream{changed: base.NewNotifier(clock), onAbandon: onAbandon}
+// newStream returns a stream that holds nothing yet; what its reader has not read counts to the
+// memory.
+func newStream(clock base.Clock, budget *memory.Budget, onAbandon func()) *Stream {
+	return &Stream{changed: base.NewNotifier(clock), onAbandon: onAbandon, window: window{lease: budget.NewAnswerLease()}}
 }
 
 func (s *Stream) update(change func()) {
@@ -44,9 +51,76 @@
 	s.changed.Notify()
 }
 
-func (s *Stream) setHead(head *Head)   { s.update(func() { s.head = head }) }
-func (s *Stream) add(pieces ...[]byte) { s.update(func() { s.pieces = append(s.pieces, pieces...) }) }
-func (s *Stream) finish()              { s.end(func() {}) }
+func (s *Stream) setHead(head *Head) { s.update(func() { s.head = head }) }
+func (s *Stream) finish()            { s.end(func() {}) }
+
+// errNoReader means that a stream's reader has not taken its pieces in time, or has gone.
+var errNoReader = base.Indeterminate(502, "cut", "the reader of the answer did not take it in time")
+
+// add adds a piece once the reader has taken enough of those before. It returns an error if that
+// does not happen in the time of ctx, or too little memory is free.
+func (s *Stream) add(ctx *base.Ctx, piece []byte) error {
+	shortfall, err := s.awaitRoom(ctx, len(piece))
+	if err != nil {
+		return err
+	}
+	if shortfall > 0 {
+		if err := s.window.lease.GrowWithin(shortfall, waitForMemory(ctx)); err != nil {
+			return err
+		}
+	}
+	s.update(func() {
+		s.window.held += shortfall
+		s.window.add(piece)
+	})
+	return nil
+}
+
+// awaitRoom waits until a piece may be added, and returns how much memory it needs.
+func (s *Stream) awaitRoom(ctx *base.Ctx, size int) (shortfall int, err error) {
+	for {
+		next := s.changed.Next()
+		s.mu.Lock()
+		hasRoom, gone, shortfall := s.window.hasRoom(size), s.interrupted || s.abandoned, s.window.shortfall(size)
+		s.writerWaits = !hasRoom
+		s.mu.Unlock()
+		switch {
+		case gone:
+			return 0, errNoReader
+		case hasRoom:
+			return shortfall, nil
+		}
+		if !next.Wait(ctx.Remaining()) {
+			return 0, errNoReader
+		}
+	}
+}
+
+// addWhole adds a whole body, which the lease counts.
+func (s *Stream) addWhole(body []byte, lease *memory.Lease) {
+	s.update(func() {
+		s.window.lease.Close()
+		s.window.lease = lease
+		s.window.add(body)
+	})
+}
+
+// interrupt ends the writer's wait for the reader.
+func (s *Stream) interrupt() { s.update(func() { s.interrupted = true }) }
+
+// takeAll records that the reader has taken all pieces.
+func (s *Stream) takeAll() {
+	s.mu.Lock()
+	s.window.take(s.window.end())
+	s.mu.Unlock()
+}
+
+// release gives up what the reader has not taken.
+func (s *Stream) release() {
+	s.mu.Lock()
+	s.window.drop()
+	s.mu.Unlock()
+}
 
 // end ends the stream after a last change. The turn, which the functions refer to that nobody
 // will call any more, need not stay in memory for as long as a client reads.
@@ -92,7 +166,9 @@
 	s.mu.Lock()
 	first, onAbandon := !s.abandoned && !s.done, s.onAbandon
 	s.abandoned = true
+	s.window.drop()
 	s.mu.Unlock()
+	s.changed.Notify()
 	if first && onAbandon != nil {
 		onAbandon()
 	}
@@ -125,19 +201,26 @@
 	}
 }
 
-// PiecesFrom returns the pieces from a position on, waiting up to limit for the first.
+// PiecesFrom returns the pieces from a position on, waiting up to limit for the first. Those
+// before it count as read, and are given up.
 func (s *Stream) PiecesFrom(position int, limit time.Duration, clock base.Clock) (pieces [][]byte, done, cut bool) {
 	end := clock.Now() + limit
 	for {
 		next := s.changed.Next()
 		s.mu.Lock()
-		if position < len(s.pieces) || s.done {
-			pieces = s.pieces[min(position, len(s.pieces)):]
-			done, cut = s.done, s.cut
-			s.mu.Unlock()
-			return pieces, done, cut
+		missed := position < s.window.first
+		wakeWriter := s.window.take(position) && s.writerWaits
+		if position < s.window.end() || s.done || missed {
+			pieces = slices.Clone(s.window.from(position))
+			done, cut = s.done || missed, s.cut || missed
 		}
 		s.mu.Unlock()
+		if wakeWriter {
+			s.changed.Notify()
+		}
+		if len(pieces) > 0 || done {
+			return pieces, done, cut
+		}
 		if !next.Wait(max(0, end-clock.Now())) {
 			return nil, false, false
 		}
@@ -149,7 +232,7 @@
 	for end := clock.Now() + limit; ; {
 		next := s.changed.Next()
 		s.mu.Lock()
-		reached := len(s.pieces) >= position || s.done
+		reached := s.window.end() >= position || s.done || s.writerWaits
 		s.mu.Unlock()
 		if reached || !next.Wait(max(0, end-clock.Now())) {
 			return
