Answers of models and tools on the product's own routes have bounds

Seen by callers: one line without end takes 2,523 MB and 7.1 s of a time-out of 5 s; comments keep a turn alive.

Nothing was counted.

Change: output is bounded by 16 MiB beside the granted tokens and counts to the memory budget while it arrives; 64 KiB without output give the worker up, and it is avoided for a while. Tools' answers count too. A pull between nodes carries 256 KiB.

Result: TestEndlessAnswersOfModelsAreCut (7 forms), TestAnswersOfModelsCountToTheMemory, TestPiecesArePulledInParts. On the former code the first does not end.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,7 @@
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
 	"fordseam/internal/feed"
+	"fordseam/internal/memory"
 	"fordseam/internal/session"
 	"fordseam/internal/settings"
 	"fordseam/internal/toolcall"
@@ -35,6 +36,8 @@
 	Picker       *worker.Picker
 	Backends     base.BackendClient
 	Access       *access.Guard
+	// Memory is what answers of workers count to; nil sets no bound.
+	Memory *memory.Budget
 
 	credentialCache sync.Map
 	inFlight        atomic.Int64
--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
+	"fordseam/internal/memory"
 	"fordseam/internal/session"
 	"fordseam/internal/settings"
 	"fordseam/internal/toolcall"
@@ -14,6 +16,10 @@
 // maxToolResponseBytes is the largest body that a worker may answer a tool call with.
 const maxToolResponseBytes = 4 << 20
 
+// answerMemoryWait is how long the bytes of a worker's answer stay with the worker at most while
+// too little memory is free.
+const answerMemoryWait = time.Second
+
 // parseToolCall parses a tool call, which is sent by a configured route to an
 // application worker. A route that is not repeatable requires an Idempotency-Key,
 // whose claim is durable before the call is sent; see package toolcall for the
@@ -47,7 +53,9 @@
 			return nil, base.Decline(503, "program_terminating", "program %q is being terminated", programID)
 		}
 		ctx = ctx.WithTimeout(route.ToolTimeout)
-		call := &toolCall{handler: h, ctx: ctx, request: r, route: route, urgency: program.Urgency,
+		lease := h.Memory.NewAnswerLease()
+		defer lease.Close()
+		call := &toolCall{handler: h, ctx: ctx, request: r, route: route, urgency: program.Urgency, memory: lease,
 			claim: toolcall.Claim{Program: programID, Key: key, Attempt: base.NewID(h.Clock, "c"), Digest: base.Digest(append([]byte(routeName+"\n"), r.Body...))}}
 		if key == "" {
 			return call.callRepeatable()
@@ -64,6 +72,7 @@
 	route   *settings.Route
 	urgency string
 	claim   toolcall.Claim
+	memory  *memory.Lease // counts the worker's answer
 }
 
 // toolResponse passes a worker's complete answer on. A status of 500 or more becomes
@@ -185,7 +194,8 @@
 		header["Idempotency-Key"] = t.claim.Program + "/" + t.claim.Key
 	}
 	h.Counters.Add("tool_legs_sent", 1)
-	reply, err := h.Backends.Call(t.ctx, chosen.Addr, &base.BackendRequest{Method: "POST", Path: path, Header: header, Body: t.request.Body})
+	reply, err := h.Backends.Call(t.ctx, chosen.Addr, &base.BackendRequest{Method: "POST", Path: path, Header: header, Body: t.request.Body,
+		Memory: memory.WaitingLease{Lease: t.memory, Timeout: answerMemoryWait}})
 	requirements.Tried[chosen.ID] = true
 	if err != nil {
 		h.Picker.Avoid(chosen.ID)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,10 +188,10 @@
 	g.Follower = follower
 	c.mount(feed.NewFeedServer(feed.NewService(env.Clock, nil, follower)))
 	g.Sessions = session.NewManager(session.Dependencies{Clock: env.Clock, HTTPClient: env.HTTPClient, View: c.view, Bounds: bounds, Counters: env.Counters,
-		Register: client, Follower: follower, Picker: picker, Backends: env.Backends, Tree: settingsTree})
+		Register: client, Follower: follower, Picker: picker, Backends: env.Backends, Tree: settingsTree, Memory: env.Memory})
 	g.Front = &front.Handler{Clock: env.Clock, Bounds: bounds, Counters: env.Counters, Follower: follower, Settings: settingsTree,
 		Budget: &budget.Client{Register: client}, Sessions: g.Sessions, Tools: &toolcall.Client{Register: client},
-		Workers: &worker.Client{Register: client}, UsageReports: usageReports, Picker: picker, Backends: env.Backends, Access: g.Access}
+		Workers: &worker.Client{Register: client}, UsageReports: usageReports, Picker: picker, Backends: env.Backends, Access: g.Access, Memory: env.Memory}
 	c.mount(session.NewOwnerServer(g.Sessions))
 	g.Routes, g.routesChanged = &base.AtomicPointer[route.Table]{}, base.NewNotifier(env.Clock)
 	g.Relay = relay.New(relay.Config{Clock: env.Clock, Backends: env.Backends, Bounds: bounds, Counters: env.Counters, Names: env.Names, Zone: config.Zone, MaxConnsPerWorker: g.maxConnsPerWorker, MaxResponseBytes: maxResponseBytes, Memory: env.Memory})
--- a/internal/session/attempt.go
+++ b/internal/session/attempt.go
@@ -6,6 +6,7 @@
 
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
+	"fordseam/internal/memory"
 	"fordseam/internal/settings"
 	"fordseam/internal/worker"
 )
@@ -217,7 +218,11 @@
 	}
 	m.counters.Add("legs_sent", 1)
 	m.earnRetry()
-	reply, err := m.backends.Call(ctx, chosenWorker.Addr, newCompletionRequest(plan, result.GrantedTokens))
+	lease := m.memory.NewAnswerLease()
+	cleanup.Push(lease.Close)
+	completion := newCompletionRequest(plan, result.GrantedTokens)
+	completion.Memory = memory.WaitingLease{Lease: lease, Timeout: answerMemoryWait}
+	reply, err := m.backends.Call(ctx, chosenWorker.Addr, completion)
 	if err != nil {
 		plan.need.Tried[chosenWorker.ID] = true
 		m.picker.Avoid(chosenWorker.ID)
@@ -242,9 +247,12 @@
 		settle(-1)
 		return attemptOutcome{staleAssignment(), noRetry}
 	}
-	output, requestErr := m.receive(ctx, op, reply, result.GrantedTokens)
+	output, requestErr := m.receive(ctx, op, reply, newAnswerBounds(result.GrantedTokens, lease))
 	if requestErr != nil {
 		plan.need.Tried[chosenWorker.ID] = true
+		if !op.cancelled.Fired() && requestErr.Code != "memory_short" {
+			m.picker.Avoid(chosenWorker.ID)
+		}
 		settle(-1)
 		if op.cancelled.Fired() {
 			requestErr = base.Indeterminate(409, "cancelled", "the turn was cancelled while it ran")
--- a/internal/session/completion.go
+++ b/internal/session/completion.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"fordseam/internal/base"
+	"fordseam/internal/memory"
 )
 
 // chatMessage is a message of the chat completions API.
@@ -75,50 +76,79 @@
 }
 
 // receive passes a worker's chunks on as pieces of the stream. An answer that lacks
-// its finish reason or end marker, is malformed, stalls or exceeds the granted tokens
-// is never a success.
-func (m *Manager) receive(ctx *base.Ctx, op *operation, reply base.BackendReply, granted int64) (*modelOutput, *base.RequestError) {
+// its finish reason or end marker, is malformed, stalls or exceeds its bounds is never a
+// success.
+func (m *Manager) receive(ctx *base.Ctx, op *operation, reply base.BackendReply, bounds *answerBounds) (*modelOutput, *base.RequestError) {
 	output := &modelOutput{}
 	stallLimit := m.bounds.Load().Recovery * 5 / 2
+	stallsAt := m.clock.Now() + stallLimit
 	for {
-		line, err := reply.ReadLine(min(ctx.Remaining(), stallLimit))
+		line, err := reply.ReadLine(min(ctx.Remaining(), stallsAt-m.clock.Now()))
 		if err != nil {
-			message := "the worker's stream ended before its end marker"
-			if err != io.EOF && !op.cancelled.Fired() {
-				message = "the worker's stream stalled or failed"
-			}
-			return nil, base.Indeterminate(502, "worker_cut", "%s", message)
+			return nil, readError(err, op)
 		}
 		data, ok := strings.CutPrefix(strings.TrimRight(string(line), "\r\n"), "data:")
-		if !ok {
-			continue
-		}
 		data = strings.TrimSpace(data)
-		if data == "[DONE]" {
+		if ok && data == "[DONE]" {
 			if output.finishReason == "" {
 				return nil, base.Indeterminate(502, "worker_cut", "the worker ended its stream without a finish reason")
 			}
 			return output, nil
 		}
-		var chunk completionChunk
-		if json.Unmarshal([]byte(data), &chunk) != nil {
-			return nil, base.Indeterminate(502, "worker_malformed", "the worker sent a chunk that is not valid JSON")
+		progressed := false
+		if ok {
+			var requestErr *base.RequestError
+			if progressed, requestErr = output.addChunk([]byte(data), op, bounds); requestErr != nil {
+				return nil, requestErr
+			}
+		}
+		if progressed {
+			stallsAt = m.clock.Now() + stallLimit
 		}
-		if chunk.Usage != nil {
-			output.tokens = max(output.tokens, chunk.Usage.CompletionTokens)
+		if requestErr := bounds.addLine(len(line), progressed); requestErr != nil {
+			return nil, requestErr
 		}
-		for _, choice := range chunk.Choices {
-			if choice.Delta.Content != "" {
-				if output.finishReason != "" || int64(len(output.pieces)) >= granted {
-					return nil, base.Indeterminate(502, "worker_overran", "the worker sent output after its finish reason or beyond the %d tokens granted", granted)
-				}
-				output.pieces = append(output.pieces, choice.Delta.Content)
-				output.tokens = max(output.tokens, int64(len(output.pieces)))
-				op.stream.add([]byte(choice.Delta.Content), false)
+	}
+}
+
+// readError returns the request error for a stream that could not be read.
+func readError(err error, op *operation) *base.RequestError {
+	switch {
+	case memory.IsShortage(err):
+		return errAnswerMemory()
+	case err != io.EOF && !op.cancelled.Fired():
+		return base.Indeterminate(502, "worker_cut", "the worker's stream stalled or failed")
+	}
+	return base.Indeterminate(502, "worker_cut", "the worker's stream ended before its end marker")
+}
+
+// addChunk adds a worker's chunk to the output and to the stream, and reports whether it brings
+// the answer further.
+func (o *modelOutput) addChunk(data []byte, op *operation, bounds *answerBounds) (progressed bool, requestErr *base.RequestError) {
+	var chunk completionChunk
+	if json.Unmarshal(data, &chunk) != nil {
+		return false, base.Indeterminate(502, "worker_malformed", "the worker sent a chunk that is not valid JSON")
+	}
+	if chunk.Usage != nil {
+		o.tokens = max(o.tokens, chunk.Usage.CompletionTokens)
+	}
+	for _, choice := range chunk.Choices {
+		if content := choice.Delta.Content; content != "" {
+			if o.finishReason != "" || int64(len(o.pieces)) >= bounds.granted {
+				return false, base.Indeterminate(502, "worker_overran", "the worker sent output after its finish reason or beyond the %d tokens granted", bounds.granted)
 			}
-			if choice.FinishReason != "" {
-				output.finishReason = choice.FinishReason
+			if requestErr := bounds.addContent(len(content)); requestErr != nil {
+				return false, requestErr
 			}
+			o.pieces = append(o.pieces, content)
+			o.tokens = max(o.tokens, int64(len(o.pieces)))
+			op.stream.add([]byte(content), false)
+			progressed = true
+		}
+		if choice.FinishReason != "" {
+			progressed = progressed || o.finishReason == ""
+			o.finishReason = choice.FinishReason
 		}
 	}
+	return progressed, nil
 }
--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -32,6 +32,7 @@
 	"fordseam/internal/budget"
 	"fordseam/internal/feed"
 	"fordseam/internal/membership"
+	"fordseam/internal/memory"
 	"fordseam/internal/register"
 	"fordseam/internal/settings"
 	"fordseam/internal/worker"
@@ -96,6 +97,7 @@
 	workers    *worker.Client
 	backends   base.BackendClient
 	tree       *base.AtomicPointer[settings.Tree]
+	memory     *memory.Budget
 
 	mu               sync.Mutex
 	owned            map[string]*ownedSession
@@ -131,12 +133,14 @@
 	Picker     *worker.Picker
 	Backends   base.BackendClient
 	Tree       *base.AtomicPointer[settings.Tree]
+	// Memory is what answers of workers count to; nil sets no bound.
+	Memory *memory.Budget
 }
 
 // NewManager returns a Manager that owns no sessions yet.
 func NewManager(deps Dependencies) *Manager {
 	return &Manager{clock: deps.Clock, httpClient: deps.HTTPClient, view: deps.View, bounds: deps.Bounds, counters: deps.Counters, register: deps.Register,
-		follower: deps.Follower, picker: deps.Picker, workers: &worker.Client{Register: deps.Register}, backends: deps.Backends, tree: deps.Tree,
+		follower: deps.Follower, picker: deps.Picker, workers: &worker.Client{Register: deps.Register}, backends: deps.Backends, tree: deps.Tree, memory: deps.Memory,
 		owned: map[string]*ownedSession{}, standbyCopies: map[string]*standbyCopy{}, recordCache: map[string]*Record{}, forwardedStreams: map[string]*Stream{},
 		outcomes: map[string]*requestOutcome{}, terminations: map[string]budget.Termination{}, retryCredit: maxRetryCredit, stopping: deps.Clock.NewSignal()}
 }
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -112,7 +113,20 @@
 	return s.attempt
 }
 
-// piecesAfter returns the pieces after a position, waiting up to wait for the first.
+// maxPulledBytes bounds the pieces that are sent to a reader at once, but for a single larger one.
+const maxPulledBytes = 256 << 10
+
+// atMost returns the first of the pieces, at least one, which have so many bytes together.
+func atMost(pieces []*Piece, bytes int) []*Piece {
+	for i, piece := range pieces {
+		if bytes -= len(piece.Data); bytes < 0 && i > 0 {
+			return pieces[:i]
+		}
+	}
+	return pieces
+}
+
+// piecesAfter returns pieces after a position, waiting up to wait for the first.
 func (s *Stream) piecesAfter(position uint64, wait time.Duration, now func() time.Duration) []*Piece {
 	end := now() + wait
 	for {
@@ -120,8 +134,8 @@
 		s.mu.Lock()
 		s.pulledAt = now()
 		if position < uint64(len(s.pieces)) {
-			pieces := append([]*Piece(nil), s.pieces[position:]...)
-			s.delivered = max(s.delivered, uint64(len(s.pieces)))
+			pieces := slices.Clone(atMost(s.pieces[position:], maxPulledBytes))
+			s.delivered = max(s.delivered, position+uint64(len(pieces)))
 			s.mu.Unlock()
 			return pieces
 		}
