Stand-in: the events of an endless answer are on record

Cause: the checker compares what clients got with what a worker sent, and endless answers recorded nothing, so that each cut stream counted as ORDER.

Change: the first 6,000 events are recorded. No check changed.

--- a/internal/standin/platform/endless.go
+++ b/internal/standin/platform/endless.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -157,6 +158,45 @@
 	return block.Bytes(), number
 }
 
+// endlessEventCount is how many events of an endless answer are recorded, more than are passed on
+// of one.
+const endlessEventCount = 6000
+
+// events returns the first events of the answer, for the record. Answers share them.
+func (form EndlessForm) events() []Event {
+	endlessEventsMu.Lock()
+	defer endlessEventsMu.Unlock()
+	if known, ok := endlessEvents[form]; ok {
+		return known
+	}
+	var events []Event
+	data := strings.Repeat("x", endlessEventBytes)
+	switch form {
+	case EndlessLargeEvents:
+		data = strings.Repeat("x", endlessLargeEventBytes)
+	case EndlessComments:
+		data = ""
+	case EndlessEvents, EndlessEventsNoLength, EndlessUnnumbered:
+	default:
+		return nil
+	}
+	numbered := form != EndlessUnnumbered && form != EndlessComments
+	for number := range endlessEventCount {
+		event := Event{Data: data}
+		if numbered {
+			event.ID = int64(number + 1)
+		}
+		events = append(events, event)
+	}
+	endlessEvents[form] = events
+	return events
+}
+
+var (
+	endlessEventsMu sync.Mutex
+	endlessEvents   = map[EndlessForm][]Event{}
+)
+
 // endlessFault draws the endless answer of the next request, if it has one.
 func (w *Worker) endlessFault() (form EndlessForm, status int, ok bool) {
 	if w.NextEndless == nil {
@@ -177,6 +217,9 @@
 	w.mu.Unlock()
 	header := append(w.header(arrival.ID), [2]string{HeaderSeal, seal}, [2]string{"Content-Type", contentType})
 	update(func(a *Arrival) { a.Ran, a.Began, a.Broke, a.Status, a.Seal = true, w.Clock.Now(), true, status, seal })
+	if status == 200 && w.engine != nil {
+		update(func(a *Arrival) { a.Events = form.events() })
+	}
 	taken := form.Write(status, header, w.Clock.Now, reply.WriteRaw)
 	update(func(a *Arrival) { a.Ended, a.EndlessBytes = w.Clock.Now(), taken })
 	reply.Abort(false)
