Few comments of a worker are passed on while an event is awaited

Cause: comments were bounded by 64 KiB alone.

Change: 8 blocks without data are passed on, and 2 more for each second of waiting, which leaves room for comments that keep a connection open.

--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -72,7 +72,7 @@
 	r.SetWorkers(f.list())
 	f.run(func() {
 		var reply *relay.Reply
-		ctx := base.NewCtx(f.clock, 5*time.Second)
+		ctx := base.NewCtx(f.clock, call.Deadline)
 		if reply, err = r.Dispatch(ctx, rt, plainService, call, nil); err != nil {
 			return
 		}
@@ -129,3 +129,23 @@
 		is.True(backends.replies[0].closed)
 	}
 }
+
+// TestCommentsThatKeepAStreamOpenArePassedOn checks that a worker may send comments while its
+// client waits.
+func TestCommentsThatKeepAStreamOpenArePassedOn(t *testing.T) {
+	is := is.New(t)
+	cycle := []string{}
+	for range 30 {
+		cycle = append(cycle, ": wait\n", "\n")
+	}
+	cycle = append(cycle, "data: x\n", "\n")
+	call := newCall()
+	call.MaxOutputTokens = 1
+	call.Deadline = 2 * time.Minute
+	rt := newRoute(route.KindStream, 1)
+	rt.Timeout = 2 * time.Minute
+	backends := &endlessBackends{status: 200, cycle: cycle, pause: 250 * time.Millisecond}
+	events, err, _ := backends.readEndlessStream(t, rt, call)
+	is.Equal(events, 1)
+	is.True(err != nil) // the second event is one too many, or too late
+}
--- a/internal/relay/event.go
+++ b/internal/relay/event.go
@@ -79,7 +79,7 @@
 		a.events++
 		a.worker.lastHeardAt.Store(int64(clock.Now()))
 	}
-	if !a.firstEventSeen && len(bytes.TrimRight(event.Raw, "\r\n")) > 0 {
+	if !a.firstEventSeen && !event.isBlank() {
 		a.firstEventSeen = true
 		a.relay.recordFirstEvent(a)
 	}
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -1,15 +1,22 @@
 package relay
 
 import (
+	"bytes"
 	"math"
 	"time"
 
 	"fordseam/internal/base"
 )
 
-// maxIdleBytes is how many bytes of a stream may arrive without an event that has data:
-// comments that keep a connection open, and blank lines.
-const maxIdleBytes = 64 << 10
+const (
+	// maxIdleBytes is how many bytes of a stream may arrive without an event that has data:
+	// comments that keep a connection open, and blank lines.
+	maxIdleBytes = 64 << 10
+	// freeIdleEvents, and idleEventsPerSecond more, is how many comments and other events without
+	// data may be passed on while one with data is awaited.
+	freeIdleEvents      = 8
+	idleEventsPerSecond = 2
+)
 
 var (
 	errOverrun    = base.Indeterminate(502, "worker_overran", "the worker sent more events than the request allows")
@@ -20,6 +27,7 @@
 // data do.
 type streamProgress struct {
 	idleBytes    int           // since the last event with data
+	idleEvents   int           // since then, blank lines alone not counted
 	awaiting     bool          // an event with data is awaited
 	awaitedSince time.Duration // clock reading
 }
@@ -32,16 +40,23 @@
 }
 
 // add takes an event into account, and returns false if the stream has not come further for too
-// many bytes.
-func (p *streamProgress) add(event *Event) bool {
+// many bytes or events.
+func (p *streamProgress) add(event *Event, now time.Duration) bool {
 	if event.Data != nil {
-		p.idleBytes, p.awaiting = 0, false
+		p.idleBytes, p.idleEvents, p.awaiting = 0, 0, false
 		return true
 	}
 	p.idleBytes += len(event.Raw)
-	return p.idleBytes <= maxIdleBytes
+	if !event.isBlank() {
+		p.idleEvents++
+	}
+	allowed := freeIdleEvents + idleEventsPerSecond*int((now-p.awaitedSince)/time.Second)
+	return p.idleBytes <= maxIdleBytes && p.idleEvents <= allowed
 }
 
+// isBlank reports whether the event has no line but the empty one at its end.
+func (e *Event) isBlank() bool { return len(bytes.TrimRight(e.Raw, "\r\n")) == 0 }
+
 // maxEvents is how many events with data the answer to the request may have.
 func (d *dispatch) maxEvents() int {
 	if d.call.MaxOutputTokens <= 0 {
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -121,7 +121,7 @@
 		r.relay.count("answers_overrun")
 		return errOverrun
 	}
-	if !current.progress.add(event) {
+	if !current.progress.add(event, r.relay.Clock.Now()) {
 		r.relay.count("answers_without_progress")
 		return errNoProgress
 	}
