memory: what answers need stands in one file

The wait for memory and the error of an answer that finds none stood three times, in relay, session and front. No behaviour changes; the packages' tests pass.

--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"fordseam/internal/base"
 	"fordseam/internal/budget"
@@ -16,10 +15,6 @@
 // maxToolResponseBytes is the largest body that a worker may answer a tool call with.
 const maxToolResponseBytes = 4 << 20
 
-// answerMemoryWait is how long the bytes of a worker's answer stay with the worker at most while
-// too little memory is free.
-const answerMemoryWait = time.Second
-
 // parseToolCall parses a tool call, which is sent by a configured route to an
 // application worker. A route that is not repeatable requires an Idempotency-Key,
 // whose claim is durable before the call is sent; see package toolcall for the
@@ -195,7 +190,7 @@
 	}
 	h.Counters.Add("tool_legs_sent", 1)
 	reply, err := h.Backends.Call(t.ctx, chosen.Addr, &base.BackendRequest{Method: "POST", Path: path, Header: header, Body: t.request.Body,
-		Memory: memory.WaitingLease{Lease: t.memory, Timeout: answerMemoryWait}})
+		Memory: memory.WaitingLease{Lease: t.memory, Timeout: memory.AnswerWait}})
 	requirements.Tried[chosen.ID] = true
 	if err != nil {
 		h.Picker.Avoid(chosen.ID)
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -237,20 +237,6 @@
 	return l.budget.await(timeout, func() error { return l.grow(bytes) })
 }
 
-// WaitingLease is a Lease whose Grow waits up to Timeout while too little memory is free.
-type WaitingLease struct {
-	*Lease
-	Timeout time.Duration
-}
-
-// Grow is GrowWithin with the lease's timeout.
-func (l WaitingLease) Grow(bytes int) error { return l.GrowWithin(bytes, l.Timeout) }
-
-// IsShortage reports whether an error means that a lease could not grow.
-func IsShortage(err error) bool {
-	return errors.Is(err, ErrShort) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrRevoked)
-}
-
 // Admit is GrowWithin for the memory that it takes to process a request.
 func (l *Lease) Admit(bytes int, timeout time.Duration) error {
 	if l == nil {
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -60,7 +60,7 @@
 func (endlessReader) Read(buffer []byte) (int, error) { return len(buffer), nil }
 
 // readEndlessStream reads the answer to a call until it ends, and returns the events with data.
-func (e *endlessBackends) readEndlessStream(t *testing.T, rt *route.Route, call *relay.Call) (events int, err error, counters *base.Counters) {
+func (e *endlessBackends) readEndlessStream(t *testing.T, rt *route.Route, call *relay.Call) (events int, counters *base.Counters, err error) {
 	f := newFleet(t, 1)
 	e.fleet, counters = f, base.NewCounters()
 	f.addWorker("a", "z1", 4)
@@ -87,7 +87,7 @@
 	if used := budget.Used(); used != 0 {
 		t.Errorf("%d bytes stay counted", used)
 	}
-	return events, err, counters
+	return events, counters, err
 }
 
 // TestEventsBeyondTheRequestAreCut guards against workers that send events without end.
@@ -96,7 +96,7 @@
 	backends := &endlessBackends{status: 200, cycle: []string{"data: x\n", "\n"}}
 	call := newCall()
 	call.MaxOutputTokens = 20
-	events, err, counters := backends.readEndlessStream(t, resumableRoute(2), call)
+	events, counters, err := backends.readEndlessStream(t, resumableRoute(2), call)
 	is.Equal(events, 20)
 	is.True(base.IsCode(err, "worker_overran"))
 	is.Equal(len(backends.replies), 1) // it is not resumed
@@ -111,7 +111,7 @@
 		for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
 			is := is.New(t)
 			backends := &endlessBackends{status: 200, cycle: cycle, pause: pause}
-			events, err, _ := backends.readEndlessStream(t, resumableRoute(2), newCall())
+			events, _, err := backends.readEndlessStream(t, resumableRoute(2), newCall())
 			is.Equal(events, 0)
 			is.True(err != nil && err != io.EOF)
 			is.Equal(len(backends.replies), 2) // another worker was tried
@@ -124,7 +124,7 @@
 	is := is.New(t)
 	for _, status := range []int{200, 500} {
 		backends := &endlessBackends{status: status}
-		_, err, _ := backends.readEndlessStream(t, newRoute(route.KindNonIdempotent, 1), newCall())
+		_, _, err := backends.readEndlessStream(t, newRoute(route.KindNonIdempotent, 1), newCall())
 		is.True(base.IsCode(err, "worker_cut"))
 		is.True(backends.replies[0].closed)
 	}
@@ -145,7 +145,7 @@
 	rt := newRoute(route.KindStream, 1)
 	rt.Timeout = 2 * time.Minute
 	backends := &endlessBackends{status: 200, cycle: cycle, pause: 250 * time.Millisecond}
-	events, err, _ := backends.readEndlessStream(t, rt, call)
+	events, _, err := backends.readEndlessStream(t, rt, call)
 	is.Equal(events, 1)
 	is.True(err != nil) // the second event is one too many, or too late
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,13 +36,8 @@
 	Rank func(*Call) int
 }
 
-const (
-	// answerMemoryWait is how long the bytes of a response stay with the worker at most while too
-	// little memory is free.
-	answerMemoryWait = time.Second
-	// maxRejectionBytes bounds the body of a response that says that the request did not run.
-	maxRejectionBytes = 64 << 10
-)
+// maxRejectionBytes bounds the body of a response that says that the request did not run.
+const maxRejectionBytes = 64 << 10
 
 // Relay dispatches requests to workers on one node.
 //
@@ -257,7 +252,7 @@
 		base.HeaderLine{Name: r.Names.ExpectWorker, Value: chosen.ID})
 	timeout := r.attemptTimeout(d, chosen, remaining)
 	lease := r.Memory.NewAnswerLease()
-	request.Memory = memory.WaitingLease{Lease: lease, Timeout: min(answerMemoryWait, remaining/4)}
+	request.Memory = memory.WaitingLease{Lease: lease, Timeout: min(memory.AnswerWait, remaining/4)}
 	response, err := r.Backends.Call(d.ctx.WithTimeout(timeout), chosen.Addr, request)
 	if err != nil {
 		lease.Close()
@@ -265,7 +260,7 @@
 	}
 	d.attempts++
 	first := &attempt{relay: r, dispatch: d, worker: chosen, response: response, sentAt: sentAt, memory: lease,
-		eventMemory: memory.Steps{Lease: lease, Timeout: answerMemoryWait}}
+		eventMemory: memory.Steps{Lease: lease, Timeout: memory.AnswerWait}}
 	reply := &Reply{Status: response.Status(), WorkerID: chosen.ID, relay: r, dispatch: d, firstAttempt: first, current: first}
 	r.recordLoad(chosen, response.Header(r.Names.Load))
 	proof := proofFromResponse(reply.Status, response.Header(r.Names.NotRun))
@@ -298,7 +293,7 @@
 // bodyError returns the request error for a body that could not be read.
 func bodyError(err error) *base.RequestError {
 	if memory.IsShortage(err) {
-		return base.Indeterminate(502, "memory_short", "too little memory is free on this node for the worker's answer")
+		return memory.AnswerError()
 	}
 	return base.Indeterminate(502, "worker_cut", "the worker's answer was cut short")
 }
--- a/internal/session/attempt.go
+++ b/internal/session/attempt.go
@@ -221,7 +221,7 @@
 	lease := m.memory.NewAnswerLease()
 	cleanup.Push(lease.Close)
 	completion := newCompletionRequest(plan, result.GrantedTokens)
-	completion.Memory = memory.WaitingLease{Lease: lease, Timeout: answerMemoryWait}
+	completion.Memory = memory.WaitingLease{Lease: lease, Timeout: memory.AnswerWait}
 	reply, err := m.backends.Call(ctx, chosenWorker.Addr, completion)
 	if err != nil {
 		plan.need.Tried[chosenWorker.ID] = true
--- a/internal/session/bounds.go
+++ b/internal/session/bounds.go
@@ -1,8 +1,6 @@
 package session
 
 import (
-	"time"
-
 	"fordseam/internal/base"
 	"fordseam/internal/memory"
 )
@@ -15,9 +13,6 @@
 	maxIdleBytes = 64 << 10
 	// contentCopies is how often output is in memory: in the stream and in the turn.
 	contentCopies = 2
-	// answerMemoryWait is how long the bytes of an answer stay with the worker at most while too
-	// little memory is free.
-	answerMemoryWait = time.Second
 )
 
 // answerBounds bound what a worker may send as one answer.
@@ -30,7 +25,7 @@
 
 // newAnswerBounds returns the bounds of an answer that counts to a lease.
 func newAnswerBounds(granted int64, lease *memory.Lease) *answerBounds {
-	return &answerBounds{granted: granted, memory: memory.Steps{Lease: lease, Timeout: answerMemoryWait}}
+	return &answerBounds{granted: granted, memory: memory.Steps{Lease: lease, Timeout: memory.AnswerWait}}
 }
 
 // addLine takes a line into account, which may bring the answer further or not.
@@ -51,12 +46,7 @@
 		return base.Indeterminate(502, "worker_overran", "the worker sent more than %d bytes of output", maxAnswerBytes)
 	}
 	if b.memory.Add(contentCopies*bytes) != nil {
-		return errAnswerMemory()
+		return memory.AnswerError()
 	}
 	return nil
 }
-
-// errAnswerMemory is the error of an answer for which too little memory is free.
-func errAnswerMemory() *base.RequestError {
-	return base.Indeterminate(502, "memory_short", "too little memory is free on this node for the worker's answer")
-}
--- a/internal/session/completion.go
+++ b/internal/session/completion.go
@@ -115,7 +115,7 @@
 func readError(err error, op *operation) *base.RequestError {
 	switch {
 	case memory.IsShortage(err):
-		return errAnswerMemory()
+		return memory.AnswerError()
 	case err != io.EOF && !op.cancelled.Fired():
 		return base.Indeterminate(502, "worker_cut", "the worker's stream stalled or failed")
 	}
