--- a/internal/fleet/platform_events.go
+++ b/internal/fleet/platform_events.go
@@ -30,7 +30,7 @@
 	Share    float64
 	Interval time.Duration // between repetitions
 	WipeDisk bool
-	// Form and Status are those of endless answers.
+	// Form and Status are those of endless answers: by default events, behind 200.
 	Form   platform.EndlessForm
 	Status int
 }
@@ -44,7 +44,7 @@
 func ParsePlatformEvent(spec string) (PlatformEvent, error) {
 	parts := strings.Split(spec, ",")
 	head, timing, ok := strings.Cut(parts[0], "@")
-	event := PlatformEvent{Count: 1, Interval: time.Second, Form: platform.EndlessEvents, Status: 200}
+	event := PlatformEvent{Count: 1, Interval: time.Second}
 	event.Kind, event.Target, _ = strings.Cut(head, ":")
 	if !ok || !slices.Contains(PlatformEventKinds, event.Kind) {
 		return event, errors.Errorf("trouble %q must be KIND[:CLASS]@SECONDS[+FOR][,wipe][,count=N][,share=N][,gap=SECONDS][,form=FORM][,status=N] with a KIND of %s", spec, strings.Join(PlatformEventKinds, ", "))
@@ -101,6 +101,23 @@
 	return e.Target
 }
 
+// formOrDefault returns the form of endless answers.
+func (e *PlatformEvent) formOrDefault() platform.EndlessForm {
+	if e.Form == "" {
+		return platform.EndlessEvents
+	}
+	return e.Form
+}
+
+// endlessFault returns the fault of endless answers.
+func (e *PlatformEvent) endlessFault() platform.Fault {
+	status := e.Status
+	if status == 0 {
+		status = 200
+	}
+	return platform.FaultEndless(e.formOrDefault(), status)
+}
+
 // runEvent runs an event and returns when it is over.
 func (run *platformRun) runEvent(event PlatformEvent) error {
 	switch event.Kind {
@@ -150,7 +167,7 @@
 	case "worker_endless":
 		run.answerWithoutEnd(event)
 	case "list_endless":
-		run.listServer.SetEndless(event.Form)
+		run.listServer.SetEndless(event.formOrDefault())
 		run.clock.Sleep(event.Duration)
 		run.listServer.SetEndless("")
 	case "list_down":
--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -134,7 +134,11 @@
 	is.NoErr(err)
 	is.Equal(event, PlatformEvent{Kind: "node_kill", Target: "store", At: 5500 * time.Millisecond, Duration: 3 * time.Second, Count: 2, Interval: time.Second, WipeDisk: true})
 	is.Equal(event.targetOr("edge"), platform.ClassStorage)
-	for _, spec := range []string{"", "node_kill", "node_kill@x", "flood@3", "node_kill@3,wide", "node_kill@3+-1", "node_kill@3,count=0"} {
+	is.Equal(event.endlessFault(), platform.FaultEndless(platform.EndlessEvents, 200))
+	event, err = ParsePlatformEvent("worker_endless@3+15,form=one_chunk,status=500")
+	is.NoErr(err)
+	is.Equal(event.endlessFault(), platform.FaultEndless(platform.EndlessChunk, 500))
+	for _, spec := range []string{"", "node_kill", "node_kill@x", "flood@3", "node_kill@3,wide", "node_kill@3+-1", "node_kill@3,count=0", "worker_endless@3,form=short", "worker_endless@3,status=99"} {
 		_, err := ParsePlatformEvent(spec)
 		is.True(err != nil)
 	}
--- a/internal/fleet/platform_workers.go
+++ b/internal/fleet/platform_workers.go
@@ -53,7 +53,7 @@
 			faulty = append(faulty, workers[:int(orDefault(event.Share, 0.5)*float64(len(workers))+0.5)]...)
 		}
 	}
-	run.setEndless(faulty, platform.FaultEndless(event.Form, event.Status))
+	run.setEndless(faulty, event.endlessFault())
 	run.clock.Sleep(event.Duration)
 	run.setEndless(faulty)
 }
