clientconn: the test of shared memory waits until its first body has its memory

Cause: the test waits until the budget holds the 3 MiB of its first body. A buffer that grows from 1 to 2 MiB holds 3 MiB for a moment, so the wait could end early; then either body may be refused, and the test awaited the refusal of the second for good. The stacks show one body left, one byte short, and the test at the answer to the second.

Change: the body is of 3.5 MiB, which no growth before the last one holds; at the last its own memory is taken. No check changed.

--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -224,7 +224,7 @@
 // small one is served meanwhile. Once the others have stalled they are dropped for it.
 func TestBodiesShareTheMemory(t *testing.T) {
 	s, budget, clock := newLimitedServer(t, 40<<20, 0)
-	const body = 3 << 20
+	const body = 7 << 19 // more than a buffer of 1 MiB and its successor take together
 	stalled, stalledReader := s.dial()
 	defer stalled.Close()
 	s.sendPart(stalled, body, body-1)
