line: the test of forwarded turns waits until the turn before has given its memory back

Cause: since the output of a turn holds memory until just after its stream has ended. The test filled the budget before that, and the 28 KiB that came back were enough for its turn.

Change: the test waits for the budget to be empty first, as others here do. No check changed.

--- a/internal/line/memory_test.go
+++ b/internal/line/memory_test.go
@@ -91,6 +91,7 @@
 	_, err := c.submitAndRead(owner, c.call("s1", "t1", ""))
 	c.is.NoErr(err)
 	assignment := c.ledger.sessions["ps1"]
+	awaitRelease(budget)
 	for lease := budget.NewLease(); lease.Admit(1<<20, 0) == nil; lease = budget.NewLease() {
 	}
 	for lease := budget.NewLease(); lease.Grow(memory.SmallBytes) == nil; lease = budget.NewLease() {
