--- a/internal/fleet/crowdtest/crowd_test.go
+++ b/internal/fleet/crowdtest/crowd_test.go
@@ -143,15 +143,21 @@
 
 // clientHead returns the head of a client's request of a class, like plainHead.
 func (f *testFleet) clientHead(class string) func() string {
+	return func() string { return f.requestHead(class, turnNames{id: newID(), program: newID()}) }
+}
+
+// turnHead returns the head of a given turn, like plainHead.
+func (f *testFleet) turnHead(names turnNames) string { return f.requestHead(retainedClass, names) }
+
+// requestHead returns the head of a request of a class.
+func (f *testFleet) requestHead(class string, names turnNames) string {
 	route := f.Route(class)
-	return func() string {
-		var head strings.Builder
-		fmt.Fprintf(&head, "POST %sx HTTP/1.1\r\nHost: %s\r\n", route.Prefix, route.Host)
-		for _, field := range f.headerFields(class, turnNames{id: newID(), program: newID()}) {
-			fmt.Fprintf(&head, "%s: %s\r\n", field[0], field[1])
-		}
-		return head.String()
+	var head strings.Builder
+	fmt.Fprintf(&head, "POST %sx HTTP/1.1\r\nHost: %s\r\n", route.Prefix, route.Host)
+	for _, field := range f.headerFields(class, names) {
+		fmt.Fprintf(&head, "%s: %s\r\n", field[0], field[1])
 	}
+	return head.String()
 }
 
 // port is a port of a machine that reads bodies.
--- a/internal/fleet/crowdtest/endless_test.go
+++ b/internal/fleet/crowdtest/endless_test.go
@@ -1,15 +1,20 @@
 package crowdtest
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"testing"
 	"time"
 
+	"fordseam/internal/base"
 	"fordseam/internal/standin/platform"
+
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -139,6 +144,114 @@
 	}
 }
 
+// TestEndlessRefusals guards against edges that read without end what follows the word that a
+// request did not run.
+func TestEndlessRefusals(t *testing.T) {
+	const refused = 503
+	f := startFleet(t)
+	for _, form := range platform.EndlessForms {
+		t.Run(string(form), func(t *testing.T) {
+			f.SetEndlessWorkers(endlessShare, platform.FaultEndless(form, refused))
+			f.callEndless(readAll)
+			f.checkEndless(t)
+		})
+	}
+}
+
+// TestEndlessAnswersToForwardedTurns guards against owners of sessions, and edges that forward
+// turns to them, that keep what a faulty worker sends.
+func TestEndlessAnswersToForwardedTurns(t *testing.T) {
+	f := startFleet(t)
+	edges := f.Machines(platform.ClassEdge)
+	callers := map[string]endlessCaller{"read": readAll, "not_read": readNothing}
+	for _, status := range []int{200, 500} {
+		for _, form := range platform.EndlessForms {
+			for _, name := range base.SortedKeys(callers) {
+				t.Run(fmt.Sprintf("%s_behind_%d_%s", form, status, name), func(t *testing.T) {
+					f.SetEndlessWorkers(0)
+					first := f.beginConversations(t, edges[0].Front)
+					f.SetEndlessWorkers(endlessShare, platform.FaultEndless(form, status))
+					f.continueEndless(edges[1].Front, first, callers[name])
+					f.checkEndless(t)
+				})
+			}
+		}
+	}
+}
+
+// beginConversations has a turn answered in each of endlessCallers conversations, which the edge
+// then owns, and returns their names.
+func (f *testFleet) beginConversations(t *testing.T, front string) []turnNames {
+	t.Helper()
+	var begun []turnNames
+	for range endlessCallers {
+		for deadline := time.Now().Add(answerTimeout); time.Now().Before(deadline); {
+			names := turnNames{id: newID(), program: newID()}
+			if status, err := f.sendTurn(front, retainedClass, fasthttp.MethodPost, []byte("hello"), names); err == nil && status == fasthttp.StatusOK {
+				begun = append(begun, names)
+				break
+			}
+		}
+	}
+	if len(begun) < endlessCallers {
+		t.Fatalf("only %d of %d conversations began", len(begun), endlessCallers)
+	}
+	return begun
+}
+
+// continueEndless has each conversation go on at an edge, again and again for endlessTime.
+func (f *testFleet) continueEndless(front string, conversations []turnNames, call endlessCaller) {
+	var group sync.WaitGroup
+	end := time.Now().Add(endlessTime)
+	for _, first := range conversations {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			call(front, func() string { return f.turnHead(turnNames{id: newID(), program: first.program, previous: first.id}) }, end)
+		}()
+	}
+	group.Wait()
+}
+
+// largestAnswerBytes is the largest body of an answer that is not a stream.
+const largestAnswerBytes = 16 << 20
+
+// TestLargestAnswerIsPassedOnWhole guards against bounds that a single legal answer meets, in calm.
+func TestLargestAnswerIsPassedOnWhole(t *testing.T) {
+	f := startFleet(t)
+	f.SetAnswerBytes(largestAnswerBytes)
+	for _, m := range f.Machines(platform.ClassEdge) {
+		for _, class := range []string{repeatableClass, singleClass} {
+			if size, err := f.answerSize(m.Front, f.clientHead(class)()); err != nil || size != largestAnswerBytes {
+				t.Errorf("%s, %s: %d bytes, error %v", m.Name, class, size, err)
+			}
+		}
+	}
+	f.SetAnswerBytes(0)
+	f.checkLimits()
+}
+
+// answerSize sends a request and returns the size of the body of its answer, if that is whole and
+// a success.
+func (f *testFleet) answerSize(front, head string) (int64, error) {
+	conn, err := dialUntil(front, time.Now().Add(callTimeout))
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	if _, err = io.WriteString(conn, head+"Content-Length: 1\r\n\r\nx"); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	if response.StatusCode != fasthttp.StatusOK {
+		return 0, fmt.Errorf("status %d", response.StatusCode)
+	}
+	return io.Copy(io.Discard, response.Body)
+}
+
 // allEndlessFaults are all forms of endless answers behind 200 and 500.
 func allEndlessFaults() (faults []platform.Fault) {
 	for _, form := range platform.EndlessForms {
@@ -152,6 +265,7 @@
 // classes restart.
 func TestEndlessAnswersThroughRestarts(t *testing.T) {
 	f := startFleet(t)
+	f.checkOrdinaryCallers() // the list was read
 	f.SetEndlessWorkers(endlessShare, allEndlessFaults()...)
 	for round, class := range []string{platform.ClassEdge, platform.ClassCore, platform.ClassStorage, platform.ClassEdge} {
 		f.SetEndlessList(platform.EndlessForms[round*3])
@@ -170,6 +284,7 @@
 // workers answers.
 func TestEndlessListOfWorkers(t *testing.T) {
 	f := startFleet(t)
+	f.checkOrdinaryCallers() // the list was read
 	for _, form := range platform.EndlessForms {
 		t.Run(string(form), func(t *testing.T) {
 			f.SetEndlessList(form)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,14 +39,16 @@
 
 // Fleet is a deployment whose machines are processes on loopback addresses.
 type Fleet struct {
-	Shape        Shape
-	Dir          string
-	BinDir       string
-	Gateways     []*Process
-	Cores        []*Process
-	Storage      []*Process
-	networkIndex int
-	hostCount    int
+	Shape    Shape
+	Dir      string
+	BinDir   string
+	Gateways []*Process
+	Cores    []*Process
+	Storage  []*Process
+	// MemoryLimitBytes is the memory of each process; 0 leaves it to the process.
+	MemoryLimitBytes int64
+	networkIndex     int
+	hostCount        int
 }
 
 // New allocates the names and addresses of a fleet; it starts nothing. networkIndex
@@ -127,6 +130,9 @@
 // Start starts a process with the command line of its role.
 func (f *Fleet) Start(process *Process) error {
 	args := []string{"--address", process.Addr, "--public-address", process.PublicAddr, "--zone", process.Zone}
+	if f.MemoryLimitBytes > 0 {
+		args = append(args, "--memory-limit-bytes", strconv.FormatInt(f.MemoryLimitBytes, 10))
+	}
 	for _, seed := range strings.Split(f.seedAddrs(), ",") {
 		args = append(args, "--seed", seed)
 	}
@@ -194,6 +200,12 @@
 	return p.command.Process.Pid, p.exited
 }
 
+// PID returns the process ID, and whether the process runs.
+func (p *Process) PID() (pid int, running bool) {
+	pid, _ = p.runningPID()
+	return pid, p.Running()
+}
+
 // Wait waits until the process has exited and returns its exit code. ok is false if it
 // has not exited within the timeout.
 func (p *Process) Wait(timeout time.Duration) (exitCode int, ok bool) {
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -97,6 +97,7 @@
 	workers         []*sockets.WorkerServer
 	faults          map[string]*injectedFaults       // by worker ID or service
 	endless         map[string][]platform.Fault      // endless answers to draw from, by worker ID
+	answerBytes     atomic.Int64                     // of plain workers' answers, 0 for the usual size
 	workByPrefix    map[string]platform.Distribution // by route prefix
 	unexpectedExits []string                         // reported as violations of the rule FAULT
 	exitCount       int                              // unexpected exits, those not counted as violations too
--- a/internal/fleet/platform_fleet.go
+++ b/internal/fleet/platform_fleet.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// SetAnswerBytes sets the size of the answers of plain workers; 0 is the usual one.
+func (f *PlatformFleet) SetAnswerBytes(size int) { f.run.answerBytes.Store(int64(size)) }
+
 // SetEndlessList makes the list of workers answer without end, or as usual if form is empty.
 func (f *PlatformFleet) SetEndlessList(form platform.EndlessForm) { f.run.listServer.SetEndless(form) }
 
--- a/internal/fleet/platform_workers.go
+++ b/internal/fleet/platform_workers.go
@@ -115,7 +115,7 @@
 					work = draw
 				}
 			}
-			return time.Duration(work.Sample(rng) * float64(time.Millisecond)), 800
+			return time.Duration(work.Sample(rng) * float64(time.Millisecond)), run.answerSize()
 		}}
 	server, err := sockets.ListenWorker(worker, address, func(s *sockets.WorkerServer) {
 		s.DrawCloseAfterResponse = func() bool { return run.randomInt(50) == 0 }
@@ -131,6 +131,17 @@
 	return server, nil
 }
 
+// usualAnswerBytes is the size of plain workers' answers.
+const usualAnswerBytes = 800
+
+// answerSize returns the size of plain workers' answers.
+func (run *platformRun) answerSize() int {
+	if size := run.answerBytes.Load(); size > 0 {
+		return int(size)
+	}
+	return usualAnswerBytes
+}
+
 // instanceOf returns the entry of a worker in the worker list.
 func (run *platformRun) instanceOf(server *sockets.WorkerServer, state string) platform.Instance {
 	instance := platform.Instance{ID: server.Worker.ID, Service: server.Worker.Service, Address: server.Worker.Address, Zone: server.Worker.Zone, Generation: "v1",
--- a/internal/fleet/workers.go
+++ b/internal/fleet/workers.go
@@ -225,9 +225,7 @@
 	}
 	clock := base.NewRealClock()
 	addrs := base.Map(f.Storage, func(process *Process) string { return process.Addr })
-	if err := retry(clock, timeout, func() error {
-		return CallJSON("POST", f.Cores[0].PublicAddr, "/v1/operator/init", map[string]any{"disks": addrs}, nil)
-	}); err != nil {
+	if err := retry(clock, timeout, func() error { return initCluster(f.Cores[0].PublicAddr, addrs) }); err != nil {
 		return err
 	}
 	if err := retry(clock, timeout, func() error {
@@ -244,6 +242,24 @@
 	})
 }
 
+// initCluster forms a cluster of blank disks. That there is one already means that an earlier call
+// formed it, whose answer was lost.
+func initCluster(core string, disks []string) error {
+	status, body, err := SendRequest("POST", core, "/v1/operator/init", map[string]any{"disks": disks})
+	var failure struct {
+		Error base.RequestError `json:"error"`
+	}
+	switch {
+	case err != nil:
+		return err
+	case status < 300:
+		return nil
+	case json.Unmarshal(body, &failure) == nil && failure.Error.Code == "cluster_exists":
+		return nil
+	}
+	return errors.Errorf("form the cluster: %d %s", status, body)
+}
+
 // retry calls step until it succeeds or the deadline has passed, and returns its last
 // error.
 func retry(clock base.Clock, deadline time.Duration, step func() error) error {
--- a/internal/line/stream.go
+++ b/internal/line/stream.go
@@ -77,7 +77,7 @@
 }
 
 // awaitRoom waits until a piece may be added, and returns how much memory it needs.
-func (s *Stream) awaitRoom(ctx *base.Ctx, size int) (shortfall int, err error) {
+func (s *Stream) awaitRoom(ctx *base.Ctx, size int) (int, error) {
 	for {
 		next := s.changed.Next()
 		s.mu.Lock()
--- a/internal/node/memory_watch.go
+++ b/internal/node/memory_watch.go
@@ -50,8 +50,9 @@
 		for name, value := range used {
 			fields[name] = value
 		}
-		for _, name := range []string{"memory_held_bytes", "worker_bytes_received", "worker_replies_open", "memory_refused"} {
-			fields[name] = counters.Snapshot()[name]
+		counts := counters.Snapshot()
+		for _, name := range []string{"memory_held_bytes", "memory_answers_bytes", "worker_bytes_received", "worker_replies_open", "memory_refused"} {
+			fields[name] = counts[name]
 		}
 		if level.high {
 			log.WithFields(fields).Warn("the memory of this process is high")
--- a/internal/relay/event.go
+++ b/internal/relay/event.go
@@ -67,6 +67,9 @@
 	}
 }
 
+// isBlank reports whether the event has no line but the empty one at its end.
+func (e *Event) isBlank() bool { return len(bytes.TrimRight(e.Raw, "\r\n")) == 0 }
+
 // nextEvent waits for the attempt's next event until the deadline.
 func (a *attempt) nextEvent(deadline time.Duration) (*Event, error) {
 	clock := a.relay.Clock
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"math"
 	"time"
 
@@ -54,9 +53,6 @@
 	return p.idleBytes <= maxIdleBytes && p.idleEvents <= allowed
 }
 
-// isBlank reports whether the event has no line but the empty one at its end.
-func (e *Event) isBlank() bool { return len(bytes.TrimRight(e.Raw, "\r\n")) == 0 }
-
 // maxEvents is how many events with data the answer to the request may have.
 func (d *dispatch) maxEvents() int {
 	if d.call.MaxOutputTokens <= 0 {
--- a/internal/standin/platform/endless.go
+++ b/internal/standin/platform/endless.go
@@ -16,27 +16,31 @@
 
 // The forms of endless answers.
 const (
-	EndlessHeaderLine      EndlessForm = "header_line"      // one header line
-	EndlessInterimHeads    EndlessForm = "interim_heads"    // heads with status 100
-	EndlessJunkSize        EndlessForm = "junk_size"        // junk where the size of a chunk is due
-	EndlessSizeExtension   EndlessForm = "size_extension"   // an extension of a chunk's size
-	EndlessChunk           EndlessForm = "one_chunk"        // one chunk of a huge size
-	EndlessSmallChunks     EndlessForm = "one_byte_chunks"  // chunks of one byte
-	EndlessTrailers        EndlessForm = "trailers"         // trailer lines
-	EndlessLength          EndlessForm = "huge_length"      // a body with a huge length
-	EndlessNoLength        EndlessForm = "no_length"        // a body without a length
-	EndlessPartialEvent    EndlessForm = "partial_event"    // lines that complete no event
-	EndlessEvents          EndlessForm = "events"           // whole, numbered events
-	EndlessLargeEvents     EndlessForm = "large_events"     // whole, numbered events of 512 KiB
-	EndlessUnnumbered      EndlessForm = "unnumbered"       // whole events without an id
-	EndlessComments        EndlessForm = "comments"         // events of a comment alone
-	EndlessBlankLines      EndlessForm = "blank_lines"      // empty lines alone
-	EndlessEventsNoLength  EndlessForm = "events_no_length" // whole events in a body without a length
-	EndlessForeignAnswers  EndlessForm = "foreign_answers"  // whole answers to other requests
-	endlessHugeLength                  = 20_000_000_000
-	endlessBlockBytes                  = 64 << 10
-	endlessEventBytes                  = 200
-	endlessLargeEventBytes             = 512 << 10
+	EndlessHeaderLine     EndlessForm = "header_line"      // one header line
+	EndlessInterimHeads   EndlessForm = "interim_heads"    // heads with status 100
+	EndlessJunkSize       EndlessForm = "junk_size"        // junk where the size of a chunk is due
+	EndlessSizeExtension  EndlessForm = "size_extension"   // an extension of a chunk's size
+	EndlessChunk          EndlessForm = "one_chunk"        // one chunk of a huge size
+	EndlessSmallChunks    EndlessForm = "one_byte_chunks"  // chunks of one byte
+	EndlessTrailers       EndlessForm = "trailers"         // trailer lines
+	EndlessLength         EndlessForm = "huge_length"      // a body with a huge length
+	EndlessNoLength       EndlessForm = "no_length"        // a body without a length
+	EndlessPartialEvent   EndlessForm = "partial_event"    // lines that complete no event
+	EndlessEvents         EndlessForm = "events"           // whole, numbered events
+	EndlessLargeEvents    EndlessForm = "large_events"     // whole, numbered events of 512 KiB
+	EndlessUnnumbered     EndlessForm = "unnumbered"       // whole events without an id
+	EndlessComments       EndlessForm = "comments"         // events of a comment alone
+	EndlessBlankLines     EndlessForm = "blank_lines"      // empty lines alone
+	EndlessEventsNoLength EndlessForm = "events_no_length" // whole events in a body without a length
+	EndlessForeignAnswers EndlessForm = "foreign_answers"  // whole answers to other requests
+)
+
+const (
+	// endlessHugeLength is the length that an answer tells which has too many bytes.
+	endlessHugeLength      = 20_000_000_000
+	endlessBlockBytes      = 64 << 10 // written at once
+	endlessEventBytes      = 200      // data of an event
+	endlessLargeEventBytes = 512 << 10
 	// endlessMaxTime and endlessMaxBytes bound an endless answer whose caller never closes.
 	endlessMaxTime  = 15 * time.Second
 	endlessMaxBytes = 2 << 30
@@ -46,6 +50,9 @@
 var EndlessForms = []EndlessForm{EndlessHeaderLine, EndlessInterimHeads, EndlessJunkSize, EndlessSizeExtension, EndlessChunk, EndlessSmallChunks, EndlessTrailers,
 	EndlessLength, EndlessNoLength, EndlessPartialEvent, EndlessEvents, EndlessLargeEvents, EndlessUnnumbered, EndlessComments, EndlessBlankLines, EndlessEventsNoLength, EndlessForeignAnswers}
 
+// statusRefused is the status of an endless answer that says that the request did not run.
+const statusRefused = 503
+
 // endlessFaultPrefix starts the faults that FaultEndless returns.
 const endlessFaultPrefix = "endless "
 
@@ -216,7 +223,13 @@
 	seal := w.newSeal(w.lastSerial, arrival.ID)
 	w.mu.Unlock()
 	header := append(w.header(arrival.ID), [2]string{HeaderSeal, seal}, [2]string{"Content-Type", contentType})
-	update(func(a *Arrival) { a.Ran, a.Began, a.Broke, a.Status, a.Seal = true, w.Clock.Now(), true, status, seal })
+	refusal := status == statusRefused
+	if refusal {
+		header = append(header, [2]string{HeaderNotRun, "1"})
+	}
+	update(func(a *Arrival) {
+		a.Ran, a.Began, a.Broke, a.Status, a.Seal = !refusal, w.Clock.Now(), true, status, seal
+	})
 	if status == 200 && w.engine != nil {
 		update(func(a *Arrival) { a.Events = form.events() })
 	}
