worker: a worker that keeps failing comes last until it answers well

What callers saw: on the product's own routes a model or tool that answers without end was chosen again a second after each failure, since a failure set it aside for a fixed third of leave_bound_s, and a tool whose body failed was not set aside at all. The gateways spent their time on it.

Cause: the picker forgot a failure with the pause after it.

Change: a failure of a worker that was sent a request (lost call, answer given up) counts in a streak, and a good answer ends it. While the streak's time lasts, which doubles to sixteen thirds of leave_bound_s, the worker is chosen only if no other has room. Unreachable and busy workers are set aside as before; a shortage of our own memory is no failure of the worker.

Ruled out: excluding failing workers altogether (a pool of one would serve nothing); a longer fixed pause (a worker that fails once loses it too).

--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -193,10 +193,11 @@
 		Memory: memory.WaitingLease{Lease: t.memory, Timeout: memory.AnswerWait}})
 	requirements.Tried[chosen.ID] = true
 	if err != nil {
-		h.Picker.Avoid(chosen.ID)
 		if base.WasNotSent(err) {
+			h.Picker.Avoid(chosen.ID)
 			return nil, base.Busy(503, "worker_unreachable", 1, "no worker could be reached"), true
 		}
+		h.Picker.ReportFailure(chosen.ID)
 		return nil, base.Indeterminate(502, "worker_lost", "the worker's answer was lost"), false
 	}
 	cleanup.Push(reply.Close)
@@ -212,9 +213,15 @@
 	}
 	body, err := reply.ReadBody(t.ctx.Remaining(), maxToolResponseBytes)
 	if err != nil {
+		if memory.IsShortage(err) && !t.memory.WasLarge() {
+			return nil, memory.AnswerError(), false
+		}
+		h.Picker.ReportFailure(chosen.ID)
 		return nil, base.Indeterminate(502, "worker_cut", "the worker's answer was cut short"), false
 	}
-	if reply.Status() >= 500 && t.claim.Key == "" {
+	if reply.Status() < 500 {
+		h.Picker.ReportSuccess(chosen.ID)
+	} else if t.claim.Key == "" {
 		return nil, base.Indeterminate(502, "worker_failed", "the worker failed with status %d", reply.Status()), false
 	}
 	contentType := reply.Header("Content-Type")
--- a/internal/session/attempt.go
+++ b/internal/session/attempt.go
@@ -225,12 +225,13 @@
 	reply, err := m.backends.Call(ctx, chosenWorker.Addr, completion)
 	if err != nil {
 		plan.need.Tried[chosenWorker.ID] = true
-		m.picker.Avoid(chosenWorker.ID)
 		if base.WasNotSent(err) {
+			m.picker.Avoid(chosenWorker.ID)
 			m.counters.Add("legs_not_sent", 1)
 			settle(0)
 			return attemptOutcome{base.Busy(503, "worker_unreachable", 1, "no worker could be reached"), uncountedRetry}
 		}
+		m.picker.ReportFailure(chosenWorker.ID)
 		settle(-1)
 		return attemptOutcome{base.Indeterminate(502, "worker_lost", "the worker's response was lost"), countedRetry}
 	}
@@ -251,7 +252,7 @@
 	if requestErr != nil {
 		plan.need.Tried[chosenWorker.ID] = true
 		if !op.cancelled.Fired() && requestErr.Code != "memory_short" {
-			m.picker.Avoid(chosenWorker.ID)
+			m.picker.ReportFailure(chosenWorker.ID)
 		}
 		settle(-1)
 		if op.cancelled.Fired() {
@@ -260,6 +261,7 @@
 		}
 		return attemptOutcome{requestErr, countedRetry}
 	}
+	m.picker.ReportSuccess(chosenWorker.ID)
 	s.mu.Lock()
 	s.lastWorker = chosenWorker.ID
 	s.mu.Unlock()
--- a/internal/worker/picker.go
+++ b/internal/worker/picker.go
@@ -62,6 +62,7 @@
 	inFlight          map[string]int
 	inFlightByProgram map[string]int
 	avoidUntil        map[string]time.Duration
+	failing           map[string]failureStreak
 	leaving           map[string]leavingMark
 	// keptAlive holds the worker incarnations that have kept a connection open,
 	// as "id incarnation".
@@ -82,7 +83,7 @@
 // NewPicker returns a picker with an empty roster.
 func NewPicker(clock base.Clock, bounds *base.AtomicPointer[base.Bounds], counters *base.Counters, reports *UsageReports, zone string) *Picker {
 	p := &Picker{zone: zone, clock: clock, bounds: bounds, counters: counters, reports: reports,
-		inFlight: map[string]int{}, inFlightByProgram: map[string]int{}, avoidUntil: map[string]time.Duration{}, leaving: map[string]leavingMark{}, keptAlive: map[string]bool{}, inFlightBySite: map[string]int{}, meanDuration: map[string]time.Duration{}, grantInterval: map[string]time.Duration{}, lastGrant: map[string]time.Duration{}, lastRetryAt: map[string]time.Duration{}, lastServed: map[string]time.Duration{}}
+		inFlight: map[string]int{}, inFlightByProgram: map[string]int{}, avoidUntil: map[string]time.Duration{}, failing: map[string]failureStreak{}, leaving: map[string]leavingMark{}, keptAlive: map[string]bool{}, inFlightBySite: map[string]int{}, meanDuration: map[string]time.Duration{}, grantInterval: map[string]time.Duration{}, lastGrant: map[string]time.Duration{}, lastRetryAt: map[string]time.Duration{}, lastServed: map[string]time.Duration{}}
 	p.roster.Store(&Roster{Pools: map[string][]Worker{}})
 	return p
 }
@@ -91,10 +92,11 @@
 func (p *Picker) SetRoster(roster *Roster) {
 	p.roster.Store(roster)
 	p.mu.Lock()
-	listed := map[string]bool{}
+	listed, listedIDs := map[string]bool{}, map[string]bool{}
 	for _, pool := range roster.Pools {
 		for _, w := range pool {
 			listed[w.ID+" "+p.Incarnation(&w)] = true
+			listedIDs[w.ID] = true
 		}
 	}
 	for key := range p.keptAlive {
@@ -102,6 +104,11 @@
 			delete(p.keptAlive, key)
 		}
 	}
+	for id := range p.failing {
+		if !listedIDs[id] {
+			delete(p.failing, id)
+		}
+	}
 	p.serveQueue()
 	p.mu.Unlock()
 }
@@ -311,28 +318,48 @@
 // whether there is a worker that could take it once it has room. The caller holds
 // the lock.
 func (p *Picker) choose(req *Requirements) (chosen *Worker, anyEligible bool) {
-	candidates := map[string]*Worker{}
-	ids, total := []string{}, 0
+	var sound, failing []*Worker
+	now := p.clock.Now()
 	for _, w := range p.roster.Load().Pools[req.Pool] {
-		if p.eligible(&w, req) {
-			anyEligible = true
-			if p.clock.Now() < p.avoidUntil[w.ID] {
-				continue
-			}
-			candidates[w.ID] = &w
-			ids = append(ids, w.ID)
-			total += p.load(&w)
+		if !p.eligible(&w, req) {
+			continue
+		}
+		anyEligible = true
+		switch {
+		case now < p.avoidUntil[w.ID]:
+		case now < p.failing[w.ID].until:
+			failing = append(failing, &w)
+		default:
+			sound = append(sound, &w)
 		}
 	}
+	for _, workers := range [][]*Worker{sound, failing} {
+		if w := p.chooseAmong(req, workers); w != nil {
+			return w, true
+		}
+	}
+	return nil, anyEligible
+}
+
+// chooseAmong returns one of the workers with room for the request, or nil. The caller holds the
+// lock.
+func (p *Picker) chooseAmong(req *Requirements, workers []*Worker) *Worker {
+	candidates := map[string]*Worker{}
+	ids, total := []string{}, 0
+	for _, w := range workers {
+		candidates[w.ID] = w
+		ids = append(ids, w.ID)
+		total += p.load(w)
+	}
 	if len(ids) == 0 {
-		return nil, anyEligible
+		return nil
 	}
 	if w := p.chooseByPolicy(req, ids, candidates); w != nil {
-		return w, true
+		return w
 	}
 	if last := candidates[req.LastWorker]; last != nil && p.load(last) < last.Capacity {
 		p.counters.Add("picked_at_prefix", 1)
-		return last, true
+		return last
 	}
 	ranked := base.RendezvousOrder(req.AffinityKey, ids)
 	loadLimit := int(math.Ceil(maxLoadRatio * float64(total+1) / float64(len(ids))))
@@ -345,11 +372,11 @@
 				} else {
 					p.counters.Add("picked_spilled", 1)
 				}
-				return w, true
+				return w
 			}
 		}
 	}
-	return nil, true
+	return nil
 }
 
 // chooseByPolicy asks the operators' policy, if there is one. It returns nil if
--- a/internal/worker/picker_test.go
+++ b/internal/worker/picker_test.go
@@ -105,3 +105,40 @@
 		is.Equal(<-granted, want)
 	}
 }
+
+// A worker that keeps failing comes last for longer each time, until it gives a good answer.
+func TestFailingWorkersAreChosenLast(t *testing.T) {
+	is := is.New(t)
+	picker, _ := newTestPicker(map[string][]byte{ListKey: base.MustMarshal(List{Stamp: 1, Workers: []Worker{{ID: "a", Pool: "p", Capacity: 1, Zone: "z"}, {ID: "b", Pool: "p", Capacity: 1, Zone: "y"}}})})
+	choose := func(tried ...string) string {
+		req := &Requirements{Pool: "p", LastWorker: "a", AffinityKey: "s", Tried: map[string]bool{}}
+		for _, id := range tried {
+			req.Tried[id] = true
+		}
+		chosen, err := picker.Acquire(base.NewCtx(base.NewRealClock(), 0), req)
+		if err != nil {
+			return ""
+		}
+		picker.Release(chosen, req, time.Millisecond)
+		return chosen.ID
+	}
+	is.Equal(choose(), "a")
+	lasted := time.Duration(0)
+	for range 2 * maxFailureDoublings {
+		picker.ReportFailure("a")
+		delete(picker.avoidUntil, "a")
+		is.Equal(choose(), "b")
+		is.Equal(choose("b"), "a") // no other can be chosen
+		picker.inFlight["b"] = 1
+		is.Equal(choose(), "a") // the other has no room
+		delete(picker.inFlight, "b")
+		left := picker.failing["a"].until - picker.clock.Now()
+		is.True(left > lasted || picker.failing["a"].failures > maxFailureDoublings)
+		lasted = left
+	}
+	picker.ReportSuccess("a")
+	is.Equal(choose(), "a")
+	picker.ReportFailure("a")
+	picker.SetRoster(&Roster{Pools: map[string][]Worker{}})
+	is.Equal(len(picker.failing), 0)
+}
