crowdtest: the test of own routes tells a wait for a key from a fault

Cause, traced by its first forms: its tool calls had a key, a call that met the faulty tool may have run, and a second one with its key waits for the route's 30 s and is told that, as the pages of the product say (at most once). So a check that repeats one key cannot be answered, at each gateway and form. Each caller also had its own client whose connections stayed open: thousands, and too many open files later on.

Change: endless callers call tools without a key, with one client for all and one program each; the check wants a call without a key answered (the gateway repeats it), and one of four calls with keys of their own. The check is stricter in two points: each gateway must answer both kinds, and each form must have been sent to a gateway, by workers newly listed for it (the former ones are now chosen last, and would not have been called). Forms, statuses and bounds are as they were.

--- a/internal/fleet/crowdtest/own_routes_test.go
+++ b/internal/fleet/crowdtest/own_routes_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -92,10 +93,13 @@
 	return most
 }
 
-// ownFleet is a fleet of the product's own interface, half of whose workers answer without end.
+// ownFleet is a fleet of the product's own interface, one of whose models and tools answers without end.
 type ownFleet struct {
 	*fleet.Fleet
 	endless *endlessServer
+	send    standin.RequestFunc
+	// ordinary lists the workers that answer well.
+	ordinary worker.List
 }
 
 // startOwnFleet starts the fleet, whose processes have memoryMB each.
@@ -116,24 +120,36 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(workers.Stop)
-	endless := startEndlessServer(t)
+	f := &ownFleet{started, startEndlessServer(t), started.RequestSender(), workers.List}
+	if err := started.SetUp(workers, setUpTimeout); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// setEndless lists a model and a tool that answer without end beside the ordinary workers. They are
+// new to the gateways, which choose workers less that have failed them.
+func (f *ownFleet) setEndless(t *testing.T, form platform.EndlessForm, status int) {
+	t.Helper()
+	f.endless.fault.Store(&endlessAnswer{form, status})
+	f.ordinary.Stamp++
+	list := worker.List{Stamp: f.ordinary.Stamp, Workers: slices.Clone(f.ordinary.Workers)}
 	for _, pool := range []string{"models", "apps"} {
-		workers.List.Workers = append(workers.List.Workers, worker.Worker{ID: "endless-" + pool, Pool: pool, Addr: endless.listener.Addr().String(), Zone: started.Shape.Zones[0], Capacity: 16})
+		list.Workers = append(list.Workers, worker.Worker{ID: fmt.Sprintf("endless-%s-%d", pool, list.Stamp), Pool: pool, Addr: f.endless.listener.Addr().String(), Zone: f.Shape.Zones[0], Capacity: 16})
 	}
-	endless.fault.Store(&endlessAnswer{platform.EndlessEvents, 200})
-	if err := started.SetUp(workers, setUpTimeout); err != nil {
+	if err := fleet.CallJSON("PUT", f.Gateways[0].PublicAddr, "/v1/platform/workers", list, nil); err != nil {
 		t.Fatal(err)
 	}
-	return &ownFleet{started, endless}
 }
 
 // newCaller returns a caller at a gateway.
 func (f *ownFleet) newCaller(gateway int, timeout time.Duration) *standin.Caller {
-	return &standin.Caller{Name: newID(), Clock: base.NewRealClock(), Send: f.RequestSender(), Gateways: len(f.Gateways), Gateway: gateway, Group: f.Shape.Group, Site: "main",
+	return &standin.Caller{Name: newID(), Clock: base.NewRealClock(), Send: f.send, Gateways: len(f.Gateways), Gateway: gateway, Group: f.Shape.Group, Site: "main",
 		PiecesPerTurn: 5, TurnTimeout: timeout, Tally: standin.NewTally(), ToolRoute: "lookup"}
 }
 
-// callEndless has callers take turns and call tools for endlessTime.
+// callEndless has callers take turns and call tools for endlessTime. The tool calls have no key: a
+// second call with the same key waits for the first one's end.
 func (f *ownFleet) callEndless() {
 	var group sync.WaitGroup
 	end := time.Now().Add(endlessTime)
@@ -141,11 +157,12 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
+			caller := f.newCaller(index, endlessTime)
+			caller.KeylessTools = true
+			if !caller.Start(1_000_000) {
+				return
+			}
 			for turn := 1; time.Now().Before(end); turn++ {
-				caller := f.newCaller(index, endlessTime)
-				if !caller.Start(10_000) {
-					continue
-				}
 				if index%2 == 0 {
 					caller.RunTurn(turn)
 				} else {
@@ -182,28 +199,58 @@
 			t.Fatal(err)
 		}
 	}
-	if most := f.endless.takeMost(); most > endlessAnswerBytes {
+	switch most := f.endless.takeMost(); {
+	case most == 0:
+		t.Error("no worker answered without end")
+	case most > endlessAnswerBytes:
 		t.Errorf("%d MB were taken of one answer, more than %d", most>>20, endlessAnswerBytes>>20)
 	}
 }
 
-// checkConversation fails the test unless a gateway answers a turn and a tool call. Callers try
-// again, since half of the workers are faulty.
+// checkConversation fails the test unless a gateway answers a turn and a tool call. Its caller
+// starts turns again, since a worker is faulty; a tool call without a key is repeated by
+// the gateway, and a call with one is answered unless it met the faulty tool.
 func (f *ownFleet) checkConversation(t *testing.T, name string, gateway int) {
 	t.Helper()
-	turned, called := false, false
-	for deadline := time.Now().Add(answerTimeout); time.Now().Before(deadline) && !(turned && called); {
+	turned := false
+	for deadline := time.Now().Add(answerTimeout); time.Now().Before(deadline) && !turned; {
 		caller := f.newCaller(gateway, ownTurnTimeout)
-		if !caller.Start(10_000) {
-			continue
+		turned = caller.Start(10_000) && caller.RunTurn(1)
+	}
+	if !turned {
+		t.Errorf("%s: no ordinary turn was answered in %v", name, answerTimeout)
+	}
+	for _, keyless := range []bool{true, false} {
+		if !f.callTools(gateway, keyless) {
+			t.Errorf("%s: no ordinary tool call was answered, without a key: %t", name, keyless)
 		}
-		turned = turned || caller.RunTurn(1)
-		caller.CallTool(1)
-		called = called || caller.Tally.Counts["tools_done"] > 0
 	}
-	if !turned || !called {
-		t.Errorf("%s: an ordinary turn was answered: %t, a tool call: %t", name, turned, called)
+}
+
+// callTools makes ordinary tool calls, each by a caller of its own, and reports whether one was
+// answered, as soon as it was. A call that met the faulty tool is told so after its route's time.
+func (f *ownFleet) callTools(gateway int, keyless bool) bool {
+	calls := 4
+	if keyless {
+		calls = 1
+	}
+	answered := make(chan bool, calls)
+	for range calls {
+		caller := f.newCaller(gateway, ownTurnTimeout)
+		caller.KeylessTools = keyless
+		go func() {
+			if caller.Start(10_000) {
+				caller.CallTool(1)
+			}
+			answered <- caller.Tally.Counts["tools_done"] > 0
+		}()
+	}
+	for range calls {
+		if <-answered {
+			return true
+		}
 	}
+	return false
 }
 
 // TestEndlessAnswersOnOwnRoutes guards against gateways that keep, or read without end, what a
@@ -213,7 +260,7 @@
 	for _, status := range []int{200, 500} {
 		for _, form := range platform.EndlessForms {
 			t.Run(fmt.Sprintf("%s_behind_%d", form, status), func(t *testing.T) {
-				f.endless.fault.Store(&endlessAnswer{form, status})
+				f.setEndless(t, form, status)
 				f.callEndless()
 				f.check(t)
 			})
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -38,6 +38,8 @@
 	Route     string
 	ToolRoute string
 	Urgency   string
+	// KeylessTools makes tool calls carry no idempotency key, as repeatable routes allow.
+	KeylessTools bool
 
 	// parent is set if the caller's program is a helper of the parent's program.
 	parent        *Caller
@@ -374,14 +376,18 @@
 	}
 }
 
-// CallTool makes a tool call, which must not run twice. It retries with the same
-// idempotency key until the outcome is known or its time is over.
+// CallTool makes a tool call, which must not run twice if it has an idempotency key. It retries
+// with the same key until the outcome is known or its time is over.
 func (c *Caller) CallTool(turn int) {
-	key := fmt.Sprintf("k%d", turn)
-	c.Tally.mu.Lock()
-	c.Tally.ToolKeys[c.programID+"/"+key] = true
-	c.Tally.mu.Unlock()
-	_, errResponse := c.sendWithRetry("POST", "/v1/programs/"+c.programID+"/tools/"+valueOrDefault(c.ToolRoute, "loyalty"), c.authHeader(c.programSecret, map[string]string{"idempotency-key": key}), map[string]int{"points": turn})
+	var extra map[string]string
+	if !c.KeylessTools {
+		key := fmt.Sprintf("k%d", turn)
+		c.Tally.mu.Lock()
+		c.Tally.ToolKeys[c.programID+"/"+key] = true
+		c.Tally.mu.Unlock()
+		extra = map[string]string{"idempotency-key": key}
+	}
+	_, errResponse := c.sendWithRetry("POST", "/v1/programs/"+c.programID+"/tools/"+valueOrDefault(c.ToolRoute, "loyalty"), c.authHeader(c.programSecret, extra), map[string]int{"points": turn})
 	switch {
 	case errResponse == nil:
 		c.Tally.Count("tools_done")
