node: a storage machine waits for a disk that is full or not there yet

What operators saw: a storage process that starts while its disk is full, or before the volume of its data folder is there, ends with exit 1 and stays down; with a full disk it says that its data are damaged and that the folder should be emptied, which would lose a disk that is sound.

Cause: every error of opening the folder was taken as final, and as damage.

Change: openStorage tries again, 50 ms to 2 s apart, while the error is the system's (ErrFull or an errno), with one warning that names it, until the process is asked to stop. What the folder contains ends it as before.

Ruled out: going on without a disk, as cores do (a storage machine is its disk); waiting before the internal address is taken (holding the address keeps two processes off one folder).

Test: TestStorageWaitsForItsVolume and TestStorageThatWaitsForItsVolumeStops fail before ("ended (exit status 1)") and pass now. The full disk: a broken newest checkpoint cannot be replaced, in TestCheckpointsRotateAndFallBack. That test broke the older checkpoint until now, since it took the generation after a reopening; it now breaks the newest, as its comment says, and passes. TestProcessServesOnAFullDisk passes before as well.

--- a/internal/disk/files.go
+++ b/internal/disk/files.go
@@ -35,6 +35,13 @@
 
 func isFull(err error) bool { return errors.Cause(err) == ErrFull }
 
+// IsSystemError reports whether the system refused to read or write a file, for example because
+// there is no space, as opposed to an error of what a file contains.
+func IsSystemError(err error) bool {
+	var number syscall.Errno
+	return isFull(err) || errors.As(err, &number)
+}
+
 // folder implements Files with plain files in one directory.
 type folder struct {
 	path    string
--- a/internal/disk/store_test.go
+++ b/internal/disk/store_test.go
@@ -397,22 +397,28 @@
 	}
 	d.close()
 	is.True(len(d.files.files["log-0"])+len(d.files.files["log-1"]) < 16<<20) // the logs stay short
-	reopen := func(files *memFiles) *Store {
+	reopen := func(files *memFiles) {
 		store, err := Open(base.NewRealClock(), files, base.NewCounters())
 		is.NoErr(err)
 		is.Equal(store.replicas[3].Seq, seq)
 		is.Equal(string(store.replicas[3].values["last"]), fmt.Sprint(seq))
 		is.Equal(store.id, d.id)
 		store.Close()
-		return store
 	}
-	generation := reopen(d.files.clone()).generation
+	reopen(d.files.clone())
+	newest := checkpointFileName(d.store.generation)
 	for _, corrupt := range []func([]byte) []byte{
 		func(data []byte) []byte { return data[:len(data)/2] },
 		func(data []byte) []byte { data[len(data)/2] ^= 1; return data },
 	} {
 		files := d.files.clone()
-		files.files[checkpointFileName(generation)] = corrupt(files.files[checkpointFileName(generation)])
+		files.files[newest] = corrupt(files.files[newest])
+		full := files.clone()
+		full.capacity = 0
+		_, err := Open(base.NewRealClock(), full, base.NewCounters())
+		is.True(IsSystemError(err)) // the broken checkpoint cannot be replaced yet
+		full.capacity = files.capacity
+		reopen(full)
 		reopen(files) // from the previous checkpoint and both logs
 		reopen(files) // again after the repair
 	}
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -114,7 +114,7 @@
 }
 
 // Open sets up the process of a configuration. Until ctx ends it waits for its address if
-// another socket holds that. Start starts it, and Close stops it and releases its resources.
+// another socket holds that, and for the disk of a storage node. Start starts it, and Close stops it and releases its resources.
 func Open(ctx context.Context, config *Config, names *relay.WireNames) (*Daemon, error) {
 	d := &Daemon{memoryBytes: config.MemoryBytes}
 	counters := base.NewCounters()
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	d.cleanup.Push(func() { _ = d.internalListener.Close() })
-	if d.Process, d.PublicHandler, err = newProcess(d.Env, config); err != nil {
+	if d.Process, d.PublicHandler, err = newProcess(ctx, d.Env, config); err != nil {
 		d.cleanup.Run()
 		return nil, err
 	}
@@ -204,7 +204,7 @@
 
 // newProcess returns the process of the configured role and the handler of its
 // public address.
-func newProcess(env Env, config *Config) (process, Handler, error) {
+func newProcess(ctx context.Context, env Env, config *Config) (process, Handler, error) {
 	switch config.Role {
 	case "edge":
 		gateway := NewGateway(env, *config)
@@ -224,14 +224,9 @@
 		core := NewCore(env, *config)
 		return core, core.OperatorAPI.Handle, nil
 	}
-	files, err := disk.OpenFolder(config.DataDir, config.DiskLimitBytes)
+	storage, err := openStorage(ctx, env, config)
 	if err != nil {
 		return nil, nil, err
 	}
-	env.Files = files
-	storage, err := NewStorage(env, *config)
-	if err != nil {
-		return nil, nil, errors.Annotate(err, "the data on the disk is damaged, so it must not vote; empty the data folder to bring this machine back as a new disk")
-	}
 	return storage, NotFound, nil
 }
