retry: one loop for what a machine refuses for a moment

Waiting for an address and for a disk had the same loop of doubling pauses, first warning and end by context.

--- a/internal/node/open_storage.go
+++ b/internal/node/open_storage.go
@@ -5,35 +5,29 @@
 	"time"
 
 	"fordseam/internal/disk"
+	"fordseam/internal/retry"
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
 )
 
-// The pause between two tries to open a disk doubles from the first to the longest.
-const (
-	firstDiskPause   = 50 * time.Millisecond
-	longestDiskPause = 2 * time.Second
-)
+// diskPauses are the pauses between tries to open a disk.
+var diskPauses = retry.Pauses{First: 50 * time.Millisecond, Longest: 2 * time.Second}
 
 // openStorage opens the data folder of a storage node. While the system refuses to read or write
 // it, because it is full or not there yet, it tries again until ctx ends. It fails at once on what
 // the folder contains.
 func openStorage(ctx context.Context, env Env, config *Config) (*Storage, error) {
-	for pause := firstDiskPause; ; pause = min(2*pause, longestDiskPause) {
-		storage, err := tryOpenStorage(env, config)
-		if err == nil || !disk.IsSystemError(err) {
-			return storage, err
-		}
-		if pause == firstDiskPause {
+	var storage *Storage
+	err := diskPauses.Until(ctx, func(before int) (again bool, err error) {
+		storage, err = tryOpenStorage(env, config)
+		again = err != nil && disk.IsSystemError(err)
+		if again && before == 0 {
 			log.WithError(err).Warn("cannot open the data folder yet, trying again")
 		}
-		select {
-		case <-ctx.Done():
-			return nil, errors.Trace(ctx.Err())
-		case <-time.After(pause):
-		}
-	}
+		return again, err
+	})
+	return storage, err
 }
 
 // tryOpenStorage opens the data folder of a storage node once.
--- a/internal/tcp/listen.go
+++ b/internal/tcp/listen.go
@@ -10,16 +10,14 @@
 	"time"
 
 	"fordseam/internal/base"
+	"fordseam/internal/retry"
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
 )
 
-// The pause between two tries to listen doubles from the first to the longest.
-const (
-	firstListenPause   = 20 * time.Millisecond
-	longestListenPause = 500 * time.Millisecond
-)
+// listenPauses are the pauses between tries to listen.
+var listenPauses = retry.Pauses{First: 20 * time.Millisecond, Longest: 500 * time.Millisecond}
 
 // The pause between two tries to accept doubles from the first to the longest.
 const (
@@ -36,28 +34,24 @@
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
 	config := net.ListenConfig{}
 	config.SetMultipathTCP(false)
-	clock, pause := base.NewRealClock(), firstListenPause
-	for {
-		listener, err := config.Listen(ctx, "tcp", addr)
-		if err == nil {
-			if pause > firstListenPause {
-				log.WithFields(log.Fields{"listen": addr, "after": clock.Now().String()}).Info("listening after a wait")
-			}
-			return &retryingListener{Listener: listener, clock: clock, closed: make(chan struct{})}, nil
-		}
-		if !isTransient(err) {
-			return nil, errors.Annotatef(err, "cannot listen on %s", addr)
-		}
-		if pause == firstListenPause {
+	clock := base.NewRealClock()
+	var listener net.Listener
+	err := listenPauses.Until(ctx, func(before int) (again bool, err error) {
+		listener, err = config.Listen(ctx, "tcp", addr)
+		switch {
+		case err == nil && before > 0:
+			log.WithFields(log.Fields{"listen": addr, "after": clock.Now().String()}).Info("listening after a wait")
+		case err != nil && !isTransient(err):
+			return false, errors.Annotatef(err, "cannot listen on %s", addr)
+		case err != nil && before == 0:
 			log.WithField("listen", addr).WithError(err).Warn("cannot listen yet, trying again")
 		}
-		select {
-		case <-ctx.Done():
-			return nil, errors.Trace(ctx.Err())
-		case <-time.After(pause):
-		}
-		pause = min(2*pause, longestListenPause)
+		return err != nil, err
+	})
+	if err != nil {
+		return nil, err
 	}
+	return &retryingListener{Listener: listener, clock: clock, closed: make(chan struct{})}, nil
 }
 
 // isTransient reports whether an error is about something that the machine may have again soon.
