worker: a request whose own time is over is no streak of its worker's

Cause: a turn that waited long before it was sent runs out of its route's time at a sound worker; since that made the worker come last, for up to sixteen thirds of leave_bound_s. Change: such a request sets its worker aside as before, and counts in no streak. Result: TestFailingWorkersAreChosenLast covers it; internal/worker and internal/session pass with -race.

--- a/internal/front/tool.go
+++ b/internal/front/tool.go
@@ -197,7 +197,7 @@
 			h.Picker.Avoid(chosen.ID)
 			return nil, base.Busy(503, "worker_unreachable", 1, "no worker could be reached"), true
 		}
-		h.Picker.ReportFailure(chosen.ID)
+		h.Picker.ReportFailure(t.ctx, chosen.ID)
 		return nil, base.Indeterminate(502, "worker_lost", "the worker's answer was lost"), false
 	}
 	cleanup.Push(reply.Close)
@@ -216,7 +216,7 @@
 		if memory.IsShortage(err) && !t.memory.WasLarge() {
 			return nil, memory.AnswerError(), false
 		}
-		h.Picker.ReportFailure(chosen.ID)
+		h.Picker.ReportFailure(t.ctx, chosen.ID)
 		return nil, base.Indeterminate(502, "worker_cut", "the worker's answer was cut short"), false
 	}
 	if reply.Status() < 500 {
--- a/internal/session/attempt.go
+++ b/internal/session/attempt.go
@@ -231,7 +231,7 @@
 			settle(0)
 			return attemptOutcome{base.Busy(503, "worker_unreachable", 1, "no worker could be reached"), uncountedRetry}
 		}
-		m.picker.ReportFailure(chosenWorker.ID)
+		m.picker.ReportFailure(ctx, chosenWorker.ID)
 		settle(-1)
 		return attemptOutcome{base.Indeterminate(502, "worker_lost", "the worker's response was lost"), countedRetry}
 	}
@@ -252,7 +252,7 @@
 	if requestErr != nil {
 		plan.need.Tried[chosenWorker.ID] = true
 		if !op.cancelled.Fired() && requestErr.Code != "memory_short" {
-			m.picker.ReportFailure(chosenWorker.ID)
+			m.picker.ReportFailure(ctx, chosenWorker.ID)
 		}
 		settle(-1)
 		if op.cancelled.Fired() {
--- a/internal/worker/picker_test.go
+++ b/internal/worker/picker_test.go
@@ -123,9 +123,15 @@
 		return chosen.ID
 	}
 	is.Equal(choose(), "a")
+	clock := base.NewRealClock()
+	expired, ctx := base.NewCtx(clock, 0), base.NewCtx(clock, time.Minute)
+	picker.ReportFailure(expired, "a")
+	is.Equal(choose(), "b")
+	delete(picker.avoidUntil, "a")
+	is.Equal(choose(), "a") // the request may have waited elsewhere
 	lasted := time.Duration(0)
 	for range 2 * maxFailureDoublings {
-		picker.ReportFailure("a")
+		picker.ReportFailure(ctx, "a")
 		delete(picker.avoidUntil, "a")
 		is.Equal(choose(), "b")
 		is.Equal(choose("b"), "a") // no other can be chosen
@@ -138,7 +144,7 @@
 	}
 	picker.ReportSuccess("a")
 	is.Equal(choose(), "a")
-	picker.ReportFailure("a")
+	picker.ReportFailure(ctx, "a")
 	picker.SetRoster(&Roster{Pools: map[string][]Worker{}})
 	is.Equal(len(picker.failing), 0)
 }
