--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -61,6 +61,7 @@
 	}
 	run.done.Store(true)
 	<-callersDone
+	t.Logf("what callers saw: %v", tally.Counts) // names what cut a turn
 	for _, name := range []string{"turns_dropped", "turns_cut", "final_cut_cut"} {
 		is.Equal(name+fmt.Sprint(tally.Counts[name]), name+"0")
 	}
