--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -49,3 +49,15 @@
 )
 
 const MaxChangeWorkers = maxChangeWorkers
+
+// ReportLoad sets how many requests of other nodes all workers have reported just now.
+func (r *Relay) ReportLoad(requests float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pools {
+		p.meanOtherRequests = requests
+		for _, s := range p.workers {
+			s.loadReported, s.otherRequests, s.loadReportedAt = true, requests, r.Clock.Now()
+		}
+	}
+}
