--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -114,7 +114,8 @@
 }
 
 // Open sets up the process of a configuration. Until ctx ends it waits for its address if
-// another socket holds that, and for the disk of a storage node. Start starts it, and Close stops it and releases its resources.
+// another socket holds that, and for the disk of a storage node. Start starts it, and Close stops
+// it and releases its resources.
 func Open(ctx context.Context, config *Config, names *relay.WireNames) (*Daemon, error) {
 	d := &Daemon{memoryBytes: config.MemoryBytes}
 	counters := base.NewCounters()
